--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,126 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	stderrors "errors"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/config"
+)
+
+// maxRequestBytes bounds a request's body.
+const maxRequestBytes = 4 << 20
+
+// Backend is what the server asks of the daemon. Methods may block on the
+// platform or on peers until ctx ends.
+type Backend interface {
+	Ready() error
+	Apply(ctx context.Context, edit config.Edit) (config.Document, error)
+	Plan(ctx context.Context, edit config.Edit) (config.Document, error)
+	Document() config.Document
+	Status(ctx context.Context) Status
+	Services() []ServiceStatus
+}
+
+// NewHandler returns the interface of a daemon. metrics serves PathMetrics.
+func NewHandler(backend Backend, metrics http.Handler) http.Handler {
+	s := &server{backend: backend}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, s.health)
+	mux.HandleFunc("GET "+PathReady, s.ready)
+	mux.Handle("GET "+PathMetrics, metrics)
+	mux.HandleFunc("POST "+PathApply, s.apply)
+	mux.HandleFunc("GET "+PathDocument, s.document)
+	mux.HandleFunc("GET "+PathStatus, s.status)
+	mux.HandleFunc("GET "+PathServices, s.services)
+	mux.HandleFunc(PathProfile, pprof.Index)
+	mux.HandleFunc(PathProfile+"profile", pprof.Profile)
+	return mux
+}
+
+type server struct {
+	backend Backend
+}
+
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.backend.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *server) apply(w http.ResponseWriter, r *http.Request) {
+	var request ApplyRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		writeError(w, http.StatusBadRequest, ErrorInvalid, err)
+		return
+	}
+	if request.Edit.ID == "" {
+		writeError(w, http.StatusBadRequest, ErrorInvalid, errors.NotValidf("edit.ID: empty"))
+		return
+	}
+	act := s.backend.Apply
+	if request.DryRun {
+		act = s.backend.Plan
+	}
+	document, err := act(r.Context(), request.Edit)
+	if err != nil {
+		writeApplyError(w, err)
+		return
+	}
+	response := ApplyResponse{Revision: document.Revision}
+	if change, ok := document.FindChange(request.Edit.ID); ok {
+		response.Revision, response.Changed = change.Revision, change.Objects
+	}
+	writeJSON(w, response)
+}
+
+func writeApplyError(w http.ResponseWriter, err error) {
+	var conflict *config.ConflictError
+	var invalid *config.ObjectError
+	switch {
+	case stderrors.As(err, &conflict):
+		writeError(w, http.StatusConflict, ErrorConflict, err)
+	case stderrors.As(err, &invalid):
+		writeError(w, http.StatusUnprocessableEntity, ErrorInvalid, err)
+	case errors.Is(err, errors.NotFound):
+		writeError(w, http.StatusNotFound, ErrorNotFound, err)
+	default:
+		writeError(w, http.StatusServiceUnavailable, ErrorUnavailable, err)
+	}
+}
+
+func (s *server) document(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.backend.Document())
+}
+
+func (s *server) status(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.backend.Status(r.Context()))
+}
+
+func (s *server) services(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.backend.Services())
+}
+
+func writeError(w http.ResponseWriter, status int, kind ErrorKind, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An operator that has gone cannot be told.
+	_ = json.NewEncoder(w).Encode(ErrorResponse{Kind: kind, Message: err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,222 @@
+// Package admission decides which requests wait, in what order, and which are
+// refused.
+//
+// Requests wait at the daemon, not in the queue of a back end. The heaviest
+// class goes first; within a weight, the earliest deadline. A full queue makes
+// room by refusing the request that matters least, and a request that cannot be
+// served before its deadline is refused on arrival, so that under overload the
+// back ends work only on requests whose callers still wait. A refusal here is
+// always "not run".
+//
+// The package is pure and not safe for concurrent use.
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Ticket is one waiting request.
+type Ticket struct {
+	Weight   int       // higher goes first
+	Deadline time.Time // after this the answer is of no use
+	Expiry   time.Time // after this the request may not wait any longer
+	// Payload belongs to the owner of the queue.
+	Payload any
+
+	sequence uint64
+	index    int // position in the heap; -1: not waiting
+}
+
+// Verdict says what became of an offered ticket.
+type Verdict int
+
+// The verdicts.
+const (
+	// Waiting: the ticket is in the queue.
+	Waiting Verdict = iota
+	// Full: the queue is full of requests that matter as much or more.
+	Full
+	// Late: the deadline cannot be met behind the requests already waiting.
+	Late
+)
+
+// Queue holds the waiting requests of one service.
+type Queue struct {
+	limit    int
+	tickets  ticketHeap
+	sequence uint64
+	rate     rate
+}
+
+// NewQueue returns an empty queue for at most limit requests.
+func NewQueue(limit int) *Queue {
+	return &Queue{limit: limit}
+}
+
+// SetLimit changes the bound. Requests already waiting stay.
+func (q *Queue) SetLimit(limit int) {
+	q.limit = limit
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	return len(q.tickets)
+}
+
+// Offer puts a ticket into the queue. When the queue is full, the least
+// important waiting ticket is taken out and returned as displaced if the new
+// one matters more.
+func (q *Queue) Offer(now time.Time, ticket *Ticket) (verdict Verdict, displaced *Ticket) {
+	if now.Add(q.Wait(now, ticket)).After(ticket.Deadline) {
+		return Late, nil
+	}
+	if len(q.tickets) >= q.limit {
+		displaced = q.least()
+		if displaced == nil || displaced.Weight >= ticket.Weight {
+			return Full, nil
+		}
+		heap.Remove(&q.tickets, displaced.index)
+	}
+	q.sequence++
+	ticket.sequence = q.sequence
+	heap.Push(&q.tickets, ticket)
+	return Waiting, displaced
+}
+
+// Next takes out the ticket that goes first, or returns nil.
+func (q *Queue) Next() *Ticket {
+	if len(q.tickets) == 0 {
+		return nil
+	}
+	return heap.Pop(&q.tickets).(*Ticket)
+}
+
+// Peek returns the ticket that goes first without taking it out, or nil.
+func (q *Queue) Peek() *Ticket {
+	if len(q.tickets) == 0 {
+		return nil
+	}
+	return q.tickets[0]
+}
+
+// Remove takes out a ticket whose caller left or whose wait is over, and says
+// whether it was still waiting.
+func (q *Queue) Remove(ticket *Ticket) bool {
+	if ticket.index < 0 || ticket.index >= len(q.tickets) || q.tickets[ticket.index] != ticket {
+		return false
+	}
+	heap.Remove(&q.tickets, ticket.index)
+	return true
+}
+
+// Served notes that a back end finished a request of the service. The queue
+// learns from it how fast it empties.
+func (q *Queue) Served(now time.Time) {
+	q.rate.add(now)
+}
+
+// Wait estimates how long a ticket of this weight would wait now.
+func (q *Queue) Wait(now time.Time, ticket *Ticket) time.Duration {
+	ahead := 0
+	for _, waiting := range q.tickets {
+		if !less(ticket, waiting) {
+			ahead++
+		}
+	}
+	perSecond := q.rate.perSecond(now)
+	if perSecond == 0 || ahead == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+// least returns the waiting ticket that matters least, or nil.
+func (q *Queue) least() *Ticket {
+	var last *Ticket
+	for _, ticket := range q.tickets {
+		if last == nil || less(last, ticket) {
+			last = ticket
+		}
+	}
+	return last
+}
+
+// less says whether a goes before b.
+func less(a, b *Ticket) bool {
+	if a.Weight != b.Weight {
+		return a.Weight > b.Weight
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.sequence < b.sequence
+}
+
+// ticketHeap implements heap.Interface.
+type ticketHeap []*Ticket
+
+func (h ticketHeap) Len() int           { return len(h) }
+func (h ticketHeap) Less(i, j int) bool { return less(h[i], h[j]) }
+
+func (h ticketHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *ticketHeap) Push(x any) {
+	ticket := x.(*Ticket)
+	ticket.index = len(*h)
+	*h = append(*h, ticket)
+}
+
+// Pop implements heap.Interface.
+func (h *ticketHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	last.index = -1
+	*h = old[:len(old)-1]
+	return last
+}
+
+// rateWindow is the time over which the rate of finished requests is taken.
+const rateWindow = time.Second
+
+// rate counts events in the running and the previous window.
+type rate struct {
+	start             time.Time
+	current, previous int
+}
+
+func (r *rate) roll(now time.Time) {
+	if r.start.IsZero() {
+		r.start = now
+	}
+	passed := now.Sub(r.start)
+	if passed < rateWindow {
+		return
+	}
+	if passed < 2*rateWindow {
+		r.previous = r.current
+		r.start = r.start.Add(rateWindow)
+	} else {
+		r.previous = 0
+		r.start = now
+	}
+	r.current = 0
+}
+
+func (r *rate) add(now time.Time) {
+	r.roll(now)
+	r.current++
+}
+
+// perSecond weighs the previous window by the part of it that is still within
+// the last rateWindow.
+func (r *rate) perSecond(now time.Time) float64 {
+	r.roll(now)
+	share := 1 - now.Sub(r.start).Seconds()/rateWindow.Seconds()
+	return float64(r.current) + share*float64(r.previous)
+}
--- /dev/null
+++ b/command/change.go
@@ -0,0 +1,277 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/config"
+)
+
+// files are the options of commands that read objects.
+type files struct {
+	Files []string `short:"f" long:"file" required:"true" value-name:"FILE" description:"TOML file with objects; may be given several times"`
+}
+
+// read returns the objects of all files.
+func (f *files) read() (config.Content, error) {
+	var all config.Content
+	for _, path := range f.Files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return config.Content{}, &exit{code: ExitUsage, cause: err}
+		}
+		content, err := config.DecodeTOML(path, text)
+		if err != nil {
+			return config.Content{}, &exit{code: ExitUsage, cause: err}
+		}
+		if err := checkPolicies(path, text, content); err != nil {
+			return config.Content{}, &exit{code: ExitUsage, cause: err}
+		}
+		all.Services = append(all.Services, content.Services...)
+		all.Placements = append(all.Placements, content.Placements...)
+		all.Policies = append(all.Policies, content.Policies...)
+	}
+	return all, nil
+}
+
+// checkPolicies checks a file's policies by themselves, so that an error names
+// the line.
+func checkPolicies(path string, text []byte, content config.Content) error {
+	return errors.Trace(config.Locate(path, text, config.Content{Policies: content.Policies}.Validate()))
+}
+
+type applyCommand struct {
+	*global
+	changing
+	files
+	Base config.Revision `long:"base" description:"revision the change was made from; objects that others changed since are a conflict"`
+	Wait bool            `long:"wait" description:"return when the revision is in force at all daemons"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	content, err := c.read()
+	if err != nil {
+		return err
+	}
+	edit := c.edit("apply " + strings.Join(c.Files, " "))
+	edit.Set, edit.Base = content, c.Base
+	return c.change(edit, c.DryRun, c.Wait)
+}
+
+// change asks for the change, prints what it did and waits if wanted.
+func (g *global) change(edit config.Edit, dryRun, wait bool) error {
+	ctx, cancel := g.context()
+	defer cancel()
+	response, err := g.applyUntilKnown(ctx, admin.ApplyRequest{Edit: edit, DryRun: dryRun})
+	if err != nil {
+		return errors.Annotatef(err, "change %s", edit.ID)
+	}
+	if err := g.printChange(response, dryRun); err != nil {
+		return err
+	}
+	if !wait || dryRun {
+		return nil
+	}
+	return g.waitFor(ctx, response.Revision)
+}
+
+// applyTries bounds how often a change whose answer was lost is asked for again.
+const applyTries = 4
+
+// applyUntilKnown repeats a change whose answer was lost; its id keeps it from
+// being made twice.
+func (g *global) applyUntilKnown(ctx context.Context, request admin.ApplyRequest) (admin.ApplyResponse, error) {
+	var response admin.ApplyResponse
+	var err error
+	for range applyTries {
+		response, err = g.client().Apply(ctx, request)
+		var refused *admin.CallError
+		if err == nil || errors.As(err, &refused) {
+			return response, err
+		}
+		select {
+		case <-time.After(waitPoll):
+		case <-ctx.Done():
+			return response, err
+		}
+	}
+	return response, err
+}
+
+func (g *global) printChange(response admin.ApplyResponse, dryRun bool) error {
+	if g.Output == "json" {
+		return g.printJSON(response)
+	}
+	note := ""
+	if dryRun {
+		note = " (dry run, nothing changed)"
+	}
+	if _, err := fmt.Fprintf(g.out, "revision %d%s\n", response.Revision, note); err != nil {
+		return err
+	}
+	return g.printDifferences(response.Changed)
+}
+
+type validateCommand struct {
+	*global
+	files
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute([]string) error {
+	content, err := c.read()
+	if err != nil {
+		return err
+	}
+	if err := content.Validate(); err != nil {
+		return &exit{code: ExitUsage, cause: err}
+	}
+	_, err = fmt.Fprintf(c.out, "valid: %d services, %d placements, %d policies\n", len(content.Services), len(content.Placements), len(content.Policies))
+	return err
+}
+
+type diffCommand struct {
+	*global
+	files
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	content, err := c.read()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	current, err := c.client().Document(ctx)
+	if err != nil {
+		return err
+	}
+	next, err := current.Content.Merge(content, nil)
+	if err != nil {
+		return err
+	}
+	changes, err := config.Diff(current.Content, next)
+	if err != nil {
+		return err
+	}
+	if len(changes) == 0 {
+		return nil
+	}
+	if err := c.printDifferences(changes); err != nil {
+		return err
+	}
+	return errDifferences
+}
+
+type deleteCommand struct {
+	*global
+	changing
+	Arguments struct {
+		Kind  config.Kind `positional-arg-name:"KIND" required:"yes"`
+		Names []string    `positional-arg-name:"NAME" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *deleteCommand) Execute([]string) error {
+	edit := c.edit(fmt.Sprintf("delete %s %s", c.Arguments.Kind, strings.Join(c.Arguments.Names, " ")))
+	for _, name := range c.Arguments.Names {
+		edit.Deleted = append(edit.Deleted, config.ObjectKey{Kind: c.Arguments.Kind, Name: name})
+	}
+	return c.change(edit, c.DryRun, false)
+}
+
+type rollbackCommand struct {
+	*global
+	changing
+	Wait      bool `long:"wait" description:"return when the revision is in force at all daemons"`
+	Arguments struct {
+		Revision string `positional-arg-name:"REVISION" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *rollbackCommand) Execute([]string) error {
+	revision, err := parseRevision(c.Arguments.Revision)
+	if err != nil {
+		return err
+	}
+	edit := c.edit("rollback to revision " + c.Arguments.Revision)
+	edit.RollbackTo = revision
+	return c.change(edit, c.DryRun, c.Wait)
+}
+
+func parseRevision(text string) (config.Revision, error) {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || number == 0 {
+		return 0, &exit{code: ExitUsage, cause: errors.NotValidf("REVISION %q: allowed: a number above 0; it", text)}
+	}
+	return config.Revision(number), nil
+}
+
+type drainCommand struct {
+	*global
+	changing
+	drained   bool
+	Wait      bool `long:"wait" description:"return when the drain is in force at all daemons"`
+	Arguments struct {
+		Service  string   `positional-arg-name:"SERVICE" required:"yes"`
+		Backends []string `positional-arg-name:"BACKEND" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *drainCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	document, err := c.client().Document(ctx)
+	if err != nil {
+		return err
+	}
+	placement, err := findPlacement(document.Content, c.Arguments.Service)
+	if err != nil {
+		return err
+	}
+	for _, id := range c.Arguments.Backends {
+		if err := setDrained(&placement, id, c.drained); err != nil {
+			return err
+		}
+	}
+	word := "drain"
+	if !c.drained {
+		word = "undrain"
+	}
+	edit := c.edit(fmt.Sprintf("%s %s %s", word, c.Arguments.Service, strings.Join(c.Arguments.Backends, " ")))
+	edit.Base = document.Revision
+	edit.Set = config.Content{Placements: []config.Placement{placement}}
+	return c.change(edit, c.DryRun, c.Wait)
+}
+
+func findPlacement(content config.Content, service string) (config.Placement, error) {
+	for _, placement := range content.Placements {
+		if placement.Service == service {
+			placement.Backends = append([]config.Backend(nil), placement.Backends...)
+			return placement, nil
+		}
+	}
+	return config.Placement{}, &exit{code: ExitNotFound, cause: errors.NotFoundf("placement/%s", service)}
+}
+
+func setDrained(placement *config.Placement, id string, drained bool) error {
+	for index := range placement.Backends {
+		if placement.Backends[index].ID == id {
+			placement.Backends[index].Drained = drained
+			return nil
+		}
+	}
+	return &exit{code: ExitNotFound, cause: errors.NotFoundf("back end %s of placement/%s", id, placement.Service)}
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,165 @@
+// Package command is the operators' command line.
+//
+// Every command goes to the operators' interface of one daemon, whichever it is.
+// A change carries an id of its own, so that a command whose answer was lost can
+// be given again with --id and is not done twice.
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	stderrors "errors"
+	"io"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/config"
+)
+
+// Exit codes; see docs/operations/command.md.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // unreachable or unavailable; the outcome may be open
+	ExitUsage       = 2 // wrong arguments, or a file that is not valid
+	ExitConflict    = 3 // another operator's change came first
+	ExitNotFound    = 4
+	ExitNotInForce  = 5 // wait: some daemons lag
+	ExitDifferences = 6 // diff: there are differences
+)
+
+// exit is an error with the exit code it leads to.
+type exit struct {
+	code  int
+	cause error
+}
+
+// Error returns the cause's text.
+func (e *exit) Error() string {
+	return e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *exit) Unwrap() error {
+	return e.cause
+}
+
+// errDifferences and errLagging carry an exit code and nothing to print.
+var errDifferences = &exit{code: ExitDifferences, cause: errors.New("there are differences")}
+
+// global are the options of every command.
+type global struct {
+	Admin   string        `long:"admin" env:"TULIPHALL_ADMIN" value-name:"URL" default:"http://127.0.0.1:9090" description:"operators' interface of a daemon"`
+	Output  string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"output format"`
+	Timeout time.Duration `long:"timeout" default:"15s" description:"longest time for the command"`
+
+	out io.Writer
+}
+
+func (g *global) client() *admin.Client {
+	return admin.NewClient(g.Admin)
+}
+
+func (g *global) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), g.Timeout)
+}
+
+// changing are the options of commands that change something.
+type changing struct {
+	ID      string `long:"id" description:"id of the change; give the same again to settle a lost answer"`
+	Author  string `long:"author" env:"USER" default:"operator" description:"name noted in the history"`
+	Message string `short:"m" long:"message" description:"why; noted in the history"`
+	DryRun  bool   `long:"dry-run" description:"check and show, but change nothing"`
+}
+
+// edit returns an edit with the options noted in it.
+func (c *changing) edit(summary string) config.Edit {
+	if c.ID == "" {
+		c.ID = rand.Text()
+	}
+	if c.Message != "" {
+		summary = c.Message
+	}
+	return config.Edit{ID: c.ID, Author: c.Author, Summary: summary}
+}
+
+// Run runs the command line and returns the exit code. The error, if any, is for
+// the operator.
+func Run(arguments []string, out io.Writer) (int, error) {
+	options := &global{out: out}
+	parser := flags.NewNamedParser("tuliphall", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", options); err != nil {
+		return ExitUsage, err
+	}
+	for _, one := range commands(options) {
+		if _, err := parser.AddCommand(one.name, one.short, one.long, one.action); err != nil {
+			return ExitUsage, err
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return codeOf(err, out)
+}
+
+// codeOf turns an error into an exit code.
+func codeOf(err error, out io.Writer) (int, error) {
+	if err == nil {
+		return ExitOK, nil
+	}
+	var usage *flags.Error
+	if stderrors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			_, printErr := io.WriteString(out, usage.Message+"\n")
+			return ExitOK, printErr
+		}
+		return ExitUsage, err
+	}
+	var coded *exit
+	if stderrors.As(err, &coded) {
+		if coded == errDifferences {
+			return coded.code, nil
+		}
+		return coded.code, err
+	}
+	var refused *admin.CallError
+	if !stderrors.As(err, &refused) {
+		return ExitFailed, err
+	}
+	switch refused.Kind {
+	case admin.ErrorConflict:
+		return ExitConflict, err
+	case admin.ErrorInvalid:
+		return ExitUsage, err
+	case admin.ErrorNotFound:
+		return ExitNotFound, err
+	}
+	return ExitFailed, err
+}
+
+// entry is one command of the command line.
+type entry struct {
+	name   string
+	short  string
+	long   string
+	action flags.Commander
+}
+
+func commands(g *global) []entry {
+	return []entry{
+		{"apply", "Declare the objects in files", "Declares services, placements and policies. Prints the revision.\n\nExample: tuliphall apply -f prices.toml --wait", &applyCommand{global: g}},
+		{"validate", "Check files without a daemon", "Checks files by themselves.\n\nExample: tuliphall validate -f prices.toml", &validateCommand{global: g}},
+		{"diff", "Show what apply would change", "Exits with 6 when there are differences.\n\nExample: tuliphall diff -f prices.toml", &diffCommand{global: g}},
+		{"get", "List objects", "Lists the objects of a kind: service, placement or policy.\n\nExample: tuliphall get service", &getCommand{global: g}},
+		{"describe", "Show one object and its state", "Example: tuliphall describe service price-query", &describeCommand{global: g}},
+		{"delete", "Remove objects", "Example: tuliphall delete policy reads", &deleteCommand{global: g}},
+		{"history", "List the changes made", "Example: tuliphall history", &historyCommand{global: g}},
+		{"rollback", "Take back to an earlier revision", "Makes a new revision with the content of an earlier one.\n\nExample: tuliphall rollback 12", &rollbackCommand{global: g}},
+		{"status", "Show who has which revision in force", "Example: tuliphall status", &statusCommand{global: g}},
+		{"wait", "Wait until a revision is in force everywhere", "Exits with 5 and names the daemons that lag when time runs out.\n\nExample: tuliphall wait 12", &waitCommand{global: g}},
+		{"drain", "Send no new requests to a back end", "Example: tuliphall drain price-query p3", &drainCommand{global: g, drained: true}},
+		{"undrain", "Send requests to a back end again", "Example: tuliphall undrain price-query p3", &drainCommand{global: g, drained: false}},
+		{"version", "Print the version", "", &versionCommand{global: g}},
+		{"completion", "Print a completion script for bash", "Example: source <(tuliphall completion)", &completionCommand{global: g}},
+	}
+}
--- /dev/null
+++ b/command/show.go
@@ -0,0 +1,315 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/daemon"
+)
+
+// waitPoll is the pause between two looks at the status.
+const waitPoll = 200 * time.Millisecond
+
+func (g *global) printJSON(value any) error {
+	encoder := json.NewEncoder(g.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// printTable prints rows of cells in columns.
+func (g *global) printTable(rows [][]string) error {
+	writer := tabwriter.NewWriter(g.out, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(writer, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return writer.Flush()
+}
+
+func (g *global) printDifferences(changes []config.ObjectChange) error {
+	for _, change := range changes {
+		sign := "~"
+		switch {
+		case change.Before == nil:
+			sign = "+"
+		case change.After == nil:
+			sign = "-"
+		}
+		if _, err := fmt.Fprintf(g.out, "%s %s\n", sign, change.Key); err != nil {
+			return err
+		}
+		for _, side := range []struct {
+			sign string
+			data json.RawMessage
+		}{{"-", change.Before}, {"+", change.After}} {
+			if side.data == nil {
+				continue
+			}
+			if _, err := fmt.Fprintf(g.out, "    %s %s\n", side.sign, side.data); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+type getCommand struct {
+	*global
+	Arguments struct {
+		Kind config.Kind `positional-arg-name:"KIND" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	document, err := c.client().Document(ctx)
+	if err != nil {
+		return err
+	}
+	content := document.Content
+	switch c.Arguments.Kind {
+	case config.KindService:
+		rows := [][]string{{"NAME", "HOSTS", "PATH", "POLICY", "DEADLINE"}}
+		for _, s := range content.Services {
+			rows = append(rows, []string{s.Name, strings.Join(s.Hosts, ","), s.PathPrefix, s.Policy, time.Duration(s.Deadline).String()})
+		}
+		return c.print(content.Services, rows)
+	case config.KindPlacement:
+		rows := [][]string{{"SERVICE", "BACKEND", "ADDRESS", "ZONE", "DRAINED"}}
+		for _, p := range content.Placements {
+			for _, b := range p.Backends {
+				rows = append(rows, []string{p.Service, b.ID, b.Address, b.Zone, fmt.Sprint(b.Drained)})
+			}
+		}
+		return c.print(content.Placements, rows)
+	case config.KindPolicy:
+		rows := [][]string{{"NAME", "CLASS", "WEIGHT", "RETRY", "ONCE"}}
+		for _, p := range content.Policies {
+			rows = append(rows, []string{p.Name, p.Class, p.Weight, p.Retry, p.Once})
+		}
+		return c.print(content.Policies, rows)
+	}
+	return &exit{code: ExitUsage, cause: errors.NotValidf("KIND %q: allowed: service, placement, policy; it", c.Arguments.Kind)}
+}
+
+func (g *global) print(value any, rows [][]string) error {
+	if g.Output == "json" {
+		return g.printJSON(value)
+	}
+	return g.printTable(rows)
+}
+
+type describeCommand struct {
+	*global
+	Arguments struct {
+		Kind config.Kind `positional-arg-name:"KIND" required:"yes"`
+		Name string      `positional-arg-name:"NAME" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *describeCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	document, err := c.client().Document(ctx)
+	if err != nil {
+		return err
+	}
+	found, err := findObject(document.Content, config.ObjectKey{Kind: c.Arguments.Kind, Name: c.Arguments.Name})
+	if err != nil {
+		return err
+	}
+	if err := c.printJSON(found); err != nil {
+		return err
+	}
+	if c.Arguments.Kind != config.KindService {
+		return nil
+	}
+	return c.describeState(ctx)
+}
+
+// describeState prints what the asked daemon knows of the service's back ends.
+func (c *describeCommand) describeState(ctx context.Context) error {
+	services, err := c.client().Services(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range services {
+		if s.Name != c.Arguments.Name {
+			continue
+		}
+		if c.Output == "json" {
+			return c.printJSON(s)
+		}
+		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "DRAINING", "EJECTED", "LATENCY"}}
+		for _, b := range s.Backends {
+			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String()})
+		}
+		return c.printTable(rows)
+	}
+	return nil
+}
+
+func findObject(content config.Content, key config.ObjectKey) (any, error) {
+	switch key.Kind {
+	case config.KindService:
+		for _, s := range content.Services {
+			if s.Name == key.Name {
+				return s, nil
+			}
+		}
+	case config.KindPlacement:
+		for _, p := range content.Placements {
+			if p.Service == key.Name {
+				return p, nil
+			}
+		}
+	case config.KindPolicy:
+		for _, p := range content.Policies {
+			if p.Name == key.Name {
+				return p, nil
+			}
+		}
+	}
+	return nil, &exit{code: ExitNotFound, cause: errors.NotFoundf("%s", key)}
+}
+
+type historyCommand struct {
+	*global
+}
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	document, err := c.client().Document(ctx)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"REVISION", "AT", "AUTHOR", "OBJECTS", "SUMMARY"}}
+	for _, change := range document.History {
+		rows = append(rows, []string{fmt.Sprint(change.Revision), change.At.Format(time.RFC3339), change.Author, fmt.Sprint(len(change.Objects)), change.Summary})
+	}
+	return c.print(document.History, rows)
+}
+
+type statusCommand struct {
+	*global
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	status, err := c.client().Status(ctx)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"DAEMON", "REGION", "ZONE", "STATE", "REVISION", "PROBLEM"}}
+	for _, m := range status.Members {
+		rows = append(rows, []string{m.Name, m.Region, m.Zone, m.State, fmt.Sprint(m.Revision), m.Problem})
+	}
+	return c.print(status, rows)
+}
+
+type waitCommand struct {
+	*global
+	Arguments struct {
+		Revision string `positional-arg-name:"REVISION" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *waitCommand) Execute([]string) error {
+	revision, err := parseRevision(c.Arguments.Revision)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	return c.waitFor(ctx, revision)
+}
+
+// waitFor returns when every live daemon has the revision in force.
+func (g *global) waitFor(ctx context.Context, revision config.Revision) error {
+	begun := time.Now()
+	var lagging []string
+	for {
+		status, err := g.client().Status(ctx)
+		if err == nil {
+			lagging = lag(status, revision)
+			if len(lagging) == 0 {
+				_, err := fmt.Fprintf(g.out, "revision %d in force at %d daemons after %s\n", revision, live(status), time.Since(begun).Round(time.Millisecond))
+				return err
+			}
+		}
+		select {
+		case <-time.After(waitPoll):
+		case <-ctx.Done():
+			return &exit{code: ExitNotInForce, cause: errors.Errorf("revision %d not in force at: %s", revision, strings.Join(lagging, ", "))}
+		}
+	}
+}
+
+func live(status admin.Status) int {
+	count := 0
+	for _, member := range status.Members {
+		if member.State == "alive" {
+			count++
+		}
+	}
+	return count
+}
+
+// lag names the live daemons that have an older revision in force.
+func lag(status admin.Status, revision config.Revision) []string {
+	var names []string
+	for _, member := range status.Members {
+		if (member.State == "alive" || member.State == "suspect") && member.Revision < revision {
+			names = append(names, fmt.Sprintf("%s (revision %d)", member.Name, member.Revision))
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+type versionCommand struct {
+	*global
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.out, "tuliphall", daemon.Version)
+	return err
+}
+
+type completionCommand struct {
+	*global
+}
+
+// completionScript asks the command itself for completions, as go-flags offers.
+const completionScript = `_tuliphall() {
+  local words=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+  local IFS=$'\n'
+  COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${words[@]}"))
+}
+complete -F _tuliphall tuliphall
+`
+
+// Execute implements flags.Commander.
+func (c *completionCommand) Execute([]string) error {
+	_, err := fmt.Fprint(c.out, completionScript)
+	return err
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,292 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Revision orders documents. 0 means that nothing was ever declared.
+type Revision uint64
+
+// Bounds on the history kept in the head object. The oldest changes go first.
+const (
+	MaxHistory      = 200
+	MaxHistoryBytes = 512 << 10
+)
+
+// ObjectChange is what one change did to one object.
+type ObjectChange struct {
+	Key    ObjectKey       `json:"key"`
+	Before json.RawMessage `json:"before,omitempty"` // none: the object is new
+	After  json.RawMessage `json:"after,omitempty"`  // none: the object is gone
+}
+
+// Change is one accepted change. ID is chosen by the operator's command, so
+// that a lost answer can be settled by looking for it.
+type Change struct {
+	Revision Revision       `json:"revision"`
+	ID       string         `json:"id"`
+	Author   string         `json:"author"`
+	At       time.Time      `json:"at"`
+	Summary  string         `json:"summary"`
+	Objects  []ObjectChange `json:"objects"`
+}
+
+// Document is everything declared, at one revision, with its recent history
+// (oldest first).
+type Document struct {
+	Revision Revision `json:"revision"`
+	Content  Content  `json:"content"`
+	History  []Change `json:"history,omitempty"`
+}
+
+// DecodeDocument reads a document as Encode wrote it.
+func DecodeDocument(data []byte) (Document, error) {
+	var document Document
+	if err := json.Unmarshal(data, &document); err != nil {
+		return Document{}, errors.Annotate(err, "configuration document")
+	}
+	return document, nil
+}
+
+// Encode writes the document for the store and for other daemons.
+func (d Document) Encode() ([]byte, error) {
+	return json.Marshal(d)
+}
+
+// objects is content by key, each object in its encoded form.
+type objects map[ObjectKey]json.RawMessage
+
+func (c Content) objects() (objects, error) {
+	found := make(objects)
+	put := func(kind Kind, name string, object any) error {
+		data, err := json.Marshal(object)
+		found[ObjectKey{Kind: kind, Name: name}] = data
+		return err
+	}
+	for _, service := range c.Services {
+		if err := put(KindService, service.Name, service); err != nil {
+			return nil, err
+		}
+	}
+	for _, placement := range c.Placements {
+		if err := put(KindPlacement, placement.Service, placement); err != nil {
+			return nil, err
+		}
+	}
+	for _, declared := range c.Policies {
+		if err := put(KindPolicy, declared.Name, declared); err != nil {
+			return nil, err
+		}
+	}
+	return found, nil
+}
+
+func (o objects) sortedKeys() []ObjectKey {
+	keys := make([]ObjectKey, 0, len(o))
+	for key := range o {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].String() < keys[j].String() })
+	return keys
+}
+
+func (o objects) content() (Content, error) {
+	var content Content
+	for _, key := range o.sortedKeys() {
+		if err := content.add(key, o[key]); err != nil {
+			return Content{}, errors.Annotate(err, key.String())
+		}
+	}
+	return content, nil
+}
+
+func (c *Content) add(key ObjectKey, data json.RawMessage) error {
+	switch key.Kind {
+	case KindService:
+		return decodeInto(data, &c.Services)
+	case KindPlacement:
+		return decodeInto(data, &c.Placements)
+	case KindPolicy:
+		return decodeInto(data, &c.Policies)
+	default:
+		return errors.NotValidf("kind %q", key.Kind)
+	}
+}
+
+func decodeInto[T any](data json.RawMessage, list *[]T) error {
+	var object T
+	if err := json.Unmarshal(data, &object); err != nil {
+		return err
+	}
+	*list = append(*list, object)
+	return nil
+}
+
+// Merge returns the content with the given objects added or replaced and the
+// deleted ones removed.
+func (c Content) Merge(set Content, deleted []ObjectKey) (Content, error) {
+	merged, err := c.objects()
+	if err != nil {
+		return Content{}, err
+	}
+	added, err := set.objects()
+	if err != nil {
+		return Content{}, err
+	}
+	for key, data := range added {
+		merged[key] = data
+	}
+	for _, key := range deleted {
+		if _, ok := merged[key]; !ok {
+			return Content{}, errors.NotFoundf("%s", key)
+		}
+		delete(merged, key)
+	}
+	return merged.content()
+}
+
+// Diff returns what must change in before to get after, ordered by key.
+func Diff(before, after Content) ([]ObjectChange, error) {
+	old, err := before.objects()
+	if err != nil {
+		return nil, err
+	}
+	next, err := after.objects()
+	if err != nil {
+		return nil, err
+	}
+	all := make(objects, len(old))
+	for key := range old {
+		all[key] = nil
+	}
+	for key := range next {
+		all[key] = nil
+	}
+	var changes []ObjectChange
+	for _, key := range all.sortedKeys() {
+		if !bytes.Equal(old[key], next[key]) {
+			changes = append(changes, ObjectChange{Key: key, Before: old[key], After: next[key]})
+		}
+	}
+	return changes, nil
+}
+
+// Advance returns the document after a change that gives it this content. The
+// change gets the next revision.
+func (d Document) Advance(content Content, change Change) (Document, error) {
+	changed, err := Diff(d.Content, content)
+	if err != nil {
+		return Document{}, err
+	}
+	change.Revision = d.Revision + 1
+	change.Objects = changed
+	history := append(append([]Change(nil), d.History...), change)
+	return Document{Revision: change.Revision, Content: content, History: boundHistory(history)}, nil
+}
+
+// boundHistory drops the oldest changes until the history is within its bounds.
+func boundHistory(history []Change) []Change {
+	size, first := 0, len(history)
+	for first > 0 && len(history)-first < MaxHistory {
+		encoded, err := json.Marshal(history[first-1])
+		if err != nil || size+len(encoded) > MaxHistoryBytes {
+			break
+		}
+		size += len(encoded)
+		first--
+	}
+	return history[first:]
+}
+
+// Follow applies changes that directly follow the document's revision, oldest
+// first. It fails when one is missing, and leaves the document as it was.
+func (d Document) Follow(changes []Change) (Document, error) {
+	current, err := d.Content.objects()
+	if err != nil {
+		return Document{}, err
+	}
+	revision := d.Revision
+	history := append([]Change(nil), d.History...)
+	for _, change := range changes {
+		if change.Revision <= revision {
+			continue
+		}
+		if change.Revision != revision+1 {
+			return Document{}, errors.NotFoundf("the change after revision %d", revision)
+		}
+		current.apply(change.Objects)
+		revision = change.Revision
+		history = append(history, change)
+	}
+	content, err := current.content()
+	if err != nil {
+		return Document{}, err
+	}
+	return Document{Revision: revision, Content: content, History: boundHistory(history)}, nil
+}
+
+func (o objects) apply(changes []ObjectChange) {
+	for _, change := range changes {
+		if change.After == nil {
+			delete(o, change.Key)
+			continue
+		}
+		o[change.Key] = change.After
+	}
+}
+
+// ChangesAfter returns the changes above a revision, oldest first, and false
+// when the history does not reach back that far.
+func (d Document) ChangesAfter(revision Revision) ([]Change, bool) {
+	if revision >= d.Revision {
+		return nil, true
+	}
+	for index, change := range d.History {
+		if change.Revision == revision+1 {
+			return d.History[index:], true
+		}
+	}
+	return nil, false
+}
+
+// ContentAt returns the content of an earlier revision, by taking later changes
+// back.
+func (d Document) ContentAt(revision Revision) (Content, error) {
+	later, ok := d.ChangesAfter(revision)
+	if !ok || revision > d.Revision {
+		return Content{}, errors.NotFoundf("revision %d in the history", revision)
+	}
+	current, err := d.Content.objects()
+	if err != nil {
+		return Content{}, err
+	}
+	for index := len(later) - 1; index >= 0; index-- {
+		current.takeBack(later[index].Objects)
+	}
+	return current.content()
+}
+
+func (o objects) takeBack(changes []ObjectChange) {
+	for _, change := range changes {
+		if change.Before == nil {
+			delete(o, change.Key)
+			continue
+		}
+		o[change.Key] = change.Before
+	}
+}
+
+// FindChange returns the change with the id, and false when the history has none.
+func (d Document) FindChange(id string) (Change, bool) {
+	for index := len(d.History) - 1; index >= 0; index-- {
+		if d.History[index].ID == id {
+			return d.History[index], true
+		}
+	}
+	return Change{}, false
+}
--- /dev/null
+++ b/config/editor.go
@@ -0,0 +1,194 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/platform"
+)
+
+// HeadKey names the object that holds the document.
+var HeadKey = platform.Key{Kind: "configuration", Name: "head"}
+
+// Bounds on how often a change is tried again after a lost answer or a lost race.
+const (
+	maxEditTries = 8
+	editBackoff  = 20 * time.Millisecond
+)
+
+// ConflictError says that another operator's change came first and what it
+// touched. Nothing was written.
+type ConflictError struct {
+	Base    Revision // the revision the operator had seen
+	Current Revision
+	Changed []ObjectKey // objects of this change that others changed since Base
+}
+
+// Error names the revisions and the objects.
+func (e *ConflictError) Error() string {
+	names := make([]string, 0, len(e.Changed))
+	for _, key := range e.Changed {
+		names = append(names, key.String())
+	}
+	return fmt.Sprintf("conflict: revision %d is in force, the change was made from %d; changed since: %s", e.Current, e.Base, strings.Join(names, ", "))
+}
+
+// Edit is a change an operator asks for.
+type Edit struct {
+	ID      string // unique; the same id is never applied twice
+	Author  string
+	Summary string
+	// Base is the revision the operator has seen. Objects of the edit that
+	// others have changed since are a conflict. 0: no check is made.
+	Base    Revision
+	Set     Content
+	Deleted []ObjectKey
+	// RollbackTo takes the content of this revision instead of Set and
+	// Deleted; 0: it does not.
+	RollbackTo Revision
+}
+
+// Editor writes changes to the head object.
+type Editor struct {
+	store platform.Store
+	now   func() time.Time
+}
+
+// NewEditor returns an editor on the store. now gives the time noted in the
+// history.
+func NewEditor(store platform.Store, now func() time.Time) *Editor {
+	return &Editor{store: store, now: now}
+}
+
+// Load reads the document and the version of the head object. A head that was
+// never written is an empty document.
+func Load(ctx context.Context, store platform.Store) (Document, platform.Version, error) {
+	object, err := store.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Document{}, 0, nil
+	}
+	if err != nil {
+		return Document{}, 0, errors.Annotate(err, "reading the configuration")
+	}
+	document, err := DecodeDocument(object.Value)
+	return document, object.Version, err
+}
+
+// Apply makes the change and returns the document it led to. A change whose id
+// is already in the history is returned as done. Racing edits of different
+// objects both succeed; of the same object, one gets a *ConflictError. When the
+// store's answer is lost, the history is read to settle what happened.
+func (e *Editor) Apply(ctx context.Context, edit Edit) (Document, error) {
+	var last error
+	for try := range maxEditTries {
+		if try > 0 {
+			if err := sleep(ctx, editBackoff<<try); err != nil {
+				return Document{}, errors.Annotatef(err, "change %s: last error: %v", edit.ID, last)
+			}
+		}
+		document, err := e.try(ctx, edit)
+		if err == nil {
+			return document, nil
+		}
+		last = err
+		if !retriable(err) {
+			return Document{}, err
+		}
+	}
+	return Document{}, errors.Annotatef(last, "change %s after %d tries", edit.ID, maxEditTries)
+}
+
+func retriable(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, platform.ErrUnavailable)
+}
+
+func (e *Editor) try(ctx context.Context, edit Edit) (Document, error) {
+	current, version, err := Load(ctx, e.store)
+	if err != nil {
+		return Document{}, err
+	}
+	if _, done := current.FindChange(edit.ID); done {
+		return current, nil
+	}
+	next, err := e.Plan(current, edit)
+	if err != nil {
+		return Document{}, err
+	}
+	data, err := next.Encode()
+	if err != nil {
+		return Document{}, err
+	}
+	if _, err := e.store.Put(ctx, HeadKey, data, version); err != nil {
+		return Document{}, errors.Annotate(err, "writing the configuration")
+	}
+	return next, nil
+}
+
+// Plan checks the edit against the document and returns what it would lead to,
+// without writing.
+func (e *Editor) Plan(current Document, edit Edit) (Document, error) {
+	content, err := edit.content(current)
+	if err != nil {
+		return Document{}, err
+	}
+	if err := content.Validate(); err != nil {
+		return Document{}, err
+	}
+	next, err := current.Advance(content, Change{ID: edit.ID, Author: edit.Author, Summary: edit.Summary, At: e.now().UTC()})
+	if err != nil {
+		return Document{}, err
+	}
+	if err := checkRace(current, next, edit.Base); err != nil {
+		return Document{}, err
+	}
+	return next, nil
+}
+
+func (edit Edit) content(current Document) (Content, error) {
+	if edit.RollbackTo > 0 {
+		return current.ContentAt(edit.RollbackTo)
+	}
+	return current.Content.Merge(edit.Set, edit.Deleted)
+}
+
+// checkRace reports objects of the newest change that were also changed after base.
+func checkRace(current, next Document, base Revision) error {
+	if base == 0 || base == current.Revision {
+		return nil
+	}
+	since, ok := current.ChangesAfter(base)
+	if !ok {
+		return &ConflictError{Base: base, Current: current.Revision}
+	}
+	touched := make(map[ObjectKey]bool)
+	for _, change := range since {
+		for _, object := range change.Objects {
+			touched[object.Key] = true
+		}
+	}
+	var both []ObjectKey
+	for _, object := range next.History[len(next.History)-1].Objects {
+		if touched[object.Key] {
+			both = append(both, object.Key)
+		}
+	}
+	if len(both) > 0 {
+		return &ConflictError{Base: base, Current: current.Revision, Changed: both}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/config/objects.go
@@ -0,0 +1,126 @@
+// Package config is the model of what operators declare: services, the
+// placements of their back ends, and policies.
+//
+// All objects together form one Document with a revision number. Revisions are
+// totally ordered because a new one is written with a conditional update of one
+// head object in the platform's store (see Editor). A daemon turns a document
+// into a Snapshot, which is checked and compiled, and puts it in force only if
+// its revision is higher than the one it has.
+package config
+
+import (
+	"time"
+
+	"github.com/tuliphall/tuliphall/policy"
+)
+
+// Duration is a time.Duration written as text, such as "250ms".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// Defaults of a service's settings, used where the setting is zero.
+const (
+	DefaultSlots         = 3
+	DefaultQueueLimit    = 1000
+	DefaultDeadline      = Duration(10 * time.Second)
+	DefaultConnections   = 16
+	DefaultProbeInterval = Duration(time.Second)
+)
+
+// Service declares how requests are recognised and how they are served.
+type Service struct {
+	Name string `toml:"name" json:"name"`
+	// Hosts are the host names that select the service; none: any host.
+	Hosts []string `toml:"hosts" json:"hosts,omitempty"`
+	// PathPrefix selects the service; the longest match wins. Empty: "/".
+	PathPrefix string `toml:"path_prefix" json:"path_prefix,omitempty"`
+	// Policy names the policy object; empty: every default.
+	Policy string `toml:"policy" json:"policy,omitempty"`
+	// Slots is how many requests one back end works on at once; 0: 3.
+	Slots int `toml:"slots" json:"slots,omitempty"`
+	// QueueLimit bounds the requests waiting at one daemon; 0: 1000.
+	QueueLimit int `toml:"queue_limit" json:"queue_limit,omitempty"`
+	// Deadline ends a request whose policy and caller set none; 0: 10 s.
+	Deadline Duration `toml:"deadline" json:"deadline,omitempty"`
+	// RefusalStatus is the status with which a back end says that it did not
+	// run a request; 0: no status says so.
+	RefusalStatus int `toml:"refusal_status" json:"refusal_status,omitempty"`
+	// Direct keeps requests on the daemon they came to; false: they are
+	// forwarded to the daemon that dispatches the service.
+	Direct bool `toml:"direct" json:"direct,omitempty"`
+	// ProbePath is the load endpoint; empty: back ends are never probed.
+	ProbePath string `toml:"probe_path" json:"probe_path,omitempty"`
+	// ProbesPerSecond is the budget for all daemons together; 0: no probes.
+	ProbesPerSecond float64 `toml:"probes_per_second" json:"probes_per_second,omitempty"`
+	// ProbeCost is the slot time one probe takes; it is checked against the
+	// budget MaxProbeShare.
+	ProbeCost Duration `toml:"probe_cost" json:"probe_cost,omitempty"`
+	// AllowUnframed passes on answers that only the end of the connection
+	// delimits, which cannot be shown to be whole.
+	AllowUnframed bool `toml:"allow_unframed" json:"allow_unframed,omitempty"`
+}
+
+// Placement declares where a service runs.
+type Placement struct {
+	// Service is the service's name, and the placement's.
+	Service  string    `toml:"service" json:"service"`
+	Backends []Backend `toml:"backend" json:"backends"`
+}
+
+// Backend is one server of a service.
+type Backend struct {
+	ID      string `toml:"id" json:"id"`
+	Address string `toml:"address" json:"address"` // IP:port
+	Zone    string `toml:"zone" json:"zone,omitempty"`
+	// Slots overrides the service's; 0: the service's.
+	Slots int `toml:"slots" json:"slots,omitempty"`
+	// Connections bounds one daemon's connections to the back end; 0: 16.
+	Connections int `toml:"connections" json:"connections,omitempty"`
+	// Drained: the back end gets no new requests.
+	Drained bool `toml:"drained" json:"drained,omitempty"`
+}
+
+// Policy is a named policy.
+type Policy struct {
+	Name string `toml:"name" json:"name"`
+	policy.Source
+}
+
+// Content is a set of objects.
+type Content struct {
+	Services   []Service   `toml:"service" json:"services,omitempty"`
+	Placements []Placement `toml:"placement" json:"placements,omitempty"`
+	Policies   []Policy    `toml:"policy" json:"policies,omitempty"`
+}
+
+// Kind names a kind of object.
+type Kind string
+
+// The kinds of object.
+const (
+	KindService   Kind = "service"
+	KindPlacement Kind = "placement"
+	KindPolicy    Kind = "policy"
+)
+
+// ObjectKey names one object.
+type ObjectKey struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String gives kind/name.
+func (k ObjectKey) String() string {
+	return string(k.Kind) + "/" + k.Name
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,211 @@
+package config
+
+import (
+	stderrors "errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/tuliphall/tuliphall/policy"
+)
+
+// Bounds on declared values.
+const (
+	MaxServices          = 400
+	MaxBackends          = 2000
+	MaxSlots             = 10000
+	MaxQueueLimit        = 1_000_000
+	MaxDeadline          = Duration(24 * time.Hour)
+	MaxConnections       = 10000
+	MaxProbesPerSecond   = 1000
+	MaxProbeShare        = 0.01 // of a service's slot time
+	minStatus, maxStatus = 400, 599
+)
+
+// ObjectError names the object and the setting that is wrong.
+type ObjectError struct {
+	Object  ObjectKey
+	Setting string
+	Value   any
+	Allowed string
+	Cause   error // the underlying error, if any
+}
+
+// Error says which setting of which object is wrong, and what is allowed.
+func (e *ObjectError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %s", e.Object, e.Cause)
+	}
+	return fmt.Sprintf("%s: setting %s: value %v: allowed: %s", e.Object, e.Setting, e.Value, e.Allowed)
+}
+
+// Unwrap returns the cause.
+func (e *ObjectError) Unwrap() error {
+	return e.Cause
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 63 lower-case letters, digits and inner hyphens"
+
+// validator gathers errors.
+type validator struct {
+	wrong []error
+}
+
+func (v *validator) check(ok bool, object ObjectKey, setting string, value any, allowed string) {
+	if !ok {
+		v.wrong = append(v.wrong, &ObjectError{Object: object, Setting: setting, Value: value, Allowed: allowed})
+	}
+}
+
+func checkRange[T int | Duration | float64](v *validator, object ObjectKey, setting string, value, low, high T) {
+	shown := func(x T) string {
+		if d, ok := any(x).(Duration); ok {
+			return time.Duration(d).String()
+		}
+		return fmt.Sprint(x)
+	}
+	v.check(value >= low && value <= high, object, setting, shown(value), shown(low)+" to "+shown(high))
+}
+
+// Validate checks the content as a whole. The error joins an *ObjectError for
+// each thing that is wrong; nil means that the content can be put in force.
+func (c Content) Validate() error {
+	_, err := c.compile()
+	return err
+}
+
+// compile validates the content and returns its compiled policies.
+func (c Content) compile() (map[string]*policy.Program, error) {
+	v := &validator{}
+	root := ObjectKey{Kind: "document", Name: "all"}
+	checkRange(v, root, "services", len(c.Services), 0, MaxServices)
+	programs := v.policies(c.Policies)
+	services := v.services(c.Services, programs)
+	v.placements(c.Placements, services)
+	if len(v.wrong) > 0 {
+		return nil, stderrors.Join(v.wrong...)
+	}
+	return programs, nil
+}
+
+func (v *validator) policies(declared []Policy) map[string]*policy.Program {
+	programs := make(map[string]*policy.Program, len(declared))
+	for _, one := range declared {
+		object := ObjectKey{Kind: KindPolicy, Name: one.Name}
+		v.check(namePattern.MatchString(one.Name), object, "name", one.Name, nameAllowed)
+		_, twice := programs[one.Name]
+		v.check(!twice, object, "name", one.Name, "a name used once")
+		program, err := policy.Compile(one.Source)
+		if err != nil {
+			v.wrong = append(v.wrong, &ObjectError{Object: object, Cause: err})
+		}
+		programs[one.Name] = program
+	}
+	return programs
+}
+
+func (v *validator) services(declared []Service, programs map[string]*policy.Program) map[string]Service {
+	services := make(map[string]Service, len(declared))
+	routes := make(map[string]string)
+	for _, service := range declared {
+		object := ObjectKey{Kind: KindService, Name: service.Name}
+		_, twice := services[service.Name]
+		v.check(!twice, object, "name", service.Name, "a name used once")
+		v.service(object, service, programs)
+		for _, route := range service.routes() {
+			other, taken := routes[route]
+			v.check(!taken, object, "path_prefix", service.PathPrefix, "a host and prefix that no other service has; "+other+" has it")
+			routes[route] = service.Name
+		}
+		services[service.Name] = service
+	}
+	return services
+}
+
+// routes gives the host and prefix pairs that select the service.
+func (s Service) routes() []string {
+	if len(s.Hosts) == 0 {
+		return []string{"*" + s.PathPrefix}
+	}
+	routes := make([]string, 0, len(s.Hosts))
+	for _, host := range s.Hosts {
+		routes = append(routes, strings.ToLower(host)+s.PathPrefix)
+	}
+	return routes
+}
+
+func (v *validator) service(object ObjectKey, s Service, programs map[string]*policy.Program) {
+	v.check(namePattern.MatchString(s.Name), object, "name", s.Name, nameAllowed)
+	v.check(s.PathPrefix == "" || strings.HasPrefix(s.PathPrefix, "/"), object, "path_prefix", s.PathPrefix, "a path that begins with /")
+	for _, host := range s.Hosts {
+		v.check(host != "" && !strings.ContainsAny(host, "/: "), object, "hosts", host, "a host name without port")
+	}
+	if s.Policy != "" {
+		_, known := programs[s.Policy]
+		v.check(known, object, "policy", s.Policy, "the name of a declared policy")
+	}
+	checkRange(v, object, "slots", s.Slots, 0, MaxSlots)
+	checkRange(v, object, "queue_limit", s.QueueLimit, 0, MaxQueueLimit)
+	checkRange(v, object, "deadline", s.Deadline, 0, MaxDeadline)
+	v.check(s.RefusalStatus == 0 || (s.RefusalStatus >= minStatus && s.RefusalStatus <= maxStatus), object, "refusal_status", s.RefusalStatus, "0 or 400 to 599")
+	v.check(s.ProbePath == "" || strings.HasPrefix(s.ProbePath, "/"), object, "probe_path", s.ProbePath, "a path that begins with /")
+	checkRange(v, object, "probes_per_second", s.ProbesPerSecond, 0, MaxProbesPerSecond)
+	checkRange(v, object, "probe_cost", s.ProbeCost, 0, Duration(10*time.Second))
+	v.check(s.ProbesPerSecond == 0 || s.ProbePath != "", object, "probe_path", s.ProbePath, "a path, as probes_per_second is above 0")
+}
+
+func (v *validator) placements(declared []Placement, services map[string]Service) {
+	placed := make(map[string]bool)
+	backends := 0
+	for _, placement := range declared {
+		object := ObjectKey{Kind: KindPlacement, Name: placement.Service}
+		service, known := services[placement.Service]
+		v.check(known, object, "service", placement.Service, "the name of a declared service")
+		v.check(!placed[placement.Service], object, "service", placement.Service, "one placement for each service")
+		placed[placement.Service] = true
+		backends += len(placement.Backends)
+		v.backends(object, placement.Backends)
+		v.probeShare(object, service, placement.Backends)
+	}
+	checkRange(v, ObjectKey{Kind: "document", Name: "all"}, "backends", backends, 0, MaxBackends)
+}
+
+func (v *validator) backends(object ObjectKey, backends []Backend) {
+	ids := make(map[string]bool)
+	for _, backend := range backends {
+		v.check(namePattern.MatchString(backend.ID), object, "backend.id", backend.ID, nameAllowed)
+		v.check(!ids[backend.ID], object, "backend.id", backend.ID, "an id used once in the placement")
+		ids[backend.ID] = true
+		address, err := netip.ParseAddrPort(backend.Address)
+		v.check(err == nil && address.Port() > 0, object, "backend.address", backend.Address, "IP:port")
+		checkRange(v, object, "backend.slots", backend.Slots, 0, MaxSlots)
+		checkRange(v, object, "backend.connections", backend.Connections, 0, MaxConnections)
+	}
+}
+
+// probeShare refuses a probe budget that takes too much of the slot time.
+func (v *validator) probeShare(object ObjectKey, service Service, backends []Backend) {
+	slots := 0
+	for _, backend := range backends {
+		slots += backend.EffectiveSlots(service)
+	}
+	taken := service.ProbesPerSecond * time.Duration(service.ProbeCost).Seconds()
+	allowed := MaxProbeShare * float64(slots)
+	v.check(slots == 0 || taken <= allowed, object, "probes_per_second", service.ProbesPerSecond,
+		fmt.Sprintf("probes_per_second x probe_cost at most %g of the placement's %d slots", MaxProbeShare, slots))
+}
+
+// EffectiveSlots returns the back end's slots with the defaults applied.
+func (b Backend) EffectiveSlots(service Service) int {
+	if b.Slots > 0 {
+		return b.Slots
+	}
+	if service.Slots > 0 {
+		return service.Slots
+	}
+	return DefaultSlots
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,328 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"golang.org/x/time/rate"
+
+	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/dissemination"
+	"github.com/tuliphall/tuliphall/frontend"
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/operation"
+	"github.com/tuliphall/tuliphall/peer"
+	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/settings"
+)
+
+// Version is the version of this build.
+const Version = "0.1.0"
+
+// Options are what a daemon is built from.
+type Options struct {
+	Settings settings.Settings
+	Network  network.Network // nil: TCP
+	// Store and Machines are the platform; nil: the one in the settings.
+	Store    platform.Store
+	Machines platform.Machines
+	LogTo    io.Writer
+}
+
+// Daemon is one running load balancer process.
+type Daemon struct {
+	settings  settings.Settings
+	network   network.Network
+	store     platform.Store
+	machines  platform.Machines
+	client    *platform.Client // nil when the platform was given
+	logWriter *logging.Writer
+	logger    *slog.Logger
+	log       *slog.Logger
+
+	services   *service.Registry
+	node       *peer.Node
+	follower   *dissemination.Follower
+	operations *operation.Executor
+	handler    *frontend.Handler
+	editor     *config.Editor
+
+	listeners    Addresses
+	servers      []*http.Server
+	metricsClose io.Closer
+	cancel       context.CancelFunc
+	running      sync.WaitGroup
+	started      time.Time
+	stopping     atomic.Bool
+}
+
+// Addresses are where a daemon listens.
+type Addresses struct {
+	Caller  string
+	Peer    string
+	Forward string
+	Admin   string
+}
+
+// Start builds a daemon and begins to serve. The caller ends it with Stop.
+func Start(options Options) (*Daemon, error) {
+	d := &Daemon{settings: options.Settings, network: options.Network, started: time.Now()}
+	if d.network == nil {
+		d.network = network.TCP{}
+	}
+	d.startLogging(options.LogTo)
+	d.connectPlatform(options)
+	listeners, err := d.listen()
+	if err != nil {
+		d.logWriter.Close()
+		return nil, err
+	}
+	scope, reporter := d.startMetrics()
+	d.build(scope)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.run(ctx, listeners, reporter)
+	d.log.Info("serving", "caller", d.listeners.Caller, "peer", d.listeners.Peer, "forward", d.listeners.Forward, "admin", d.listeners.Admin)
+	return d, nil
+}
+
+func (d *Daemon) startLogging(target io.Writer) {
+	var level slog.Level
+	// Validate has checked the level.
+	_ = level.UnmarshalText([]byte(d.settings.Log.Level))
+	d.logWriter = logging.NewWriter(target)
+	d.logger = logging.New(d.logWriter, logging.Options{Level: level, JSON: d.settings.Log.Format == "json", Daemon: d.settings.Name})
+	d.log = logging.Part(d.logger, "daemon")
+}
+
+func (d *Daemon) connectPlatform(options Options) {
+	d.store, d.machines = options.Store, options.Machines
+	if d.store != nil {
+		return
+	}
+	d.client = platform.NewClient(d.network, d.settings.Platform.Address, d.settings.Name)
+	d.store, d.machines = d.client, d.client
+}
+
+// opened are a daemon's listeners.
+type opened struct {
+	caller, peer, forward, admin net.Listener
+}
+
+func (d *Daemon) listen() (opened, error) {
+	var listeners opened
+	var made []net.Listener
+	for _, one := range []struct {
+		setting string
+		address string
+		into    *net.Listener
+		bound   *string
+	}{
+		{"listen.caller", d.settings.Listen.Caller, &listeners.caller, &d.listeners.Caller},
+		{"listen.peer", d.settings.Listen.Peer, &listeners.peer, &d.listeners.Peer},
+		{"listen.forward", d.settings.Listen.Forward, &listeners.forward, &d.listeners.Forward},
+		{"listen.admin", d.settings.Listen.Admin, &listeners.admin, &d.listeners.Admin},
+	} {
+		listener, err := d.network.Listen(one.address)
+		if err != nil {
+			for _, open := range made {
+				open.Close()
+			}
+			return opened{}, errors.Annotatef(err, "setting %s: value %q", one.setting, one.address)
+		}
+		made = append(made, listener)
+		*one.into, *one.bound = listener, listener.Addr().String()
+	}
+	return listeners, nil
+}
+
+func (d *Daemon) metricFailed(err error) {
+	d.log.Error("metric not registered", "error", err)
+}
+
+// metricsInterval is how often counters are handed to the reporter.
+const metricsInterval = time.Second
+
+func (d *Daemon) startMetrics() (tally.Scope, http.Handler) {
+	// A registry of its own lets several daemons live in one test process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: d.metricFailed})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "tuliphall", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	d.metricsClose = closer
+	return scope, reporter.HTTPHandler()
+}
+
+// build makes the parts and joins them.
+func (d *Daemon) build(scope tally.Scope) {
+	seed := rand.Uint64()
+	d.services = service.NewRegistry(d.network, seed)
+	d.editor = config.NewEditor(d.store, time.Now)
+	d.follower = dissemination.NewFollower(dissemination.Options{
+		Store: d.store, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
+		Watchers: d.settings.Platform.Watchers, Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
+	})
+	d.node = peer.NewNode(peer.Options{
+		Self: membership.Member{
+			Name: d.settings.Name, Region: d.settings.Region, Zone: d.settings.Zone,
+			PeerAddress: d.listeners.Peer, ForwardAddress: d.listeners.Forward,
+			Incarnation: uint64(d.started.UnixMilli()),
+		},
+		Network: d.network, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
+		Configuration: d.follower, Seeds: d.seeds, OnDrain: d.onDrain,
+	})
+	d.follower.SetPeers(d.node)
+	d.operations = operation.NewExecutor(operation.Options{
+		Store: d.store, Writes: rate.NewLimiter(rate.Limit(d.settings.Platform.WritesPerSecond), 1), Log: d.logger,
+	})
+	d.handler = frontend.NewHandler(frontend.Options{
+		Name: d.settings.Name, Network: d.network, Services: d.services, Peers: d, Operations: d.operations,
+		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions,
+	})
+}
+
+// run starts a goroutine for each duty.
+func (d *Daemon) run(ctx context.Context, listeners opened, metrics http.Handler) {
+	d.serveHTTP(listeners.caller, d.callerGate(d.handler))
+	d.serveHTTP(listeners.forward, d.handler.Forwarded())
+	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
+	d.running.Go(func() {
+		if err := d.node.Serve(ctx, listeners.peer); err != nil {
+			d.log.Error("peer server ended", "error", err)
+		}
+	})
+	d.running.Go(func() { d.node.Run(ctx) })
+	d.running.Go(func() { d.follower.Run(ctx) })
+	d.running.Go(func() { d.watchMachines(ctx) })
+}
+
+// Bounds of the HTTP servers.
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(logging.Part(d.logger, "http").Handler(), slog.LevelDebug),
+	}
+	d.servers = append(d.servers, server)
+	d.running.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("server ended", "address", listener.Addr().String(), "error", err)
+		}
+	})
+}
+
+// callerGate tells callers of a stopping daemon to come back on a new connection.
+func (d *Daemon) callerGate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses {
+	return d.listeners
+}
+
+// Stop ends the daemon without cutting a request: it stops being ready, goes on
+// accepting until the platform's balancer has noticed, tells its peers, finishes
+// every request, and only then closes. ctx bounds the whole; when it ends, what
+// is still running is cut and the error says so.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.stopping.Store(true)
+	d.log.Info("stopping", "notice", time.Duration(d.settings.Stop.Notice))
+	d.node.Leave(ctx)
+	sleep(ctx, time.Duration(d.settings.Stop.Notice))
+	err := d.finishRequests(ctx)
+	d.operations.Close(ctx)
+	d.close()
+	return err
+}
+
+// finishRequests waits for every request and session.
+func (d *Daemon) finishRequests(ctx context.Context) error {
+	if limit := time.Duration(d.settings.Stop.Sessions); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	var first error
+	for _, server := range d.servers[:2] {
+		if err := server.Shutdown(ctx); err != nil && first == nil {
+			first = errors.Annotatef(err, "%d requests were cut", d.handler.InFlight())
+		}
+	}
+	upgraded := make(chan struct{})
+	go func() {
+		d.handler.WaitUpgraded()
+		close(upgraded)
+	}()
+	select {
+	case <-upgraded:
+	case <-ctx.Done():
+	}
+	return first
+}
+
+func (d *Daemon) close() {
+	d.cancel()
+	for _, server := range d.servers {
+		server.Close()
+	}
+	d.running.Wait()
+	d.operations.Close(canceled())
+	d.services.Close()
+	if d.client != nil {
+		d.client.Close()
+	}
+	d.metricsClose.Close()
+	d.log.Info("stopped")
+	d.logWriter.Close()
+}
+
+// Kill ends the daemon at once, as a crash would: requests in flight are cut and
+// peers are not told.
+func (d *Daemon) Kill() {
+	d.close()
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/duties.go
@@ -0,0 +1,219 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/peer"
+	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// Timing of the daemon's own duties.
+const (
+	// machineInterval is how often the machine list is read, by watchers only.
+	machineInterval = 5 * time.Second
+	machineDuty     = "read/machines"
+	// statusParallel is how many daemons a status asks at once.
+	statusParallel = 32
+)
+
+// seeds returns peer addresses of other daemons: those in the settings and those
+// on the machine list.
+func (d *Daemon) seeds(ctx context.Context) []string {
+	addresses := append([]string(nil), d.settings.Peers...)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Platform.Timeout))
+	defer cancel()
+	machines, err := d.machines.Machines(ctx)
+	if err != nil {
+		d.log.Warn("machine list not read", "error", err)
+	}
+	for _, machine := range machines {
+		if machine.Role == platform.RoleEntry && machine.Address != d.listeners.Peer {
+			addresses = append(addresses, machine.Address)
+		}
+	}
+	return addresses
+}
+
+// watchMachines reads the machine list while this daemon is chosen to, and tells
+// of back ends that leave.
+func (d *Daemon) watchMachines(ctx context.Context) {
+	ticker := time.NewTicker(machineInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !d.node.Holds(machineDuty, 1) {
+			continue
+		}
+		d.readMachines(ctx)
+	}
+}
+
+func (d *Daemon) readMachines(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Platform.Timeout))
+	defer cancel()
+	machines, err := d.machines.Machines(ctx)
+	if err != nil {
+		d.log.Warn("machine list not read", "error", err)
+		return
+	}
+	leaving := make(map[string]bool, len(machines))
+	for _, machine := range machines {
+		if machine.Role == platform.RoleBackend {
+			leaving[machine.Address] = machine.State == platform.MachineLeaving
+		}
+	}
+	for name, running := range d.services.All() {
+		for _, backend := range running.Target().Backends {
+			// A back end that is not on the list is not known to leave.
+			d.drained(peer.Drain{Service: name, Backend: backend.ID, Source: service.FromMachineList, Draining: leaving[backend.Address], At: time.Now()})
+		}
+	}
+}
+
+// drained takes in a drain heard by this daemon and tells the others.
+func (d *Daemon) drained(drain peer.Drain) {
+	if d.applyDrain(drain) {
+		d.node.TellDrain(drain)
+	}
+}
+
+// onDrain takes in a drain told by another daemon.
+func (d *Daemon) onDrain(drain peer.Drain) {
+	d.applyDrain(drain)
+}
+
+func (d *Daemon) applyDrain(drain peer.Drain) bool {
+	running, ok := d.services.Find(drain.Service)
+	if !ok || !running.SetDraining(drain.Backend, drain.Source, drain.Draining) {
+		return false
+	}
+	d.log.Info("back end drain", "service", drain.Service, "backend", drain.Backend, "draining", drain.Draining)
+	return true
+}
+
+// DispatcherOf implements frontend.Peers.
+func (d *Daemon) DispatcherOf(name string) (membership.Member, bool) {
+	return d.node.DispatcherOf(name)
+}
+
+// Suspect implements frontend.Peers.
+func (d *Daemon) Suspect(name string) {
+	d.node.Suspect(name)
+}
+
+// HeardDraining implements frontend.Peers.
+func (d *Daemon) HeardDraining(name, backend string, draining bool) {
+	d.drained(peer.Drain{Service: name, Backend: backend, Source: service.FromBackend, Draining: draining, At: time.Now()})
+}
+
+// Ready implements admin.Backend.
+func (d *Daemon) Ready() error {
+	if d.stopping.Load() {
+		return errors.New("stopping")
+	}
+	if d.services.Snapshot() == nil {
+		return errors.New("no configuration yet")
+	}
+	return nil
+}
+
+// Apply implements admin.Backend.
+func (d *Daemon) Apply(ctx context.Context, edit config.Edit) (config.Document, error) {
+	document, err := d.editor.Apply(ctx, edit)
+	if err != nil {
+		return config.Document{}, err
+	}
+	return document, d.follower.Offer(document, "operator")
+}
+
+// Plan implements admin.Backend.
+func (d *Daemon) Plan(ctx context.Context, edit config.Edit) (config.Document, error) {
+	current, _, err := config.Load(ctx, d.store)
+	if err != nil {
+		return config.Document{}, err
+	}
+	return d.editor.Plan(current, edit)
+}
+
+// Document implements admin.Backend.
+func (d *Daemon) Document() config.Document {
+	return d.follower.Document()
+}
+
+// Status implements admin.Backend. It asks every member which revision it has in
+// force; the platform is not asked.
+func (d *Daemon) Status(ctx context.Context) admin.Status {
+	status := admin.Status{
+		Daemon: d.settings.Name, Version: Version, Head: d.follower.Head(), Uptime: time.Since(d.started), Watching: d.follower.Watching(),
+	}
+	var waiting sync.WaitGroup
+	members := d.node.Members()
+	rows := make([]admin.Member, len(members))
+	slots := make(chan struct{}, statusParallel)
+	for index, member := range members {
+		waiting.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			rows[index] = d.memberStatus(ctx, member)
+		})
+	}
+	waiting.Wait()
+	status.Members = rows
+	for _, row := range rows {
+		status.Head = max(status.Head, row.Revision)
+	}
+	sort.Slice(status.Members, func(i, j int) bool { return status.Members[i].Name < status.Members[j].Name })
+	return status
+}
+
+func (d *Daemon) memberStatus(ctx context.Context, member membership.Member) admin.Member {
+	row := admin.Member{Name: member.Name, Region: member.Region, Zone: member.Zone, State: member.Status.String()}
+	if member.Name == d.settings.Name {
+		row.Revision = d.follower.Revision()
+		return row
+	}
+	if !member.Serving() {
+		return row
+	}
+	revision, err := d.node.RevisionAt(ctx, member.PeerAddress)
+	if err != nil {
+		row.Problem = err.Error()
+		return row
+	}
+	row.Revision = revision
+	return row
+}
+
+// Services implements admin.Backend.
+func (d *Daemon) Services() []admin.ServiceStatus {
+	var rows []admin.ServiceStatus
+	for name, running := range d.services.All() {
+		backends, waiting := running.Dispatcher.Status()
+		dispatcher, other := d.node.DispatcherOf(name)
+		if !other {
+			dispatcher.Name = d.settings.Name
+		}
+		rows = append(rows, admin.ServiceStatus{Name: name, Dispatcher: dispatcher.Name, Waiting: waiting, Backends: backends})
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Name < rows[j].Name })
+	return rows
+}
+
+// KnownMembers returns how many daemons this one takes for alive, itself
+// included.
+func (d *Daemon) KnownMembers() int {
+	return len(d.node.View().Serving)
+}
--- /dev/null
+++ b/frontend/call.go
@@ -0,0 +1,205 @@
+package frontend
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/policy"
+	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// Headers that travel with a request from level to level and between daemons.
+const (
+	// HeaderRequestID identifies a request in logs.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderDeadline holds the milliseconds that remain.
+	HeaderDeadline = "Tuliphall-Deadline-Ms"
+	// HeaderAttempt holds the number of this attempt, 1 for the first.
+	HeaderAttempt = "Tuliphall-Attempt"
+	// HeaderDepth holds how many load-balanced calls lead to this one.
+	HeaderDepth = "Tuliphall-Depth"
+	// HeaderForwardedBy names the daemon that forwarded the request.
+	HeaderForwardedBy = "Tuliphall-Forwarded-By"
+	// HeaderBackend names the back end that answered.
+	HeaderBackend = "Tuliphall-Backend"
+)
+
+// Bounds on what a caller may ask.
+const (
+	maxDepth           = 64
+	maxRequestIDLength = 128
+	maxKeyLength       = 256
+	// maxBuffered is the largest body kept so that it can be sent again.
+	maxBuffered = 64 << 10
+)
+
+// call is one request on its way.
+type call struct {
+	id        string
+	service   *service.Service
+	decision  policy.Decision
+	deadline  time.Time
+	depth     int
+	attempt   int  // as the caller numbered it
+	forwarded bool // by another daemon
+	body      []byte
+	buffered  bool // body holds the whole body
+	upgrade   bool
+	request   *http.Request
+	received  time.Time
+	tried     []string
+}
+
+// headers are the numbers a caller may send.
+type headers struct {
+	remaining time.Duration // 0: none given
+	attempt   int
+	depth     int
+}
+
+func parseHeaders(header http.Header) (headers, error) {
+	parsed := headers{attempt: 1}
+	milliseconds, err := number(header, HeaderDeadline, 0, 1, int((24 * time.Hour).Milliseconds()))
+	if err != nil {
+		return headers{}, err
+	}
+	parsed.remaining = time.Duration(milliseconds) * time.Millisecond
+	if parsed.attempt, err = number(header, HeaderAttempt, 1, 1, 1000); err != nil {
+		return headers{}, err
+	}
+	if parsed.depth, err = number(header, HeaderDepth, 0, 0, maxDepth); err != nil {
+		return headers{}, err
+	}
+	return parsed, nil
+}
+
+// number reads an integer header; missing gives the value when it is not sent.
+func number(header http.Header, name string, missing, low, high int) (int, error) {
+	text := header.Get(name)
+	if text == "" {
+		return missing, nil
+	}
+	value, err := strconv.Atoi(text)
+	if err != nil || value < low || value > high {
+		return 0, errors.NotValidf("header %s: value %q: allowed: %d to %d; it", name, text, low, high)
+	}
+	return value, nil
+}
+
+// requestID takes the caller's id if it is short and printable, or makes one.
+func (h *Handler) requestID(header http.Header) string {
+	id := header.Get(HeaderRequestID)
+	if id != "" && len(id) <= maxRequestIDLength && printable(id) {
+		return id
+	}
+	return fmt.Sprintf("%s-%x", h.options.Name, h.sequence.Add(1))
+}
+
+func printable(text string) bool {
+	for _, char := range []byte(text) {
+		if char <= ' ' || char >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// newCall reads what the request asks for. The error is a *resultcode.Failure.
+func (h *Handler) newCall(r *http.Request, id string, running *service.Service) (*call, *resultcode.Failure) {
+	parsed, err := parseHeaders(r.Header)
+	if err != nil {
+		return nil, &resultcode.Failure{Code: resultcode.BadRequest, Detail: err.Error()}
+	}
+	target := running.Target()
+	decision, err := target.Policy.Evaluate(policy.Request{Method: r.Method, Path: r.URL.Path, Header: r.Header})
+	if err != nil {
+		h.metrics.policyErrors.Inc(1)
+		h.log.Warn("policy failed, safe defaults used", "request", id, "service", target.Service.Name, "error", err)
+	}
+	now := time.Now()
+	c := &call{
+		id: id, service: running, decision: decision, request: r, received: now,
+		depth: parsed.depth, attempt: parsed.attempt,
+		upgrade: r.Header.Get("Upgrade") != "",
+	}
+	c.deadline = now.Add(firstPositive(decision.Deadline, target.Deadline()))
+	if parsed.remaining > 0 && now.Add(parsed.remaining).Before(c.deadline) {
+		c.deadline = now.Add(parsed.remaining)
+	}
+	if decision.Once {
+		if failure := checkKey(decision.Key); failure != nil {
+			return nil, failure
+		}
+	}
+	if failure := c.buffer(); failure != nil {
+		return nil, failure
+	}
+	return c, nil
+}
+
+func checkKey(key string) *resultcode.Failure {
+	if key == "" {
+		return &resultcode.Failure{Code: resultcode.KeyMissing, Detail: "send the header " + policy.HeaderKey}
+	}
+	if len(key) > maxKeyLength || !printable(key) {
+		return &resultcode.Failure{Code: resultcode.BadRequest, Detail: fmt.Sprintf("operation key: allowed: 1 to %d printable characters without spaces", maxKeyLength)}
+	}
+	return nil
+}
+
+func firstPositive(values ...time.Duration) time.Duration {
+	for _, value := range values {
+		if value > 0 {
+			return value
+		}
+	}
+	return 0
+}
+
+// buffer keeps a small body of known length, so that it can be sent again.
+func (c *call) buffer() *resultcode.Failure {
+	length := c.request.ContentLength
+	if length == 0 {
+		c.buffered = true
+		return nil
+	}
+	if length < 0 || length > maxBuffered || c.upgrade {
+		return nil
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(c.request.Body, body); err != nil {
+		return &resultcode.Failure{Code: resultcode.BadRequest, Detail: "the request's body ended early: " + err.Error()}
+	}
+	c.body, c.buffered = body, true
+	return nil
+}
+
+// outgoing builds the request as sent to a back end or another daemon.
+func (c *call) outgoing(r *http.Request) *http.Request {
+	out := &http.Request{
+		Method: r.Method, URL: cloneURL(r), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, len(r.Header)+4), Host: r.Host, ContentLength: r.ContentLength, Body: r.Body,
+	}
+	copyEndToEnd(out.Header, r.Header)
+	if c.buffered {
+		out.Body = http.NoBody
+		if len(c.body) > 0 {
+			out.Body = io.NopCloser(bytes.NewReader(c.body))
+		}
+	}
+	if c.upgrade {
+		out.Header.Set("Connection", "Upgrade")
+		out.Header.Set("Upgrade", r.Header.Get("Upgrade"))
+	}
+	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
+	out.Header.Set(HeaderRequestID, c.id)
+	out.Header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+	return out
+}
--- /dev/null
+++ b/frontend/handler.go
@@ -0,0 +1,151 @@
+package frontend
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/operation"
+	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// Peers says which daemon dispatches a service. The frontend calls it for each
+// request; it must not block.
+type Peers interface {
+	// DispatcherOf returns the daemon that dispatches the service, and false
+	// when it is this one.
+	DispatcherOf(service string) (member membership.Member, other bool)
+	// Suspect notes that a daemon could not be reached.
+	Suspect(name string)
+	// HeardDraining notes that a back end says it is leaving, or is back.
+	HeardDraining(service, backend string, draining bool)
+}
+
+// Options are the frontend's collaborators.
+type Options struct {
+	Name       string // the daemon's
+	Network    network.Network
+	Services   *service.Registry
+	Peers      Peers
+	Operations *operation.Executor
+	Log        *slog.Logger
+	Metrics    tally.Scope
+	// LogDecisions logs a line for each routing decision.
+	LogDecisions bool
+}
+
+// Handler serves callers. Use Forwarded for requests from other daemons.
+type Handler struct {
+	options   Options
+	log       *slog.Logger
+	routing   *slog.Logger
+	metrics   *metrics
+	sequence  atomic.Uint64
+	inFlight  atomic.Int64
+	upgraded  sync.WaitGroup
+	forwarder *forwarder
+}
+
+// NewHandler returns a handler.
+func NewHandler(options Options) *Handler {
+	h := &Handler{
+		options:   options,
+		log:       logging.Part(options.Log, "frontend"),
+		routing:   logging.Part(options.Log, "routing"),
+		metrics:   newMetrics(options.Metrics),
+		forwarder: newForwarder(options.Network),
+	}
+	// Ids stay unique when a daemon is restarted under the same name.
+	h.sequence.Store(uint64(time.Now().UnixNano()))
+	return h
+}
+
+// InFlight returns the number of requests being served.
+func (h *Handler) InFlight() int64 {
+	return h.inFlight.Load()
+}
+
+// WaitUpgraded blocks until every upgraded connection has ended.
+func (h *Handler) WaitUpgraded() {
+	h.upgraded.Wait()
+}
+
+// ServeHTTP serves a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// What only daemons may say is not taken from callers.
+	r.Header.Del(HeaderForwardedBy)
+	h.serve(w, r, false)
+}
+
+// Forwarded serves requests that other daemons forward.
+func (h *Handler) Forwarded() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.serve(w, r, true)
+	})
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	h.metrics.inFlight.Update(float64(h.inFlight.Add(1)))
+	defer h.inFlight.Add(-1)
+	id := h.requestID(r.Header)
+	c, failure := h.admit(r, id, forwarded)
+	if failure != nil {
+		h.refuse(w, id, failure)
+		return
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	// The deadline is for the beginning of the answer: a long answer may take
+	// as long as its caller stays.
+	timer := time.AfterFunc(time.Until(c.deadline), func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
+	a := &attempter{handler: h, call: c, writer: w, deadline: timer}
+	if c.decision.Once {
+		a.runOnce(ctx)
+		return
+	}
+	a.run(ctx)
+}
+
+// admit finds the request's service and reads what it asks for.
+func (h *Handler) admit(r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
+	if h.options.Services.Snapshot() == nil {
+		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "no configuration has been read yet", RetryAfter: time.Second}
+	}
+	running, ok := h.options.Services.Match(r.Host, r.URL.Path)
+	if !ok {
+		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "host " + r.Host + ", path " + r.URL.Path}
+	}
+	c, failure := h.newCall(r, id, running)
+	if failure != nil {
+		return nil, failure
+	}
+	c.forwarded = forwarded
+	return c, nil
+}
+
+// refuse answers with a failure.
+func (h *Handler) refuse(w http.ResponseWriter, id string, failure *resultcode.Failure) {
+	h.metrics.count(failure.Code)
+	failure.Write(w, id)
+}
+
+func cloneURL(r *http.Request) *url.URL {
+	copied := *r.URL
+	return &copied
+}
+
+func copyEndToEnd(target, source http.Header) {
+	backend.CopyHeader(target, source)
+}
--- /dev/null
+++ b/frontend/metrics.go
@@ -0,0 +1,46 @@
+package frontend
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// metrics are the request path's counters, made once so that counting a request
+// builds nothing.
+type metrics struct {
+	requests     map[resultcode.Code]tally.Counter
+	latency      tally.Histogram
+	waited       tally.Histogram
+	retries      tally.Counter
+	forwards     tally.Counter
+	policyErrors tally.Counter
+	inFlight     tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	latencies := tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
+	m := &metrics{
+		requests:     make(map[resultcode.Code]tally.Counter),
+		latency:      scope.Histogram("request_latency", latencies),
+		waited:       scope.Histogram("request_waited", latencies),
+		retries:      scope.Counter("retries"),
+		forwards:     scope.Counter("forwards"),
+		policyErrors: scope.Counter("policy_errors"),
+		inFlight:     scope.Gauge("requests_in_flight"),
+	}
+	for _, info := range resultcode.Table() {
+		tags := map[string]string{"code": strconv.Itoa(int(info.Code)), "name": info.Name, "run": string(info.Run)}
+		m.requests[info.Code] = scope.Tagged(tags).Counter("requests")
+	}
+	return m
+}
+
+func (m *metrics) count(code resultcode.Code) {
+	if counter, ok := m.requests[code]; ok {
+		counter.Inc(1)
+	}
+}
--- /dev/null
+++ b/lab/backendstub/stub.go
@@ -0,0 +1,372 @@
+// Package backendstub stands in for a back end: a few slots with a queue before
+// them, a noisy neighbour, load reports that may lag or lie, and the ways in
+// which servers fail.
+package backendstub
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tuliphall/tuliphall/backend"
+)
+
+// Paths of the stand-in besides its work.
+const (
+	PathLoad   = "/load"
+	PathStream = "/stream" // ?pieces=N&every=DURATION
+	PathEcho   = "/echo"
+	PathUpper  = "/upgrade"
+)
+
+// HeaderRunCount is the header by which a request names itself, so that the
+// back end can count how often it ran.
+const HeaderRunCount = "Lab-Request"
+
+// Fault is a way to misbehave.
+type Fault string
+
+// The faults.
+const (
+	FaultNone        Fault = ""
+	FaultRejectAll   Fault = "reject-all"   // 503 at once
+	FaultError       Fault = "error"        // 500 at once
+	FaultCloseEarly  Fault = "close-early"  // closes in the middle of the body
+	FaultCloseFirst  Fault = "close-first"  // closes before any answer
+	FaultWrongLength Fault = "wrong-length" // says more bytes than it sends
+	FaultExtraBytes  Fault = "extra-bytes"  // sends a second answer nobody asked for
+	FaultUnframed    Fault = "unframed"     // neither length nor chunks
+	FaultFreeze      Fault = "freeze"       // takes requests and never answers
+)
+
+// Options are a stand-in's settings.
+type Options struct {
+	Slots    int
+	Work     time.Duration // mean time of one request
+	Fixed    bool          // every request takes the mean; false: exponential
+	Seed     uint64
+	Probe    time.Duration // slot time of one look at PathLoad
+	Slowdown float64       // factor while a neighbour is noisy; 0: none
+	Noisy    time.Duration // mean length of a noisy spell
+	Quiet    time.Duration // mean time between spells
+}
+
+// Stub is one back end. It is safe for concurrent use.
+type Stub struct {
+	options Options
+	slots   chan struct{}
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	fault    Fault
+	slow     float64
+	draining bool
+	lie      int // added to the reported load
+	inFlight int
+	runs     map[string]int
+	total    int
+	probes   int
+	nextFlip time.Time
+	noisy    bool
+}
+
+// New returns a back end that is well.
+func New(options Options) *Stub {
+	if options.Slots == 0 {
+		options.Slots = 3
+	}
+	return &Stub{
+		options: options, slots: make(chan struct{}, options.Slots), slow: 1,
+		random: rand.New(rand.NewPCG(options.Seed, options.Seed)), runs: make(map[string]int),
+	}
+}
+
+// SetFault changes how the back end misbehaves.
+func (s *Stub) SetFault(fault Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fault = fault
+}
+
+// SetSlow makes every request take factor times as long.
+func (s *Stub) SetSlow(factor float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.slow = factor
+}
+
+// SetDraining makes the back end say that it is leaving.
+func (s *Stub) SetDraining(draining bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining = draining
+}
+
+// SetLie adds to the load the back end reports.
+func (s *Stub) SetLie(added int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lie = added
+}
+
+// Total returns how many requests ran.
+func (s *Stub) Total() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.total
+}
+
+// Probes returns how often the load endpoint was asked.
+func (s *Stub) Probes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.probes
+}
+
+// Runs returns how often each named request ran.
+func (s *Stub) Runs() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	copied := make(map[string]int, len(s.runs))
+	for name, count := range s.runs {
+		copied[name] = count
+	}
+	return copied
+}
+
+// Handler serves the back end.
+func (s *Stub) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PathLoad, s.load)
+	mux.HandleFunc(PathStream, s.stream)
+	mux.HandleFunc(PathUpper, s.upgrade)
+	mux.HandleFunc("/", s.work)
+	return mux
+}
+
+// enter takes a slot, or gives up when the caller leaves.
+func (s *Stub) enter(ctx context.Context) bool {
+	s.mutex.Lock()
+	s.inFlight++
+	s.mutex.Unlock()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		s.mutex.Lock()
+		s.inFlight--
+		s.mutex.Unlock()
+		return false
+	}
+}
+
+func (s *Stub) leave() {
+	<-s.slots
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.inFlight--
+}
+
+// duration draws how long one request takes now.
+func (s *Stub) duration(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	scale := s.slow
+	if s.options.Slowdown > 0 {
+		s.flip(now)
+		if s.noisy {
+			scale *= s.options.Slowdown
+		}
+	}
+	length := float64(s.options.Work)
+	if !s.options.Fixed {
+		length *= s.random.ExpFloat64()
+	}
+	return time.Duration(length * scale)
+}
+
+// flip moves the noisy neighbour on to the present.
+func (s *Stub) flip(now time.Time) {
+	if s.nextFlip.IsZero() {
+		s.nextFlip = now.Add(s.spell(s.options.Quiet))
+	}
+	for !now.Before(s.nextFlip) {
+		s.noisy = !s.noisy
+		mean := s.options.Quiet
+		if s.noisy {
+			mean = s.options.Noisy
+		}
+		s.nextFlip = s.nextFlip.Add(s.spell(mean))
+	}
+}
+
+func (s *Stub) spell(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean)*s.random.ExpFloat64()) + time.Microsecond
+}
+
+// report sets the headers by which a back end tells its load.
+func (s *Stub) report(header http.Header) Fault {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	header.Set(backend.HeaderReport, fmt.Sprintf("TEXT named_metrics.in_flight=%d", max(s.inFlight+s.lie, 0)))
+	header.Set(backend.HeaderDraining, strconv.FormatBool(s.draining))
+	return s.fault
+}
+
+func (s *Stub) ran(r *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.total++
+	if name := r.Header.Get(HeaderRunCount); name != "" {
+		s.runs[name]++
+	}
+}
+
+func (s *Stub) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	fault := s.report(w.Header())
+	switch fault {
+	case FaultRejectAll:
+		http.Error(w, "rejected", http.StatusServiceUnavailable)
+		return
+	case FaultFreeze:
+		<-r.Context().Done()
+		return
+	case FaultError:
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	if !s.enter(r.Context()) {
+		return
+	}
+	defer s.leave()
+	s.ran(r)
+	if !sleep(r.Context(), s.duration(time.Now())) {
+		return
+	}
+	answer := fmt.Sprintf("%s %s %s %s\n", r.Method, r.URL.Path, r.Header.Get(HeaderRunCount), body)
+	if fault == FaultNone {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = io.WriteString(w, answer)
+		return
+	}
+	s.misbehave(w, fault, answer)
+}
+
+// misbehave writes a broken answer on the bare connection.
+func (s *Stub) misbehave(w http.ResponseWriter, fault Fault, answer string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	writeBroken(buffered.Writer, fault, answer)
+	_ = buffered.Flush()
+	if fault == FaultExtraBytes {
+		// The connection stays open, so that the extra answer can do harm.
+		waitForPeer(conn)
+	}
+}
+
+func writeBroken(w *bufio.Writer, fault Fault, answer string) {
+	switch fault {
+	case FaultCloseEarly:
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(answer), answer)
+	case FaultWrongLength:
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer)+10, answer)
+	case FaultExtraBytes:
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		other := "the answer of somebody else\n"
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(other), other)
+	case FaultUnframed:
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", answer)
+	}
+}
+
+// extraOpen is how long a connection with an extra answer stays open.
+const extraOpen = 2 * time.Second
+
+func waitForPeer(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(extraOpen))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+func (s *Stub) load(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	s.probes++
+	s.mutex.Unlock()
+	fault := s.report(w.Header())
+	if fault == FaultRejectAll || fault == FaultError {
+		http.Error(w, "rejected", http.StatusServiceUnavailable)
+		return
+	}
+	if !s.enter(r.Context()) {
+		return
+	}
+	defer s.leave()
+	sleep(r.Context(), s.options.Probe)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Stub) stream(w http.ResponseWriter, r *http.Request) {
+	pieces, err := strconv.Atoi(r.URL.Query().Get("pieces"))
+	if err != nil || pieces < 1 || pieces > 1000 {
+		http.Error(w, "pieces: 1 to 1000", http.StatusBadRequest)
+		return
+	}
+	every, err := time.ParseDuration(r.URL.Query().Get("every"))
+	if err != nil {
+		http.Error(w, "every: not a duration", http.StatusBadRequest)
+		return
+	}
+	s.report(w.Header())
+	s.ran(r)
+	control := http.NewResponseController(w)
+	for piece := range pieces {
+		if _, err := fmt.Fprintf(w, "piece %d\n", piece); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil || !sleep(r.Context(), every) {
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "end\n")
+}
+
+// upgrade answers with a 101 and echoes what it is sent.
+func (s *Stub) upgrade(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "Upgrade")
+	w.Header().Set("Upgrade", "echo")
+	w.WriteHeader(http.StatusSwitchingProtocols)
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = io.Copy(conn, buffered)
+}
+
+// sleep says whether the whole time passed.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,279 @@
+// Package load is the lab's load generator.
+//
+// Arrivals are open-loop: they come at random times whatever the answers do, and
+// latency counts from the time a request should have been sent, so that waiting
+// is not hidden. Every answer is checked to be the whole answer to its own
+// request, and what each answer said about having run is kept, so that it can be
+// compared with what the back ends saw.
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tuliphall/tuliphall/lab/backendstub"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/policy"
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// Kind is one kind of request in the mix.
+type Kind struct {
+	Name   string
+	Method string
+	Path   string
+	Share  float64
+	Once   bool // carries an operation key
+}
+
+// Options say what load to make.
+type Options struct {
+	Network  network.Network
+	Targets  []string // caller addresses of daemons, or of one back end
+	Rate     float64  // requests a second, all kinds together
+	Duration time.Duration
+	Seed     uint64
+	Kinds    []Kind
+	// Closed, if above 0, is a number of callers that each send the next
+	// request when the last was answered; Rate is then ignored.
+	Closed int
+	// Most bounds the requests made; 0: 1,000,000.
+	Most int
+}
+
+// Outcome is what one request came to.
+type Outcome struct {
+	Name  string
+	Run   resultcode.RunState
+	Wrong bool // not the whole answer to its own request, yet passed off as it
+}
+
+// Result sums up a run of load.
+type Result struct {
+	Seed      uint64                      `json:"seed"`
+	Sent      int                         `json:"sent"`
+	Answered  int                         `json:"answered"` // with a back end's whole answer
+	Wrong     int                         `json:"wrong"`
+	Aborted   int                         `json:"aborted"` // broken off, so that the caller sees it
+	Codes     map[resultcode.Code]int     `json:"codes"`
+	Runs      map[resultcode.RunState]int `json:"runs"`
+	Outcomes  []Outcome                   `json:"-"`
+	Latency   *hdrhistogram.Histogram     `json:"-"`
+	Elapsed   time.Duration               `json:"elapsed_ns"`
+	mutex     sync.Mutex
+	perKind   map[string]*hdrhistogram.Histogram
+	firstFail string
+}
+
+// Histogram bounds: microseconds, up to ten minutes, to three digits.
+const (
+	lowest  = 1
+	highest = int64(10 * time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowest, highest, digits)
+}
+
+// Quantile returns a latency quantile of the answered requests; q is in percent.
+func (r *Result) Quantile(q float64) time.Duration {
+	return time.Duration(r.Latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// KindQuantile returns a latency quantile of one kind.
+func (r *Result) KindQuantile(kind string, q float64) time.Duration {
+	histogram, ok := r.perKind[kind]
+	if !ok {
+		return 0
+	}
+	return time.Duration(histogram.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// FirstFailure describes the first request that was not answered.
+func (r *Result) FirstFailure() string {
+	return r.firstFail
+}
+
+// Failed returns the requests that did not get their answer.
+func (r *Result) Failed() int {
+	return r.Sent - r.Answered
+}
+
+// generator makes the load.
+type generator struct {
+	options Options
+	client  *http.Client
+	result  *Result
+	random  *rand.Rand
+	waiting sync.WaitGroup
+}
+
+// Run makes the load and waits for every answer.
+func Run(ctx context.Context, options Options) *Result {
+	if options.Network == nil {
+		options.Network = network.TCP{}
+	}
+	if options.Most == 0 {
+		options.Most = 1_000_000
+	}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return options.Network.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 1024, DisableCompression: true,
+	}
+	defer transport.CloseIdleConnections()
+	g := &generator{
+		options: options, client: &http.Client{Transport: transport},
+		random: rand.New(rand.NewPCG(options.Seed, options.Seed+1)),
+		result: &Result{
+			Seed: options.Seed, Codes: make(map[resultcode.Code]int), Runs: make(map[resultcode.RunState]int),
+			Latency: newHistogram(), perKind: make(map[string]*hdrhistogram.Histogram),
+		},
+	}
+	begun := time.Now()
+	if options.Closed > 0 {
+		g.closedLoop(ctx, begun)
+	} else {
+		g.openLoop(ctx, begun)
+	}
+	g.waiting.Wait()
+	g.result.Elapsed = time.Since(begun)
+	return g.result
+}
+
+// openLoop sends at random times.
+func (g *generator) openLoop(ctx context.Context, begun time.Time) {
+	due := begun
+	for number := 0; number < g.options.Most; number++ {
+		due = due.Add(time.Duration(g.random.ExpFloat64() / g.options.Rate * float64(time.Second)))
+		if due.Sub(begun) >= g.options.Duration || ctx.Err() != nil {
+			return
+		}
+		if wait := time.Until(due); wait > 0 {
+			time.Sleep(wait)
+		}
+		kind := g.pickKind()
+		target := g.options.Targets[g.random.IntN(len(g.options.Targets))]
+		intended := due
+		g.waiting.Go(func() { g.one(ctx, number, kind, target, intended) })
+	}
+}
+
+// closedLoop lets a few callers each send one request after another.
+func (g *generator) closedLoop(ctx context.Context, begun time.Time) {
+	for caller := range g.options.Closed {
+		kind, target := g.pickKind(), g.options.Targets[caller%len(g.options.Targets)]
+		g.waiting.Go(func() {
+			for number := 0; time.Since(begun) < g.options.Duration && number < g.options.Most && ctx.Err() == nil; number++ {
+				g.one(ctx, caller*g.options.Most+number, kind, target, time.Now())
+			}
+		})
+	}
+}
+
+func (g *generator) pickKind() Kind {
+	total := 0.0
+	for _, kind := range g.options.Kinds {
+		total += kind.Share
+	}
+	drawn := g.random.Float64() * total
+	for _, kind := range g.options.Kinds {
+		drawn -= kind.Share
+		if drawn < 0 {
+			return kind
+		}
+	}
+	return g.options.Kinds[len(g.options.Kinds)-1]
+}
+
+// one sends one request and notes what came of it.
+func (g *generator) one(ctx context.Context, number int, kind Kind, target string, intended time.Time) {
+	name := fmt.Sprintf("r%d-%d", g.options.Seed, number)
+	body := ""
+	if kind.Method != http.MethodGet {
+		body = "body of " + name
+	}
+	request, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+target+kind.Path, strings.NewReader(body))
+	if err != nil {
+		g.note(kind, Outcome{Name: name}, 0, 0, false, err.Error())
+		return
+	}
+	request.Header.Set(backendstub.HeaderRunCount, name)
+	if kind.Once {
+		request.Header.Set(policy.HeaderKey, name)
+	}
+	// The transport must not resend what it cannot know to be safe.
+	request.GetBody = nil
+	response, err := g.client.Do(request)
+	if err != nil {
+		g.note(kind, Outcome{Name: name, Run: resultcode.Unknown}, 0, 0, false, err.Error())
+		return
+	}
+	defer response.Body.Close()
+	text, readErr := io.ReadAll(response.Body)
+	latency := time.Since(intended)
+	code := codeOf(response)
+	outcome := Outcome{Name: name, Run: resultcode.RunState(response.Header.Get(resultcode.HeaderRun))}
+	if outcome.Run == "" {
+		outcome.Run = resultcode.Run // asked a back end directly
+	}
+	expected := fmt.Sprintf("%s %s %s %s\n", kind.Method, kind.Path, name, body)
+	whole := readErr == nil && response.StatusCode == http.StatusOK && string(text) == expected
+	outcome.Wrong = readErr == nil && response.StatusCode == http.StatusOK && string(text) != expected
+	failure := ""
+	if !whole {
+		failure = fmt.Sprintf("%s: status %d, code %d, error %v, body %.200q", name, response.StatusCode, code, readErr, text)
+	}
+	g.note(kind, outcome, code, latency, whole, failure)
+}
+
+func codeOf(response *http.Response) resultcode.Code {
+	number, err := strconv.Atoi(response.Header.Get(resultcode.HeaderCode))
+	if err != nil {
+		return 0
+	}
+	return resultcode.Code(number)
+}
+
+func (g *generator) note(kind Kind, outcome Outcome, code resultcode.Code, latency time.Duration, whole bool, failure string) {
+	r := g.result
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Sent++
+	r.Codes[code]++
+	r.Runs[outcome.Run]++
+	r.Outcomes = append(r.Outcomes, outcome)
+	if outcome.Wrong {
+		r.Wrong++
+	}
+	if !whole {
+		if code == resultcode.Answered || code == 0 {
+			r.Aborted++
+		}
+		if r.firstFail == "" {
+			r.firstFail = failure
+		}
+		return
+	}
+	r.Answered++
+	histogram, ok := r.perKind[kind.Name]
+	if !ok {
+		histogram = newHistogram()
+		r.perKind[kind.Name] = histogram
+	}
+	// Values above the highest are dropped by the histogram; none lasts so long.
+	_ = r.Latency.RecordValue(latency.Microseconds())
+	_ = histogram.RecordValue(latency.Microseconds())
+}
--- /dev/null
+++ b/launch/launch.go
@@ -0,0 +1,120 @@
+// Package launch is the daemon's command line: it reads flags and settings,
+// starts the daemon, and stops it on a signal.
+package launch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/settings"
+	"github.com/tuliphall/tuliphall/standalone"
+)
+
+// Exit codes; see docs/operations/running.md.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Settings    string `long:"settings" short:"s" value-name:"FILE" description:"settings file (TOML)"`
+	Standalone  string `long:"standalone" value-name:"FILE" description:"serve the services in one file, without a platform"`
+	CheckConfig bool   `long:"check-config" description:"check the file and exit"`
+	LogLevel    string `long:"log-level" description:"override log.level: debug, info, warn or error"`
+	LogFormat   string `long:"log-format" description:"override log.format: text or json"`
+	Version     bool   `long:"version" description:"print the version and exit"`
+}
+
+// Run runs the daemon's command line until the daemon has stopped, and returns
+// the exit code.
+func Run(arguments []string) int {
+	var chosen options
+	parser := flags.NewParser(&chosen, flags.Default)
+	rest, err := parser.ParseArgs(arguments)
+	if flags.WroteHelp(err) {
+		return exitOK
+	}
+	if err != nil {
+		return exitSettings // the parser has printed the error
+	}
+	if chosen.Version {
+		fmt.Println("tuliphalld", daemon.Version)
+		return exitOK
+	}
+	built, err := build(chosen, rest)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "tuliphalld:", err)
+		return exitSettings
+	}
+	if chosen.CheckConfig {
+		fmt.Println("configuration is valid")
+		return exitOK
+	}
+	if err := serve(built); err != nil {
+		fmt.Fprintln(os.Stderr, "tuliphalld:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// build reads and checks the file that was named.
+func build(chosen options, rest []string) (daemon.Options, error) {
+	if len(rest) > 0 {
+		return daemon.Options{}, errors.NotValidf("argument %q", rest[0])
+	}
+	if (chosen.Settings == "") == (chosen.Standalone == "") {
+		return daemon.Options{}, errors.New("give either --settings FILE or --standalone FILE")
+	}
+	var built daemon.Options
+	var err error
+	if chosen.Standalone != "" {
+		built, err = standalone.Load(chosen.Standalone)
+	} else {
+		built, err = fromSettings(chosen.Settings)
+	}
+	if err != nil {
+		return daemon.Options{}, err
+	}
+	if chosen.LogLevel != "" {
+		built.Settings.Log.Level = chosen.LogLevel
+	}
+	if chosen.LogFormat != "" {
+		built.Settings.Log.Format = chosen.LogFormat
+	}
+	built.LogTo = os.Stderr
+	return built, errors.Annotate(built.Settings.Validate(), "flags")
+}
+
+func fromSettings(path string) (daemon.Options, error) {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return daemon.Options{}, err
+	}
+	if loaded.Platform.Address == "" {
+		return daemon.Options{}, errors.Annotate(&settings.SettingError{Key: "platform.address", Value: "", Allowed: "http://IP:port"}, path)
+	}
+	return daemon.Options{Settings: loaded}, nil
+}
+
+// serve runs the daemon until SIGTERM or SIGINT, and then stops it without
+// cutting a request. A second signal ends it at once.
+func serve(built daemon.Options) error {
+	running, err := daemon.Start(built)
+	if err != nil {
+		return err
+	}
+	first, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	<-first.Done()
+	release()
+	second, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return running.Stop(second)
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,119 @@
+// Package logging writes structured logs without ever holding up the request
+// path.
+//
+// Lines go through a bounded queue to one goroutine. When the queue is full the
+// line is dropped and counted, and the next line that gets through is preceded
+// by one that says how many were lost. Each part of the daemon logs with its own
+// prefix, such as "routing: ".
+package logging
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+)
+
+// queueLines is how many lines may wait to be written.
+const queueLines = 8192
+
+// Writer is an io.Writer that never blocks. Each Write is one line.
+type Writer struct {
+	target  io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	total   atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewWriter returns a writer in front of target and starts its goroutine.
+func NewWriter(target io.Writer) *Writer {
+	w := &Writer{target: target, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. A full queue drops the line.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+		w.total.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were ever dropped.
+func (w *Writer) Dropped() int64 {
+	return w.total.Load()
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	for line := range w.lines {
+		if lost := w.dropped.Swap(0); lost > 0 {
+			fmt.Fprintf(w.target, "logging: %d lines dropped\n", lost)
+		}
+		// There is no other place to report a log that cannot be written.
+		_, _ = w.target.Write(line)
+	}
+}
+
+// Close writes the lines that wait and ends the goroutine. No Write may follow.
+func (w *Writer) Close() {
+	w.once.Do(func() { close(w.lines) })
+	<-w.done
+}
+
+// Options are a logger's settings.
+type Options struct {
+	Level  slog.Level
+	JSON   bool
+	Daemon string // name of the daemon, noted on each line
+}
+
+// New returns a logger that writes to w.
+func New(w io.Writer, options Options) *slog.Logger {
+	handlerOptions := &slog.HandlerOptions{Level: options.Level}
+	var handler slog.Handler = slog.NewTextHandler(w, handlerOptions)
+	if options.JSON {
+		handler = slog.NewJSONHandler(w, handlerOptions)
+	}
+	return slog.New(handler).With("daemon", options.Daemon)
+}
+
+// Part returns a logger whose messages begin with the part's name.
+func Part(logger *slog.Logger, part string) *slog.Logger {
+	return slog.New(&prefixHandler{next: logger.Handler(), prefix: part + ": "})
+}
+
+// prefixHandler puts a prefix before each message.
+type prefixHandler struct {
+	next   slog.Handler
+	prefix string
+}
+
+// Enabled implements slog.Handler.
+func (h *prefixHandler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.next.Enabled(ctx, level)
+}
+
+// Handle implements slog.Handler.
+func (h *prefixHandler) Handle(ctx context.Context, record slog.Record) error {
+	record.Message = h.prefix + record.Message
+	return h.next.Handle(ctx, record)
+}
+
+// WithAttrs implements slog.Handler.
+func (h *prefixHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &prefixHandler{next: h.next.WithAttrs(attrs), prefix: h.prefix}
+}
+
+// WithGroup implements slog.Handler.
+func (h *prefixHandler) WithGroup(name string) slog.Handler {
+	return &prefixHandler{next: h.next.WithGroup(name), prefix: h.prefix}
+}
--- /dev/null
+++ b/operation/executor.go
@@ -0,0 +1,173 @@
+package operation
+
+import (
+	"context"
+	"crypto/rand"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// Defaults and bounds of an Executor.
+const (
+	// DefaultRetention is how long a key is remembered. It must be far longer
+	// than ClaimLifetime plus the difference between daemons' clocks.
+	DefaultRetention = time.Hour
+	// ClaimLifetime is how long after the beginning of its write a claim may
+	// be used.
+	ClaimLifetime = 10 * time.Second
+	// MaxResultBytes is the largest answer body that is recorded.
+	MaxResultBytes = 2 << 10
+	queueLength    = 4096
+	maxBatch       = 256
+	expireInterval = time.Minute
+)
+
+// Options are an Executor's collaborators.
+type Options struct {
+	Store     platform.Store
+	Writes    *rate.Limiter // of this daemon's calls that write
+	Retention time.Duration // 0: DefaultRetention
+	Log       *slog.Logger
+}
+
+// Executor claims operations for all services of a daemon. It is safe for
+// concurrent use. One goroutine for each service owns its journal; requests
+// reach it through a bounded queue that refuses when full.
+type Executor struct {
+	options Options
+	log     *slog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mutex   sync.Mutex
+	writers map[string]*writer
+}
+
+// NewExecutor returns an executor. Close ends its goroutines.
+func NewExecutor(options Options) *Executor {
+	if options.Retention == 0 {
+		options.Retention = DefaultRetention
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Executor{
+		options: options, log: logging.Part(options.Log, "operation"),
+		ctx: ctx, cancel: cancel, writers: make(map[string]*writer),
+	}
+}
+
+// Close waits until outcomes that were handed over are written, or ctx ends,
+// and ends the goroutines.
+func (e *Executor) Close(ctx context.Context) {
+	e.mutex.Lock()
+	writers := make([]*writer, 0, len(e.writers))
+	for _, w := range e.writers {
+		writers = append(writers, w)
+	}
+	e.mutex.Unlock()
+	for _, w := range writers {
+		w.flush(ctx)
+	}
+	e.cancel()
+	e.running.Wait()
+}
+
+func (e *Executor) writer(service string) *writer {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	w, ok := e.writers[service]
+	if !ok {
+		w = newWriter(e, service)
+		e.writers[service] = w
+		e.running.Add(1)
+		go w.run()
+	}
+	return w
+}
+
+// Fingerprint tells requests with the same key apart.
+func Fingerprint(method, uri string, body []byte) uint64 {
+	hash := fnv.New64a()
+	// A hash never fails to write.
+	_, _ = io.WriteString(hash, method+"\x00"+uri+"\x00")
+	_, _ = hash.Write(body)
+	return hash.Sum64()
+}
+
+// Claim is the right to run one operation once.
+type Claim struct {
+	writer   *writer
+	entry    Entry
+	begun    time.Time
+	settled  sync.Once
+	lifetime time.Duration
+}
+
+// Begin claims the key. It returns either a claim, or the recorded answer of an
+// earlier run, or a failure. It blocks until the store has answered or ctx ends.
+func (e *Executor) Begin(ctx context.Context, service, key string, fingerprint uint64) (*Claim, *Result, *resultcode.Failure) {
+	command := &command{
+		entry:  Entry{Kind: Claimed, Key: key, Token: rand.Text(), Fingerprint: fingerprint},
+		begun:  time.Now(),
+		answer: make(chan verdict, 1),
+	}
+	w := e.writer(service)
+	if !w.offer(command) {
+		return nil, nil, &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "too many operations are waiting to be claimed", RetryAfter: time.Second}
+	}
+	select {
+	case answer := <-command.answer:
+		return answer.claim, answer.result, answer.failure
+	case <-ctx.Done():
+		// The claim may still be written; it is released when it is.
+		go func() {
+			if answer := <-command.answer; answer.claim != nil {
+				answer.claim.Release()
+			}
+		}()
+		return nil, nil, &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim was not written in time"}
+	}
+}
+
+// Usable says whether the request may still be sent now. A claim that was held
+// for too long, because its daemon was paused or the request waited, is not.
+func (c *Claim) Usable() bool {
+	return time.Since(c.begun) < c.lifetime
+}
+
+// Finish records the answer. It does not wait for the store.
+func (c *Claim) Finish(result Result) {
+	c.settle(Entry{Kind: Finished, Result: &result})
+}
+
+// Release gives the claim back: the request was not run. It does not wait for
+// the store.
+func (c *Claim) Release() {
+	c.settle(Entry{Kind: Released})
+}
+
+// Abandon leaves the claim as it is: whether the request ran is not known.
+func (c *Claim) Abandon() {
+	c.settled.Do(func() { c.writer.forget(c.entry.Token) })
+}
+
+func (c *Claim) settle(entry Entry) {
+	c.settled.Do(func() {
+		entry.Key, entry.Token = c.entry.Key, c.entry.Token
+		c.writer.offer(&command{entry: entry})
+		c.writer.forget(c.entry.Token)
+	})
+}
+
+// errNotLoaded is the cause given while the journal cannot be read.
+const errNotLoaded = errors.ConstError("journal not read")
--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+)
+
+// call opens a connection to a daemon, makes one call and closes it.
+func (n *Node) call(ctx context.Context, address string, make func(context.Context, peerpb.DRPCPeerClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := n.options.Network.Dial(ctx, address)
+	if err != nil {
+		return errors.Annotatef(err, "daemon at %s", address)
+	}
+	wrapped := drpcconn.New(conn)
+	defer wrapped.Close()
+	return errors.Annotatef(make(ctx, peerpb.NewDRPCPeerClient(wrapped)), "daemon at %s", address)
+}
+
+// revisionOnly asks for no changes, only for the revision in force.
+const revisionOnly = ^uint64(0)
+
+// RevisionAt asks a daemon which revision it has in force.
+func (n *Node) RevisionAt(ctx context.Context, address string) (config.Revision, error) {
+	var revision config.Revision
+	err := n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: revisionOnly})
+		if err != nil {
+			return err
+		}
+		revision = config.Revision(reply.Revision)
+		return nil
+	})
+	return revision, err
+}
+
+// FetchDocument returns a daemon's document, as far as it is newer than the one
+// given: the changes are asked for and added. A daemon without configuration
+// gives the document back as it was.
+func (n *Node) FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error) {
+	var document config.Document
+	err := n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: uint64(present.Revision)})
+		if err != nil {
+			return err
+		}
+		document, err = follow(present, reply)
+		return err
+	})
+	return document, err
+}
+
+func follow(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
+	if config.Revision(reply.Revision) <= present.Revision {
+		return present, nil
+	}
+	if len(reply.Document) > 0 {
+		return config.DecodeDocument(reply.Document)
+	}
+	changes := make([]config.Change, len(reply.Changes))
+	for index, data := range reply.Changes {
+		if err := json.Unmarshal(data, &changes[index]); err != nil {
+			return config.Document{}, errors.Annotate(err, "a configuration change")
+		}
+	}
+	return present.Follow(changes)
+}
+
+func encodeMember(m membership.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Name: m.Name, Region: m.Region, Zone: m.Zone, PeerAddress: m.PeerAddress, ForwardAddress: m.ForwardAddress,
+		Incarnation: m.Incarnation, Status: peerpb.Status(m.Status),
+	}
+}
+
+func encodeMembers(members []membership.Member) []*peerpb.Member {
+	encoded := make([]*peerpb.Member, 0, len(members))
+	for _, member := range members {
+		encoded = append(encoded, encodeMember(member))
+	}
+	return encoded
+}
+
+func decodeMember(m *peerpb.Member) membership.Member {
+	return membership.Member{
+		Name: m.GetName(), Region: m.GetRegion(), Zone: m.GetZone(), PeerAddress: m.GetPeerAddress(),
+		ForwardAddress: m.GetForwardAddress(), Incarnation: m.GetIncarnation(), Status: membership.Status(m.GetStatus()),
+	}
+}
+
+func decodeMembers(encoded []*peerpb.Member) []membership.Member {
+	members := make([]membership.Member, 0, len(encoded))
+	for _, one := range encoded {
+		members = append(members, decodeMember(one))
+	}
+	return members
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,365 @@
+// Package peer carries the messages between daemons: heartbeats with news of
+// members and drains, and configuration changes. The messages are protobuf over
+// drpc; what is in them and who sends them when is decided by package
+// membership and by this package's Node.
+//
+// Every exchange opens a connection and closes it again. At the size of the
+// whole fleet a daemon meets a different partner nearly every time, so that kept
+// connections would mostly idle.
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// Timing and bounds.
+const (
+	// callTimeout bounds one call to another daemon.
+	callTimeout = 700 * time.Millisecond
+	// relays is how many others are asked to reach a member that did not answer.
+	relays = 2
+	// fanout is how many members are told at once of a new revision or drain.
+	fanout = 3
+	// joinSeeds is how many seeds a starting daemon asks for the members.
+	joinSeeds = 3
+	// jitter is the share of the period by which each exchange is shifted.
+	jitter = 0.2
+)
+
+// Configuration is what a Node tells and asks about the configuration.
+type Configuration interface {
+	// Revision returns the revision in force, 0 if there is none.
+	Revision() config.Revision
+	// Document returns the document in force.
+	Document() config.Document
+	// Behind notes that a member has a higher revision. It must not block.
+	Behind(member membership.Member)
+}
+
+// Drain is news that a back end is leaving, or is back.
+type Drain struct {
+	Service  string
+	Backend  string
+	Source   service.DrainSource
+	Draining bool
+	At       time.Time
+}
+
+// Options are a Node's collaborators.
+type Options struct {
+	Self          membership.Member
+	Network       network.Network
+	Random        *rand.Rand
+	Log           *slog.Logger
+	Configuration Configuration
+	// Seeds returns peer addresses of daemons that may be alive. It may block.
+	Seeds func(ctx context.Context) []string
+	// OnDrain is told of each drain that is news. It must not block.
+	OnDrain func(Drain)
+}
+
+// Node is one daemon among its peers. It is safe for concurrent use.
+type Node struct {
+	options Options
+	log     *slog.Logger
+	spread  chan struct{} // room for one: spreading is asked for
+
+	mutex  sync.Mutex
+	state  *membership.State
+	drains drainTable
+
+	view atomic.Pointer[View]
+}
+
+// View is an immutable picture of the members that take requests.
+type View struct {
+	Serving []membership.Member // alive ones of every region, this daemon included
+	self    string
+	region  []membership.Member
+	cache   sync.Map // service name to membership.Member
+}
+
+// NewNode returns a node that knows only itself.
+func NewNode(options Options) *Node {
+	n := &Node{
+		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
+		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(),
+	}
+	n.refreshView()
+	return n
+}
+
+// refreshView makes a new View. The caller holds the mutex or is alone.
+func (n *Node) refreshView() {
+	view := &View{self: n.options.Self.Name}
+	for _, member := range n.state.Serving() {
+		if member.Status != membership.Alive {
+			continue
+		}
+		view.Serving = append(view.Serving, member)
+		if member.Region == n.options.Self.Region {
+			view.region = append(view.region, member)
+		}
+	}
+	n.view.Store(view)
+}
+
+// change runs a change of the members under the mutex and refreshes the view.
+func (n *Node) change(apply func(now time.Time)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	before := n.state.Version()
+	apply(time.Now())
+	if n.state.Version() != before {
+		n.refreshView()
+	}
+}
+
+// View returns the present picture of the members.
+func (n *Node) View() *View {
+	return n.view.Load()
+}
+
+// Members returns every member known, this daemon included.
+func (n *Node) Members() []membership.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return append(n.state.Members(), n.state.Self())
+}
+
+// DispatcherOf returns the daemon that dispatches a service in this region, and
+// false when it is this one. It does not block.
+func (n *Node) DispatcherOf(name string) (member membership.Member, other bool) {
+	view := n.View()
+	if cached, ok := view.cache.Load(name); ok {
+		member = cached.(membership.Member)
+		return member, member.Name != view.self
+	}
+	chosen := membership.Choose(view.region, "dispatch/"+name, 1)
+	if len(chosen) == 0 {
+		return membership.Member{}, false
+	}
+	view.cache.Store(name, chosen[0])
+	return chosen[0], chosen[0].Name != view.self
+}
+
+// Holds says whether this daemon is among the count daemons of its region that
+// are chosen for a duty.
+func (n *Node) Holds(duty string, count int) bool {
+	view := n.View()
+	for _, member := range membership.Choose(view.region, duty, count) {
+		if member.Name == view.self {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspect notes that a member could not be reached.
+func (n *Node) Suspect(name string) {
+	n.change(func(now time.Time) { n.state.Unreachable(now, name) })
+}
+
+// Spread tells a few members at once, as there is news.
+func (n *Node) Spread() {
+	select {
+	case n.spread <- struct{}{}:
+	default: // spreading is already asked for
+	}
+}
+
+// TellDrain spreads that a back end is leaving, or is back.
+func (n *Node) TellDrain(drain Drain) {
+	n.mutex.Lock()
+	news := n.drains.add(drain)
+	n.mutex.Unlock()
+	if news {
+		n.Spread()
+	}
+}
+
+// Run joins the other daemons and exchanges news until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.join(ctx)
+	timer := time.NewTimer(n.nextPeriod())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.spread:
+			n.tellSome(ctx)
+		case <-timer.C:
+			n.period(ctx)
+			timer.Reset(n.nextPeriod())
+		}
+	}
+}
+
+func (n *Node) nextPeriod() time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	shift := (n.options.Random.Float64()*2 - 1) * jitter
+	return time.Duration((1 + shift) * float64(membership.Period))
+}
+
+// join asks a few seeds for the members.
+func (n *Node) join(ctx context.Context) {
+	seeds := n.options.Seeds(ctx)
+	n.mutex.Lock()
+	n.options.Random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	n.mutex.Unlock()
+	asked := 0
+	for _, address := range seeds {
+		if asked >= joinSeeds || ctx.Err() != nil {
+			return
+		}
+		if address == n.options.Self.PeerAddress {
+			continue
+		}
+		if err := n.askMembers(ctx, address); err != nil {
+			n.log.Debug("seed did not answer", "address", address, "error", err)
+			continue
+		}
+		asked++
+	}
+}
+
+func (n *Node) askMembers(ctx context.Context, address string) error {
+	return n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Members(ctx, &peerpb.MembersRequest{Sender: encodeMember(n.self())})
+		if err != nil {
+			return err
+		}
+		n.change(func(now time.Time) { n.state.Merge(now, decodeMembers(reply.Members)) })
+		return nil
+	})
+}
+
+func (n *Node) self() membership.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.state.Self()
+}
+
+// period is one heartbeat.
+func (n *Node) period(ctx context.Context) {
+	var target membership.Member
+	var found bool
+	var dead []membership.Member
+	n.change(func(now time.Time) {
+		dead = n.state.Tick(now)
+		target, found = n.state.Next()
+	})
+	for _, member := range dead {
+		n.log.Warn("member dead", "member", member.Name, "zone", member.Zone)
+	}
+	if !found {
+		n.join(ctx)
+		return
+	}
+	go n.exchangeOrSuspect(ctx, target)
+}
+
+func (n *Node) exchangeOrSuspect(ctx context.Context, target membership.Member) {
+	err := n.exchange(ctx, target)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	if n.reachedByOthers(ctx, target) {
+		return
+	}
+	n.log.Info("member suspected", "member", target.Name, "zone", target.Zone, "error", err)
+	n.Suspect(target.Name)
+}
+
+// tellSome exchanges news with a few members at once.
+func (n *Node) tellSome(ctx context.Context) {
+	n.mutex.Lock()
+	targets := n.state.Sample(fanout, "")
+	n.mutex.Unlock()
+	var waiting sync.WaitGroup
+	for _, target := range targets {
+		waiting.Go(func() {
+			if err := n.exchange(ctx, target); err != nil {
+				n.log.Debug("news not delivered", "member", target.Name, "error", err)
+			}
+		})
+	}
+	waiting.Wait()
+}
+
+// reachedByOthers asks other members whether they reach the target.
+func (n *Node) reachedByOthers(ctx context.Context, target membership.Member) bool {
+	n.mutex.Lock()
+	helpers := n.state.Sample(relays, target.Name)
+	n.mutex.Unlock()
+	for _, helper := range helpers {
+		reached := false
+		err := n.call(ctx, helper.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+			reply, err := client.Ping(ctx, &peerpb.PingRequest{Name: target.Name, Address: target.PeerAddress})
+			reached = err == nil && reply.Reached
+			return err
+		})
+		if err == nil && reached {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange tells a member what is new and takes in what it tells.
+func (n *Node) exchange(ctx context.Context, target membership.Member) error {
+	n.mutex.Lock()
+	request := &peerpb.ExchangeRequest{
+		Sender: encodeMember(n.state.Self()), Revision: uint64(n.options.Configuration.Revision()),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)),
+	}
+	n.mutex.Unlock()
+	return n.call(ctx, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Exchange(ctx, request)
+		if err != nil {
+			return err
+		}
+		n.take(reply.Sender, reply.Revision, reply.Updates, reply.Drains)
+		return nil
+	})
+}
+
+// take takes in one side of an exchange.
+func (n *Node) take(sender *peerpb.Member, revision uint64, updates []*peerpb.Member, drains []*peerpb.Drain) {
+	from := decodeMember(sender)
+	var news []Drain
+	n.change(func(now time.Time) {
+		n.state.Merge(now, decodeMembers(updates))
+		n.state.Heard(now, from)
+		news = n.drains.take(drains)
+	})
+	for _, drain := range news {
+		n.options.OnDrain(drain)
+	}
+	if len(news) > 0 {
+		n.Spread()
+	}
+	if config.Revision(revision) > n.options.Configuration.Revision() {
+		n.options.Configuration.Behind(from)
+	}
+}
+
+// Leave tells a few members that this daemon leaves.
+func (n *Node) Leave(ctx context.Context) {
+	n.change(func(time.Time) { n.state.Leave() })
+	n.tellSome(ctx)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+)
+
+// Serve answers other daemons on the listener until ctx ends.
+func (n *Node) Serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &server{node: n}); err != nil {
+		return errors.Annotate(err, "peer server")
+	}
+	err := drpcserver.New(mux).Serve(ctx, listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Annotate(err, "peer server")
+}
+
+// server implements peerpb.DRPCPeerServer.
+type server struct {
+	node *Node
+}
+
+// Exchange implements peerpb.DRPCPeerServer.
+func (s *server) Exchange(_ context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	n := s.node
+	n.take(request.Sender, request.Revision, request.Updates, request.Drains)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return &peerpb.ExchangeReply{
+		Sender: encodeMember(n.state.Self()), Revision: uint64(n.options.Configuration.Revision()),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)),
+	}, nil
+}
+
+// Ping implements peerpb.DRPCPeerServer.
+func (s *server) Ping(ctx context.Context, request *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	_, err := s.node.RevisionAt(ctx, request.Address)
+	return &peerpb.PingReply{Reached: err == nil}, nil
+}
+
+// Members implements peerpb.DRPCPeerServer.
+func (s *server) Members(_ context.Context, request *peerpb.MembersRequest) (*peerpb.MembersReply, error) {
+	n := s.node
+	n.change(func(now time.Time) { n.state.Heard(now, decodeMember(request.Sender)) })
+	return &peerpb.MembersReply{Members: encodeMembers(n.Members())}, nil
+}
+
+// Changes implements peerpb.DRPCPeerServer.
+func (s *server) Changes(_ context.Context, request *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
+	document := s.node.options.Configuration.Document()
+	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision)}
+	if request.After >= uint64(document.Revision) {
+		return reply, nil
+	}
+	changes, reaches := document.ChangesAfter(config.Revision(request.After))
+	if !reaches || request.After == 0 {
+		data, err := document.Encode()
+		reply.Document = data
+		return reply, err
+	}
+	for _, change := range changes {
+		data, err := json.Marshal(change)
+		if err != nil {
+			return nil, errors.Annotate(err, "a configuration change")
+		}
+		reply.Changes = append(reply.Changes, data)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/resultcode/problem.go
@@ -0,0 +1,61 @@
+package resultcode
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ProblemType is the media type of a problem body (RFC 9457).
+const ProblemType = "application/problem+json"
+
+// Problem is the JSON body of an answer that the load balancer itself wrote.
+type Problem struct {
+	Type      string   `json:"type"`
+	Title     string   `json:"title"`
+	Status    int      `json:"status"`
+	Detail    string   `json:"detail,omitempty"`
+	Code      Code     `json:"code"`
+	Run       RunState `json:"run"`
+	RequestID string   `json:"request_id,omitempty"`
+}
+
+// Failure is a result code with its particulars, as an error.
+type Failure struct {
+	Code       Code
+	Detail     string
+	RetryAfter time.Duration // 0: no advice is given
+}
+
+// Error returns the code's name and the detail.
+func (f *Failure) Error() string {
+	return f.Code.String() + ": " + f.Detail
+}
+
+// Write sends the failure as a problem answer. The caller must not have
+// written anything to w before.
+func (f *Failure) Write(w http.ResponseWriter, requestID string) {
+	info := f.Code.Info()
+	header := w.Header()
+	header.Set("Content-Type", ProblemType)
+	header.Set(HeaderCode, strconv.Itoa(int(f.Code)))
+	header.Set(HeaderRun, string(info.Run))
+	if f.RetryAfter > 0 {
+		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(info.Status)
+	body := Problem{
+		Type:      "urn:tuliphall:" + info.Name,
+		Title:     info.Title,
+		Status:    info.Status,
+		Detail:    f.Detail,
+		Code:      f.Code,
+		Run:       info.Run,
+		RequestID: requestID,
+	}
+	// A caller that has gone cannot be told; there is nobody to report to.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/resultcode/resultcode.go
@@ -0,0 +1,114 @@
+// Package resultcode numbers every way a request can end inside the load
+// balancer, and says of each whether a back end ran the request.
+//
+// A caller reads the code and the run state from the headers HeaderCode and
+// HeaderRun, and from the problem body (RFC 9457) of a refusal. The table in
+// docs/result-codes.md lists the same codes; a test keeps the two equal.
+package resultcode
+
+import "net/http"
+
+// HeaderCode carries the number of the result code on every answer.
+const HeaderCode = "Tuliphall-Code"
+
+// HeaderRun carries the run state on every answer: run, not-run or unknown.
+const HeaderRun = "Tuliphall-Run"
+
+// RunState says whether a back end ran the request.
+type RunState string
+
+// The run states. NotRun is a promise: no byte of the request reached a back
+// end that acted on it. Unknown is said when that cannot be known.
+const (
+	Run     RunState = "run"
+	NotRun  RunState = "not-run"
+	Unknown RunState = "unknown"
+)
+
+// Code is the number of one result.
+type Code int
+
+// The result codes. 1xxx: answered. 2xxx: not run. 3xxx: outcome unknown.
+const (
+	Answered            Code = 1000
+	Replayed            Code = 1001
+	NoService           Code = 2001
+	BadRequest          Code = 2002
+	QueueFull           Code = 2003
+	DeadlineTooShort    Code = 2004
+	WaitExpired         Code = 2005
+	NoBackend           Code = 2006
+	ConnectFailed       Code = 2007
+	BackendRefused      Code = 2008
+	KeyMissing          Code = 2009
+	KeyReused           Code = 2010
+	StoreUnavailable    Code = 2011
+	OperationInProgress Code = 2012
+	Stopping            Code = 2013
+	NotConfigured       Code = 2014
+	CallerGone          Code = 2015
+	PeerUnreachable     Code = 2016
+	ConnectionBroken    Code = 3001
+	DeadlineExceeded    Code = 3002
+	OperationUnknown    Code = 3003
+	AnswerUnverifiable  Code = 3004
+	PeerBroken          Code = 3005
+	CallerGoneAfterSend Code = 3006
+)
+
+// Info describes a code for callers and for the documentation.
+type Info struct {
+	Code   Code
+	Name   string
+	Run    RunState
+	Status int // HTTP status sent with the code; 0 when the back end's is kept
+	Title  string
+}
+
+var table = []Info{
+	{Answered, "answered", Run, 0, "A back end answered."},
+	{Replayed, "replayed", Run, 0, "The recorded answer of an earlier run with the same key."},
+	{NoService, "no-service", NotRun, http.StatusNotFound, "No service matches the request."},
+	{BadRequest, "bad-request", NotRun, http.StatusBadRequest, "The request has a header that cannot be read."},
+	{QueueFull, "queue-full", NotRun, http.StatusServiceUnavailable, "The wait queue is full and the request does not outweigh another."},
+	{DeadlineTooShort, "deadline-too-short", NotRun, http.StatusServiceUnavailable, "The deadline cannot be met at the present load."},
+	{WaitExpired, "wait-expired", NotRun, http.StatusServiceUnavailable, "The request waited as long as its policy allows."},
+	{NoBackend, "no-backend", NotRun, http.StatusServiceUnavailable, "No back end of the service takes requests."},
+	{ConnectFailed, "connect-failed", NotRun, http.StatusBadGateway, "No connection to a back end could be opened."},
+	{BackendRefused, "backend-refused", NotRun, http.StatusServiceUnavailable, "The back ends refused the request before running it."},
+	{KeyMissing, "key-missing", NotRun, http.StatusBadRequest, "The operation needs a key and has none."},
+	{KeyReused, "key-reused", NotRun, http.StatusUnprocessableEntity, "The operation key was used with another request."},
+	{StoreUnavailable, "store-unavailable", NotRun, http.StatusServiceUnavailable, "The operation could not be claimed in the platform's store."},
+	{OperationInProgress, "operation-in-progress", NotRun, http.StatusConflict, "An earlier request with this key is still running; this one was not run."},
+	{Stopping, "stopping", NotRun, http.StatusServiceUnavailable, "The daemon is stopping."},
+	{NotConfigured, "not-configured", NotRun, http.StatusServiceUnavailable, "The daemon has no configuration yet."},
+	{CallerGone, "caller-gone", NotRun, 499, "The caller left before the request was sent."},
+	{PeerUnreachable, "peer-unreachable", NotRun, http.StatusBadGateway, "The daemon that dispatches the service could not be reached."},
+	{ConnectionBroken, "connection-broken", Unknown, http.StatusBadGateway, "The connection to the back end broke after the request was sent."},
+	{DeadlineExceeded, "deadline-exceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed after the request was sent."},
+	{OperationUnknown, "operation-unknown", Unknown, http.StatusConflict, "An earlier request with this key ended without a known outcome."},
+	{AnswerUnverifiable, "answer-unverifiable", Unknown, http.StatusBadGateway, "The back end's answer cannot be shown to be whole or to belong to the request."},
+	{PeerBroken, "peer-broken", Unknown, http.StatusBadGateway, "The connection to the dispatching daemon broke after the request was sent."},
+	{CallerGoneAfterSend, "caller-gone-after-send", Unknown, 499, "The caller left after the request was sent."},
+}
+
+// Table returns every code in ascending order.
+func Table() []Info {
+	return append([]Info(nil), table...)
+}
+
+// Info returns the description of the code; an unlisted code is described as
+// an unknown outcome.
+func (c Code) Info() Info {
+	for _, info := range table {
+		if info.Code == c {
+			return info
+		}
+	}
+	return Info{Code: c, Name: "unlisted", Run: Unknown, Status: http.StatusBadGateway, Title: "Unlisted code."}
+}
+
+// String returns the code's name.
+func (c Code) String() string {
+	return c.Info().Name
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,98 @@
+// Package retry decides whether a request that failed is sent again.
+//
+// A request is sent again only if it certainly did not run, or if its policy
+// allows a repeat; only while attempts, deadline and the service's retry budget
+// last; and never for a request that is itself a retry from further up, so that
+// in a chain of calls only the level next to the failure retries. An answer of
+// a back end, whatever its status, is an answer and is passed on: the level
+// below has done its own retrying.
+//
+// The package is pure. Budget is not safe for concurrent use.
+package retry
+
+import (
+	"time"
+
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// MaxAttempts is how often one request is sent, the first time included.
+const MaxAttempts = 3
+
+// Tuning of the budget.
+const (
+	// budgetRatio is the number of retries earned by one request.
+	budgetRatio = 0.1
+	// budgetCap is the most retries that can be saved up.
+	budgetCap = 10
+)
+
+// Budget bounds the retries of a service to a share of its requests. The zero
+// value is empty: a daemon that has just started earns its first retries.
+type Budget struct {
+	saved float64
+}
+
+// Earn notes a first attempt.
+func (b *Budget) Earn() {
+	b.saved = min(b.saved+budgetRatio, budgetCap)
+}
+
+// Spend takes one retry, and says whether there was one.
+func (b *Budget) Spend() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
+
+// Attempt describes a failed attempt.
+type Attempt struct {
+	Code       resultcode.Code
+	Number     int           // 1 for the first
+	Repeatable bool          // the policy allows a repeat
+	Upstream   bool          // the caller's request was itself a retry
+	Rewindable bool          // the request's body can be sent again
+	Remaining  time.Duration // until the deadline
+	Expected   time.Duration // time another attempt takes
+	Backends   int           // back ends that have not failed the request yet
+}
+
+// Verdict says whether to send again and, if not, why.
+type Verdict string
+
+// The verdicts.
+const (
+	Again         Verdict = "again"
+	NotRepeatable Verdict = "not-repeatable"
+	TooMany       Verdict = "too-many-attempts"
+	FromUpstream  Verdict = "already-a-retry"
+	NoTime        Verdict = "no-time-left"
+	NoBody        Verdict = "body-cannot-be-resent"
+	NoOther       Verdict = "no-other-back-end"
+	OverBudget    Verdict = "over-budget"
+)
+
+// Decide says whether to send again. It spends from the budget only when the
+// verdict is Again.
+func Decide(attempt Attempt, budget *Budget) Verdict {
+	notRun := attempt.Code.Info().Run == resultcode.NotRun
+	switch {
+	case !notRun && !attempt.Repeatable:
+		return NotRepeatable
+	case attempt.Number >= MaxAttempts:
+		return TooMany
+	case attempt.Upstream:
+		return FromUpstream
+	case !attempt.Rewindable:
+		return NoBody
+	case attempt.Remaining <= attempt.Expected:
+		return NoTime
+	case attempt.Backends <= 0:
+		return NoOther
+	case !budget.Spend():
+		return OverBudget
+	}
+	return Again
+}
--- /dev/null
+++ b/routing/group.go
@@ -0,0 +1,280 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tuliphall/tuliphall/outlier"
+)
+
+// Group is one daemon's view of a service's back ends.
+type Group struct {
+	picker     Picker
+	random     *rand.Rand
+	states     []*State
+	byID       map[string]*State
+	overcommit int
+	scratch    []*State
+}
+
+// DefaultOvercommit is how many requests beyond its slots a back end may hold,
+// so that it has the next one at hand while an answer is under way.
+const DefaultOvercommit = 1
+
+// NewGroup returns a group without back ends. overcommit is how many requests
+// beyond its slots this daemon sends to one back end.
+func NewGroup(picker Picker, random *rand.Rand, overcommit int) *Group {
+	return &Group{picker: picker, random: random, byID: make(map[string]*State), overcommit: overcommit}
+}
+
+// SetBackends replaces the declared back ends. What is known of those that stay
+// is kept; requests in flight at those that go are still counted when finished.
+func (g *Group) SetBackends(backends []Backend) {
+	byID := make(map[string]*State, len(backends))
+	states := make([]*State, 0, len(backends))
+	for _, backend := range backends {
+		state, known := g.byID[backend.ID]
+		if !known {
+			state = &State{}
+		}
+		state.Backend = backend
+		byID[backend.ID] = state
+		states = append(states, state)
+	}
+	g.states, g.byID = states, byID
+}
+
+// States returns the back ends' states. The caller must not change them.
+func (g *Group) States() []*State {
+	return g.states
+}
+
+// Slots returns the slots of the back ends that take requests.
+func (g *Group) Slots() int {
+	slots := 0
+	for _, state := range g.states {
+		if !state.Draining {
+			slots += state.Slots
+		}
+	}
+	return slots
+}
+
+// SetDraining notes that a back end is leaving, or is back.
+func (g *Group) SetDraining(id string, draining bool) {
+	if state, ok := g.byID[id]; ok {
+		if state.Draining && !draining {
+			state.warmth = 0
+		}
+		state.Draining = draining
+	}
+}
+
+// Available says whether any back end could take a request, now or later.
+func (g *Group) Available() bool {
+	for _, state := range g.states {
+		if !state.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// repeatableFirst is how long a due trial is kept for a request that can be
+// repeated elsewhere, before any request may be the trial.
+const repeatableFirst = 2 * time.Second
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	// Session binds requests with the same text to one back end; empty: no
+	// binding.
+	Session string
+	// Tried holds the back ends that already failed the request.
+	Tried []string
+	// Repeatable requests may be used to try an ejected back end.
+	Repeatable bool
+}
+
+// Pick chooses a back end for a request and counts it as sent. It returns false
+// when every back end is full, draining or ejected, and the request must wait.
+func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
+	if trial := g.trial(now, request); trial != nil {
+		trial.health.Trial(now)
+		g.sent(trial, now)
+		return g.result(trial, ReasonTrial, 1, now), true
+	}
+	candidates := g.eligible(now, request)
+	if len(candidates) == 0 {
+		return PickResult{}, false
+	}
+	if request.Session != "" {
+		return g.pickSession(now, request.Session, candidates)
+	}
+	free := g.free(candidates)
+	if len(free) == 0 {
+		return PickResult{}, false
+	}
+	chosen := free[g.picker.Pick(PickInfo{Now: now, Random: g.random, Candidates: free})]
+	g.sent(chosen, now)
+	return g.result(chosen, ReasonLoad, len(free), now), true
+}
+
+func (g *Group) result(state *State, reason Reason, candidates int, now time.Time) PickResult {
+	return PickResult{Backend: state, Reason: reason, Candidates: candidates, ReportAge: state.ReportAge(now)}
+}
+
+// trial returns an ejected back end whose trial is due, or nil.
+func (g *Group) trial(now time.Time, request Request) *State {
+	if request.Session != "" {
+		return nil
+	}
+	asOf := now
+	if !request.Repeatable {
+		asOf = now.Add(-repeatableFirst)
+	}
+	for _, state := range g.states {
+		if !state.Draining && state.health.TrialDue(asOf) && !contains(request.Tried, state.ID) {
+			return state
+		}
+	}
+	return nil
+}
+
+// eligible returns the back ends that take requests. Where more are ejected
+// than may be, the ejected ones count as well: a fault that all share must not
+// empty the group. Back ends that failed the request come only when there is
+// no other.
+func (g *Group) eligible(now time.Time, request Request) []*State {
+	list := g.scratch[:0]
+	ejected := 0
+	for _, state := range g.states {
+		if state.Ejected(now) && !state.Draining {
+			ejected++
+		}
+	}
+	tooMany := ejected > outlier.MaxEjected(len(g.states))
+	for _, state := range g.states {
+		out := state.Draining || (state.Ejected(now) && !tooMany)
+		if !out && !contains(request.Tried, state.ID) {
+			list = append(list, state)
+		}
+	}
+	g.scratch = list
+	return list
+}
+
+// free keeps the candidates that hold fewer requests than their limit.
+func (g *Group) free(candidates []*State) []*State {
+	kept := candidates[:0]
+	for _, state := range candidates {
+		if state.InFlight < g.limit(state) {
+			kept = append(kept, state)
+		}
+	}
+	return kept
+}
+
+// limit bounds this daemon's requests at a back end. A cold one starts with a
+// single request and gets one more with each answer.
+func (g *Group) limit(state *State) int {
+	full := state.Slots + g.overcommit
+	return min(full, 1+state.warmth)
+}
+
+// pickSession chooses by rendezvous hashing, so that every daemon chooses alike
+// without any state. A bound back end may be sent more than its limit.
+func (g *Group) pickSession(now time.Time, session string, candidates []*State) (PickResult, bool) {
+	var best *State
+	var bestHash uint64
+	for _, state := range candidates {
+		hash := xxhash.Sum64String(session + "\x00" + state.ID)
+		if best == nil || hash > bestHash {
+			best, bestHash = state, hash
+		}
+	}
+	g.sent(best, now)
+	return g.result(best, ReasonSession, len(candidates), now), true
+}
+
+func (g *Group) sent(state *State, now time.Time) {
+	if state.InFlight == 0 {
+		state.heldSince = now
+	}
+	state.InFlight++
+}
+
+// Outcome says how a request at a back end ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Success: the back end answered.
+	Success Outcome = iota
+	// Failed: no answer, an error answer or a refusal. Its latency says
+	// nothing about load.
+	Failed
+	// Canceled: the caller left or the deadline passed; nothing is learned.
+	Canceled
+)
+
+// Finished notes the end of a request that Pick counted as sent.
+func (g *Group) Finished(state *State, now time.Time, outcome Outcome, latency time.Duration) {
+	state.InFlight--
+	state.heldSince = now
+	switch outcome {
+	case Success:
+		state.health.Success()
+		state.warmth++
+		state.observe(latency)
+	case Failed:
+		state.health.Failure(now)
+	case Canceled:
+	}
+}
+
+func (s *State) observe(latency time.Duration) {
+	if s.latency == 0 {
+		s.latency = latency
+		return
+	}
+	s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
+}
+
+// Report notes a load report of the back end: all requests it holds, those of
+// this daemon included.
+func (g *Group) Report(state *State, inFlight int, at time.Time) {
+	if at.Before(state.reportAt) {
+		return
+	}
+	state.reported = max(inFlight-state.InFlight, 0)
+	state.reportAt = at
+}
+
+// SetPeers notes what other daemons together have in flight at a back end.
+func (g *Group) SetPeers(id string, inFlight int, at time.Time) {
+	if state, ok := g.byID[id]; ok && at.After(state.peersAt) {
+		state.peers, state.peersAt = inFlight, at
+	}
+}
+
+// Ejections returns how many back ends are out for failing.
+func (g *Group) Ejections(now time.Time) int {
+	count := 0
+	for _, state := range g.states {
+		if state.Ejected(now) {
+			count++
+		}
+	}
+	return count
+}
+
+func contains(list []string, id string) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/routing/state.go
@@ -0,0 +1,115 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/tuliphall/tuliphall/outlier"
+)
+
+// Tuning of the estimates; see docs/ROUNDS.md for the measurements behind them.
+const (
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 0.2
+	// reportHalfLife is the age at which a report counts half.
+	reportHalfLife = 10 * time.Millisecond
+	// peerHalfLife is the age at which the in-flight count told by peers
+	// counts half.
+	peerHalfLife = 20 * time.Millisecond
+	// initialLatency is assumed of a back end that has not answered yet.
+	initialLatency = time.Millisecond
+)
+
+// Backend is what is declared of a back end.
+type Backend struct {
+	ID    string
+	Zone  string
+	Slots int // requests worked on at once; at least 1
+}
+
+// State is what one daemon knows of one back end.
+type State struct {
+	Backend
+	// InFlight counts this daemon's requests at the back end.
+	InFlight int
+	// Draining back ends get no new requests.
+	Draining bool
+
+	latency   time.Duration // moving average over answers; 0: none yet
+	reported  int           // requests of other daemons, from the last report
+	reportAt  time.Time
+	peers     int // requests of other daemons, as told by them
+	peersAt   time.Time
+	warmth    int // answers since the back end appeared or came back
+	health    outlier.Detector
+	heldSince time.Time // when the oldest unanswered run of requests began
+}
+
+// Others estimates the requests of other daemons at the back end from the
+// freshest source, which counts less the older it is.
+func (s *State) Others(now time.Time) float64 {
+	if s.peersAt.After(s.reportAt) {
+		return decay(s.peers, now.Sub(s.peersAt), peerHalfLife)
+	}
+	if s.reportAt.IsZero() {
+		return 0
+	}
+	return decay(s.reported, now.Sub(s.reportAt), reportHalfLife)
+}
+
+// decay halves the count for each half-life of age, by straight lines between
+// the halvings.
+func decay(count int, age, halfLife time.Duration) float64 {
+	if count == 0 || age < 0 {
+		return float64(count)
+	}
+	return float64(count) / (1 + float64(age)/float64(halfLife))
+}
+
+// Latency returns the moving average of answers' latencies.
+func (s *State) Latency() time.Duration {
+	if s.latency == 0 {
+		return initialLatency
+	}
+	return s.latency
+}
+
+// expected estimates how long a request sent now would take.
+func (s *State) expected(now time.Time) time.Duration {
+	load := float64(s.InFlight) + s.Others(now)
+	service := s.Latency()
+	if held := s.held(now); held > service {
+		service = held
+	}
+	queued := load + 1 - float64(s.Slots)
+	if queued < 0 {
+		// A free slot: the emptier back end is still preferred a little, as
+		// its estimate is safer.
+		return service + time.Duration(load/float64(s.Slots)*float64(service)*emptyPreference)
+	}
+	return service + time.Duration((queued/float64(s.Slots)+emptyPreference)*float64(service))
+}
+
+// emptyPreference is the share of the service time by which a back end with
+// every slot but one taken is ranked behind an idle one.
+const emptyPreference = 0.3
+
+// held returns how long the back end has had requests without answering any.
+func (s *State) held(now time.Time) time.Duration {
+	if s.InFlight == 0 || s.heldSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.heldSince)
+}
+
+// ReportAge returns the age of the last report, or -1 when there was none.
+func (s *State) ReportAge(now time.Time) time.Duration {
+	if s.reportAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.reportAt)
+}
+
+// Ejected says whether the back end is out for failing.
+func (s *State) Ejected(now time.Time) bool {
+	return s.health.Ejected(now)
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,254 @@
+// Package service holds what a daemon runs for each declared service: the
+// dispatcher, the clients of its back ends and the retry budget. It follows the
+// configuration: a new snapshot changes a service in place, so that requests in
+// flight are not touched.
+package service
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/retry"
+	"github.com/tuliphall/tuliphall/routing"
+)
+
+// Service is one running service. It is safe for concurrent use.
+type Service struct {
+	Dispatcher *dispatch.Dispatcher
+
+	network network.Network
+	target  atomic.Pointer[config.Target]
+	clients atomic.Pointer[map[string]*backend.Client]
+
+	mutex    sync.Mutex
+	budget   retry.Budget
+	drained  map[drainKey]bool
+	declared map[string]config.Backend
+}
+
+func newService(over network.Network, seed uint64) *Service {
+	service := &Service{
+		network:    over,
+		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
+		drained:    make(map[drainKey]bool),
+	}
+	service.clients.Store(&map[string]*backend.Client{})
+	return service
+}
+
+// Target returns the service's present declaration.
+func (s *Service) Target() *config.Target {
+	return s.target.Load()
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string {
+	return s.Target().Service.Name
+}
+
+// Client returns the client of a back end, or nil when it is no longer declared.
+func (s *Service) Client(id string) *backend.Client {
+	return (*s.clients.Load())[id]
+}
+
+// configure puts a new declaration in force.
+func (s *Service) configure(target *config.Target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.target.Store(target)
+	declared := make(map[string]config.Backend, len(target.Backends))
+	clients := make(map[string]*backend.Client, len(target.Backends))
+	places := make([]routing.Backend, 0, len(target.Backends))
+	for _, one := range target.Backends {
+		declared[one.ID] = one
+		clients[one.ID] = s.clientFor(one, target.Service.AllowUnframed)
+		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots})
+	}
+	s.closeReplaced(clients)
+	s.declared = declared
+	s.clients.Store(&clients)
+	s.Dispatcher.Configure(places, target.Service.QueueLimit)
+	for _, one := range target.Backends {
+		s.Dispatcher.SetDraining(one.ID, one.Drained || s.heardDrained(one.ID))
+	}
+}
+
+// clientFor keeps the client of a back end whose declaration did not change.
+func (s *Service) clientFor(one config.Backend, allowUnframed bool) *backend.Client {
+	before, known := s.declared[one.ID]
+	if known && before.Address == one.Address && before.Connections == one.Connections {
+		return s.Client(one.ID)
+	}
+	return backend.NewClient(backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: allowUnframed})
+}
+
+func (s *Service) closeReplaced(kept map[string]*backend.Client) {
+	for id, client := range *s.clients.Load() {
+		if kept[id] != client {
+			client.Close()
+		}
+	}
+}
+
+// DrainSource says whose word it is that a back end is leaving.
+type DrainSource int
+
+// The sources, besides the operator's declaration. A back end is drained while
+// any source says so.
+const (
+	FromBackend DrainSource = iota
+	FromMachineList
+	drainSources
+)
+
+type drainKey struct {
+	backend string
+	source  DrainSource
+}
+
+// SetDraining notes that a back end is leaving, or is back, by the word of one
+// source. It says whether that is news.
+func (s *Service) SetDraining(id string, source DrainSource, draining bool) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	key := drainKey{backend: id, source: source}
+	if s.drained[key] == draining {
+		return false
+	}
+	if draining {
+		s.drained[key] = true
+	} else {
+		delete(s.drained, key)
+	}
+	s.Dispatcher.SetDraining(id, s.heardDrained(id) || s.declared[id].Drained)
+	return true
+}
+
+// heardDrained says whether any source says that the back end is leaving. The
+// caller holds the mutex.
+func (s *Service) heardDrained(id string) bool {
+	for source := range drainSources {
+		if s.drained[drainKey{backend: id, source: source}] {
+			return true
+		}
+	}
+	return false
+}
+
+// Earn notes a first attempt in the retry budget.
+func (s *Service) Earn() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Earn()
+}
+
+// DecideRetry says whether a failed attempt is sent again.
+func (s *Service) DecideRetry(attempt retry.Attempt) retry.Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return retry.Decide(attempt, &s.budget)
+}
+
+// Registry holds the running services. It is safe for concurrent use; Match and
+// Find do not block.
+type Registry struct {
+	mutex   sync.Mutex
+	seed    uint64
+	network network.Network
+	table   atomic.Pointer[table]
+}
+
+// table is one immutable view of the registry.
+type table struct {
+	snapshot *config.Snapshot
+	services map[string]*Service
+}
+
+// NewRegistry returns an empty registry. seed starts the random choices.
+func NewRegistry(over network.Network, seed uint64) *Registry {
+	return &Registry{network: over, seed: seed}
+}
+
+// Put puts a snapshot in force unless the present one is as new or newer, and
+// says whether it did.
+func (r *Registry) Put(snapshot *config.Snapshot) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	present := r.table.Load()
+	if present != nil && present.snapshot.Revision >= snapshot.Revision {
+		return false
+	}
+	services := make(map[string]*Service, len(snapshot.Targets))
+	for _, target := range snapshot.Targets {
+		running := r.running(present, target.Service.Name)
+		running.configure(target)
+		services[target.Service.Name] = running
+	}
+	r.table.Store(&table{snapshot: snapshot, services: services})
+	return true
+}
+
+func (r *Registry) running(present *table, name string) *Service {
+	if present != nil {
+		if running, ok := present.services[name]; ok {
+			return running
+		}
+	}
+	r.seed++
+	return newService(r.network, r.seed)
+}
+
+// Snapshot returns the snapshot in force, or nil when there is none yet.
+func (r *Registry) Snapshot() *config.Snapshot {
+	present := r.table.Load()
+	if present == nil {
+		return nil
+	}
+	return present.snapshot
+}
+
+// Match returns the service for a host and path.
+func (r *Registry) Match(host, path string) (*Service, bool) {
+	present := r.table.Load()
+	if present == nil {
+		return nil, false
+	}
+	target, ok := present.snapshot.Match(host, path)
+	if !ok {
+		return nil, false
+	}
+	return present.services[target.Service.Name], true
+}
+
+// Find returns a service by name.
+func (r *Registry) Find(name string) (*Service, bool) {
+	present := r.table.Load()
+	if present == nil {
+		return nil, false
+	}
+	found, ok := present.services[name]
+	return found, ok
+}
+
+// All returns every running service by name.
+func (r *Registry) All() map[string]*Service {
+	present := r.table.Load()
+	if present == nil {
+		return nil
+	}
+	return present.services
+}
+
+// Close closes unused connections to back ends.
+func (r *Registry) Close() {
+	for _, running := range r.All() {
+		for _, client := range *running.clients.Load() {
+			client.Close()
+		}
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,202 @@
+// Package settings reads and checks the daemon's own settings: what it must
+// know before it can learn the configuration from the platform.
+package settings
+
+import (
+	stderrors "errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/config"
+)
+
+// Settings are read from a TOML file; flags override some of them.
+type Settings struct {
+	// Name identifies the daemon among all daemons.
+	Name string `toml:"name"`
+	// Region and Zone say where the machine stands.
+	Region string `toml:"region"`
+	Zone   string `toml:"zone"`
+
+	// Peers are peer addresses of other daemons to ask at the start, besides
+	// those on the platform's machine list.
+	Peers []string `toml:"peers"`
+
+	Listen   Listen   `toml:"listen"`
+	Platform Platform `toml:"platform"`
+	Stop     Stop     `toml:"stop"`
+	Log      Log      `toml:"log"`
+}
+
+// Listen holds the addresses the daemon listens on, each IP:port.
+type Listen struct {
+	// Caller takes callers' requests.
+	Caller string `toml:"caller"`
+	// Peer takes messages of other daemons.
+	Peer string `toml:"peer"`
+	// Forward takes requests that other daemons forward. It must not be
+	// reachable for callers.
+	Forward string `toml:"forward"`
+	// Admin takes operators' commands, health checks and metrics.
+	Admin string `toml:"admin"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// Address is a URL; empty only in standalone mode.
+	Address string `toml:"address"`
+	// Timeout bounds one call; 0: 2s.
+	Timeout config.Duration `toml:"timeout"`
+	// Watchers is how many daemons watch the configuration; 0: 3.
+	Watchers int `toml:"watchers"`
+	// WritesPerSecond bounds this daemon's writes; 0: 5.
+	WritesPerSecond float64 `toml:"writes_per_second"`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	// Notice is how long the daemon goes on accepting after it says that it
+	// is not ready, so that the platform's balancer notices; 0: 2s.
+	Notice config.Duration `toml:"notice"`
+	// Sessions is how long upgraded connections and streams may go on;
+	// 0: until they end.
+	Sessions config.Duration `toml:"sessions"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is debug, info, warn or error; empty: info.
+	Level string `toml:"level"`
+	// Format is text or json; empty: text.
+	Format string `toml:"format"`
+	// Decisions logs a line for each routing decision; false: only counted.
+	Decisions bool `toml:"decisions"`
+}
+
+// Defaults and bounds.
+const (
+	DefaultTimeout         = config.Duration(2 * time.Second)
+	DefaultWatchers        = 3
+	DefaultWritesPerSecond = 5
+	DefaultNotice          = config.Duration(2 * time.Second)
+
+	maxTimeout  = config.Duration(time.Minute)
+	maxWatchers = 20
+	maxWrites   = 100
+	maxNotice   = config.Duration(10 * time.Minute)
+	maxSessions = config.Duration(7 * 24 * time.Hour)
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// Load reads, completes and checks a settings file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	return Decode(path, text)
+}
+
+// Decode reads settings from a text; name stands for it in errors.
+func Decode(name string, text []byte) (Settings, error) {
+	var settings Settings
+	if err := config.StrictTOML(name, text, &settings); err != nil {
+		return Settings{}, err
+	}
+	settings.Provision()
+	if err := settings.Validate(); err != nil {
+		return Settings{}, errors.Annotate(err, name)
+	}
+	return settings, nil
+}
+
+// Provision fills in the defaults.
+func (s *Settings) Provision() {
+	if s.Platform.Timeout == 0 {
+		s.Platform.Timeout = DefaultTimeout
+	}
+	if s.Platform.Watchers == 0 {
+		s.Platform.Watchers = DefaultWatchers
+	}
+	if s.Platform.WritesPerSecond == 0 {
+		s.Platform.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if s.Stop.Notice == 0 {
+		s.Stop.Notice = DefaultNotice
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	if s.Log.Format == "" {
+		s.Log.Format = "text"
+	}
+}
+
+// SettingError names a setting that is wrong, and what is allowed.
+type SettingError struct {
+	Key     string
+	Value   any
+	Allowed string
+}
+
+// Error names the key, the value and what is allowed.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting %s: value %q: allowed: %s", e.Key, fmt.Sprint(e.Value), e.Allowed)
+}
+
+// Validate checks every setting. The error joins a *SettingError for each that
+// is wrong.
+func (s *Settings) Validate() error {
+	var wrong []error
+	check := func(ok bool, key string, value any, allowed string) {
+		if !ok {
+			wrong = append(wrong, &SettingError{Key: key, Value: value, Allowed: allowed})
+		}
+	}
+	check(namePattern.MatchString(s.Name), "name", s.Name, "1 to 63 lower-case letters, digits, inner dots and hyphens")
+	check(namePattern.MatchString(s.Region), "region", s.Region, "a name as for name")
+	check(namePattern.MatchString(s.Zone), "zone", s.Zone, "a name as for name")
+	check(isAddress(s.Listen.Caller), "listen.caller", s.Listen.Caller, "IP:port")
+	check(isAddress(s.Listen.Peer), "listen.peer", s.Listen.Peer, "IP:port")
+	check(isAddress(s.Listen.Forward), "listen.forward", s.Listen.Forward, "IP:port")
+	check(isAddress(s.Listen.Admin), "listen.admin", s.Listen.Admin, "IP:port")
+	for _, address := range s.Peers {
+		check(isAddress(address), "peers", address, "IP:port")
+	}
+	check(isBase(s.Platform.Address), "platform.address", s.Platform.Address, "http://IP:port")
+	check(within(s.Platform.Timeout, 1, maxTimeout), "platform.timeout", time.Duration(s.Platform.Timeout), "above 0 to 1m")
+	check(s.Platform.Watchers >= 1 && s.Platform.Watchers <= maxWatchers, "platform.watchers", s.Platform.Watchers, "1 to 20")
+	check(s.Platform.WritesPerSecond > 0 && s.Platform.WritesPerSecond <= maxWrites, "platform.writes_per_second", s.Platform.WritesPerSecond, "above 0 to 100")
+	check(within(s.Stop.Notice, 0, maxNotice), "stop.notice", time.Duration(s.Stop.Notice), "0 to 10m")
+	check(within(s.Stop.Sessions, 0, maxSessions), "stop.sessions", time.Duration(s.Stop.Sessions), "0 to 168h")
+	var level slog.Level
+	check(level.UnmarshalText([]byte(s.Log.Level)) == nil, "log.level", s.Log.Level, "debug, info, warn or error")
+	check(s.Log.Format == "text" || s.Log.Format == "json", "log.format", s.Log.Format, "text or json")
+	return stderrors.Join(wrong...)
+}
+
+func within(value, low, high config.Duration) bool {
+	return value >= low && value <= high
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+// isBase accepts an empty address, which standalone mode has.
+func isBase(text string) bool {
+	if text == "" {
+		return true
+	}
+	parsed, err := url.Parse(text)
+	return err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.Host != ""
+}
