Simulator on the product's decisions, and an experiment tool

Cause: ways to share slots must be measured against each other and against limits. Change: discrete-event simulator that runs dispatch.Core, baselines, oracle, central queue, experiments as TOML files.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,10 +1,10 @@
 // Package dispatch gives each request of one service a place at a back end, or
 // lets it wait for one, or refuses it.
 //
-// A Dispatcher joins the pure decisions of packages routing and admission and
-// is what the request path calls. Its state is guarded by one mutex, held for a
-// few hundred nanoseconds a decision; docs/decisions/0005-request-path.md has
-// the measurement against a goroutine that owns the state behind a queue.
+// Core joins the pure decisions of packages routing and admission. Dispatcher is
+// what the request path calls: its state is guarded by one mutex, held for a few
+// hundred nanoseconds a decision; docs/decisions/0005-request-path.md weighs that
+// against a goroutine that owns the state behind a queue.
 package dispatch
 
 import (
@@ -18,45 +18,36 @@
 	"github.com/tuliphall/tuliphall/routing"
 )
 
-// Request is a request that wants a place.
-type Request struct {
-	Weight   int
-	Wait     time.Duration // longest wait; 0: until the deadline
-	Deadline time.Time
-	Routing  routing.Request
-}
-
 // Dispatcher serves one service. It is safe for concurrent use.
 type Dispatcher struct {
 	mutex sync.Mutex
-	group *routing.Group
-	queue *admission.Queue
+	core  Core
 }
 
 // New returns a dispatcher without back ends.
 func New(random *rand.Rand, queueLimit int) *Dispatcher {
-	return &Dispatcher{
-		group: routing.NewGroup(routing.LeastLoad{}, random, routing.DefaultOvercommit),
-		queue: admission.NewQueue(queueLimit),
-	}
+	group := routing.NewGroup(routing.Options{
+		Picker: routing.LeastLoad{}, Random: random, Overcommit: routing.DefaultOvercommit, SlowStart: true,
+	})
+	return &Dispatcher{core: Core{Group: group, Queue: admission.NewQueue(queueLimit)}}
 }
 
 // Configure sets the back ends and the bound of the queue.
 func (d *Dispatcher) Configure(backends []routing.Backend, queueLimit int) {
 	d.change(func() {
-		d.group.SetBackends(backends)
-		d.queue.SetLimit(queueLimit)
+		d.core.Group.SetBackends(backends)
+		d.core.Queue.SetLimit(queueLimit)
 	})
 }
 
 // SetDraining notes that a back end is leaving, or is back.
 func (d *Dispatcher) SetDraining(id string, draining bool) {
-	d.change(func() { d.group.SetDraining(id, draining) })
+	d.change(func() { d.core.Group.SetDraining(id, draining) })
 }
 
-// SetPeers notes what other daemons together have in flight at a back end.
-func (d *Dispatcher) SetPeers(id string, inFlight int, at time.Time) {
-	d.change(func() { d.group.SetPeers(id, inFlight, at) })
+// Report takes in a load report that came with an answer, or from a probe.
+func (d *Dispatcher) Report(state *routing.State, inFlight int, at time.Time) {
+	d.change(func() { d.core.Group.Report(state, inFlight, at) })
 }
 
 // change runs a change under the mutex and gives out places it may have freed.
@@ -69,165 +60,113 @@
 
 // Grant is a place at a back end. Its owner calls Done exactly once.
 type Grant struct {
-	routing.PickResult
-	Waited time.Duration
-
+	*Place
 	dispatcher *Dispatcher
-	sentAt     time.Time
 }
 
-// waiter is the payload of a waiting ticket.
-type waiter struct {
-	request Request
-	since   time.Time
-	answer  chan reply // room for one, so that the sender never blocks
+// Waited returns how long the request waited for its place.
+func (g *Grant) Waited() time.Duration {
+	return g.Sent.Sub(g.Since)
 }
 
-type reply struct {
+// answer is what a waiting request is told: a grant, or a refusal.
+type answer struct {
 	grant   *Grant
-	failure *resultcode.Failure
+	refused *resultcode.Failure
 }
 
+// answers has room for one, so that the sender never blocks.
+type answers chan answer
+
 // Acquire returns a place for the request. It blocks while the request waits.
 // The error is a *resultcode.Failure that says "not run".
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (*Grant, error) {
-	ticket, grant, failure := d.offer(request)
-	if failure != nil {
-		return nil, failure
+	told := make(answers, 1)
+	decision, refused := d.offer(request, told)
+	if refused != nil {
+		return nil, refused
 	}
-	if grant != nil {
-		return grant, nil
+	if decision.Place != nil {
+		return &Grant{Place: decision.Place, dispatcher: d}, nil
 	}
-	return d.await(ctx, ticket)
+	return d.await(ctx, decision.Ticket, told)
 }
 
-// offer grants a place at once, or puts the request in the queue.
-func (d *Dispatcher) offer(request Request) (*admission.Ticket, *Grant, *resultcode.Failure) {
+func (d *Dispatcher) offer(request Request, told answers) (Decision, *resultcode.Failure) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	if !d.group.Available() {
-		return nil, nil, &resultcode.Failure{Code: resultcode.NoBackend, Detail: "every back end is draining or none is placed", RetryAfter: retryAfter}
-	}
-	if first := d.queue.Peek(); first == nil || first.Weight < request.Weight {
-		if result, ok := d.group.Pick(now, request.Routing); ok {
-			return nil, d.grant(result, now, now), nil
-		}
-	}
-	ticket := newTicket(now, request)
-	verdict, displaced := d.queue.Offer(now, ticket)
-	if displaced != nil {
-		refuse(displaced, resultcode.QueueFull)
-	}
-	switch verdict {
-	case admission.Full:
-		return nil, nil, d.refusal(now, ticket, resultcode.QueueFull)
-	case admission.Late:
-		return nil, nil, d.refusal(now, ticket, resultcode.DeadlineTooShort)
-	}
-	return ticket, nil, nil
-}
-
-func newTicket(now time.Time, request Request) *admission.Ticket {
-	expiry := request.Deadline
-	if request.Wait > 0 && now.Add(request.Wait).Before(expiry) {
-		expiry = now.Add(request.Wait)
+	decision := d.core.Offer(now, request, told)
+	if decision.Displaced != nil {
+		decision.Displaced.(answers) <- answer{refused: d.refusal(now, request, resultcode.QueueFull)}
 	}
-	return &admission.Ticket{
-		Weight:   request.Weight,
-		Deadline: request.Deadline,
-		Expiry:   expiry,
-		Payload:  &waiter{request: request, since: now, answer: make(chan reply, 1)},
+	if decision.Refused != 0 {
+		return Decision{}, d.refusal(now, request, decision.Refused)
 	}
+	return decision, nil
 }
 
 // retryAfter is the advice given where no better estimate exists.
 const retryAfter = time.Second
 
-func (d *Dispatcher) refusal(now time.Time, ticket *admission.Ticket, code resultcode.Code) *resultcode.Failure {
-	advice := max(d.queue.Wait(now, ticket), retryAfter)
-	return &resultcode.Failure{Code: code, Detail: "the service is overloaded", RetryAfter: advice}
-}
-
-func refuse(ticket *admission.Ticket, code resultcode.Code) {
-	failure := &resultcode.Failure{Code: code, Detail: "the service is overloaded", RetryAfter: retryAfter}
-	ticket.Payload.(*waiter).answer <- reply{failure: failure}
-}
-
-func (d *Dispatcher) grant(result routing.PickResult, now, since time.Time) *Grant {
-	return &Grant{PickResult: result, Waited: now.Sub(since), dispatcher: d, sentAt: now}
+// refusal tells the caller when to come back: when the requests that now wait
+// should have been served.
+func (d *Dispatcher) refusal(now time.Time, request Request, code resultcode.Code) *resultcode.Failure {
+	detail := "the service is overloaded"
+	if code == resultcode.NoBackend {
+		detail = "every back end is draining or none is placed"
+	}
+	advice := max(d.core.Queue.Wait(now, &admission.Ticket{Weight: request.Weight}), retryAfter)
+	return &resultcode.Failure{Code: code, Detail: detail, RetryAfter: advice}
 }
 
 // await blocks until the ticket is granted, refused, or given up.
-func (d *Dispatcher) await(ctx context.Context, ticket *admission.Ticket) (*Grant, error) {
-	waiting := ticket.Payload.(*waiter)
-	timer := time.NewTimer(time.Until(ticket.Expiry))
+func (d *Dispatcher) await(ctx context.Context, ticket *admission.Ticket, told answers) (*Grant, error) {
+	begun := time.Now()
+	timer := time.NewTimer(ticket.Expiry.Sub(begun))
 	defer timer.Stop()
 	code := resultcode.WaitExpired
 	select {
-	case answer := <-waiting.answer:
-		return answer.unpack()
+	case got := <-told:
+		return got.unpack()
 	case <-timer.C:
 	case <-ctx.Done():
-		code = resultcode.CallerGone
+		if context.Cause(ctx) != context.DeadlineExceeded {
+			code = resultcode.CallerGone
+		}
 	}
 	d.mutex.Lock()
-	removed := d.queue.Remove(ticket)
+	removed := d.core.Queue.Remove(ticket)
 	d.mutex.Unlock()
 	if !removed {
 		// The answer was given in the same moment; it counts.
-		return (<-waiting.answer).unpack()
+		return (<-told).unpack()
 	}
-	return nil, &resultcode.Failure{Code: code, Detail: "waited " + time.Since(waiting.since).Round(time.Millisecond).String(), RetryAfter: retryAfter}
+	return nil, &resultcode.Failure{Code: code, Detail: "waited " + time.Since(begun).Round(time.Millisecond).String(), RetryAfter: retryAfter}
 }
 
-func (r reply) unpack() (*Grant, error) {
-	if r.failure != nil {
-		return nil, r.failure
+func (a answer) unpack() (*Grant, error) {
+	if a.refused != nil {
+		return nil, a.refused
 	}
-	return r.grant, nil
+	return a.grant, nil
 }
 
 // serve gives places to waiting requests while there are any. The caller holds
 // the mutex.
 func (d *Dispatcher) serve(now time.Time) {
 	for {
-		first := d.queue.Peek()
-		if first == nil {
+		place, payload := d.core.Next(now)
+		if place == nil {
 			return
 		}
-		waiting := first.Payload.(*waiter)
-		result, ok := d.group.Pick(now, waiting.request.Routing)
-		if !ok {
-			return
-		}
-		d.queue.Next()
-		waiting.answer <- reply{grant: d.grant(result, now, waiting.since)}
+		payload.(answers) <- answer{grant: &Grant{Place: place, dispatcher: d}}
 	}
 }
 
-// Report passes on a load report that came with an answer, or from a probe.
-func (d *Dispatcher) Report(state *routing.State, inFlight int, at time.Time) {
-	d.change(func() { d.group.Report(state, inFlight, at) })
-}
-
-// Answered notes how the back end answered, before the answer is passed on: it
-// gives the latency free of the caller's own speed.
-func (g *Grant) Answered() time.Duration {
-	return time.Since(g.sentAt)
-}
-
 // Done gives the place back. latency counts only for a success.
 func (g *Grant) Done(outcome routing.Outcome, latency time.Duration) {
-	d := g.dispatcher
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	now := time.Now()
-	d.group.Finished(g.Backend, now, outcome, latency)
-	if outcome == routing.Success {
-		d.queue.Served(now)
-	}
-	d.serve(now)
+	g.dispatcher.change(func() { g.dispatcher.core.Done(time.Now(), g.Place, outcome, latency) })
 }
 
 // BackendStatus is what operators see of a back end.
@@ -247,11 +186,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	for _, state := range d.group.States() {
+	for _, state := range d.core.Group.States() {
 		backends = append(backends, BackendStatus{
 			ID: state.ID, Zone: state.Zone, Slots: state.Slots, InFlight: state.InFlight,
 			Others: state.Others(now), Draining: state.Draining, Ejected: state.Ejected(now), Latency: state.Latency(),
 		})
 	}
-	return backends, d.queue.Len()
+	return backends, d.core.Queue.Len()
 }
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -90,14 +90,14 @@
 }
 
 func (a *attempter) logDecision(grant *dispatch.Grant) {
-	a.handler.metrics.waited.RecordDuration(grant.Waited)
+	a.handler.metrics.waited.RecordDuration(grant.Waited())
 	if !a.handler.options.LogDecisions {
 		return
 	}
 	c := a.call
 	a.handler.routing.Info("chosen", "request", c.id, "service", c.service.Name(), "class", c.decision.Class,
 		"backend", grant.Backend.ID, "reason", string(grant.Reason), "candidates", grant.Candidates,
-		"report_age", grant.ReportAge, "waited", grant.Waited)
+		"report_age", grant.ReportAge, "waited", grant.Waited())
 }
 
 // send sends the call to the back end of the grant and passes the answer on.
@@ -121,7 +121,7 @@
 		return a.sendFailed(grant, err)
 	}
 	defer response.Body.Close()
-	latency := grant.Answered()
+	latency := time.Since(grant.Sent)
 	a.learn(grant, response)
 	if refused := c.service.Target().Service.RefusalStatus; refused != 0 && response.StatusCode == refused {
 		grant.Done(routing.Failed, 0)
--- /dev/null
+++ b/lab/experiment/systems.go
@@ -0,0 +1,57 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/tuliphall/tuliphall/lab/baseline"
+	"github.com/tuliphall/tuliphall/lab/simulation"
+	"github.com/tuliphall/tuliphall/routing"
+)
+
+// joinShortest picks by what an oracle knows of every back end now.
+type joinShortest struct {
+	oracle simulation.Oracle
+}
+
+// Pick implements routing.Picker.
+func (j joinShortest) Pick(info routing.PickInfo) int {
+	return baseline.LeastBy(info, func(candidate *routing.State) int { return j.oracle(candidate.ID) })
+}
+
+func always(picker func() routing.Picker) func(simulation.Oracle) routing.Picker {
+	return func(simulation.Oracle) routing.Picker { return picker() }
+}
+
+func leastLoad() routing.Picker { return routing.LeastLoad{} }
+
+// Names of systems that others are compared with.
+const (
+	OracleName  = "oracle"
+	ProductName = "tuliphall"
+)
+
+// unlimited lets a daemon send any number of requests to a back end.
+const unlimited = -1
+
+// Systems returns every system by name, in the order of the tables.
+func Systems() []simulation.System {
+	return []simulation.System{
+		{Name: "random", Picker: always(func() routing.Picker { return baseline.Random{} }), Overcommit: unlimited},
+		{Name: "round-robin", Picker: always(func() routing.Picker { return &baseline.RoundRobin{} }), Overcommit: unlimited},
+		{Name: "own-least", Picker: always(func() routing.Picker { return baseline.LeastInFlight{} }), Overcommit: unlimited},
+		{Name: "power-of-two", Picker: always(func() routing.Picker { return baseline.PowerOfTwo{} }), Overcommit: unlimited},
+		{Name: "own-load", Picker: always(leastLoad), Overcommit: unlimited},
+		{Name: "reports", Picker: always(leastLoad), Overcommit: unlimited, Reports: true},
+		{Name: "exchange-1ms", Picker: always(leastLoad), Overcommit: unlimited, Exchange: time.Millisecond},
+		{Name: "exchange-5ms", Picker: always(leastLoad), Overcommit: unlimited, Exchange: 5 * time.Millisecond},
+		{Name: "exchange-20ms", Picker: always(leastLoad), Overcommit: unlimited, Exchange: 20 * time.Millisecond},
+		{Name: "exchange-100ms", Picker: always(leastLoad), Overcommit: unlimited, Exchange: 100 * time.Millisecond},
+		{Name: "zone-dispatch", Picker: always(leastLoad), Overcommit: unlimited, Dispatchers: 4, Exchange: 20 * time.Millisecond},
+		{Name: ProductName, Picker: always(leastLoad), Overcommit: routing.DefaultOvercommit, Dispatchers: 1},
+		{Name: "dispatch-commit0", Picker: always(leastLoad), Overcommit: 0, Dispatchers: 1},
+		{Name: "dispatch-commit2", Picker: always(leastLoad), Overcommit: 2, Dispatchers: 1},
+		{Name: "dispatch-commit3", Picker: always(leastLoad), Overcommit: 3, Dispatchers: 1},
+		{Name: OracleName, Picker: func(o simulation.Oracle) routing.Picker { return joinShortest{oracle: o} }, Overcommit: unlimited},
+		{Name: "central-queue", Picker: always(leastLoad), Central: true},
+	}
+}
--- /dev/null
+++ b/lab/labcommand/labcommand.go
@@ -0,0 +1,56 @@
+// Package labcommand is the lab's command line.
+package labcommand
+
+import (
+	stderrors "errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/tuliphall/tuliphall/lab/experiment"
+)
+
+// Run runs the command line.
+func Run(arguments []string, out io.Writer) error {
+	parser := flags.NewNamedParser("lab", flags.HelpFlag|flags.PassDoubleDash)
+	experiments, err := parser.AddCommand("experiment", "Run and compare experiments", "", &struct{}{})
+	if err != nil {
+		return err
+	}
+	if _, err := experiments.AddCommand("run", "Run an experiment", "", &experimentRun{out: out}); err != nil {
+		return err
+	}
+	_, err = parser.ParseArgs(arguments)
+	var usage *flags.Error
+	if stderrors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		_, err = fmt.Fprintln(out, usage.Message)
+	}
+	return err
+}
+
+type experimentRun struct {
+	out       io.Writer
+	Save      string `long:"save" value-name:"FILE" description:"write the results as JSON"`
+	Arguments struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *experimentRun) Execute([]string) error {
+	file, err := experiment.Load(c.Arguments.File)
+	if err != nil {
+		return err
+	}
+	report, err := experiment.Run(file, c.out)
+	if err != nil {
+		return err
+	}
+	if c.Save != "" {
+		if err := report.Save(c.Save); err != nil {
+			return err
+		}
+	}
+	return report.Print(c.out)
+}
--- /dev/null
+++ b/lab/simulation/worker.go
@@ -0,0 +1,120 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// job is one request at a back end.
+type job struct {
+	work    time.Duration // left, at full speed
+	started time.Duration // when work was last reckoned
+	version int           // of the finish event that counts
+	done    func()
+}
+
+// worker is one back end with its noisy neighbour.
+type worker struct {
+	clock   *clock
+	random  *rand.Rand
+	id      string
+	zone    int
+	slots   int
+	speed   float64 // of work now; 1 is full
+	slow    float64 // standing slowness; 1: none
+	queue   []*job
+	running []*job
+	// assigned counts requests that any daemon has sent here and that have not
+	// been worked off, those on the wire included.
+	assigned int
+	busy     time.Duration // slot time taken, for the utilisation
+	rejects  bool
+	served   int
+}
+
+func newWorker(c *clock, random *rand.Rand, id string, zone, slots int) *worker {
+	return &worker{clock: c, random: random, id: id, zone: zone, slots: slots, speed: 1, slow: 1}
+}
+
+// arrive takes in a request that has come over the wire.
+func (w *worker) arrive(work time.Duration, done func()) {
+	one := &job{work: work, done: done}
+	if len(w.running) < w.slots {
+		w.start(one)
+		return
+	}
+	w.queue = append(w.queue, one)
+}
+
+func (w *worker) start(one *job) {
+	w.running = append(w.running, one)
+	one.started = w.clock.now
+	w.schedule(one)
+}
+
+// schedule sets the time at which a running job ends at the present speed.
+func (w *worker) schedule(one *job) {
+	one.version++
+	version := one.version
+	w.clock.after(time.Duration(float64(one.work)/w.rate()), func() {
+		if one.version == version {
+			w.finish(one)
+		}
+	})
+}
+
+func (w *worker) rate() float64 {
+	return w.speed / w.slow
+}
+
+func (w *worker) finish(one *job) {
+	w.busy += w.clock.now - one.started
+	w.running = slices.DeleteFunc(w.running, func(other *job) bool { return other == one })
+	w.assigned--
+	w.served++
+	if len(w.queue) > 0 {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		w.start(next)
+	}
+	one.done()
+}
+
+// inFlight is the load that the back end knows of itself.
+func (w *worker) inFlight() int {
+	return len(w.running) + len(w.queue)
+}
+
+// setSpeed changes the speed of all work, that under way included.
+func (w *worker) setSpeed(speed, slow float64) {
+	for _, one := range w.running {
+		passed := w.clock.now - one.started
+		w.busy += passed
+		one.work -= time.Duration(float64(passed) * w.rate())
+		one.work = max(one.work, 0)
+		one.started = w.clock.now
+	}
+	w.speed, w.slow = speed, slow
+	for _, one := range w.running {
+		w.schedule(one)
+	}
+}
+
+// disturb begins the neighbour's life.
+func (w *worker) disturb(n Noise) {
+	if n.Slowdown <= 1 {
+		return
+	}
+	w.clock.after(w.spell(n.Quiet), func() {
+		w.setSpeed(1/n.Slowdown, w.slow)
+		w.clock.after(w.spell(n.Noisy), func() {
+			w.setSpeed(1, w.slow)
+			w.disturb(n)
+		})
+	})
+}
+
+func (w *worker) spell(mean time.Duration) time.Duration {
+	return time.Duration(w.random.ExpFloat64() * float64(mean))
+}
--- a/routing/group.go
+++ b/routing/group.go
@@ -9,24 +9,33 @@
 	"github.com/tuliphall/tuliphall/outlier"
 )
 
-// Group is one daemon's view of a service's back ends.
-type Group struct {
-	picker     Picker
-	random     *rand.Rand
-	states     []*State
-	byID       map[string]*State
-	overcommit int
-	scratch    []*State
+// Options are a Group's settings.
+type Options struct {
+	Picker Picker
+	Random *rand.Rand
+	// Overcommit is how many requests beyond its slots this daemon sends to one
+	// back end.
+	Overcommit int
+	// SlowStart lets a cold back end begin with a single request and gives it
+	// one more with each answer.
+	SlowStart bool
 }
 
 // DefaultOvercommit is how many requests beyond its slots a back end may hold,
 // so that it has the next one at hand while an answer is under way.
 const DefaultOvercommit = 1
 
-// NewGroup returns a group without back ends. overcommit is how many requests
-// beyond its slots this daemon sends to one back end.
-func NewGroup(picker Picker, random *rand.Rand, overcommit int) *Group {
-	return &Group{picker: picker, random: random, byID: make(map[string]*State), overcommit: overcommit}
+// Group is one daemon's view of a service's back ends.
+type Group struct {
+	options Options
+	states  []*State
+	byID    map[string]*State
+	scratch []*State
+}
+
+// NewGroup returns a group without back ends.
+func NewGroup(options Options) *Group {
+	return &Group{options: options, byID: make(map[string]*State)}
 }
 
 // SetBackends replaces the declared back ends. What is known of those that stay
@@ -116,7 +125,7 @@
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
-	chosen := free[g.picker.Pick(PickInfo{Now: now, Random: g.random, Candidates: free})]
+	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Candidates: free})]
 	g.sent(chosen, now)
 	return g.result(chosen, ReasonLoad, len(free), now), true
 }
@@ -176,10 +185,12 @@
 	return kept
 }
 
-// limit bounds this daemon's requests at a back end. A cold one starts with a
-// single request and gets one more with each answer.
+// limit bounds this daemon's requests at a back end.
 func (g *Group) limit(state *State) int {
-	full := state.Slots + g.overcommit
+	full := state.Slots + g.options.Overcommit
+	if !g.options.SlowStart {
+		return full
+	}
 	return min(full, 1+state.warmth)
 }
 
