Window for each back end that learns from its reports

Also found: estimating the wait looked at every waiting request, so that a full queue cost time in its square; counts by weight replace it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -13,6 +13,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -45,13 +46,14 @@
 type Queue struct {
 	limit    int
 	tickets  ticketHeap
+	counts   map[int]int // tickets by weight; policies give few weights
 	sequence uint64
 	rate     rate
 }
 
 // NewQueue returns an empty queue for at most limit requests.
 func NewQueue(limit int) *Queue {
-	return &Queue{limit: limit}
+	return &Queue{limit: limit, counts: make(map[int]int)}
 }
 
 // SetLimit changes the bound. Requests already waiting stay.
@@ -72,15 +74,16 @@
 		return Late, nil
 	}
 	if len(q.tickets) >= q.limit {
-		displaced = q.least()
-		if displaced == nil || displaced.Weight >= ticket.Weight {
+		if q.leastWeight() >= ticket.Weight {
 			return Full, nil
 		}
-		heap.Remove(&q.tickets, displaced.index)
+		displaced = q.least()
+		q.remove(displaced)
 	}
 	q.sequence++
 	ticket.sequence = q.sequence
 	heap.Push(&q.tickets, ticket)
+	q.counts[ticket.Weight]++
 	return Waiting, displaced
 }
 
@@ -89,7 +92,16 @@
 	if len(q.tickets) == 0 {
 		return nil
 	}
-	return heap.Pop(&q.tickets).(*Ticket)
+	first := q.tickets[0]
+	q.remove(first)
+	return first
+}
+
+func (q *Queue) remove(ticket *Ticket) {
+	heap.Remove(&q.tickets, ticket.index)
+	if q.counts[ticket.Weight]--; q.counts[ticket.Weight] == 0 {
+		delete(q.counts, ticket.Weight)
+	}
 }
 
 // Peek returns the ticket that goes first without taking it out, or nil.
@@ -106,7 +118,7 @@
 	if ticket.index < 0 || ticket.index >= len(q.tickets) || q.tickets[ticket.index] != ticket {
 		return false
 	}
-	heap.Remove(&q.tickets, ticket.index)
+	q.remove(ticket)
 	return true
 }
 
@@ -116,12 +128,13 @@
 	q.rate.add(now)
 }
 
-// Wait estimates how long a ticket of this weight would wait now.
+// Wait estimates how long a ticket of this weight would wait now: until all that
+// matter as much or more have gone.
 func (q *Queue) Wait(now time.Time, ticket *Ticket) time.Duration {
 	ahead := 0
-	for _, waiting := range q.tickets {
-		if !less(ticket, waiting) {
-			ahead++
+	for weight, count := range q.counts {
+		if weight >= ticket.Weight {
+			ahead += count
 		}
 	}
 	perSecond := q.rate.perSecond(now)
@@ -131,7 +144,18 @@
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
-// least returns the waiting ticket that matters least, or nil.
+// leastWeight returns the smallest weight that waits. An empty queue, whose
+// bound is 0, has no smaller one than any.
+func (q *Queue) leastWeight() int {
+	least := math.MaxInt
+	for weight := range q.counts {
+		least = min(least, weight)
+	}
+	return least
+}
+
+// least returns the waiting ticket that matters least, or nil. It looks at all of
+// them, which only an arrival that displaces another pays for.
 func (q *Queue) least() *Ticket {
 	var last *Ticket
 	for _, ticket := range q.tickets {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -112,3 +112,8 @@
 	c.Queue.Next()
 	return &Place{PickResult: result, Since: waiter.since, Sent: now}, waiter.payload
 }
+
+// Report takes in a load report of a back end.
+func (c *Core) Report(now time.Time, state *routing.State, inFlight int) {
+	c.Group.Report(state, inFlight, c.Queue.Len() > 0, now)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,8 +46,8 @@
 }
 
 // Report takes in a load report that came with an answer, or from a probe.
-func (d *Dispatcher) Report(state *routing.State, inFlight int, at time.Time) {
-	d.change(func() { d.core.Group.Report(state, inFlight, at) })
+func (d *Dispatcher) Report(state *routing.State, inFlight int) {
+	d.change(func() { d.core.Report(time.Now(), state, inFlight) })
 }
 
 // change runs a change under the mutex and gives out places it may have freed.
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -159,7 +159,7 @@
 // learn takes in what the back end says of itself on an answer.
 func (a *attempter) learn(grant *dispatch.Grant, response *http.Response) {
 	if report, ok := backend.ParseReport(response.Header.Get(backend.HeaderReport)); ok {
-		a.call.service.Dispatcher.Report(grant.Backend, report.InFlight, time.Now())
+		a.call.service.Dispatcher.Report(grant.Backend, report.InFlight)
 	}
 	switch response.Header.Get(backend.HeaderDraining) {
 	case "true":
--- a/lab/experiment/systems.go
+++ b/lab/experiment/systems.go
@@ -31,7 +31,12 @@
 )
 
 // unlimited lets a daemon send any number of requests to a back end.
-const unlimited = -1
+func unlimited(int) int { return 1 << 20 }
+
+// fixed is an overcommit that does not depend on the slots.
+func fixed(count int) func(int) int {
+	return func(int) int { return count }
+}
 
 // Systems returns every system by name, in the order of the tables.
 func Systems() []simulation.System {
@@ -47,11 +52,14 @@
 		{Name: "exchange-20ms", Picker: always(leastLoad), Overcommit: unlimited, Exchange: 20 * time.Millisecond},
 		{Name: "exchange-100ms", Picker: always(leastLoad), Overcommit: unlimited, Exchange: 100 * time.Millisecond},
 		{Name: "zone-dispatch", Picker: always(leastLoad), Overcommit: unlimited, Dispatchers: 4, Exchange: 20 * time.Millisecond},
-		{Name: ProductName, Picker: always(leastLoad), Overcommit: routing.DefaultOvercommit, Dispatchers: 1},
-		{Name: "dispatch-commit0", Picker: always(leastLoad), Overcommit: 0, Dispatchers: 1},
-		{Name: "dispatch-commit2", Picker: always(leastLoad), Overcommit: 2, Dispatchers: 1},
-		{Name: "dispatch-commit3", Picker: always(leastLoad), Overcommit: 3, Dispatchers: 1},
+		{Name: ProductName, Picker: always(leastLoad), Overcommit: routing.DefaultOvercommit, Dispatchers: 1, Reports: true},
+		{Name: "dispatch-least", Picker: always(func() routing.Picker { return baseline.LeastInFlight{} }), Overcommit: routing.DefaultOvercommit, Dispatchers: 1},
+		{Name: "dispatch-commit0", Picker: always(leastLoad), Overcommit: fixed(0), Dispatchers: 1},
+		{Name: "dispatch-commit1", Picker: always(leastLoad), Overcommit: fixed(1), Dispatchers: 1},
+		{Name: "dispatch-commit2", Picker: always(leastLoad), Overcommit: fixed(2), Dispatchers: 1},
+		{Name: "dispatch-commit4", Picker: always(leastLoad), Overcommit: fixed(4), Dispatchers: 1},
+		{Name: "dispatch-unlimited", Picker: always(leastLoad), Overcommit: unlimited, Dispatchers: 1},
 		{Name: OracleName, Picker: func(o simulation.Oracle) routing.Picker { return joinShortest{oracle: o} }, Overcommit: unlimited},
-		{Name: "central-queue", Picker: always(leastLoad), Central: true},
+		{Name: "central-queue", Picker: always(leastLoad), Overcommit: unlimited, Central: true},
 	}
 }
--- a/lab/simulation/simulation.go
+++ b/lab/simulation/simulation.go
@@ -84,7 +84,7 @@
 	// Picker makes the picker of one deciding daemon.
 	Picker func(oracle Oracle) routing.Picker
 	// Overcommit is routing.Options.Overcommit.
-	Overcommit int
+	Overcommit func(slots int) int
 	// Dispatchers is how many daemons decide, the others forward to one in
 	// their zone or the first; 0: every daemon decides for itself.
 	Dispatchers int
@@ -146,9 +146,6 @@
 	return hdrhistogram.New(1, highest, digits)
 }
 
-// unbounded is an overcommit that never fills.
-const unbounded = 1 << 20
-
 // node is a daemon that decides.
 type node struct {
 	core   dispatch.Core
@@ -238,17 +235,13 @@
 	if count == 0 {
 		count = s.scenario.Daemons
 	}
-	overcommit := s.system.Overcommit
-	if overcommit < 0 {
-		overcommit = unbounded
-	}
 	var backends []routing.Backend
 	for _, one := range s.workers {
 		backends = append(backends, routing.Backend{ID: one.id, Slots: one.slots})
 	}
 	for number := range count {
 		random := rand.New(rand.NewPCG(s.scenario.Seed, uint64(1000+number)))
-		group := routing.NewGroup(routing.Options{Picker: s.system.Picker(s.oracle), Random: random, Overcommit: overcommit})
+		group := routing.NewGroup(routing.Options{Picker: s.system.Picker(s.oracle), Random: random, Overcommit: s.system.Overcommit})
 		group.SetBackends(backends)
 		one := &node{zone: number % s.scenario.Zones, core: dispatch.Core{Group: group, Queue: admission.NewQueue(s.scenario.Queue)}}
 		for range count {
@@ -397,7 +390,7 @@
 	now := s.time()
 	r.node.core.Done(now, place, routing.Success, now.Sub(place.Sent))
 	if s.system.Reports {
-		r.node.core.Group.Report(place.Backend, load, now)
+		r.node.core.Report(now, place.Backend, load)
 	}
 	s.serve(r.node)
 	wait := time.Duration(0)
--- a/routing/group.go
+++ b/routing/group.go
@@ -13,17 +13,21 @@
 type Options struct {
 	Picker Picker
 	Random *rand.Rand
-	// Overcommit is how many requests beyond its slots this daemon sends to one
-	// back end.
-	Overcommit int
+	// Overcommit is how many requests beyond its slots a back end may hold from
+	// this daemon, before its reports say that it could do with more.
+	Overcommit func(slots int) int
 	// SlowStart lets a cold back end begin with a single request and gives it
 	// one more with each answer.
 	SlowStart bool
 }
 
-// DefaultOvercommit is how many requests beyond its slots a back end may hold,
-// so that it has the next one at hand while an answer is under way.
-const DefaultOvercommit = 1
+// DefaultOvercommit keeps as many requests again, and one more, at hand before a
+// back end's slots, so that they do not idle while answers are under way. It is
+// the smallest that costs nothing at 95% load over a wire of 1.5 ms; see
+// docs/ROUNDS.md.
+func DefaultOvercommit(slots int) int {
+	return slots + 1
+}
 
 // Group is one daemon's view of a service's back ends.
 type Group struct {
@@ -48,6 +52,9 @@
 		if !known {
 			state = &State{}
 		}
+		if state.Slots != backend.Slots {
+			state.window = g.leastWindow(backend.Slots)
+		}
 		state.Backend = backend
 		byID[backend.ID] = state
 		states = append(states, state)
@@ -111,7 +118,7 @@
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
 	if trial := g.trial(now, request); trial != nil {
 		trial.health.Trial(now)
-		g.sent(trial, now)
+		g.sent(trial)
 		return g.result(trial, ReasonTrial, 1, now), true
 	}
 	candidates := g.eligible(now, request)
@@ -126,7 +133,7 @@
 		return PickResult{}, false
 	}
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Candidates: free})]
-	g.sent(chosen, now)
+	g.sent(chosen)
 	return g.result(chosen, ReasonLoad, len(free), now), true
 }
 
@@ -178,22 +185,13 @@
 func (g *Group) free(candidates []*State) []*State {
 	kept := candidates[:0]
 	for _, state := range candidates {
-		if state.InFlight < g.limit(state) {
+		if state.InFlight < state.limit(g.options.SlowStart) {
 			kept = append(kept, state)
 		}
 	}
 	return kept
 }
 
-// limit bounds this daemon's requests at a back end.
-func (g *Group) limit(state *State) int {
-	full := state.Slots + g.options.Overcommit
-	if !g.options.SlowStart {
-		return full
-	}
-	return min(full, 1+state.warmth)
-}
-
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
 func (g *Group) pickSession(now time.Time, session string, candidates []*State) (PickResult, bool) {
@@ -205,14 +203,11 @@
 			best, bestHash = state, hash
 		}
 	}
-	g.sent(best, now)
+	g.sent(best)
 	return g.result(best, ReasonSession, len(candidates), now), true
 }
 
-func (g *Group) sent(state *State, now time.Time) {
-	if state.InFlight == 0 {
-		state.heldSince = now
-	}
+func (g *Group) sent(state *State) {
 	state.InFlight++
 }
 
@@ -233,7 +228,6 @@
 // Finished notes the end of a request that Pick counted as sent.
 func (g *Group) Finished(state *State, now time.Time, outcome Outcome, latency time.Duration) {
 	state.InFlight--
-	state.heldSince = now
 	switch outcome {
 	case Success:
 		state.health.Success()
@@ -253,12 +247,17 @@
 	s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
 }
 
+func (g *Group) leastWindow(slots int) float64 {
+	return float64(slots + g.options.Overcommit(slots))
+}
+
 // Report notes a load report of the back end: all requests it holds, those of
-// this daemon included.
-func (g *Group) Report(state *State, inFlight int, at time.Time) {
+// this daemon included. waiting says whether requests wait for a place here.
+func (g *Group) Report(state *State, inFlight int, waiting bool, at time.Time) {
 	if at.Before(state.reportAt) {
 		return
 	}
+	state.learnWindow(inFlight, waiting, g.leastWindow(state.Slots))
 	state.reported = max(inFlight-state.InFlight, 0)
 	state.reportAt = at
 }
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -38,21 +38,24 @@
 	ReportAge  time.Duration // age of the back end's last report; -1: none yet
 }
 
-// LeastLoad picks the candidate on which the request should finish first: the
-// time a request takes there, lengthened by the requests it must queue behind.
-// Ties are broken at random, so that daemons do not follow each other.
+// LeastLoad picks the candidate with the smallest load, counted in requests a
+// slot and weighed by the square root of the back end's latency: among back ends
+// that are about equally loaded, the one that has lately been faster, or is
+// nearer, goes first. Weighing by the latency itself follows every long request;
+// docs/ROUNDS.md has the measurements. Ties are broken at random, so that daemons
+// do not follow each other.
 type LeastLoad struct{}
 
 // Pick implements Picker.
 func (LeastLoad) Pick(info PickInfo) int {
 	best, ties := 0, 0
-	var bestScore time.Duration
+	var least float64
 	for index, candidate := range info.Candidates {
-		score := candidate.expected(info.Now)
+		score := candidate.score(info.Now)
 		switch {
-		case index == 0 || score < bestScore:
-			best, bestScore, ties = index, score, 1
-		case score == bestScore:
+		case index == 0 || score < least:
+			best, least, ties = index, score, 1
+		case score == least:
 			ties++
 			if info.Random.IntN(ties) == 0 {
 				best = index
--- a/routing/state.go
+++ b/routing/state.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/tuliphall/tuliphall/outlier"
@@ -34,14 +35,14 @@
 	// Draining back ends get no new requests.
 	Draining bool
 
-	latency   time.Duration // moving average over answers; 0: none yet
-	reported  int           // requests of other daemons, from the last report
-	reportAt  time.Time
-	peers     int // requests of other daemons, as told by them
-	peersAt   time.Time
-	warmth    int // answers since the back end appeared or came back
-	health    outlier.Detector
-	heldSince time.Time // when the oldest unanswered run of requests began
+	latency  time.Duration // moving average over answers; 0: none yet
+	reported int           // requests of other daemons, from the last report
+	reportAt time.Time
+	peers    int // requests of other daemons, as told by them
+	peersAt  time.Time
+	warmth   int // answers since the back end appeared or came back
+	health   outlier.Detector
+	window   float64 // most requests of this daemon at the back end
 }
 
 // Others estimates the requests of other daemons at the back end from the
@@ -73,32 +74,39 @@
 	return s.latency
 }
 
-// expected estimates how long a request sent now would take.
-func (s *State) expected(now time.Time) time.Duration {
-	load := float64(s.InFlight) + s.Others(now)
-	service := s.Latency()
-	if held := s.held(now); held > service {
-		service = held
-	}
-	queued := load + 1 - float64(s.Slots)
-	if queued < 0 {
-		// A free slot: the emptier back end is still preferred a little, as
-		// its estimate is safer.
-		return service + time.Duration(load/float64(s.Slots)*float64(service)*emptyPreference)
+// score is the load with one more request, weighed by the latency.
+func (s *State) score(now time.Time) float64 {
+	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
+	return load * math.Sqrt(s.Latency().Seconds())
+}
+
+// limit bounds this daemon's requests at the back end.
+func (s *State) limit(slowStart bool) int {
+	full := int(s.window)
+	if !slowStart {
+		return full
 	}
-	return service + time.Duration((queued/float64(s.Slots)+emptyPreference)*float64(service))
+	return min(full, 1+s.warmth)
 }
 
-// emptyPreference is the share of the service time by which a back end with
-// every slot but one taken is ranked behind an idle one.
-const emptyPreference = 0.3
+// Bounds and steps of the window; see learnWindow.
+const (
+	windowFactor = 8 // most requests a slot
+	windowUp     = 0.25
+	windowDown   = 0.05
+	windowExcess = 2 // queued requests at the back end that narrow the window
+)
 
-// held returns how long the back end has had requests without answering any.
-func (s *State) held(now time.Time) time.Duration {
-	if s.InFlight == 0 || s.heldSince.IsZero() {
-		return 0
+// learnWindow widens the window of a back end that has a free slot while
+// requests wait for it here, as the wire is long against its work, and narrows
+// it again when its queue grows.
+func (s *State) learnWindow(inFlight int, waiting bool, least float64) {
+	switch {
+	case waiting && inFlight < s.Slots:
+		s.window = min(s.window+windowUp, float64(windowFactor*s.Slots))
+	case inFlight > s.Slots+windowExcess:
+		s.window = max(s.window-windowDown, least)
 	}
-	return now.Sub(s.heldSince)
 }
 
 // ReportAge returns the age of the last report, or -1 when there was none.
