--- a/command/change.go
+++ b/command/change.go
@@ -48,7 +48,7 @@
 }
 
 type applyCommand struct {
-	*global
+	global *global
 	changing
 	files
 	Base config.Revision `long:"base" description:"revision the change was made from; objects that others changed since are a conflict"`
@@ -63,7 +63,7 @@
 	}
 	edit := c.edit("apply " + strings.Join(c.Files, " "))
 	edit.Set, edit.Base = content, c.Base
-	return c.change(edit, c.DryRun, c.Wait)
+	return c.global.change(edit, c.DryRun, c.Wait)
 }
 
 // change asks for the change, prints what it did and waits if wanted.
@@ -121,7 +121,7 @@
 }
 
 type validateCommand struct {
-	*global
+	global *global
 	files
 }
 
@@ -134,12 +134,12 @@
 	if err := content.Validate(); err != nil {
 		return &exit{code: ExitUsage, cause: err}
 	}
-	_, err = fmt.Fprintf(c.out, "valid: %d services, %d placements, %d policies\n", len(content.Services), len(content.Placements), len(content.Policies))
+	_, err = fmt.Fprintf(c.global.out, "valid: %d services, %d placements, %d policies\n", len(content.Services), len(content.Placements), len(content.Policies))
 	return err
 }
 
 type diffCommand struct {
-	*global
+	global *global
 	files
 }
 
@@ -149,9 +149,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	current, err := c.client().Document(ctx)
+	current, err := c.global.client().Document(ctx)
 	if err != nil {
 		return err
 	}
@@ -166,14 +166,14 @@
 	if len(changes) == 0 {
 		return nil
 	}
-	if err := c.printDifferences(changes); err != nil {
+	if err := c.global.printDifferences(changes); err != nil {
 		return err
 	}
 	return errDifferences
 }
 
 type deleteCommand struct {
-	*global
+	global *global
 	changing
 	Arguments struct {
 		Kind  config.Kind `positional-arg-name:"KIND" required:"yes"`
@@ -187,11 +187,11 @@
 	for _, name := range c.Arguments.Names {
 		edit.Deleted = append(edit.Deleted, config.ObjectKey{Kind: c.Arguments.Kind, Name: name})
 	}
-	return c.change(edit, c.DryRun, false)
+	return c.global.change(edit, c.DryRun, false)
 }
 
 type rollbackCommand struct {
-	*global
+	global *global
 	changing
 	Wait      bool `long:"wait" description:"return when the revision is in force at all daemons"`
 	Arguments struct {
@@ -207,7 +207,7 @@
 	}
 	edit := c.edit("rollback to revision " + c.Arguments.Revision)
 	edit.RollbackTo = revision
-	return c.change(edit, c.DryRun, c.Wait)
+	return c.global.change(edit, c.DryRun, c.Wait)
 }
 
 func parseRevision(text string) (config.Revision, error) {
@@ -219,7 +219,7 @@
 }
 
 type drainCommand struct {
-	*global
+	global *global
 	changing
 	drained   bool
 	Wait      bool `long:"wait" description:"return when the drain is in force at all daemons"`
@@ -231,9 +231,9 @@
 
 // Execute implements flags.Commander.
 func (c *drainCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	document, err := c.client().Document(ctx)
+	document, err := c.global.client().Document(ctx)
 	if err != nil {
 		return err
 	}
@@ -253,7 +253,7 @@
 	edit := c.edit(fmt.Sprintf("%s %s %s", word, c.Arguments.Service, strings.Join(c.Arguments.Backends, " ")))
 	edit.Base = document.Revision
 	edit.Set = config.Content{Placements: []config.Placement{placement}}
-	return c.change(edit, c.DryRun, c.Wait)
+	return c.global.change(edit, c.DryRun, c.Wait)
 }
 
 func findPlacement(content config.Content, service string) (config.Placement, error) {
--- a/command/show.go
+++ b/command/show.go
@@ -64,7 +64,7 @@
 }
 
 type getCommand struct {
-	*global
+	global    *global
 	Arguments struct {
 		Kind config.Kind `positional-arg-name:"KIND" required:"yes"`
 	} `positional-args:"yes"`
@@ -72,9 +72,9 @@
 
 // Execute implements flags.Commander.
 func (c *getCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	document, err := c.client().Document(ctx)
+	document, err := c.global.client().Document(ctx)
 	if err != nil {
 		return err
 	}
@@ -85,7 +85,7 @@
 		for _, s := range content.Services {
 			rows = append(rows, []string{s.Name, strings.Join(s.Hosts, ","), s.PathPrefix, s.Policy, time.Duration(s.Deadline).String()})
 		}
-		return c.print(content.Services, rows)
+		return c.global.print(content.Services, rows)
 	case config.KindPlacement:
 		rows := [][]string{{"SERVICE", "BACKEND", "ADDRESS", "ZONE", "DRAINED"}}
 		for _, p := range content.Placements {
@@ -93,13 +93,13 @@
 				rows = append(rows, []string{p.Service, b.ID, b.Address, b.Zone, fmt.Sprint(b.Drained)})
 			}
 		}
-		return c.print(content.Placements, rows)
+		return c.global.print(content.Placements, rows)
 	case config.KindPolicy:
 		rows := [][]string{{"NAME", "CLASS", "WEIGHT", "RETRY", "ONCE"}}
 		for _, p := range content.Policies {
 			rows = append(rows, []string{p.Name, p.Class, p.Weight, p.Retry, p.Once})
 		}
-		return c.print(content.Policies, rows)
+		return c.global.print(content.Policies, rows)
 	}
 	return &exit{code: ExitUsage, cause: errors.NotValidf("KIND %q: allowed: service, placement, policy; it", c.Arguments.Kind)}
 }
@@ -112,7 +112,7 @@
 }
 
 type describeCommand struct {
-	*global
+	global    *global
 	Arguments struct {
 		Kind config.Kind `positional-arg-name:"KIND" required:"yes"`
 		Name string      `positional-arg-name:"NAME" required:"yes"`
@@ -121,9 +121,9 @@
 
 // Execute implements flags.Commander.
 func (c *describeCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	document, err := c.client().Document(ctx)
+	document, err := c.global.client().Document(ctx)
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.printJSON(found); err != nil {
+	if err := c.global.printJSON(found); err != nil {
 		return err
 	}
 	if c.Arguments.Kind != config.KindService {
@@ -142,7 +142,7 @@
 
 // describeState prints what the asked daemon knows of the service's back ends.
 func (c *describeCommand) describeState(ctx context.Context) error {
-	services, err := c.client().Services(ctx)
+	services, err := c.global.client().Services(ctx)
 	if err != nil {
 		return err
 	}
@@ -150,14 +150,14 @@
 		if s.Name != c.Arguments.Name {
 			continue
 		}
-		if c.Output == "json" {
-			return c.printJSON(s)
+		if c.global.Output == "json" {
+			return c.global.printJSON(s)
 		}
 		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "DRAINING", "EJECTED", "LATENCY"}}
 		for _, b := range s.Backends {
 			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String()})
 		}
-		return c.printTable(rows)
+		return c.global.printTable(rows)
 	}
 	return nil
 }
@@ -187,14 +187,14 @@
 }
 
 type historyCommand struct {
-	*global
+	global *global
 }
 
 // Execute implements flags.Commander.
 func (c *historyCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	document, err := c.client().Document(ctx)
+	document, err := c.global.client().Document(ctx)
 	if err != nil {
 		return err
 	}
@@ -202,18 +202,18 @@
 	for _, change := range document.History {
 		rows = append(rows, []string{fmt.Sprint(change.Revision), change.At.Format(time.RFC3339), change.Author, fmt.Sprint(len(change.Objects)), change.Summary})
 	}
-	return c.print(document.History, rows)
+	return c.global.print(document.History, rows)
 }
 
 type statusCommand struct {
-	*global
+	global *global
 }
 
 // Execute implements flags.Commander.
 func (c *statusCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	status, err := c.client().Status(ctx)
+	status, err := c.global.client().Status(ctx)
 	if err != nil {
 		return err
 	}
@@ -221,11 +221,11 @@
 	for _, m := range status.Members {
 		rows = append(rows, []string{m.Name, m.Region, m.Zone, m.State, fmt.Sprint(m.Revision), m.Problem})
 	}
-	return c.print(status, rows)
+	return c.global.print(status, rows)
 }
 
 type waitCommand struct {
-	*global
+	global    *global
 	Arguments struct {
 		Revision string `positional-arg-name:"REVISION" required:"yes"`
 	} `positional-args:"yes"`
@@ -237,9 +237,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := c.context()
+	ctx, cancel := c.global.context()
 	defer cancel()
-	return c.waitFor(ctx, revision)
+	return c.global.waitFor(ctx, revision)
 }
 
 // waitFor returns when every live daemon has the revision in force.
@@ -286,17 +286,17 @@
 }
 
 type versionCommand struct {
-	*global
+	global *global
 }
 
 // Execute implements flags.Commander.
 func (c *versionCommand) Execute([]string) error {
-	_, err := fmt.Fprintln(c.out, "tuliphall", daemon.Version)
+	_, err := fmt.Fprintln(c.global.out, "tuliphall", daemon.Version)
 	return err
 }
 
 type completionCommand struct {
-	*global
+	global *global
 }
 
 // completionScript asks the command itself for completions, as go-flags offers.
@@ -310,6 +310,6 @@
 
 // Execute implements flags.Commander.
 func (c *completionCommand) Execute([]string) error {
-	_, err := fmt.Fprint(c.out, completionScript)
+	_, err := fmt.Fprint(c.global.out, completionScript)
 	return err
 }
--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -21,6 +21,21 @@
 	if _, err := experiments.AddCommand("run", "Run an experiment", "", &experimentRun{out: out}); err != nil {
 		return err
 	}
+	for _, one := range []struct {
+		name, short string
+		action      flags.Commander
+	}{
+		{"platform", "Serve a stand-in for the platform", &platformServe{}},
+		{"backend", "Serve a stand-in for a back end", &backendServe{}},
+		{"fetch", "Print the whole answer to one request", &fetchRun{out: out}},
+		{"sleep", "Wait", &sleepRun{}},
+		{"load", "Send load", &loadRun{out: out}},
+		{"site", "Bring up a whole site, send load, and end", &siteRun{out: out}},
+	} {
+		if _, err := parser.AddCommand(one.name, one.short, "", one.action); err != nil {
+			return err
+		}
+	}
 	_, err = parser.ParseArgs(arguments)
 	var usage *flags.Error
 	if stderrors.As(err, &usage) && usage.Type == flags.ErrHelp {
--- /dev/null
+++ b/lab/labcommand/site.go
@@ -0,0 +1,121 @@
+package labcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/lab/backendstub"
+	"github.com/tuliphall/tuliphall/lab/load"
+	"github.com/tuliphall/tuliphall/lab/site"
+	"github.com/tuliphall/tuliphall/policy"
+)
+
+// noisy is a back end with a neighbour that slows it threefold a tenth of the time.
+func noisy(work time.Duration) backendstub.Options {
+	return backendstub.Options{Slots: 3, Work: work, Seed: 7, Slowdown: 3, Noisy: 50 * time.Millisecond, Quiet: 450 * time.Millisecond}
+}
+
+// kingstonServices declares Kingston's three services with 12 back ends.
+func kingstonServices() []site.Service {
+	return []site.Service{
+		{
+			Declared: config.Service{Name: "price-query", PathPrefix: "/prices", Policy: "reads"},
+			Policy:   config.Policy{Name: "reads", Source: policy.Source{Class: `"read"`, Weight: "100", Retry: "true", Deadline: `duration("2s")`}},
+			Backends: 5, Backend: noisy(5 * time.Millisecond),
+		},
+		{
+			Declared: config.Service{Name: "correction", PathPrefix: "/corrections", Policy: "corrections", RefusalStatus: http.StatusServiceUnavailable},
+			Policy:   config.Policy{Name: "corrections", Source: policy.Source{Class: `"correction"`, Weight: "200", Once: "true", Deadline: `duration("5s")`}},
+			Backends: 3, Backend: noisy(10 * time.Millisecond),
+		},
+		{
+			Declared: config.Service{Name: "history", PathPrefix: "/history", Policy: "batch"},
+			Policy:   config.Policy{Name: "batch", Source: policy.Source{Class: `"batch"`, Weight: "1", Retry: "true", Wait: `duration("30s")`, Deadline: `duration("60s")`}},
+			Backends: 4, Backend: noisy(40 * time.Millisecond),
+		},
+	}
+}
+
+type siteRun struct {
+	out      io.Writer
+	Duration time.Duration `long:"duration" default:"5s" description:"how long load is sent"`
+	Seed     uint64        `long:"seed" default:"1" description:"start of the random choices"`
+	Verbose  bool          `short:"v" long:"verbose" description:"show the daemons' logs, with a line for each decision"`
+}
+
+// Execute implements flags.Commander.
+func (c *siteRun) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Duration+time.Minute)
+	defer cancel()
+	fmt.Fprintln(c.out, "starting: platform, 3 zones, 4 daemons, 12 back ends")
+	options := site.Options{Zones: []string{"zone-a", "zone-b", "zone-c"}, Daemons: 4, Services: kingstonServices(), Notice: 500 * time.Millisecond}
+	if c.Verbose {
+		options.LogTo, options.LogLevel, options.Decisions = c.out, "info", true
+	}
+	running, err := site.Start(ctx, options)
+	if err != nil {
+		return err
+	}
+	defer running.Close()
+	fmt.Fprintf(c.out, "configuration in force at 4 daemons; sending load for %s\n", c.Duration)
+	done := make(chan *load.Result, 1)
+	go func() {
+		done <- load.Run(ctx, load.Options{Targets: running.Targets(), Rate: 600, Duration: c.Duration, Seed: c.Seed, Kinds: kingstonKinds()})
+	}()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for second := 1; ; {
+		select {
+		case <-ticker.C:
+			fmt.Fprintf(c.out, "%ds\n", second)
+			second++
+		case result := <-done:
+			return c.print(running, result)
+		}
+	}
+}
+
+func kingstonKinds() []load.Kind {
+	return []load.Kind{
+		{Name: "price-query", Method: http.MethodGet, Path: "/prices", Share: 0.88},
+		{Name: "correction", Method: http.MethodPost, Path: "/corrections", Share: 0.05, Once: true},
+		{Name: "history", Method: http.MethodGet, Path: "/history", Share: 0.07},
+	}
+}
+
+// print shows latency, decisions and platform calls.
+func (c *siteRun) print(running *site.Site, result *load.Result) error {
+	if err := printLoad(c.out, result); err != nil {
+		return err
+	}
+	for _, kind := range kingstonKinds() {
+		fmt.Fprintf(c.out, "  %-12s p50 %-10s p99 %s\n", kind.Name, result.KindQuantile(kind.Name, 50), result.KindQuantile(kind.Name, 99))
+	}
+	fmt.Fprintln(c.out, "decisions (requests run at each back end):")
+	for _, one := range running.Backends {
+		fmt.Fprintf(c.out, "  %-16s %s %d\n", one.ID, one.Zone, one.Stub.Total())
+	}
+	counts := running.Platform.Counts()
+	fmt.Fprintln(c.out, "platform calls:")
+	kinds := make([]string, 0, len(counts))
+	for kind, count := range counts {
+		kinds = append(kinds, fmt.Sprintf("  %-9s %d", kind, count))
+	}
+	sort.Strings(kinds)
+	for _, line := range kinds {
+		fmt.Fprintln(c.out, line)
+	}
+	duplicates := 0
+	for _, count := range running.Runs() {
+		if count > 1 {
+			duplicates++
+		}
+	}
+	_, err := fmt.Fprintf(c.out, "requests that ran more than once: %d\n", duplicates)
+	return err
+}
--- /dev/null
+++ b/lab/scenarios/scenarios_test.go
@@ -0,0 +1,121 @@
+// Package scenarios runs the scripted scenarios: the product's commands and the
+// stand-ins as separate processes, driven by testscript.
+package scenarios
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/tuliphall/tuliphall/command"
+	"github.com/tuliphall/tuliphall/lab/labcommand"
+	"github.com/tuliphall/tuliphall/launch"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"tuliphalld": func() { os.Exit(launch.Run(os.Args[1:])) },
+		"tuliphall": func() {
+			code, err := command.Run(os.Args[1:], os.Stdout)
+			if err != nil {
+				fmt.Fprintln(os.Stderr, "tuliphall:", err)
+			}
+			os.Exit(code)
+		},
+		"lab": func() {
+			if err := labcommand.Run(os.Args[1:], os.Stdout); err != nil {
+				fmt.Fprintln(os.Stderr, "lab:", err)
+				os.Exit(1)
+			}
+		},
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ports":   ports,
+			"ready":   ready,
+			"fetch":   fetch,
+			"subst":   substitute,
+		},
+	})
+}
+
+// ports NAME... asks the kernel for free ports and sets $NAME to 127.0.0.1:port.
+func ports(ts *testscript.TestScript, _ bool, names []string) {
+	var held []net.Listener
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		held = append(held, listener)
+		ts.Setenv(name, listener.Addr().String())
+	}
+	for _, listener := range held {
+		ts.Check(listener.Close())
+	}
+}
+
+// readyTimeout is how long a process may take until it serves.
+const readyTimeout = 20 * time.Second
+
+// ready URL waits until the URL answers 200.
+func ready(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		response, err := http.Get(args[0])
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s not ready: %v", args[0], err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// fetch URL prints the answer's status line, headers of the project, and body.
+func fetch(ts *testscript.TestScript, neg bool, args []string) {
+	response, err := http.Get(args[0])
+	if err != nil {
+		if !neg {
+			ts.Fatalf("%v", err)
+		}
+		return
+	}
+	defer response.Body.Close()
+	body := new(strings.Builder)
+	_, err = fmt.Fprintf(body, "status %d code %s run %s\n", response.StatusCode, response.Header.Get("Tuliphall-Code"), response.Header.Get("Tuliphall-Run"))
+	ts.Check(err)
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := response.Body.Read(buffer)
+		body.Write(buffer[:n])
+		if err != nil {
+			break
+		}
+	}
+	_, err = ts.Stdout().Write([]byte(body.String()))
+	ts.Check(err)
+	if neg == (response.StatusCode < http.StatusBadRequest) {
+		ts.Fatalf("unexpected status %d: %s", response.StatusCode, body)
+	}
+}
+
+// subst FILE... replaces $NAME in files by the environment's values.
+func substitute(ts *testscript.TestScript, _ bool, files []string) {
+	for _, file := range files {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
--- a/operation/writer.go
+++ b/operation/writer.go
@@ -39,6 +39,10 @@
 	pending map[string]bool // tokens of claims whose requests this daemon runs
 }
 
+// outcomeInterval is how long an outcome may wait for a claim to be written with.
+// A daemon that crashes meanwhile leaves its keys unsettled, which is safe.
+const outcomeInterval = 250 * time.Millisecond
+
 // maxBacklog bounds the outcomes kept while the store is down. The oldest are
 // given up: their keys stay claimed, which is safe.
 const maxBacklog = 20000
@@ -93,13 +97,13 @@
 
 func (w *writer) run() {
 	defer w.executor.running.Done()
-	retry := time.NewTicker(time.Second)
-	defer retry.Stop()
+	outcomes := time.NewTicker(outcomeInterval)
+	defer outcomes.Stop()
 	for {
 		select {
 		case first := <-w.queue:
 			w.handle(w.gather(first))
-		case <-retry.C:
+		case <-outcomes.C:
 			if len(w.backlog) > 0 {
 				w.handle(nil)
 			}
@@ -137,6 +141,9 @@
 // handle writes a batch and answers its claims.
 func (w *writer) handle(batch []*command) {
 	w.takeOutcomes(batch)
+	if len(batch) > 0 && !urgent(batch) {
+		return
+	}
 	err := w.write(batch)
 	for _, c := range batch {
 		if c.done != nil {
@@ -148,6 +155,16 @@
 	}
 }
 
+// urgent says whether anybody waits for the batch.
+func urgent(batch []*command) bool {
+	for _, c := range batch {
+		if c.answer != nil || c.done != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // takeOutcomes moves the entries nobody waits for to the backlog.
 func (w *writer) takeOutcomes(batch []*command) {
 	for _, c := range batch {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,7 +56,7 @@
 	Timeout config.Duration `toml:"timeout"`
 	// Watchers is how many daemons watch the configuration; 0: 3.
 	Watchers int `toml:"watchers"`
-	// WritesPerSecond bounds this daemon's writes; 0: 5.
+	// WritesPerSecond bounds this daemon's writes; 0: 20.
 	WritesPerSecond float64 `toml:"writes_per_second"`
 }
 
@@ -84,7 +84,7 @@
 const (
 	DefaultTimeout         = config.Duration(2 * time.Second)
 	DefaultWatchers        = 3
-	DefaultWritesPerSecond = 5
+	DefaultWritesPerSecond = 20
 	DefaultNotice          = config.Duration(2 * time.Second)
 
 	maxTimeout  = config.Duration(time.Minute)
