--- a/lab/backendstub/stub.go
+++ b/lab/backendstub/stub.go
@@ -146,6 +146,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathLoad, s.load)
 	mux.HandleFunc(PathStream, s.stream)
+	mux.HandleFunc("/{service}"+PathStream, s.stream)
 	mux.HandleFunc(PathUpper, s.upgrade)
 	mux.HandleFunc("/", s.work)
 	return mux
--- /dev/null
+++ b/lab/fakenet/fakenet.go
@@ -0,0 +1,252 @@
+// Package fakenet is a network in memory for tests in virtual time. Hosts can be
+// cut off from each other and frozen; every byte is counted by host.
+package fakenet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/network"
+)
+
+// errUnreachable is what a dial over a cut gets.
+const errUnreachable = errors.ConstError("host unreachable")
+
+// Net is one network. It is safe for concurrent use.
+type Net struct {
+	mutex     sync.Mutex
+	hosts     map[string]*Host
+	byAddress map[string]*listener
+	cut       map[[2]string]bool
+	conns     map[*conn]bool
+	latency   time.Duration
+}
+
+// New returns a network on which a message takes latency.
+func New(latency time.Duration) *Net {
+	return &Net{
+		hosts: make(map[string]*Host), byAddress: make(map[string]*listener),
+		cut: make(map[[2]string]bool), conns: make(map[*conn]bool), latency: latency,
+	}
+}
+
+// Host is one machine on the network.
+type Host struct {
+	net     *Net
+	name    string
+	ip      netip.Addr
+	port    uint16
+	sent    atomic.Int64
+	dials   atomic.Int64
+	frozen  chan struct{} // closed when the host thaws; nil: not frozen
+	writes  atomic.Int64
+	accepts atomic.Int64
+}
+
+// Host returns the host with a name, and makes it if need be.
+func (n *Net) Host(name string) *Host {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	host, ok := n.hosts[name]
+	if !ok {
+		number := len(n.hosts) + 1
+		host = &Host{net: n, name: name, ip: netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), port: 1000}
+		n.hosts[name] = host
+	}
+	return host
+}
+
+// Network returns the host as a network.Network.
+func (n *Net) Network(name string) network.Network {
+	return n.Host(name)
+}
+
+// Address returns an address of the host with port 0.
+func (n *Net) Address(name string) string {
+	return netip.AddrPortFrom(n.Host(name).ip, 0).String()
+}
+
+// Sent returns the bytes the host has written to connections.
+func (h *Host) Sent() int64 { return h.sent.Load() }
+
+// Connections returns how many connections the host has opened and accepted.
+func (h *Host) Connections() int64 { return h.dials.Load() + h.accepts.Load() }
+
+// SetCut cuts two hosts off from each other, or joins them. Connections between
+// them break when they are cut.
+func (n *Net) SetCut(a, b string, cut bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = cut, cut
+	if !cut {
+		return
+	}
+	for one := range n.conns {
+		if (one.local.name == a && one.remote.name == b) || (one.local.name == b && one.remote.name == a) {
+			_ = one.Conn.Close()
+		}
+	}
+}
+
+// SetFrozen freezes a host's network, or thaws it.
+func (n *Net) SetFrozen(name string, frozen bool) {
+	host := n.Host(name)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	switch {
+	case frozen && host.frozen == nil:
+		host.frozen = make(chan struct{})
+	case !frozen && host.frozen != nil:
+		close(host.frozen)
+		host.frozen = nil
+	}
+}
+
+// waitThawed blocks while the host is frozen.
+func (h *Host) waitThawed() {
+	h.net.mutex.Lock()
+	frozen := h.frozen
+	h.net.mutex.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
+// Dial implements network.Network.
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	h.waitThawed()
+	h.net.mutex.Lock()
+	target := h.net.byAddress[address]
+	reachable := target != nil && !h.net.cut[[2]string{h.name, target.host.name}]
+	h.net.mutex.Unlock()
+	if !reachable {
+		return nil, &net.OpError{Op: "dial", Net: "fake", Err: fmt.Errorf("%s: %w", address, errUnreachable)}
+	}
+	near, far := net.Pipe()
+	client := h.net.wrap(near, h, target.host)
+	server := h.net.wrap(far, target.host, h)
+	select {
+	case target.incoming <- server:
+		h.dials.Add(1)
+		target.host.accepts.Add(1)
+		return client, nil
+	case <-target.closed:
+		return nil, &net.OpError{Op: "dial", Net: "fake", Err: errUnreachable}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Listen implements network.Network. Port 0 picks the next free one.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	h.net.mutex.Lock()
+	defer h.net.mutex.Unlock()
+	port := parsed.Port()
+	if port == 0 {
+		h.port++
+		port = h.port
+	}
+	bound := netip.AddrPortFrom(h.ip, port)
+	one := &listener{host: h, address: bound, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	h.net.byAddress[bound.String()] = one
+	return one, nil
+}
+
+// listener implements net.Listener.
+type listener struct {
+	host     *Host
+	address  netip.AddrPort
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.incoming:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.host.net.mutex.Lock()
+		defer l.host.net.mutex.Unlock()
+		delete(l.host.net.byAddress, l.address.String())
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(l.address)
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net.Conn
+	net    *Net
+	local  *Host
+	remote *Host
+}
+
+func (n *Net) wrap(inner net.Conn, local, remote *Host) *conn {
+	one := &conn{Conn: inner, net: n, local: local, remote: remote}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.conns[one] = true
+	return one
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	c.local.waitThawed()
+	if c.net.latency > 0 {
+		time.Sleep(c.net.latency)
+	}
+	written, err := c.Conn.Write(data)
+	c.local.sent.Add(int64(written))
+	c.local.writes.Add(1)
+	return written, err
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.local.waitThawed()
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.net.mutex.Lock()
+	delete(c.net.conns, c)
+	c.net.mutex.Unlock()
+	return c.Conn.Close()
+}
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.remote.ip, 0))
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.local.ip, 0))
+}
--- a/lab/scenarios/scenarios_test.go
+++ b/lab/scenarios/scenarios_test.go
@@ -41,10 +41,10 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":   ports,
-			"ready":   ready,
-			"fetch":   fetch,
-			"subst":   substitute,
+			"ports": ports,
+			"ready": ready,
+			"fetch": fetch,
+			"subst": substitute,
 		},
 	})
 }
--- a/operation/executor.go
+++ b/operation/executor.go
@@ -130,12 +130,20 @@
 		return answer.claim, answer.result, answer.failure
 	case <-ctx.Done():
 		// The claim may still be written; it is released when it is.
-		go func() {
-			if answer := <-command.answer; answer.claim != nil {
-				answer.claim.Release()
-			}
-		}()
+		go e.releaseWhenAnswered(command)
 		return nil, nil, &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim was not written in time"}
+	case <-e.ctx.Done():
+		return nil, nil, &resultcode.Failure{Code: resultcode.Stopping, Detail: "the daemon stopped before the claim was written"}
+	}
+}
+
+func (e *Executor) releaseWhenAnswered(c *command) {
+	select {
+	case answer := <-c.answer:
+		if answer.claim != nil {
+			answer.claim.Release()
+		}
+	case <-e.ctx.Done():
 	}
 }
 
