Budget for measuring, held through a lease; probes only where they decide

The whole budget of a service belongs to the daemon that holds its lease, spaced evenly, and is asked for at the moment of use.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/tuliphall/tuliphall/dissemination"
 	"github.com/tuliphall/tuliphall/frontend"
 	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/measure"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/operation"
@@ -60,6 +61,7 @@
 	follower   *dissemination.Follower
 	operations *operation.Executor
 	handler    *frontend.Handler
+	prober     *measure.Prober
 	editor     *config.Editor
 
 	listeners    Addresses
@@ -196,6 +198,15 @@
 		Name: d.settings.Name, Network: d.network, Services: d.services, Peers: d, Operations: d.operations,
 		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions,
 	})
+	d.prober = measure.NewProber(measure.Options{
+		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.dispatches, Log: d.logger, Metrics: scope,
+	})
+}
+
+// dispatches says whether this daemon dispatches a service.
+func (d *Daemon) dispatches(name string) bool {
+	_, other := d.node.DispatcherOf(name)
+	return !other
 }
 
 // run starts a goroutine for each duty.
@@ -211,6 +222,7 @@
 	d.running.Go(func() { d.node.Run(ctx) })
 	d.running.Go(func() { d.follower.Run(ctx) })
 	d.running.Go(func() { d.watchMachines(ctx) })
+	d.running.Go(func() { d.prober.Run(ctx) })
 }
 
 // Bounds of the HTTP servers.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,20 @@
 	d.change(func() { d.core.Report(time.Now(), state, inFlight) })
 }
 
+// ProbeTarget returns the back end that a probe would tell most about, and false
+// when none is worth one.
+func (d *Dispatcher) ProbeTarget(silence time.Duration) (string, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Group.ProbeTarget(time.Now(), silence)
+}
+
+// Probed takes in the outcome of a probe; inFlight is nil where the back end did
+// not report its load.
+func (d *Dispatcher) Probed(id string, well bool, inFlight *int) {
+	d.change(func() { d.core.Group.Probed(time.Now(), id, well, inFlight) })
+}
+
 // change runs a change under the mutex and gives out places it may have freed.
 func (d *Dispatcher) change(apply func()) {
 	d.mutex.Lock()
--- a/routing/state.go
+++ b/routing/state.go
@@ -42,7 +42,8 @@
 	peersAt  time.Time
 	warmth   int // answers since the back end appeared or came back
 	health   outlier.Detector
-	window   float64 // most requests of this daemon at the back end
+	heard    time.Time // of the last answer or probe
+	window   float64   // most requests of this daemon at the back end
 }
 
 // Others estimates the requests of other daemons at the back end from the
