--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -217,3 +217,8 @@
 func (d *Daemon) KnownMembers() int {
 	return len(d.node.View().Serving)
 }
+
+// Region returns the daemon's region.
+func (d *Daemon) Region() string {
+	return d.settings.Region
+}
--- a/lab/fakenet/fakenet.go
+++ b/lab/fakenet/fakenet.go
@@ -27,6 +27,7 @@
 	cut       map[[2]string]bool
 	conns     map[*conn]bool
 	latency   time.Duration
+	rule      func(a, b string) bool
 }
 
 // New returns a network on which a message takes latency.
@@ -46,7 +47,6 @@
 	sent    atomic.Int64
 	dials   atomic.Int64
 	frozen  chan struct{} // closed when the host thaws; nil: not frozen
-	writes  atomic.Int64
 	accepts atomic.Int64
 }
 
@@ -95,6 +95,20 @@
 	}
 }
 
+// SetRule cuts off all pairs of hosts for which rule says so; nil lifts that.
+// Connections under way are not broken.
+func (n *Net) SetRule(rule func(a, b string) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.rule = rule
+}
+
+// reaches says whether host a can open a connection to host b. The caller holds
+// the mutex.
+func (n *Net) reaches(a, b string) bool {
+	return !n.cut[[2]string{a, b}] && (n.rule == nil || !n.rule(a, b))
+}
+
 // SetFrozen freezes a host's network, or thaws it.
 func (n *Net) SetFrozen(name string, frozen bool) {
 	host := n.Host(name)
@@ -124,7 +138,7 @@
 	h.waitThawed()
 	h.net.mutex.Lock()
 	target := h.net.byAddress[address]
-	reachable := target != nil && !h.net.cut[[2]string{h.name, target.host.name}]
+	reachable := target != nil && h.net.reaches(h.name, target.host.name)
 	h.net.mutex.Unlock()
 	if !reachable {
 		return nil, &net.OpError{Op: "dial", Net: "fake", Err: fmt.Errorf("%s: %w", address, errUnreachable)}
@@ -222,7 +236,6 @@
 	}
 	written, err := c.Conn.Write(data)
 	c.local.sent.Add(int64(written))
-	c.local.writes.Add(1)
 	return written, err
 }
 
--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -2,13 +2,16 @@
 package labcommand
 
 import (
+	"context"
 	stderrors "errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/tuliphall/tuliphall/lab/experiment"
+	"github.com/tuliphall/tuliphall/lab/scale"
 )
 
 // Run runs the command line.
@@ -21,6 +24,13 @@
 	if _, err := experiments.AddCommand("run", "Run an experiment", "", &experimentRun{out: out}); err != nil {
 		return err
 	}
+	scaling, err := parser.AddCommand("scale", "Measure control as the fleet grows", "", &struct{}{})
+	if err != nil {
+		return err
+	}
+	if _, err := scaling.AddCommand("run", "Run every size", "", &scaleRun{out: out}); err != nil {
+		return err
+	}
 	for _, one := range []struct {
 		name, short string
 		action      flags.Commander
@@ -69,3 +79,26 @@
 	}
 	return report.Print(c.out)
 }
+
+type scaleRun struct {
+	out      io.Writer
+	Sizes    []int         `long:"members" default:"18" default:"50" default:"100" default:"200" default:"400" default:"850" description:"number of daemons; may be given several times"`
+	Services []int         `long:"services" default:"5" default:"10" default:"20" description:"number of services at 100 members; may be given several times"`
+	Window   time.Duration `long:"window" default:"15s" description:"how long the quiet fleet is measured"`
+	Changes  int           `long:"changes" default:"5" description:"configuration changes at each size"`
+	Save     string        `long:"save" value-name:"FILE" description:"write the results as JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *scaleRun) Execute([]string) error {
+	results, err := scale.Run(context.Background(), scale.Options{Sizes: c.Sizes, Services: c.Services, Window: c.Window, Changes: c.Changes}, c.out)
+	if err != nil {
+		return err
+	}
+	if c.Save != "" {
+		if err := results.Save(c.Save); err != nil {
+			return err
+		}
+	}
+	return results.Print(c.out)
+}
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -142,6 +144,9 @@
 	return s.options.Regions[number%len(s.options.Zones)%len(s.options.Regions)]
 }
 
+// maxSeeds bounds the peers that a starting daemon is told of.
+const maxSeeds = 20
+
 func (s *Site) serve(name string, handler http.Handler) (string, error) {
 	listener, err := s.options.Network(name).Listen(s.options.Address(name))
 	if err != nil {
@@ -224,6 +229,9 @@
 	defer s.mutex.Unlock()
 	var addresses []string
 	for _, running := range s.daemons {
+		if len(addresses) == maxSeeds {
+			break
+		}
 		addresses = append(addresses, running.Addresses().Peer)
 	}
 	return addresses
@@ -285,7 +293,7 @@
 		select {
 		case <-time.After(settlePoll):
 		case <-ctx.Done():
-			return errors.Annotatef(ctx.Err(), "revision %d not in force everywhere", revision)
+			return errors.Annotatef(ctx.Err(), "revision %d not in force everywhere: %s", revision, s.lagging(revision))
 		}
 	}
 }
@@ -388,3 +396,16 @@
 	}
 	s.ended.Wait()
 }
+
+// lagging describes the daemons that lack a revision or do not know every other.
+func (s *Site) lagging(revision config.Revision) string {
+	var rows []string
+	daemons := s.Daemons()
+	for name, running := range daemons {
+		if running.Document().Revision < revision || running.KnownMembers() < len(daemons) {
+			rows = append(rows, fmt.Sprintf("%s (revision %d, %d members)", name, running.Document().Revision, running.KnownMembers()))
+		}
+	}
+	sort.Strings(rows)
+	return strings.Join(rows, ", ")
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -4,7 +4,10 @@
 	"math"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Timing of the protocol.
@@ -22,7 +25,13 @@
 	// passes one item of news on.
 	spreadFactor = 3
 	// MaxUpdates bounds the news in one message.
-	MaxUpdates = 8
+	MaxUpdates = 16
+	// syncPerMember is the time between two syncs of the whole list, for each
+	// member on it: a sync costs bytes for each member, so that its share of the
+	// bytes a second stays the same at every size.
+	syncPerMember = 35 * time.Millisecond
+	// leastSync is the shortest time between two syncs.
+	leastSync = 3 * time.Second
 )
 
 // Status is what is believed of a member.
@@ -82,6 +91,7 @@
 	dead    []string
 	periods int
 	version uint64
+	synced  time.Time
 }
 
 // NewState returns a view that holds only the daemon itself.
@@ -249,15 +259,43 @@
 	s.self.Incarnation = update.Incarnation + 1
 }
 
-// Heard notes a message that came straight from a member: it is alive.
+// Heard notes a message that came straight from a member. A member that is held
+// to be suspect or dead is told so with the next message, so that it can refute
+// that for everybody with a higher incarnation.
 func (s *State) Heard(now time.Time, sender Member) {
 	s.merge(now, sender)
 	present, known := s.members[sender.Name]
-	if known && present.Status == Suspect && present.Incarnation <= sender.Incarnation {
-		// Only the member itself can refute the suspicion for others, with a
-		// higher incarnation; here its word is enough.
-		present.Status, present.changed = Alive, now
+	if known && present.Status != Alive && present.Status != Left && present.Incarnation >= sender.Incarnation {
+		present.sent, present.changed = 0, now
+	}
+}
+
+// Digest is the same for two daemons that know the same members in the same
+// incarnations, whether they serve or not counted.
+func (s *State) Digest() uint64 {
+	digest := digestOf(s.self)
+	for _, one := range s.members {
+		if one.Serving() {
+			digest ^= digestOf(one.Member)
+		}
+	}
+	return digest
+}
+
+func digestOf(m Member) uint64 {
+	return xxhash.Sum64String(m.Name + "\x00" + strconv.FormatUint(m.Incarnation, 16))
+}
+
+// SyncDue says whether the whole list should be asked of a daemon whose digest
+// differs, and notes that it is. News that is passed on a bounded number of times
+// may miss a daemon; this is what then closes the gap.
+func (s *State) SyncDue(now time.Time, digest uint64) bool {
+	wait := max(leastSync, time.Duration(len(s.members))*syncPerMember)
+	if digest == s.Digest() || now.Sub(s.synced) < wait {
+		return false
 	}
+	s.synced = now
+	return true
 }
 
 // Unreachable notes that a member answered neither directly nor through others.
--- a/peer/node.go
+++ b/peer/node.go
@@ -76,6 +76,8 @@
 	log     *slog.Logger
 	spread  chan struct{} // room for one: spreading is asked for
 
+	syncs sync.WaitGroup
+
 	mutex  sync.Mutex
 	state  *membership.State
 	drains drainTable
@@ -192,6 +194,7 @@
 
 // Run joins the other daemons and exchanges news until ctx ends.
 func (n *Node) Run(ctx context.Context) {
+	defer n.syncs.Wait()
 	n.join(ctx)
 	timer := time.NewTimer(n.nextPeriod())
 	defer timer.Stop()
@@ -325,7 +328,7 @@
 	n.mutex.Lock()
 	request := &peerpb.ExchangeRequest{
 		Sender: encodeMember(n.state.Self()), Revision: uint64(n.options.Configuration.Revision()),
-		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}
 	n.mutex.Unlock()
 	return n.call(ctx, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
@@ -333,19 +336,30 @@
 		if err != nil {
 			return err
 		}
-		n.take(reply.Sender, reply.Revision, reply.Updates, reply.Drains)
+		n.take(ctx, reply)
 		return nil
 	})
 }
 
+// told is what either side of an exchange tells.
+type told interface {
+	GetSender() *peerpb.Member
+	GetRevision() uint64
+	GetUpdates() []*peerpb.Member
+	GetDrains() []*peerpb.Drain
+	GetDigest() uint64
+}
+
 // take takes in one side of an exchange.
-func (n *Node) take(sender *peerpb.Member, revision uint64, updates []*peerpb.Member, drains []*peerpb.Drain) {
-	from := decodeMember(sender)
+func (n *Node) take(ctx context.Context, message told) {
+	from := decodeMember(message.GetSender())
 	var news []Drain
+	sync := false
 	n.change(func(now time.Time) {
-		n.state.Merge(now, decodeMembers(updates))
+		n.state.Merge(now, decodeMembers(message.GetUpdates()))
 		n.state.Heard(now, from)
-		news = n.drains.take(drains)
+		news = n.drains.take(message.GetDrains())
+		sync = n.state.SyncDue(now, message.GetDigest())
 	})
 	for _, drain := range news {
 		n.options.OnDrain(drain)
@@ -353,9 +367,19 @@
 	if len(news) > 0 {
 		n.Spread()
 	}
-	if config.Revision(revision) > n.options.Configuration.Revision() {
+	if config.Revision(message.GetRevision()) > n.options.Configuration.Revision() {
 		n.options.Configuration.Behind(from)
 	}
+	if sync {
+		n.syncs.Go(func() { n.sync(ctx, from) })
+	}
+}
+
+// sync asks a daemon that knows other members for its whole list.
+func (n *Node) sync(ctx context.Context, from membership.Member) {
+	if err := n.askMembers(context.WithoutCancel(ctx), from.PeerAddress); err != nil {
+		n.log.Debug("members not synced", "member", from.Name, "error", err)
+	}
 }
 
 // Leave tells a few members that this daemon leaves.
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,14 +33,14 @@
 }
 
 // Exchange implements peerpb.DRPCPeerServer.
-func (s *server) Exchange(_ context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+func (s *server) Exchange(ctx context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	n := s.node
-	n.take(request.Sender, request.Revision, request.Updates, request.Drains)
+	n.take(ctx, request)
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return &peerpb.ExchangeReply{
 		Sender: encodeMember(n.state.Self()), Revision: uint64(n.options.Configuration.Revision()),
-		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}, nil
 }
 
