--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,181 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/platform"
+)
+
+const good = `
+[[policy]]
+name = "reads"
+class = '"read"'
+[[service]]
+name = "prices"
+policy = "reads"
+[[placement]]
+service = "prices"
+[[placement.backend]]
+id = "b1"
+address = "10.0.0.1:80"
+`
+
+// bad gives one wrong object a row, and what the error must name.
+var bad = []struct{ text, named string }{
+	{`colour = "red"`, "colour"},
+	{`[[service]]` + "\n" + `nme = "x"`, "nme"},
+	{`[[service]]` + "\n" + `name = 5`, "name"},
+	{`[[service`, ":1:"},
+	{`[[service]]`, "setting name"},
+	{service(`name = "UPPER"`), `"UPPER"`[1:6]},
+	{service(`name = "-x"`), "setting name"},
+	{service(`name = "` + strings.Repeat("a", 64) + `"`), "setting name"},
+	{service(`name = "a"` + "\n" + `path_prefix = "no-slash"`), "path_prefix"},
+	{service(`name = "a"` + "\n" + `hosts = [""]`), "hosts"},
+	{service(`name = "a"` + "\n" + `hosts = ["a:80"]`), "hosts"},
+	{service(`name = "a"` + "\n" + `policy = "missing"`), "setting policy"},
+	{service(`name = "a"` + "\n" + `slots = -1`), "setting slots"},
+	{service(`name = "a"` + "\n" + `slots = 10001`), "setting slots"},
+	{service(`name = "a"` + "\n" + `queue_limit = -5`), "queue_limit"},
+	{service(`name = "a"` + "\n" + `queue_limit = 1000001`), "queue_limit"},
+	{service(`name = "a"` + "\n" + `deadline = "-1s"`), "deadline"},
+	{service(`name = "a"` + "\n" + `deadline = "25h"`), "deadline"},
+	{service(`name = "a"` + "\n" + `deadline = "soon"`), "deadline"},
+	{service(`name = "a"` + "\n" + `deadline = 5`), "deadline"},
+	{service(`name = "a"` + "\n" + `refusal_status = 200`), "refusal_status"},
+	{service(`name = "a"` + "\n" + `refusal_status = 600`), "refusal_status"},
+	{service(`name = "a"` + "\n" + `probe_path = "load"`), "probe_path"},
+	{service(`name = "a"` + "\n" + `probes_per_second = -1.0`), "probes_per_second"},
+	{service(`name = "a"` + "\n" + `probe_path = "/load"` + "\n" + `probes_per_second = 1001.0`), "probes_per_second"},
+	{service(`name = "a"` + "\n" + `probes_per_second = 1.0`), "probe_path"},
+	{service(`name = "a"` + "\n" + `probe_cost = "11s"`), "probe_cost"},
+	{service(`name = "a"`) + service(`name = "a"`), "a name used once"},
+	{service(`name = "a"`) + service(`name = "b"`), "path_prefix"},
+	{service(`name = "a"`+"\n"+`hosts = ["x"]`) + service(`name = "b"`+"\n"+`hosts = ["X"]`), "path_prefix"},
+	{"[[placement]]\nservice = \"missing\"", "setting service"},
+	{placed(""), ""},
+	{placed(`id = "B"` + "\n" + `address = "10.0.0.1:80"`), "backend.id"},
+	{placed(`id = "b"` + "\n" + `address = "host:80"`), "backend.address"},
+	{placed(`id = "b"` + "\n" + `address = "10.0.0.1"`), "backend.address"},
+	{placed(`id = "b"` + "\n" + `address = "10.0.0.1:0"`), "backend.address"},
+	{placed(`id = "b"` + "\n" + `address = "10.0.0.1:80"` + "\n" + `slots = -1`), "backend.slots"},
+	{placed(`id = "b"` + "\n" + `address = "10.0.0.1:80"` + "\n" + `connections = 10001`), "backend.connections"},
+	{placed(`id = "b"`+"\n"+`address = "10.0.0.1:80"`) + "[[placement.backend]]\nid = \"b\"\naddress = \"10.0.0.2:80\"\n", "an id used once"},
+	{placed(`id = "b"`+"\n"+`address = "10.0.0.1:80"`) + "[[placement]]\nservice = \"a\"\n", "one placement"},
+	{service("name = \"a\"\nprobe_path = \"/l\"\nprobes_per_second = 10.0\nprobe_cost = \"6ms\"") + "[[placement]]\nservice = \"a\"\n[[placement.backend]]\nid = \"b\"\naddress = \"10.0.0.1:80\"\n", "at most 0.01 of the placement's 3 slots"},
+	{rule(`name = "P!"`), "setting name"},
+	{rule(`name = "p"`) + rule(`name = "p"`), "a name used once"},
+	{rule("name = \"p\"\nclass = 'method +'"), "class: line 1"},
+	{rule("name = \"p\"\nclass = 'unknown'"), "undeclared reference"},
+	{rule("name = \"p\"\nclass = '5'"), "must give string"},
+	{rule("name = \"p\"\nweight = '\"5\"'"), "must give int"},
+	{rule("name = \"p\"\nretry = '1'"), "must give bool"},
+	{rule("name = \"p\"\nwait = '5'"), "wait: line 1"},
+	{rule("name = \"p\"\ndeadline = 'duration(\"soon\")'"), "deadline"},
+	{rule("name = \"p\"\nonce = 'path'"), "once: line 1"},
+	{rule("name = \"p\"\nkey = 'true'"), "key: line 1"},
+	{rule("name = \"p\"\nsession = '1 + 1'"), "session: line 1"},
+	{rule("name = \"p\"\nclass = '''\"a\" + \nmethod + 1'''"), "line 2"},
+	{rule("name = \"p\"\nretry = 'header.all(a, header.all(b, header.all(c, a == b && b == c)))'"), "may cost"},
+	{rule("name = \"p\"\nclass = '\"" + strings.Repeat("x", 5000) + "\"'"), "at most 4096"},
+}
+
+func service(body string) string { return "[[service]]\n" + body + "\n" }
+func rule(body string) string    { return "[[policy]]\n" + body + "\n" }
+func placed(body string) string {
+	return service(`name = "a"`) + "[[placement]]\nservice = \"a\"\n[[placement.backend]]\n" + body + "\n"
+}
+
+// TestBadObjects feeds wrong objects: each is refused with the place, none
+// panics, and what is in force stays.
+func TestBadObjects(t *testing.T) {
+	store := platform.NewMemory()
+	editor := config.NewEditor(store, time.Now)
+	content, err := config.DecodeTOML("good.toml", []byte(good))
+	require.NoError(t, err)
+	inForce, err := editor.Apply(t.Context(), config.Edit{ID: "good", Set: content})
+	require.NoError(t, err)
+	for index, one := range bad {
+		err := apply(t.Context(), editor, index, one.text)
+		require.Error(t, err, one.text)
+		require.Contains(t, err.Error(), one.named, one.text)
+		now, _, err := config.Load(t.Context(), store)
+		require.NoError(t, err)
+		require.Equal(t, inForce.Revision, now.Revision, one.text)
+	}
+	require.Greater(t, len(bad), 50)
+}
+
+// apply does with a text what the command and the daemon do.
+func apply(ctx context.Context, editor *config.Editor, number int, text string) error {
+	content, err := config.DecodeTOML("bad.toml", []byte(text))
+	if err != nil {
+		return err
+	}
+	if err := content.Validate(); err != nil {
+		return err
+	}
+	_, err = editor.Apply(ctx, config.Edit{ID: fmt.Sprint(number), Set: content})
+	return err
+}
+
+// TestHistory follows changes, takes them back, and spreads them as differences.
+func TestHistory(t *testing.T) {
+	editor := config.NewEditor(platform.NewMemory(), time.Now)
+	var documents []config.Document
+	for number := range 5 {
+		set := config.Content{Policies: []config.Policy{{Name: fmt.Sprintf("p%d", number%2)}}}
+		set.Policies[0].Class = fmt.Sprintf("%q", fmt.Sprint(number))
+		document, err := editor.Apply(t.Context(), config.Edit{ID: fmt.Sprint(number), Set: set})
+		require.NoError(t, err)
+		documents = append(documents, document)
+	}
+	last := documents[4]
+	for _, earlier := range documents {
+		content, err := last.ContentAt(earlier.Revision)
+		require.NoError(t, err)
+		require.Equal(t, earlier.Content, content)
+		changes, ok := last.ChangesAfter(earlier.Revision)
+		require.True(t, ok)
+		followed, err := earlier.Follow(changes)
+		require.NoError(t, err)
+		require.Equal(t, last.Content, followed.Content)
+		require.Equal(t, last.Revision, followed.Revision)
+	}
+	_, err := documents[0].Follow(last.History[2:])
+	require.Error(t, err, "a missing change was not noticed")
+}
+
+func FuzzDecodeObjects(f *testing.F) {
+	f.Add([]byte(good))
+	for _, one := range bad {
+		f.Add([]byte(one.text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		content, err := config.DecodeTOML("fuzz.toml", text)
+		if err != nil || content.Validate() != nil {
+			return
+		}
+		document, err := config.Document{}.Advance(content, config.Change{ID: "fuzz"})
+		require.NoError(t, err)
+		_, err = config.NewSnapshot(document)
+		require.NoError(t, err, "content that is valid must be usable")
+	})
+}
+
+func FuzzDecodeDocument(f *testing.F) {
+	f.Add([]byte(`{"revision":1,"content":{"policies":[{"name":"p"}]}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		document, err := config.DecodeDocument(data)
+		if err == nil {
+			_, _ = config.NewSnapshot(document)
+		}
+	})
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -18,6 +18,8 @@
 	MaxSlots             = 10000
 	MaxQueueLimit        = 1_000_000
 	MaxDeadline          = Duration(24 * time.Hour)
+	MaxProbeCost         = Duration(10 * time.Second)
+	MinDuration          = Duration(10 * time.Microsecond)
 	MaxConnections       = 10000
 	MaxProbesPerSecond   = 1000
 	MaxProbeShare        = 0.01 // of a service's slot time
@@ -61,14 +63,15 @@
 	}
 }
 
-func checkRange[T int | Duration | float64](v *validator, object ObjectKey, setting string, value, low, high T) {
-	shown := func(x T) string {
-		if d, ok := any(x).(Duration); ok {
-			return time.Duration(d).String()
-		}
-		return fmt.Sprint(x)
-	}
-	v.check(value >= low && value <= high, object, setting, shown(value), shown(low)+" to "+shown(high))
+func checkRange[T int | float64](v *validator, object ObjectKey, setting string, value, low, high T) {
+	v.check(value >= low && value <= high, object, setting, value, fmt.Sprintf("%v to %v", low, high))
+}
+
+// checkDuration refuses durations so short that they were surely written as a bare
+// number, which TOML would take for nanoseconds.
+func (v *validator) checkDuration(object ObjectKey, setting string, value, high Duration) {
+	ok := value == 0 || (value >= MinDuration && value <= high)
+	v.check(ok, object, setting, time.Duration(value), fmt.Sprintf("0 or %s to %s, with a unit", time.Duration(MinDuration), time.Duration(high)))
 }
 
 // Validate checks the content as a whole. The error joins an *ObjectError for
@@ -150,11 +153,11 @@
 	}
 	checkRange(v, object, "slots", s.Slots, 0, MaxSlots)
 	checkRange(v, object, "queue_limit", s.QueueLimit, 0, MaxQueueLimit)
-	checkRange(v, object, "deadline", s.Deadline, 0, MaxDeadline)
+	v.checkDuration(object, "deadline", s.Deadline, MaxDeadline)
 	v.check(s.RefusalStatus == 0 || (s.RefusalStatus >= minStatus && s.RefusalStatus <= maxStatus), object, "refusal_status", s.RefusalStatus, "0 or 400 to 599")
 	v.check(s.ProbePath == "" || strings.HasPrefix(s.ProbePath, "/"), object, "probe_path", s.ProbePath, "a path that begins with /")
 	checkRange(v, object, "probes_per_second", s.ProbesPerSecond, 0, MaxProbesPerSecond)
-	checkRange(v, object, "probe_cost", s.ProbeCost, 0, Duration(10*time.Second))
+	v.checkDuration(object, "probe_cost", s.ProbeCost, MaxProbeCost)
 	v.check(s.ProbesPerSecond == 0 || s.ProbePath != "", object, "probe_path", s.ProbePath, "a path, as probes_per_second is above 0")
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -172,19 +172,21 @@
 		check(isAddress(address), "peers", address, "IP:port")
 	}
 	check(isBase(s.Platform.Address), "platform.address", s.Platform.Address, "http://IP:port")
-	check(within(s.Platform.Timeout, 1, maxTimeout), "platform.timeout", time.Duration(s.Platform.Timeout), "above 0 to 1m")
+	check(within(s.Platform.Timeout, maxTimeout), "platform.timeout", time.Duration(s.Platform.Timeout), "10µs to 1m, with a unit")
 	check(s.Platform.Watchers >= 1 && s.Platform.Watchers <= maxWatchers, "platform.watchers", s.Platform.Watchers, "1 to 20")
 	check(s.Platform.WritesPerSecond > 0 && s.Platform.WritesPerSecond <= maxWrites, "platform.writes_per_second", s.Platform.WritesPerSecond, "above 0 to 100")
-	check(within(s.Stop.Notice, 0, maxNotice), "stop.notice", time.Duration(s.Stop.Notice), "0 to 10m")
-	check(within(s.Stop.Sessions, 0, maxSessions), "stop.sessions", time.Duration(s.Stop.Sessions), "0 to 168h")
+	check(within(s.Stop.Notice, maxNotice), "stop.notice", time.Duration(s.Stop.Notice), "10µs to 10m, with a unit")
+	check(s.Stop.Sessions == 0 || within(s.Stop.Sessions, maxSessions), "stop.sessions", time.Duration(s.Stop.Sessions), "0 or 10µs to 168h, with a unit")
 	var level slog.Level
 	check(level.UnmarshalText([]byte(s.Log.Level)) == nil, "log.level", s.Log.Level, "debug, info, warn or error")
 	check(s.Log.Format == "text" || s.Log.Format == "json", "log.format", s.Log.Format, "text or json")
 	return stderrors.Join(wrong...)
 }
 
-func within(value, low, high config.Duration) bool {
-	return value >= low && value <= high
+// within refuses durations so short that they were surely written as a bare
+// number, which TOML would take for nanoseconds.
+func within(value, high config.Duration) bool {
+	return value >= config.MinDuration && value <= high
 }
 
 func isAddress(text string) bool {
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,76 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/settings"
+)
+
+const good = `
+name = "entry-1"
+region = "region-1"
+zone = "zone-a"
+peers = ["10.0.0.2:7000"]
+[listen]
+caller = "10.0.0.1:80"
+peer = "10.0.0.1:7000"
+forward = "10.0.0.1:7001"
+admin = "10.0.0.1:9090"
+[platform]
+address = "http://10.0.0.9:80"
+timeout = "2s"
+watchers = 3
+writes_per_second = 20.0
+[stop]
+notice = "2s"
+sessions = "1h"
+[log]
+level = "info"
+format = "text"
+`
+
+// TestBadSettings changes one line at a time for the worse.
+func TestBadSettings(t *testing.T) {
+	_, err := settings.Decode("good.toml", []byte(good))
+	require.NoError(t, err)
+	for _, one := range []struct{ line, worse, named string }{
+		{`name = "entry-1"`, `name = ""`, "setting name"},
+		{`name = "entry-1"`, `name = "a b"`, "setting name"},
+		{`name = "entry-1"`, ``, "setting name"},
+		{`region = "region-1"`, `region = "R"`, "setting region"},
+		{`zone = "zone-a"`, `zone = 5`, "zone"},
+		{`zone = "zone-a"`, `zoom = "zone-a"`, `unknown key "zoom"`},
+		{`peers = ["10.0.0.2:7000"]`, `peers = ["host"]`, "setting peers"},
+		{`caller = "10.0.0.1:80"`, `caller = "10.0.0.1"`, "setting listen.caller"},
+		{`peer = "10.0.0.1:7000"`, `peer = ":7000"`, "setting listen.peer"},
+		{`forward = "10.0.0.1:7001"`, `forward = "10.0.0.1:99999"`, "setting listen.forward"},
+		{`admin = "10.0.0.1:9090"`, `admin = "x:9090"`, "setting listen.admin"},
+		{`address = "http://10.0.0.9:80"`, `address = "10.0.0.9:80"`, "setting platform.address"},
+		{`timeout = "2s"`, `timeout = "2 s"`, "timeout"},
+		{`timeout = "2s"`, `timeout = 2`, "setting platform.timeout"},
+		{`timeout = "2s"`, `timeout = "2m"`, "setting platform.timeout"},
+		{`watchers = 3`, `watchers = -1`, "setting platform.watchers"},
+		{`watchers = 3`, `watchers = 21`, "setting platform.watchers"},
+		{`writes_per_second = 20.0`, `writes_per_second = 101.0`, "setting platform.writes_per_second"},
+		{`notice = "2s"`, `notice = "11m"`, "setting stop.notice"},
+		{`sessions = "1h"`, `sessions = "-1h"`, "setting stop.sessions"},
+		{`level = "info"`, `level = "loud"`, "setting log.level"},
+		{`format = "text"`, `format = "xml"`, "setting log.format"},
+		{`[log]`, `[log`, "bad.toml:"},
+	} {
+		require.Contains(t, good, one.line)
+		_, err := settings.Decode("bad.toml", []byte(strings.Replace(good, one.line, one.worse, 1)))
+		require.Error(t, err, one.worse)
+		require.Contains(t, err.Error(), one.named, one.worse)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		_, _ = settings.Decode("fuzz.toml", text)
+	})
+}
