Tests: retries down a chain of 20, membership under partitions, faults in the simulator

One server of ten that rejects everything gets under 1% of the requests within 1 s and comes back within 10 s; one that is 10 x as slow: p99 within 1.3 x after 2 s; at 2 x and 5 x load goodput above 95% of capacity and the heavy class within 2 x its unloaded p99.

--- /dev/null
+++ b/lab/simulation/simulation_test.go
@@ -0,0 +1,104 @@
+package simulation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/lab/simulation"
+	"github.com/tuliphall/tuliphall/routing"
+)
+
+// product is how the daemons balance.
+func product() simulation.System {
+	return simulation.System{
+		Name: "tuliphall", Picker: func(simulation.Oracle) routing.Picker { return routing.LeastLoad{} },
+		Overcommit: routing.DefaultOvercommit, Dispatchers: 1, Reports: true,
+	}
+}
+
+// priceQuery is Kingston's price query service without noise.
+func priceQuery(load float64, duration time.Duration) simulation.Scenario {
+	return simulation.Scenario{
+		Zones: 4, Daemons: 16, Workers: 10, Slots: 3, Work: 5 * time.Millisecond,
+		WireNear: 100 * time.Microsecond, WireFar: 1500 * time.Microsecond, HopCost: 60 * time.Microsecond,
+		Load: load, Duration: duration, WarmUp: time.Second, Seed: 1, Timeline: 500 * time.Millisecond,
+	}
+}
+
+// TestSameSeedSameResult keeps the simulator repeatable.
+func TestSameSeedSameResult(t *testing.T) {
+	scenario := priceQuery(0.85, 3*time.Second)
+	scenario.Noise = simulation.Noise{Slowdown: 3, Noisy: 50 * time.Millisecond, Quiet: 450 * time.Millisecond}
+	first, second := simulation.Run(scenario, product()), simulation.Run(scenario, product())
+	require.Equal(t, first.Answered, second.Answered)
+	require.Equal(t, first.P(99), second.P(99))
+	require.Equal(t, first.Attempts, second.Attempts)
+}
+
+// shareOf returns a worker's share of the attempts in an interval.
+func shareOf(interval simulation.Interval, worker int) float64 {
+	total := 0
+	for _, sent := range interval.Sent {
+		total += sent
+	}
+	return float64(interval.Sent[worker]) / float64(total)
+}
+
+// TestRejectingServer lets one of ten refuse everything from second 3 to 8.
+func TestRejectingServer(t *testing.T) {
+	scenario := priceQuery(0.7, 20*time.Second)
+	scenario.Faults = []simulation.Fault{{Kind: simulation.FaultReject, Worker: 4, From: 3 * time.Second, Until: 8 * time.Second}}
+	result := simulation.Run(scenario, product())
+	for _, interval := range result.Intervals {
+		switch {
+		case interval.From >= 4*time.Second && interval.From < 8*time.Second:
+			require.Less(t, shareOf(interval, 4), 0.01, "at %s", interval.From)
+		case interval.From >= 18*time.Second && interval.From < 19*time.Second:
+			require.Greater(t, shareOf(interval, 4), 0.05, "not back at %s", interval.From)
+		}
+	}
+	require.Zero(t, result.RefusedRan)
+	require.Less(t, float64(result.Failed), 0.001*float64(result.Offered))
+}
+
+// TestSlowServer slows one of ten down tenfold from second 3 to 10.
+func TestSlowServer(t *testing.T) {
+	undisturbed := simulation.Run(priceQuery(0.7, 10*time.Second), product())
+	scenario := priceQuery(0.7, 10*time.Second)
+	scenario.Faults = []simulation.Fault{{Kind: simulation.FaultSlow, Worker: 4, From: 3 * time.Second, Until: 10 * time.Second, Factor: 10}}
+	result := simulation.Run(scenario, product())
+	for _, interval := range result.Intervals {
+		if interval.From < 5*time.Second || interval.From >= 9500*time.Millisecond {
+			continue
+		}
+		p99 := time.Duration(interval.Latency.ValueAtQuantile(99)) * time.Microsecond
+		require.Less(t, float64(p99), 1.3*float64(undisturbed.P(99)), "at %s: %s against %s", interval.From, p99, undisturbed.P(99))
+	}
+}
+
+// overloadClasses are a heavy class of a tenth of the requests, and the rest.
+func overloadClasses() []simulation.Class {
+	return []simulation.Class{
+		{Name: "high", Share: 0.1, Weight: 100, Deadline: time.Second},
+		{Name: "low", Share: 0.9, Weight: 1, Deadline: time.Second},
+	}
+}
+
+// TestOverload offers two and five times the capacity.
+func TestOverload(t *testing.T) {
+	calm := priceQuery(0.5, 5*time.Second)
+	calm.Classes = overloadClasses()
+	unloaded := simulation.Run(calm, product()).Classes["high"].ValueAtQuantile(99)
+	for _, load := range []float64{2, 5} {
+		scenario := priceQuery(load, 8*time.Second)
+		scenario.Classes = overloadClasses()
+		scenario.Queue = 1000
+		result := simulation.Run(scenario, product())
+		require.Greater(t, result.Goodput(), 0.95*result.Capacity, "load %g", load)
+		require.Zero(t, result.RefusedRan)
+		high := result.Classes["high"].ValueAtQuantile(99)
+		require.LessOrEqual(t, high, 2*unloaded, "load %g", load)
+	}
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,185 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/membership"
+)
+
+// cluster is a fleet whose exchanges are made by the test.
+type cluster struct {
+	now    time.Time
+	states []*membership.State
+	byName map[string]int
+	cut    func(a, b int) bool
+	down   map[int]bool
+}
+
+func newCluster(size int) *cluster {
+	c := &cluster{now: time.Unix(1000, 0), byName: make(map[string]int), down: make(map[int]bool)}
+	for number := range size {
+		c.add(number, 1)
+	}
+	return c
+}
+
+func (c *cluster) add(number int, incarnation uint64) {
+	name := fmt.Sprintf("daemon-%03d", number)
+	self := membership.Member{Name: name, Incarnation: incarnation}
+	state := membership.NewState(self, rand.New(rand.NewPCG(uint64(number), incarnation)))
+	if number < len(c.states) {
+		c.states[number] = state
+	} else {
+		c.states = append(c.states, state)
+	}
+	c.byName[name] = number
+	// Everybody starts by asking the first daemon that runs.
+	for other := range number {
+		if !c.down[other] {
+			state.Merge(c.now, append(c.states[other].Members(), c.states[other].Self()))
+			c.states[other].Heard(c.now, self)
+			return
+		}
+	}
+}
+
+// reaches says whether two daemons can talk.
+func (c *cluster) reaches(a, b int) bool {
+	return !c.down[a] && !c.down[b] && (c.cut == nil || !c.cut(a, b))
+}
+
+// period lets every running daemon make its exchange.
+func (c *cluster) period() {
+	c.now = c.now.Add(membership.Period)
+	for number, state := range c.states {
+		if c.down[number] {
+			continue
+		}
+		state.Tick(c.now)
+		target, found := state.Next()
+		if !found {
+			continue
+		}
+		other := c.byName[target.Name]
+		if !c.reaches(number, other) {
+			state.Unreachable(c.now, target.Name)
+			continue
+		}
+		c.exchange(number, other)
+		c.exchange(other, number)
+	}
+}
+
+// exchange tells one daemon what another knows.
+func (c *cluster) exchange(from, to int) {
+	sender, receiver := c.states[from], c.states[to]
+	receiver.Merge(c.now, sender.Updates())
+	receiver.Heard(c.now, sender.Self())
+	if receiver.SyncDue(c.now, sender.Digest()) {
+		receiver.Merge(c.now, append(sender.Members(), sender.Self()))
+	}
+}
+
+// periodsUntil returns how many periods it takes until a condition holds.
+func (c *cluster) periodsUntil(t *testing.T, limit int, holds func() bool) int {
+	t.Helper()
+	for count := range limit {
+		if holds() {
+			return count
+		}
+		c.period()
+	}
+	t.Fatalf("not within %d periods", limit)
+	return 0
+}
+
+// allKnow says whether each running daemon takes exactly the running ones for
+// serving.
+func (c *cluster) allKnow() bool {
+	running := len(c.states) - len(c.down)
+	for number, state := range c.states {
+		if !c.down[number] && len(state.Serving()) != running {
+			return false
+		}
+	}
+	return true
+}
+
+func TestJoinAndDeath(t *testing.T) {
+	c := newCluster(60)
+	c.periodsUntil(t, 30, c.allKnow)
+	c.down[7] = true
+	c.periodsUntil(t, 40, c.allKnow)
+	// It comes back under the same name with a higher incarnation.
+	delete(c.down, 7)
+	c.add(7, 2)
+	c.periodsUntil(t, 40, c.allKnow)
+}
+
+// TestPartitionHeals cuts two regions apart for longer than it takes to declare
+// everybody on the other side dead.
+func TestPartitionHeals(t *testing.T) {
+	c := newCluster(40)
+	c.periodsUntil(t, 30, c.allKnow)
+	c.cut = func(a, b int) bool { return a%2 != b%2 }
+	c.periodsUntil(t, 200, func() bool {
+		for _, state := range c.states {
+			if len(state.Serving()) != 20 {
+				return false
+			}
+		}
+		return true
+	})
+	c.cut = nil
+	c.periodsUntil(t, 100, c.allKnow)
+}
+
+// TestFalseSuspicionIsRefuted lets one daemon be suspected though it runs.
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	c := newCluster(10)
+	c.periodsUntil(t, 30, c.allKnow)
+	c.states[0].Unreachable(c.now, "daemon-005")
+	for range 20 {
+		c.period()
+	}
+	require.True(t, c.allKnow())
+	for _, member := range c.states[0].Members() {
+		require.Equal(t, membership.Alive, member.Status, member.Name)
+	}
+}
+
+// TestLeave says goodbye aloud: nobody suspects first.
+func TestLeave(t *testing.T) {
+	c := newCluster(10)
+	c.periodsUntil(t, 30, c.allKnow)
+	c.states[3].Leave()
+	for other := range 3 {
+		c.exchange(3, other)
+	}
+	c.down[3] = true
+	require.LessOrEqual(t, c.periodsUntil(t, 10, c.allKnow), 5)
+}
+
+// TestChooseIsStable moves only the keys of the member that goes.
+func TestChooseIsStable(t *testing.T) {
+	members := newCluster(20).states[0].Serving()
+	require.NotEmpty(t, members)
+	all := make([]membership.Member, 0, 20)
+	for number := range 20 {
+		all = append(all, membership.Member{Name: fmt.Sprintf("daemon-%03d", number)})
+	}
+	without := append(append([]membership.Member(nil), all[:4]...), all[5:]...)
+	for key := range 200 {
+		before := membership.Choose(all, fmt.Sprint(key), 3)
+		after := membership.Choose(without, fmt.Sprint(key), 3)
+		require.Len(t, before, 3)
+		if before[0].Name != all[4].Name {
+			require.Equal(t, before[0], after[0])
+		}
+	}
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,85 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
+)
+
+// attempt is a failed first attempt that may be made again.
+func attempt() retry.Attempt {
+	return retry.Attempt{Code: resultcode.ConnectionBroken, Number: 1, Repeatable: true, Rewindable: true, Remaining: time.Second, Backends: 3}
+}
+
+func full() *retry.Budget {
+	budget := &retry.Budget{}
+	for range 1000 {
+		budget.Earn()
+	}
+	return budget
+}
+
+func TestDecide(t *testing.T) {
+	for _, one := range []struct {
+		name   string
+		change func(*retry.Attempt)
+		want   retry.Verdict
+	}{
+		{"repeatable", func(*retry.Attempt) {}, retry.Again},
+		{"not repeatable", func(a *retry.Attempt) { a.Repeatable = false }, retry.NotRepeatable},
+		{"not run, not repeatable", func(a *retry.Attempt) { a.Repeatable = false; a.Code = resultcode.BackendRefused }, retry.Again},
+		{"too many", func(a *retry.Attempt) { a.Number = retry.MaxAttempts }, retry.TooMany},
+		{"a retry already", func(a *retry.Attempt) { a.Upstream = true }, retry.FromUpstream},
+		{"body gone", func(a *retry.Attempt) { a.Rewindable = false }, retry.NoBody},
+		{"no time", func(a *retry.Attempt) { a.Expected = time.Minute }, retry.NoTime},
+		{"no other back end", func(a *retry.Attempt) { a.Backends = 0 }, retry.NoOther},
+	} {
+		made := attempt()
+		one.change(&made)
+		require.Equal(t, one.want, retry.Decide(made, full()), one.name)
+	}
+	require.Equal(t, retry.OverBudget, retry.Decide(attempt(), &retry.Budget{}))
+}
+
+// chain calls level after level; the last one fails always. Each level tells the
+// one above by an error answer, which is an answer and is not retried.
+func chain(budgets []*retry.Budget, level, number int, attempts []int) resultcode.Code {
+	budgets[level].Earn()
+	for try := 1; ; try++ {
+		attempts[level]++
+		code := resultcode.ConnectionBroken
+		if level+1 < len(budgets) {
+			// The back end of this level answers 502 when its own call fails.
+			chain(budgets, level+1, number, attempts)
+			code = resultcode.Answered
+		}
+		if code == resultcode.Answered {
+			return code
+		}
+		made := attempt()
+		made.Number, made.Code = try, code
+		if retry.Decide(made, budgets[level]) != retry.Again {
+			return code
+		}
+	}
+}
+
+// TestChain sends requests down 20 levels of which the last one fails.
+func TestChain(t *testing.T) {
+	const levels, requests = 20, 2000
+	var budgets []*retry.Budget
+	for range levels {
+		budgets = append(budgets, &retry.Budget{})
+	}
+	attempts := make([]int, levels)
+	for number := range requests {
+		chain(budgets, 0, number, attempts)
+	}
+	require.Equal(t, requests, attempts[0])
+	require.LessOrEqual(t, float64(attempts[levels-1]), 1.2*requests)
+	require.Greater(t, attempts[levels-1], requests, "nothing was retried")
+}
