--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -6,10 +6,13 @@
 	stderrors "errors"
 	"fmt"
 	"io"
+	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/tuliphall/tuliphall/lab/datapath"
 	"github.com/tuliphall/tuliphall/lab/experiment"
 	"github.com/tuliphall/tuliphall/lab/scale"
 )
@@ -39,6 +42,7 @@
 		{"backend", "Serve a stand-in for a back end", &backendServe{}},
 		{"fetch", "Print the whole answer to one request", &fetchRun{out: out}},
 		{"sleep", "Wait", &sleepRun{}},
+		{"data-path", "Measure what the daemon adds to a request", &dataPathRun{out: out}},
 		{"load", "Send load", &loadRun{out: out}},
 		{"site", "Bring up a whole site, send load, and end", &siteRun{out: out}},
 	} {
@@ -87,10 +91,22 @@
 	Window   time.Duration `long:"window" default:"15s" description:"how long the quiet fleet is measured"`
 	Changes  int           `long:"changes" default:"5" description:"configuration changes at each size"`
 	Save     string        `long:"save" value-name:"FILE" description:"write the results as JSON"`
+	Profile  string        `long:"profile" value-name:"FILE" description:"write a processor profile"`
 }
 
 // Execute implements flags.Commander.
 func (c *scaleRun) Execute([]string) error {
+	if c.Profile != "" {
+		file, err := os.Create(c.Profile)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	results, err := scale.Run(context.Background(), scale.Options{Sizes: c.Sizes, Services: c.Services, Window: c.Window, Changes: c.Changes}, c.out)
 	if err != nil {
 		return err
@@ -102,3 +118,24 @@
 	}
 	return results.Print(c.out)
 }
+
+type dataPathRun struct {
+	out      io.Writer
+	Duration time.Duration `long:"duration" default:"1s" description:"length of one slice"`
+	Slices   int           `long:"slices" default:"5" description:"slices of each way, in turn"`
+	Save     string        `long:"save" value-name:"FILE" description:"write the results as JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *dataPathRun) Execute([]string) error {
+	rows, err := datapath.Run(context.Background(), datapath.Options{Duration: c.Duration, Slices: c.Slices}, c.out)
+	if err != nil {
+		return err
+	}
+	if c.Save != "" {
+		if err := datapath.Save(c.Save, rows); err != nil {
+			return err
+		}
+	}
+	return datapath.Print(c.out, rows)
+}
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -146,9 +146,12 @@
 	}
 	defer running.Close()
 	m := &measurement{ctx: ctx, net: net, site: running, row: &row, members: members}
-	if err := m.apply(config.Edit{ID: "services", Set: declared(members, services)}); err != nil {
+	if _, err := m.change(config.Edit{ID: "services", Set: declared(members, services)}); err != nil {
 		return row, err
 	}
+	if err := m.until(running.AllKnown); err != nil {
+		return row, errors.Annotate(err, "joining")
+	}
 	row.JoinSeconds = time.Since(begun).Seconds()
 	time.Sleep(settle)
 	m.steady(options.Window)
@@ -174,14 +177,33 @@
 	members int
 }
 
-// apply declares a change through one daemon and waits until it is in force at
-// all.
-func (m *measurement) apply(edit config.Edit) error {
+// until waits until something holds.
+func (m *measurement) until(holds func() bool) error {
+	for !holds() {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-m.ctx.Done():
+			return m.ctx.Err()
+		}
+	}
+	return nil
+}
+
+// change makes one change and returns the seconds from its acceptance until it
+// was in force everywhere.
+func (m *measurement) change(edit config.Edit) (float64, error) {
 	document, err := m.site.Daemon(site.DaemonName(0)).Apply(m.ctx, edit)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return m.site.WaitInForce(m.ctx, document.Revision)
+	begun := time.Now()
+	err = m.until(func() bool { return m.site.InForce(document.Revision) })
+	return time.Since(begun).Seconds(), errors.Annotate(err, edit.ID)
+}
+
+// policyChange changes one policy.
+func policyChange(id string) config.Edit {
+	return config.Edit{ID: id, Set: config.Content{Policies: []config.Policy{{Name: "changing", Source: policy.Source{Class: `"` + id + `"`}}}}}
 }
 
 // sent returns the bytes and connections of all daemons together.
@@ -220,7 +242,7 @@
 	bytes, conns := m.sent()
 	begun := time.Now()
 	for number := range count {
-		seconds, err := m.change(fmt.Sprintf("change-%d", number))
+		seconds, err := m.change(policyChange(fmt.Sprintf("change-%d", number)))
 		if err != nil {
 			return err
 		}
@@ -238,33 +260,6 @@
 	return nil
 }
 
-// change makes one change and returns the seconds from its acceptance until it
-// was in force everywhere.
-func (m *measurement) change(id string) (float64, error) {
-	edit := config.Edit{ID: id, Set: config.Content{Policies: []config.Policy{{Name: "changing", Source: policy.Source{Class: `"` + id + `"`}}}}}
-	document, err := m.site.Daemon(site.DaemonName(0)).Apply(m.ctx, edit)
-	if err != nil {
-		return 0, err
-	}
-	begun := time.Now()
-	for {
-		lagging := 0
-		for _, one := range m.site.Daemons() {
-			if one.Document().Revision < document.Revision {
-				lagging++
-			}
-		}
-		if lagging == 0 {
-			return time.Since(begun).Seconds(), nil
-		}
-		select {
-		case <-time.After(10 * time.Millisecond):
-		case <-m.ctx.Done():
-			return 0, errors.Annotatef(m.ctx.Err(), "%d daemons lag", lagging)
-		}
-	}
-}
-
 // regionsCut measures a change while the regions cannot reach each other. Both
 // reach the platform.
 func (m *measurement) regionsCut() error {
@@ -275,7 +270,7 @@
 	m.net.SetRule(func(a, b string) bool {
 		return regions[a] != "" && regions[b] != "" && regions[a] != regions[b]
 	})
-	seconds, err := m.change("change-cut")
+	seconds, err := m.change(policyChange("change-cut"))
 	m.net.SetRule(nil)
 	m.row.CutMax = seconds
 	return err
@@ -285,23 +280,16 @@
 func (m *measurement) death() error {
 	m.site.KillDaemon(site.DaemonName(m.members - 1))
 	begun := time.Now()
-	for {
-		knowing := 0
+	err := m.until(func() bool {
 		for _, one := range m.site.Daemons() {
 			if one.KnownMembers() >= m.members {
-				knowing++
+				return false
 			}
 		}
-		if knowing == 0 {
-			m.row.DeathSeconds = time.Since(begun).Seconds()
-			return nil
-		}
-		select {
-		case <-time.After(20 * time.Millisecond):
-		case <-m.ctx.Done():
-			return errors.Annotatef(m.ctx.Err(), "%d daemons take the dead one for alive", knowing)
-		}
-	}
+		return true
+	})
+	m.row.DeathSeconds = time.Since(begun).Seconds()
+	return errors.Annotate(err, "a death")
 }
 
 // memory returns the bytes in use after a collection.
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -122,7 +122,7 @@
 			return nil, err
 		}
 	}
-	if options.Daemons == 0 {
+	if options.Daemons == 0 || len(options.Services) == 0 {
 		return s, nil
 	}
 	if err := s.declare(ctx); err != nil {
@@ -287,7 +287,7 @@
 // every daemon knows every other.
 func (s *Site) WaitInForce(ctx context.Context, revision config.Revision) error {
 	for {
-		if s.inForce(revision) {
+		if s.InForce(revision) && s.AllKnown() {
 			return nil
 		}
 		select {
@@ -298,10 +298,21 @@
 	}
 }
 
-func (s *Site) inForce(revision config.Revision) bool {
+// InForce says whether a revision is in force at every running daemon.
+func (s *Site) InForce(revision config.Revision) bool {
+	for _, running := range s.Daemons() {
+		if running.Document().Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// AllKnown says whether every running daemon knows every other.
+func (s *Site) AllKnown() bool {
 	daemons := s.Daemons()
 	for _, running := range daemons {
-		if running.Document().Revision < revision || running.KnownMembers() < len(daemons) {
+		if running.KnownMembers() < len(daemons) {
 			return false
 		}
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -92,11 +92,13 @@
 	periods int
 	version uint64
 	synced  time.Time
+	digest  uint64
+	stale   bool // digest must be reckoned again
 }
 
 // NewState returns a view that holds only the daemon itself.
 func NewState(self Member, random *rand.Rand) *State {
-	return &State{self: self, random: random, members: make(map[string]*entry)}
+	return &State{self: self, random: random, members: make(map[string]*entry), stale: true}
 }
 
 // Self returns the daemon's own entry.
@@ -122,10 +124,10 @@
 // Serving returns the members that take requests, the daemon itself included
 // unless it is leaving, ordered by name.
 func (s *State) Serving() []Member {
-	var serving []Member
-	for _, member := range s.Members() {
-		if member.Serving() {
-			serving = append(serving, member)
+	serving := make([]Member, 0, len(s.members)+1)
+	for _, one := range s.members {
+		if one.Serving() {
+			serving = append(serving, one.Member)
 		}
 	}
 	if s.self.Serving() {
@@ -139,6 +141,7 @@
 func (s *State) Leave() {
 	s.self.Status = Left
 	s.self.Incarnation++
+	s.stale = true
 	s.version++
 }
 
@@ -226,6 +229,7 @@
 		s.version++
 	}
 	s.members[update.Name] = &entry{Member: update, changed: now}
+	s.stale = true
 	if !known {
 		s.insert(update.Name)
 	}
@@ -257,6 +261,7 @@
 		return
 	}
 	s.self.Incarnation = update.Incarnation + 1
+	s.stale = true
 }
 
 // Heard notes a message that came straight from a member. A member that is held
@@ -273,13 +278,17 @@
 // Digest is the same for two daemons that know the same members in the same
 // incarnations, whether they serve or not counted.
 func (s *State) Digest() uint64 {
-	digest := digestOf(s.self)
+	if !s.stale {
+		return s.digest
+	}
+	s.digest = digestOf(s.self)
 	for _, one := range s.members {
 		if one.Serving() {
-			digest ^= digestOf(one.Member)
+			s.digest ^= digestOf(one.Member)
 		}
 	}
-	return digest
+	s.stale = false
+	return s.digest
 }
 
 func digestOf(m Member) uint64 {
@@ -318,6 +327,7 @@
 		case one.Status == Suspect && age >= timeout:
 			one.Status, one.changed, one.sent = Dead, now, 0
 			s.version++
+			s.stale = true
 			declared = append(declared, one.Member)
 		case !one.Serving() && age >= deadKept:
 			delete(s.members, name)
