--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -38,6 +38,7 @@
 		name, short string
 		action      flags.Commander
 	}{
+		{"demo", "Run a daemon with two example back ends", &demo{out: out}},
 		{"platform", "Serve a stand-in for the platform", &platformServe{}},
 		{"backend", "Serve a stand-in for a back end", &backendServe{}},
 		{"fetch", "Print the whole answer to one request", &fetchRun{out: out}},
