--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,182 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/routing"
+)
+
+func backends(count int) []routing.Backend {
+	list := make([]routing.Backend, 0, count)
+	for number := range count {
+		list = append(list, routing.Backend{ID: fmt.Sprintf("b%d", number), Slots: 3})
+	}
+	return list
+}
+
+func newDispatcher(count, queue int) *dispatch.Dispatcher {
+	d := dispatch.New(rand.New(rand.NewPCG(1, 1)), queue)
+	d.Configure(backends(count), queue)
+	return d
+}
+
+func request(weight int, wait time.Duration) dispatch.Request {
+	return dispatch.Request{Weight: weight, Wait: wait, Deadline: time.Now().Add(10 * time.Second)}
+}
+
+// fill takes every place of a cold back end: one.
+func fill(t *testing.T, d *dispatch.Dispatcher) *dispatch.Grant {
+	t.Helper()
+	grant, err := d.Acquire(t.Context(), request(1, 0))
+	require.NoError(t, err)
+	return grant
+}
+
+// TestWaitExpires lets a request wait as long as its policy allows, and no longer.
+func TestWaitExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(1, 10)
+		fill(t, d)
+		begun := time.Now()
+		_, err := d.Acquire(t.Context(), request(1, 300*time.Millisecond))
+		require.Equal(t, resultcode.WaitExpired, err.(*resultcode.Failure).Code)
+		require.Equal(t, 300*time.Millisecond, time.Since(begun))
+	})
+}
+
+// TestHeavierGoesFirst serves waiting requests by weight, and displaces the
+// lightest when the queue is full.
+func TestHeavierGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(1, 2)
+		held := fill(t, d)
+		order := make(chan int, 3)
+		displaced := make(chan resultcode.Code, 3)
+		for _, weight := range []int{1, 5, 9} {
+			go func() {
+				grant, err := d.Acquire(t.Context(), request(weight, 0))
+				if err != nil {
+					displaced <- err.(*resultcode.Failure).Code
+					return
+				}
+				order <- weight
+				grant.Done(routing.Canceled, 0)
+			}()
+			synctest.Wait()
+		}
+		require.Equal(t, resultcode.QueueFull, <-displaced)
+		held.Done(routing.Canceled, 0)
+		require.Equal(t, 9, <-order)
+		require.Equal(t, 5, <-order)
+	})
+}
+
+// TestCallerLeaves takes a waiting request out of the queue when its caller goes.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(1, 10)
+		fill(t, d)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := d.Acquire(ctx, request(1, 0))
+		require.Equal(t, resultcode.WaitExpired, err.(*resultcode.Failure).Code)
+		_, waiting := d.Status()
+		require.Zero(t, waiting)
+	})
+}
+
+// TestDraining gives nothing to a back end that leaves.
+func TestDraining(t *testing.T) {
+	d := newDispatcher(2, 10)
+	d.SetDraining("b0", true)
+	grant := fill(t, d)
+	require.Equal(t, "b1", grant.Backend.ID)
+	d.SetDraining("b1", true)
+	_, err := d.Acquire(t.Context(), request(1, 0))
+	require.Equal(t, resultcode.NoBackend, err.(*resultcode.Failure).Code)
+}
+
+// TestSessionsStay binds a session to one back end on every daemon alike.
+func TestSessionsStay(t *testing.T) {
+	first, second := newDispatcher(10, 10), newDispatcher(10, 10)
+	for session := range 50 {
+		made := request(1, 0)
+		made.Routing.Session = fmt.Sprint(session)
+		one, err := first.Acquire(t.Context(), made)
+		require.NoError(t, err)
+		two, err := second.Acquire(t.Context(), made)
+		require.NoError(t, err)
+		require.Equal(t, one.Backend.ID, two.Backend.ID)
+		require.Equal(t, routing.ReasonSession, one.Reason)
+	}
+}
+
+// BenchmarkMutex is one decision and its end on the request path.
+func BenchmarkMutex(b *testing.B) {
+	for _, count := range []int{10, 20, 850} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			d := newDispatcher(count, 1000)
+			made := request(1, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				grant, err := d.Acquire(b.Context(), made)
+				if err != nil {
+					b.Fatal(err)
+				}
+				grant.Done(routing.Success, time.Millisecond)
+			}
+		})
+	}
+}
+
+// BenchmarkGoroutine is the same with a goroutine that owns the state, reached
+// through a bounded queue.
+func BenchmarkGoroutine(b *testing.B) {
+	for _, count := range []int{10, 20, 850} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			d := newDispatcher(count, 1000)
+			commands := make(chan func(), 1024)
+			defer close(commands)
+			go func() {
+				for command := range commands {
+					command()
+				}
+			}()
+			made := request(1, 0)
+			answers := make(chan *dispatch.Grant, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				commands <- func() {
+					grant, _ := d.Acquire(b.Context(), made)
+					answers <- grant
+				}
+				grant := <-answers
+				commands <- func() { grant.Done(routing.Success, time.Millisecond) }
+			}
+		})
+	}
+}
+
+// BenchmarkLog is the line for one decision, written through the bounded queue.
+func BenchmarkLog(b *testing.B) {
+	writer := logging.NewWriter(io.Discard)
+	defer writer.Close()
+	log := logging.Part(logging.New(writer, logging.Options{Level: slog.LevelInfo, Daemon: "entry-1"}), "routing")
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("chosen", "request", "entry-1-1", "service", "prices", "class", "read", "backend", "b1",
+			"reason", "least-load", "candidates", 10, "report_age", time.Millisecond, "waited", time.Duration(0))
+	}
+}
--- a/routing/group.go
+++ b/routing/group.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -50,7 +51,7 @@
 	for _, backend := range backends {
 		state, known := g.byID[backend.ID]
 		if !known {
-			state = &State{}
+			state = &State{root: math.Sqrt(initialLatency.Seconds())}
 		}
 		if state.Slots != backend.Slots {
 			state.window = g.leastWindow(backend.Slots)
@@ -243,9 +244,10 @@
 func (s *State) observe(latency time.Duration) {
 	if s.latency == 0 {
 		s.latency = latency
-		return
+	} else {
+		s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
 	}
-	s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
+	s.root = math.Sqrt(s.latency.Seconds())
 }
 
 func (g *Group) leastWindow(slots int) float64 {
--- a/routing/state.go
+++ b/routing/state.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"time"
 
 	"github.com/tuliphall/tuliphall/outlier"
@@ -36,6 +35,7 @@
 	Draining bool
 
 	latency  time.Duration // moving average over answers; 0: none yet
+	root     float64       // square root of the latency, in seconds
 	reported int           // requests of other daemons, from the last report
 	reportAt time.Time
 	peers    int // requests of other daemons, as told by them
@@ -78,7 +78,7 @@
 // score is the load with one more request, weighed by the latency.
 func (s *State) score(now time.Time) float64 {
 	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
-	return load * math.Sqrt(s.Latency().Seconds())
+	return load * s.root
 }
 
 // limit bounds this daemon's requests at the back end.
