--- /dev/null
+++ b/operation/operation_test.go
@@ -0,0 +1,235 @@
+package operation_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+
+	"github.com/tuliphall/tuliphall/operation"
+	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// faultyStore loses answers of writes that took effect, refuses calls, and is
+// slow.
+type faultyStore struct {
+	*platform.Memory
+	mutex  sync.Mutex
+	random *rand.Rand
+	lost   float64
+	down   float64
+	writes int
+}
+
+func (s *faultyStore) draw(share float64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.Float64() < share
+}
+
+// Put implements platform.Store.
+func (s *faultyStore) Put(ctx context.Context, key platform.Key, value []byte, expected platform.Version) (platform.Version, error) {
+	time.Sleep(5 * time.Millisecond)
+	if s.draw(s.down) {
+		return 0, platform.ErrUnavailable
+	}
+	s.mutex.Lock()
+	s.writes++
+	s.mutex.Unlock()
+	version, err := s.Memory.Put(ctx, key, value, expected)
+	if s.draw(s.lost) {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return version, err
+}
+
+func newExecutor(store platform.Store) *operation.Executor {
+	return operation.NewExecutor(operation.Options{
+		Store: store, Writes: rate.NewLimiter(100, 1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+}
+
+// begin is one claim in a history.
+type begin struct {
+	key      string
+	released bool // the claim is given back by the next operation of the history
+	claimed  bool
+}
+
+// model allows a key to be claimed once until it is released. A claim that was
+// refused is always allowed: it promises nothing.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, one := range history {
+			key := one.Input.(begin).key
+			byKey[key] = append(byKey[key], one)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return false },
+	Step: func(state, input, output any) (bool, any) {
+		taken := state.(bool)
+		switch {
+		case input.(begin).released:
+			return true, false
+		case !output.(begin).claimed:
+			return true, taken
+		}
+		return !taken, true
+	},
+}
+
+// TestClaimsAreLinearizable lets daemons race for the same keys over a store that
+// loses answers, and checks the history.
+func TestClaimsAreLinearizable(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			store := &faultyStore{Memory: platform.NewMemory(), random: rand.New(rand.NewPCG(seed, 1)), lost: 0.2, down: 0.1}
+			history := race(t, store, seed)
+			require.True(t, porcupine.CheckOperations(model, history), "seed %d", seed)
+		})
+	}
+}
+
+// race runs three daemons with two callers each over few keys.
+func race(t *testing.T, store platform.Store, seed uint64) []porcupine.Operation {
+	var mutex sync.Mutex
+	var history []porcupine.Operation
+	note := func(client int, called time.Time, input, output begin) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		history = append(history, porcupine.Operation{ClientId: client, Input: input, Output: output, Call: called.UnixNano(), Return: time.Now().UnixNano()})
+	}
+	var callers sync.WaitGroup
+	claimed := 0
+	for daemon := range 3 {
+		executor := newExecutor(store)
+		defer executor.Close(t.Context())
+		for caller := range 2 {
+			client := daemon*2 + caller
+			random := rand.New(rand.NewPCG(seed, uint64(client)))
+			callers.Go(func() {
+				for range 15 {
+					key := fmt.Sprint("key-", random.IntN(12))
+					called := time.Now()
+					claim, _, _ := executor.Begin(t.Context(), "swaps", key, 1)
+					note(client, called, begin{key: key}, begin{claimed: claim != nil})
+					if claim == nil {
+						continue
+					}
+					mutex.Lock()
+					claimed++
+					mutex.Unlock()
+					time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+					if random.IntN(3) == 0 {
+						called = time.Now()
+						claim.Release()
+						note(client, called, begin{key: key, released: true}, begin{})
+						continue
+					}
+					claim.Finish(operation.Result{Status: 200, Complete: true})
+				}
+			})
+		}
+	}
+	callers.Wait()
+	require.Positive(t, claimed)
+	return history
+}
+
+// TestHistoryCheckCanFail gives the checker a key that was claimed twice.
+func TestHistoryCheckCanFail(t *testing.T) {
+	twice := []porcupine.Operation{
+		{ClientId: 0, Input: begin{key: "a"}, Output: begin{claimed: true}, Call: 0, Return: 1},
+		{ClientId: 1, Input: begin{key: "a"}, Output: begin{claimed: true}, Call: 2, Return: 3},
+	}
+	require.False(t, porcupine.CheckOperations(model, twice))
+}
+
+// TestReplayAndReuse answers a key that was seen before with the record.
+func TestReplayAndReuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{Memory: platform.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
+		first, second := newExecutor(store), newExecutor(store)
+		claim, _, failure := first.Begin(t.Context(), "swaps", "key", 1)
+		require.Nil(t, failure)
+		_, _, failure = first.Begin(t.Context(), "swaps", "key", 1)
+		require.Equal(t, resultcode.OperationInProgress, failure.Code)
+		_, _, failure = second.Begin(t.Context(), "swaps", "key", 1)
+		require.Equal(t, resultcode.OperationUnknown, failure.Code)
+		claim.Finish(operation.Result{Status: 201, Body: []byte("done"), Complete: true})
+		first.Close(t.Context())
+		_, result, failure := second.Begin(t.Context(), "swaps", "key", 1)
+		require.Nil(t, failure)
+		require.Equal(t, "done", string(result.Body))
+		_, _, failure = second.Begin(t.Context(), "swaps", "key", 2)
+		require.Equal(t, resultcode.KeyReused, failure.Code)
+		second.Close(t.Context())
+	})
+}
+
+// TestLongJournal fills many segments and lets another daemon read them, and lets
+// them expire.
+func TestLongJournal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{Memory: platform.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
+		first := newExecutor(store)
+		const keys = 2000
+		var callers sync.WaitGroup
+		for number := range keys {
+			callers.Go(func() {
+				claim, _, failure := first.Begin(t.Context(), "swaps", fmt.Sprint(number), 1)
+				require.Nil(t, failure)
+				claim.Finish(operation.Result{Status: 200, Complete: true})
+			})
+		}
+		callers.Wait()
+		time.Sleep(time.Second)
+		require.Less(t, store.writes, keys/20, "claims were not grouped")
+		second := newExecutor(store)
+		for number := range keys {
+			claim, _, _ := second.Begin(t.Context(), "swaps", fmt.Sprint(number), 1)
+			require.Nil(t, claim, "key %d was claimed twice", number)
+		}
+		segments, err := store.List(t.Context(), "operations-swaps")
+		require.NoError(t, err)
+		require.Greater(t, len(segments), 3)
+		// Records expire with their segments once the retention has passed.
+		time.Sleep(operation.DefaultRetention + 10*time.Minute)
+		segments, err = store.List(t.Context(), "operations-swaps")
+		require.NoError(t, err)
+		require.Len(t, segments, 1)
+		claim, _, _ := second.Begin(t.Context(), "swaps", "1", 1)
+		require.NotNil(t, claim)
+		first.Close(t.Context())
+		second.Close(t.Context())
+	})
+}
+
+// TestOldClaimIsNotUsable holds a claim past its lifetime, as a paused daemon does.
+func TestOldClaimIsNotUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		executor := newExecutor(platform.NewMemory())
+		claim, _, failure := executor.Begin(t.Context(), "swaps", "key", 1)
+		require.Nil(t, failure)
+		require.True(t, claim.Usable())
+		time.Sleep(operation.ClaimLifetime)
+		require.False(t, claim.Usable())
+		executor.Close(t.Context())
+	})
+}
