--- a/backend/backend.go
+++ b/backend/backend.go
@@ -52,15 +52,7 @@
 
 // NewClient returns a client for one server. It opens no connection.
 func NewClient(options Options) *Client {
-	if options.Network == nil {
-		options.Network = network.TCP{}
-	}
-	if options.ConnectTimeout == 0 {
-		options.ConnectTimeout = DefaultConnectTimeout
-	}
-	if options.IdleTimeout == 0 {
-		options.IdleTimeout = DefaultIdleTimeout
-	}
+	options.provision()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &Client{options: options, transport: &http.Transport{
@@ -75,6 +67,25 @@
 	}}
 }
 
+// Serves says whether the client was made with these options.
+func (c *Client) Serves(options Options) bool {
+	options.provision()
+	return c.options == options
+}
+
+// provision fills in the defaults.
+func (options *Options) provision() {
+	if options.Network == nil {
+		options.Network = network.TCP{}
+	}
+	if options.ConnectTimeout == 0 {
+		options.ConnectTimeout = DefaultConnectTimeout
+	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
+}
+
 // Close closes unused connections. Requests in flight go on.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
--- a/config/objects.go
+++ b/config/objects.go
@@ -31,11 +31,10 @@
 
 // Defaults of a service's settings, used where the setting is zero.
 const (
-	DefaultSlots         = 3
-	DefaultQueueLimit    = 1000
-	DefaultDeadline      = Duration(10 * time.Second)
-	DefaultConnections   = 16
-	DefaultProbeInterval = Duration(time.Second)
+	DefaultSlots       = 3
+	DefaultQueueLimit  = 1000
+	DefaultDeadline    = Duration(10 * time.Second)
+	DefaultConnections = 32
 )
 
 // Service declares how requests are recognised and how they are served.
@@ -85,7 +84,7 @@
 	Zone    string `toml:"zone" json:"zone,omitempty"`
 	// Slots overrides the service's; 0: the service's.
 	Slots int `toml:"slots" json:"slots,omitempty"`
-	// Connections bounds one daemon's connections to the back end; 0: 16.
+	// Connections bounds one daemon's connections to the back end; 0: 32.
 	Connections int `toml:"connections" json:"connections,omitempty"`
 	// Drained: the back end gets no new requests.
 	Drained bool `toml:"drained" json:"drained,omitempty"`
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -181,6 +182,21 @@
 	return nil
 }
 
+// headerForwardedFor lists the addresses a request came through.
+const headerForwardedFor = "X-Forwarded-For"
+
+// appendForwardedFor adds the caller's IP to those that the request came through.
+func appendForwardedFor(header http.Header, remote string) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	if before := header.Get(headerForwardedFor); before != "" {
+		host = before + ", " + host
+	}
+	header.Set(headerForwardedFor, host)
+}
+
 // outgoing builds the request as sent to a back end or another daemon.
 func (c *call) outgoing(r *http.Request) *http.Request {
 	out := &http.Request{
@@ -198,6 +214,9 @@
 		out.Header.Set("Connection", "Upgrade")
 		out.Header.Set("Upgrade", r.Header.Get("Upgrade"))
 	}
+	if !c.forwarded {
+		appendForwardedFor(out.Header, r.RemoteAddr)
+	}
 	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
 	out.Header.Set(HeaderRequestID, c.id)
 	out.Header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -91,7 +91,7 @@
 		return errors.NotValidf("%s: duration: not above warm_up; it", path)
 	}
 	for _, name := range f.Systems {
-		if _, err := find(name); err != nil {
+		if _, err := Find(name); err != nil {
 			return errors.Annotate(err, path)
 		}
 	}
@@ -103,7 +103,8 @@
 	return nil
 }
 
-func find(name string) (simulation.System, error) {
+// Find returns the system with a name.
+func Find(name string) (simulation.System, error) {
 	for _, system := range Systems() {
 		if system.Name == name {
 			return system, nil
@@ -136,7 +137,7 @@
 	for _, service := range file.Service {
 		for _, load := range file.Loads {
 			for _, name := range file.Systems {
-				system, err := find(name)
+				system, err := Find(name)
 				if err != nil {
 					return Report{}, err
 				}
--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -29,6 +29,9 @@
 	if _, err := experiments.AddCommand("run", "Run an experiment", "", &experimentRun{out: out}); err != nil {
 		return err
 	}
+	if _, err := experiments.AddCommand("agree", "Compare the simulator with real daemons", "", &agree{out: out}); err != nil {
+		return err
+	}
 	scaling, err := parser.AddCommand("scale", "Measure control as the fleet grows", "", &struct{}{})
 	if err != nil {
 		return err
--- a/lab/simulation/simulation.go
+++ b/lab/simulation/simulation.go
@@ -20,8 +20,8 @@
 	Quiet    time.Duration `toml:"quiet" json:"quiet_ns"`    // mean time between spells
 }
 
-// share returns the share of full speed that is left on average.
-func (n Noise) share() float64 {
+// Share returns the share of full speed that is left on average.
+func (n Noise) Share() float64 {
 	if n.Slowdown <= 1 {
 		return 1
 	}
@@ -208,7 +208,7 @@
 		},
 	}
 	slots := float64(scenario.Workers * scenario.Slots)
-	s.result.Capacity = slots / scenario.Work.Seconds() * scenario.Noise.share()
+	s.result.Capacity = slots / scenario.Work.Seconds() * scenario.Noise.Share()
 	s.makeWorkers()
 	s.makeNodes()
 	return s
--- a/lab/site/faults_test.go
+++ b/lab/site/faults_test.go
@@ -274,3 +274,51 @@
 		}
 	})
 }
+
+// TestPolicyChangeUnderLoad changes a policy while requests flow: it is in force at
+// every daemon within two seconds, and no request is lost.
+func TestPolicyChangeUnderLoad(t *testing.T) {
+	virtual(t, small(), func(ctx context.Context, net *fakenet.Net, running *site.Site) {
+		var done sync.WaitGroup
+		done.Go(func() {
+			time.Sleep(2 * time.Second)
+			changed := testServices(4)[0].Policy
+			changed.Class = `"changed"`
+			document, err := running.Daemon("entry-2").Apply(ctx, config.Edit{ID: "change", Set: config.Content{Policies: []config.Policy{changed}}})
+			require.NoError(t, err)
+			begun := time.Now()
+			require.NoError(t, running.WaitInForce(ctx, document.Revision))
+			require.Less(t, time.Since(begun), 2*time.Second)
+		})
+		result := load.Run(ctx, loadFor(net, running, 5*time.Second))
+		done.Wait()
+		require.Equal(t, result.Sent, result.Answered, result.FirstFailure())
+	})
+}
+
+// TestHalfTheWatchersDie kills daemons that watch the store: a change made in the
+// store behind the daemons' backs is still in force within three seconds.
+func TestHalfTheWatchersDie(t *testing.T) {
+	options := small()
+	options.Daemons = 18
+	options.Services = testServices(2)
+	virtual(t, options, func(ctx context.Context, _ *fakenet.Net, running *site.Site) {
+		time.Sleep(5 * time.Second)
+		killed := 0
+		for name, one := range running.Daemons() {
+			if one.Status(ctx).Watching && killed < 2 {
+				running.KillDaemon(name)
+				killed++
+			}
+		}
+		require.Equal(t, 2, killed)
+		editor := config.NewEditor(running.Platform.Store(), time.Now)
+		document, err := editor.Apply(ctx, config.Edit{ID: "behind", Set: config.Content{Policies: []config.Policy{{Name: "new"}}}})
+		require.NoError(t, err)
+		begun := time.Now()
+		for !running.InForce(document.Revision) {
+			time.Sleep(10 * time.Millisecond)
+			require.Less(t, time.Since(begun), 3*time.Second)
+		}
+	})
+}
--- a/service/service.go
+++ b/service/service.go
@@ -78,13 +78,13 @@
 	}
 }
 
-// clientFor keeps the client of a back end whose declaration did not change.
+// clientFor keeps the client of a back end whose options did not change.
 func (s *Service) clientFor(one config.Backend, allowUnframed bool) *backend.Client {
-	before, known := s.declared[one.ID]
-	if known && before.Address == one.Address && before.Connections == one.Connections {
-		return s.Client(one.ID)
+	options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: allowUnframed}
+	if present := s.Client(one.ID); present != nil && present.Serves(options) {
+		return present
 	}
-	return backend.NewClient(backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: allowUnframed})
+	return backend.NewClient(options)
 }
 
 func (s *Service) closeReplaced(kept map[string]*backend.Client) {
