--- a/config/editor.go
+++ b/config/editor.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // HeadKey names the object that holds the document.
@@ -86,8 +87,8 @@
 	var last error
 	for try := range maxEditTries {
 		if try > 0 {
-			if err := sleep(ctx, editBackoff<<try); err != nil {
-				return Document{}, errors.Annotatef(err, "change %s: last error: %v", edit.ID, last)
+			if !wait.Sleep(ctx, editBackoff<<try) {
+				return Document{}, errors.Annotatef(ctx.Err(), "change %s: last error: %v", edit.ID, last)
 			}
 		}
 		document, err := e.try(ctx, edit)
@@ -181,14 +182,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Version is the version of this build.
@@ -270,7 +271,7 @@
 	d.stopping.Store(true)
 	d.log.Info("stopping", "notice", time.Duration(d.settings.Stop.Notice))
 	d.node.Leave(ctx)
-	sleep(ctx, time.Duration(d.settings.Stop.Notice))
+	wait.Sleep(ctx, time.Duration(d.settings.Stop.Notice))
 	err := d.finishRequests(ctx)
 	d.operations.Close(ctx)
 	d.close()
@@ -329,12 +330,3 @@
 	cancel()
 	return ctx
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -24,6 +24,7 @@
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Timing and bounds.
@@ -257,7 +258,7 @@
 		f.watching.Store(chosen)
 		if !chosen {
 			version = 0
-			if !sleep(ctx, pollInterval) {
+			if !wait.Sleep(ctx, pollInterval) {
 				return
 			}
 			continue
@@ -294,20 +295,8 @@
 // spread keeps daemons that failed together from coming back together.
 func (f *Follower) pause(ctx context.Context, backoff time.Duration) time.Duration {
 	f.randomMu.Lock()
-	wait := backoff/2 + time.Duration(f.options.Random.Int64N(int64(backoff)))
+	length := backoff/2 + time.Duration(f.options.Random.Int64N(int64(backoff)))
 	f.randomMu.Unlock()
-	sleep(ctx, wait)
+	wait.Sleep(ctx, length)
 	return min(backoff*2, maxBackoff)
 }
-
-// sleep says whether the whole time passed.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/backendstub/stub.go
+++ b/lab/backendstub/stub.go
@@ -18,6 +18,7 @@
 
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/policy"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Paths of the stand-in besides its work.
@@ -261,7 +262,7 @@
 	}
 	defer s.leave()
 	s.ran(r)
-	if !sleep(r.Context(), s.duration(time.Now())) {
+	if !wait.Sleep(r.Context(), s.duration(time.Now())) {
 		return
 	}
 	answer := fmt.Sprintf("%s %s %s %s\n", r.Method, r.URL.Path, r.Header.Get(HeaderRunCount), body)
@@ -324,7 +325,7 @@
 		return
 	}
 	defer s.leave()
-	sleep(r.Context(), s.options.Probe)
+	wait.Sleep(r.Context(), s.options.Probe)
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -346,7 +347,7 @@
 		if _, err := fmt.Fprintf(w, "piece %d\n", piece); err != nil {
 			return
 		}
-		if err := control.Flush(); err != nil || !sleep(r.Context(), every) {
+		if err := control.Flush(); err != nil || !wait.Sleep(r.Context(), every) {
 			return
 		}
 	}
@@ -365,18 +366,3 @@
 	defer conn.Close()
 	_, _ = io.Copy(conn, buffered)
 }
-
-// sleep says whether the whole time passed.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -29,7 +29,7 @@
 
 // Pick implements routing.Picker.
 func (LeastInFlight) Pick(info routing.PickInfo) int {
-	return LeastBy(info, func(candidate *routing.State) int { return candidate.InFlight })
+	return routing.Least(info, func(candidate *routing.State) float64 { return float64(candidate.InFlight) })
 }
 
 // PowerOfTwo picks the better of two random candidates by own requests.
@@ -44,21 +44,3 @@
 	}
 	return first
 }
-
-// LeastBy picks the candidate with the smallest load, at random among equals.
-func LeastBy(info routing.PickInfo, load func(*routing.State) int) int {
-	best, least, ties := 0, 0, 0
-	for index, candidate := range info.Candidates {
-		value := load(candidate)
-		switch {
-		case index == 0 || value < least:
-			best, least, ties = index, value, 1
-		case value == least:
-			ties++
-			if info.Random.IntN(ties) == 0 {
-				best = index
-			}
-		}
-	}
-	return best
-}
--- a/operation/writer.go
+++ b/operation/writer.go
@@ -9,6 +9,7 @@
 
 	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // command asks the writer to add an entry. answer is nil where nobody waits.
@@ -199,7 +200,7 @@
 		if !w.journal.loaded || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
 			if loadErr := w.journal.load(ctx); loadErr != nil {
 				err = errors.WithType(loadErr, platform.ErrOutcomeUnknown)
-				if !pause(ctx) {
+				if !wait.Sleep(ctx, tryPause) {
 					return err
 				}
 				continue
@@ -216,7 +217,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !pause(ctx) {
+		if !errors.Is(err, platform.ErrConflict) && !wait.Sleep(ctx, tryPause) {
 			return err
 		}
 	}
@@ -238,17 +239,6 @@
 	return false
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(tryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // tryWrite decides every claim against the ledger and appends what is new.
 func (w *writer) tryWrite(ctx context.Context, batch []*command) error {
 	now := time.Now()
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -48,14 +48,20 @@
 
 // Pick implements Picker.
 func (LeastLoad) Pick(info PickInfo) int {
+	return Least(info, func(candidate *State) float64 { return candidate.score(info.Now) })
+}
+
+// Least returns the index of the candidate with the smallest score, at random
+// among equals.
+func Least(info PickInfo, score func(*State) float64) int {
 	best, ties := 0, 0
 	var least float64
 	for index, candidate := range info.Candidates {
-		score := candidate.score(info.Now)
+		value := score(candidate)
 		switch {
-		case index == 0 || score < least:
-			best, least, ties = index, score, 1
-		case score == least:
+		case index == 0 || value < least:
+			best, least, ties = index, value, 1
+		case value == least:
 			ties++
 			if info.Random.IntN(ties) == 0 {
 				best = index
