--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -151,7 +151,7 @@
 		return row, errors.Annotate(err, "joining")
 	}
 	row.JoinSeconds = time.Since(begun).Seconds()
-	time.Sleep(settle)
+	time.Sleep(settleLeast + time.Duration(members)*settlePerMember)
 	m.steady(options.Window)
 	row.MemoryMB = float64(memory()-before) / memoryMB / float64(members)
 	if err := m.changes(options.Changes); err != nil {
@@ -163,9 +163,12 @@
 	return row, m.death()
 }
 
-// settle is how long the fleet is left alone before it is measured, so that the
-// news of the joins has been passed on.
-const settle = 15 * time.Second
+// How long the fleet is left alone before it is measured, so that the news of the
+// joins has been passed on: all daemons started at once.
+const (
+	settleLeast     = 20 * time.Second
+	settlePerMember = 100 * time.Millisecond
+)
 
 type measurement struct {
 	ctx     context.Context
--- /dev/null
+++ b/lab/site/quiet_test.go
@@ -0,0 +1,36 @@
+package site_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/lab/fakenet"
+	"github.com/tuliphall/tuliphall/lab/site"
+)
+
+// TestControlIsQuiet expects that daemons in a fleet to which nothing happens tell
+// each other nothing but heartbeats, some time after all have started at once.
+func TestControlIsQuiet(t *testing.T) {
+	const daemons = 40
+	options := small()
+	options.Daemons = daemons
+	virtual(t, options, func(_ context.Context, net *fakenet.Net, running *site.Site) {
+		sent := func() (total int64) {
+			for number := range daemons {
+				total += net.Host(site.DaemonName(number)).Sent()
+			}
+			return total
+		}
+		var rates []int64
+		for range 6 {
+			before := sent()
+			time.Sleep(20 * time.Second)
+			rates = append(rates, (sent()-before)/20/daemons)
+		}
+		t.Log("bytes a second and daemon, every 20 s:", rates)
+		require.Less(t, rates[len(rates)-1], int64(500))
+	})
+}
