--- a/service/service.go
+++ b/service/service.go
@@ -23,7 +23,7 @@
 
 	network network.Network
 	target  atomic.Pointer[config.Target]
-	clients atomic.Pointer[map[string]*backend.Client]
+	clients atomic.Pointer[clients]
 
 	mutex    sync.Mutex
 	budget   retry.Budget
@@ -37,7 +37,7 @@
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
 		drained:    make(map[drainKey]bool),
 	}
-	service.clients.Store(&map[string]*backend.Client{})
+	service.clients.Store(&clients{})
 	return service
 }
 
@@ -51,9 +51,23 @@
 	return s.Target().Service.Name
 }
 
+// clients are the clients of a service's back ends. It is immutable.
+type clients struct {
+	requests map[string]*backend.Client
+	// probes have one connection each, so that a network that stalls holds up
+	// one probe and not a burst of them.
+	probes map[string]*backend.Client
+}
+
 // Client returns the client of a back end, or nil when it is no longer declared.
 func (s *Service) Client(id string) *backend.Client {
-	return (*s.clients.Load())[id]
+	return s.clients.Load().requests[id]
+}
+
+// ProbeClient returns the client for probes of a back end, or nil when it is no
+// longer declared.
+func (s *Service) ProbeClient(id string) *backend.Client {
+	return s.clients.Load().probes[id]
 }
 
 // configure puts a new declaration in force.
@@ -62,34 +76,38 @@
 	defer s.mutex.Unlock()
 	s.target.Store(target)
 	declared := make(map[string]config.Backend, len(target.Backends))
-	clients := make(map[string]*backend.Client, len(target.Backends))
+	present := s.clients.Load()
+	next := &clients{requests: make(map[string]*backend.Client), probes: make(map[string]*backend.Client)}
 	places := make([]routing.Backend, 0, len(target.Backends))
 	for _, one := range target.Backends {
 		declared[one.ID] = one
-		clients[one.ID] = s.clientFor(one, target.Service.AllowUnframed)
+		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed}
+		next.requests[one.ID] = keep(present.requests[one.ID], options)
+		options.Connections = 1
+		next.probes[one.ID] = keep(present.probes[one.ID], options)
 		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots})
 	}
-	s.closeReplaced(clients)
+	closeReplaced(present.requests, next.requests)
+	closeReplaced(present.probes, next.probes)
 	s.declared = declared
-	s.clients.Store(&clients)
+	s.clients.Store(next)
 	s.Dispatcher.Configure(places, target.Service.QueueLimit)
 	for _, one := range target.Backends {
 		s.Dispatcher.SetDraining(one.ID, one.Drained || s.heardDrained(one.ID))
 	}
 }
 
-// clientFor keeps the client of a back end whose options did not change.
-func (s *Service) clientFor(one config.Backend, allowUnframed bool) *backend.Client {
-	options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: allowUnframed}
-	if present := s.Client(one.ID); present != nil && present.Serves(options) {
+// keep returns the present client if it was made with the same options.
+func keep(present *backend.Client, options backend.Options) *backend.Client {
+	if present != nil && present.Serves(options) {
 		return present
 	}
 	return backend.NewClient(options)
 }
 
-func (s *Service) closeReplaced(kept map[string]*backend.Client) {
-	for id, client := range *s.clients.Load() {
-		if kept[id] != client {
+func closeReplaced(present, next map[string]*backend.Client) {
+	for id, client := range present {
+		if next[id] != client {
 			client.Close()
 		}
 	}
@@ -247,8 +265,8 @@
 // Close closes unused connections to back ends.
 func (r *Registry) Close() {
 	for _, running := range r.All() {
-		for _, client := range *running.clients.Load() {
-			client.Close()
-		}
+		present := running.clients.Load()
+		closeReplaced(present.requests, nil)
+		closeReplaced(present.probes, nil)
 	}
 }
