A connection for each probe

Cause: random schedules with a freeze found three probes within 0 s: written to kept connections to three back ends while the network stalled, they arrived together. Change: a probe opens its own connection, which a stalled network does not let it do; it costs the back end about 1 ms more.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -32,6 +32,8 @@
 	// IdleTimeout closes unused connections. It stays below what servers
 	// commonly use, so that the server is seldom first. 0: 30 s.
 	IdleTimeout time.Duration
+	// NoReuse opens a connection for each request.
+	NoReuse bool
 	// AllowUnframed passes on answers that only the end of the connection
 	// delimits.
 	AllowUnframed bool
@@ -61,6 +63,7 @@
 		MaxIdleConnsPerHost: max(options.Connections, 64),
 		IdleConnTimeout:     options.IdleTimeout,
 		DisableCompression:  true,
+		DisableKeepAlives:   options.NoReuse,
 		Protocols:           protocols,
 		WriteBufferSize:     bufferBytes,
 		ReadBufferSize:      bufferBytes,
--- a/lab/fakenet/fakenet.go
+++ b/lab/fakenet/fakenet.go
@@ -135,7 +135,11 @@
 // Dial implements network.Network.
 func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
 	if thaw := h.thaw(); thaw != nil {
-		<-thaw
+		select {
+		case <-thaw:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	h.net.mutex.Lock()
 	target := h.net.byAddress[address]
--- a/service/service.go
+++ b/service/service.go
@@ -54,8 +54,8 @@
 // clients are the clients of a service's back ends. It is immutable.
 type clients struct {
 	requests map[string]*backend.Client
-	// probes have one connection each, so that a network that stalls holds up
-	// one probe and not a burst of them.
+	// probes open a connection for each probe: one that is written to a kept
+	// connection while the network stalls would arrive later, together with others.
 	probes map[string]*backend.Client
 }
 
@@ -83,7 +83,7 @@
 		declared[one.ID] = one
 		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed}
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
-		options.Connections = 1
+		options.NoReuse = true
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
 		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots})
 	}
