--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -42,6 +42,12 @@
 	if _, err := scaling.AddCommand("claims", "Measure how many operations are claimed", "", &claimsRun{out: out}); err != nil {
 		return err
 	}
+	if _, err := scaling.AddCommand("plot", "Draw the results", "", &scalePlot{}); err != nil {
+		return err
+	}
+	if _, err := experiments.AddCommand("plot", "Draw the results", "", &experimentPlot{}); err != nil {
+		return err
+	}
 	for _, one := range []struct {
 		name, short string
 		action      flags.Commander
--- /dev/null
+++ b/lab/labcommand/plot.go
@@ -0,0 +1,118 @@
+package labcommand
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/tuliphall/tuliphall/lab/chart"
+	"github.com/tuliphall/tuliphall/lab/experiment"
+	"github.com/tuliphall/tuliphall/lab/scale"
+	"github.com/tuliphall/tuliphall/lab/simulation"
+)
+
+// plots are the options of commands that draw saved results.
+type plots struct {
+	Results string `long:"results" required:"true" value-name:"FILE" description:"results as saved by run"`
+	Folder  string `long:"folder" default:"docs/results" description:"where the pictures go"`
+}
+
+func (p *plots) read(into any) error {
+	data, err := os.ReadFile(p.Results)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
+// scalePlot draws what control costs against the number of daemons.
+type scalePlot struct {
+	plots
+}
+
+// Execute implements flags.Commander.
+func (c *scalePlot) Execute([]string) error {
+	var results scale.Results
+	if err := c.read(&results); err != nil {
+		return err
+	}
+	for _, one := range []struct {
+		name, label string
+		value       func(scale.Row) float64
+	}{
+		{"bytes", "bytes a second a daemon", func(r scale.Row) float64 { return r.BytesSecond }},
+		{"core", "% of a core a daemon", func(r scale.Row) float64 { return r.CorePercent }},
+		{"memory", "MB a daemon", func(r scale.Row) float64 { return r.MemoryMB }},
+		{"in-force", "seconds until in force everywhere, slowest of the changes", func(r scale.Row) float64 { return r.InForceMax }},
+	} {
+		line := chart.Line{Name: one.name}
+		for _, row := range results.Rows {
+			if row.Services == scale.ServicesFor {
+				line.Points = append(line.Points, chart.Point{X: float64(row.Members), Y: one.value(row)})
+			}
+		}
+		drawn := chart.Chart{Title: "control, 40 services", XLabel: "daemons", YLabel: one.label, Lines: []chart.Line{line}}
+		if err := drawn.Save(c.Folder, one.name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// experimentPlot draws p99 against load for each service, and the timeline of one
+// noisy neighbour.
+type experimentPlot struct {
+	plots
+}
+
+// Execute implements flags.Commander.
+func (c *experimentPlot) Execute([]string) error {
+	var report experiment.Report
+	if err := c.read(&report); err != nil {
+		return err
+	}
+	charts := make(map[string]*chart.Chart)
+	for _, s := range report.Summaries() {
+		drawn := charts[s.Service]
+		if drawn == nil {
+			drawn = &chart.Chart{Title: s.Service, XLabel: "load, % of capacity", YLabel: "p99 / oracle"}
+			charts[s.Service] = drawn
+		}
+		drawn.Add(s.System, chart.Point{X: s.Load * 100, Y: s.Oracle})
+	}
+	for service, drawn := range charts {
+		if err := drawn.Save(c.Folder, "p99-"+strings.ReplaceAll(service, "/", "-")); err != nil {
+			return err
+		}
+	}
+	return c.timeline()
+}
+
+// timelineStep is the length of one interval of the timeline.
+const timelineStep = 20 * time.Millisecond
+
+// timeline slows one worker of ten threefold for 200 ms.
+func (c *experimentPlot) timeline() error {
+	drawn := chart.Chart{Title: "a neighbour slows one worker of ten threefold from 2.0 s to 2.2 s", XLabel: "s", YLabel: "p99 of the interval, ms"}
+	for _, name := range []string{"own-least", experiment.ProductName, experiment.OracleName} {
+		system, err := experiment.Find(name)
+		if err != nil {
+			return err
+		}
+		result := simulation.Run(simulation.Scenario{
+			Zones: 4, Daemons: 16, Workers: 10, Slots: 3, Work: 5 * time.Millisecond,
+			WireNear: 100 * time.Microsecond, WireFar: 1500 * time.Microsecond, HopCost: 60 * time.Microsecond,
+			Load: 0.85, Duration: 3 * time.Second, Seed: 1, Timeline: timelineStep,
+			Faults: []simulation.Fault{{Kind: simulation.FaultSlow, Worker: 3, From: 2 * time.Second, Until: 2200 * time.Millisecond, Factor: 3}},
+		}, system)
+		line := chart.Line{Name: name}
+		for _, interval := range result.Intervals {
+			if interval.From >= 1800*time.Millisecond && interval.From < 2800*time.Millisecond {
+				line.Points = append(line.Points, chart.Point{X: interval.From.Seconds(), Y: float64(interval.Latency.ValueAtQuantile(99)) / 1000})
+			}
+		}
+		drawn.Lines = append(drawn.Lines, line)
+	}
+	return drawn.Save(c.Folder, "timeline")
+}
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -37,11 +37,11 @@
 	Changes  int
 }
 
-// servicesAt is the number of members at which the number of services is varied,
-// and servicesFor the number of services at which that of members is.
+// ServicesAt is the number of members at which the number of services is varied,
+// and ServicesFor the number of services at which that of members is.
 const (
-	servicesAt  = 100
-	servicesFor = 40
+	ServicesAt  = 100
+	ServicesFor = 40
 )
 
 // Row is what was measured at one size, for each daemon unless noted.
@@ -93,12 +93,12 @@
 		return nil
 	}
 	for _, members := range options.Sizes {
-		if err := measure(members, servicesFor); err != nil {
+		if err := measure(members, ServicesFor); err != nil {
 			return Results{}, err
 		}
 	}
 	for _, services := range options.Services {
-		if err := measure(servicesAt, services); err != nil {
+		if err := measure(ServicesAt, services); err != nil {
 			return Results{}, err
 		}
 	}
@@ -326,7 +326,7 @@
 	} {
 		var members, values []float64
 		for _, row := range rows {
-			if row.Services == servicesFor {
+			if row.Services == ServicesFor {
 				members, values = append(members, float64(row.Members)), append(values, figure.value(row))
 			}
 		}
