--- a/backend/backend.go
+++ b/backend/backend.go
@@ -260,10 +260,11 @@
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// CopyHeader copies the end-to-end headers from source to target.
+// CopyHeader copies the end-to-end headers from source to target. The values are
+// shared: they may be replaced on either side, but not changed in place.
 func CopyHeader(target, source http.Header) {
 	for name, values := range source {
-		target[name] = append([]string(nil), values...)
+		target[name] = values[:len(values):len(values)]
 	}
 	for _, line := range source["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -100,7 +100,7 @@
 	if id != "" && len(id) <= maxRequestIDLength && printable(id) {
 		return id
 	}
-	return fmt.Sprintf("%s-%x", h.options.Name, h.sequence.Add(1))
+	return h.options.Name + "-" + strconv.FormatUint(h.sequence.Add(1), 36)
 }
 
 func printable(text string) bool {
--- a/lab/labcommand/site.go
+++ b/lab/labcommand/site.go
@@ -17,24 +17,37 @@
 
 // noisy is a back end with a neighbour that slows it threefold a tenth of the time.
 func noisy(work time.Duration) backendstub.Options {
-	return backendstub.Options{Slots: 3, Work: work, Seed: 7, Slowdown: 3, Noisy: 50 * time.Millisecond, Quiet: 450 * time.Millisecond}
+	return backendstub.Options{Slots: slotsEach, Work: work, Probe: probeCost, Seed: 7, Slowdown: 3, Noisy: 50 * time.Millisecond, Quiet: 450 * time.Millisecond}
+}
+
+// A back end at Kingston, what a probe takes there, and the budget.
+const (
+	slotsEach  = 3
+	probeCost  = 6 * time.Millisecond
+	probesRate = 5.0
+)
+
+// probed lets a service be probed.
+func probed(declared config.Service) config.Service {
+	declared.ProbePath, declared.ProbesPerSecond, declared.ProbeCost = backendstub.PathLoad, probesRate, config.Duration(probeCost)
+	return declared
 }
 
 // kingstonServices declares Kingston's three services with 12 back ends.
 func kingstonServices() []site.Service {
 	return []site.Service{
 		{
-			Declared: config.Service{Name: "price-query", PathPrefix: "/prices", Policy: "reads"},
+			Declared: probed(config.Service{Name: "price-query", PathPrefix: "/prices", Policy: "reads"}),
 			Policy:   config.Policy{Name: "reads", Source: policy.Source{Class: `"read"`, Weight: "100", Retry: "true", Deadline: `duration("2s")`}},
 			Backends: 5, Backend: noisy(5 * time.Millisecond),
 		},
 		{
-			Declared: config.Service{Name: "correction", PathPrefix: "/corrections", Policy: "corrections", RefusalStatus: http.StatusServiceUnavailable},
+			Declared: probed(config.Service{Name: "correction", PathPrefix: "/corrections", Policy: "corrections", RefusalStatus: http.StatusServiceUnavailable}),
 			Policy:   config.Policy{Name: "corrections", Source: policy.Source{Class: `"correction"`, Weight: "200", Once: "true", Deadline: `duration("5s")`}},
 			Backends: 3, Backend: noisy(10 * time.Millisecond),
 		},
 		{
-			Declared: config.Service{Name: "history", PathPrefix: "/history", Policy: "batch"},
+			Declared: probed(config.Service{Name: "history", PathPrefix: "/history", Policy: "batch"}),
 			Policy:   config.Policy{Name: "batch", Source: policy.Source{Class: `"batch"`, Weight: "1", Retry: "true", Wait: `duration("30s")`, Deadline: `duration("60s")`}},
 			Backends: 4, Backend: noisy(40 * time.Millisecond),
 		},
@@ -100,6 +113,12 @@
 	for _, one := range running.Backends {
 		fmt.Fprintf(c.out, "  %-16s %s %d\n", one.ID, one.Zone, one.Stub.Total())
 	}
+	probes := 0
+	for _, one := range running.Backends {
+		probes += len(one.Stub.Probes())
+	}
+	slotTime := result.Elapsed.Seconds() * float64(len(running.Backends)*slotsEach)
+	fmt.Fprintf(c.out, "probes: %d, %.3f%% of slot time\n", probes, 100*float64(probes)*probeCost.Seconds()/slotTime)
 	counts := running.Platform.Counts()
 	fmt.Fprintln(c.out, "platform calls:")
 	kinds := make([]string, 0, len(counts))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,7 +14,6 @@
 	stderrors "errors"
 	"fmt"
 	"net/http"
-	"reflect"
 	"strings"
 	"time"
 
@@ -274,11 +273,11 @@
 		}
 		value = result
 	}
-	native, err := value.ConvertToNative(reflect.TypeFor[T]())
-	if err != nil {
-		return &ExpressionError{Field: field, Reason: err.Error()}
+	native, ok := value.Value().(T)
+	if !ok {
+		return &ExpressionError{Field: field, Reason: fmt.Sprintf("gave %s", value.Type().TypeName())}
 	}
-	*target = native.(T)
+	*target = native
 	return nil
 }
 
