--- a/lab/site/faults_test.go
+++ b/lab/site/faults_test.go
@@ -152,10 +152,15 @@
 // TestStoreDown keeps the platform away for half an hour.
 func TestStoreDown(t *testing.T) {
 	virtual(t, small(), func(ctx context.Context, net *fakenet.Net, running *site.Site) {
+		well := load.Run(ctx, loadFor(net, running, 5*time.Second))
 		running.Platform.SetFaults(platformstub.Faults{Down: true})
 		time.Sleep(28 * time.Minute)
 		made := loadFor(net, running, 5*time.Second)
+		made.Seed++
 		result := load.Run(ctx, made)
+		ratio := float64(result.KindQuantile("reads", 99)) / float64(well.KindQuantile("reads", 99))
+		t.Logf("p99 of reads without the platform: %.2f x that with it", ratio)
+		require.InDelta(t, 1, ratio, 0.3)
 		checkPromises(t, running, result)
 		require.Positive(t, result.Codes[resultcode.StoreUnavailable], "operations must be refused")
 		require.Equal(t, result.Sent, result.Answered+result.Codes[resultcode.StoreUnavailable], result.FirstFailure())
