--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -37,6 +37,8 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = 15 * time.Second
+	// firstWatch is how long a daemon gets to know the others before it may watch.
+	firstWatch = 5 * time.Second
 	// startPeers is how many peers a starting daemon asks.
 	startPeers = 5
 	// WatchDuty is the key by which watchers are chosen.
@@ -263,8 +265,11 @@
 func (f *Follower) watchLoop(ctx context.Context) {
 	backoff := firstBackoff
 	version := platform.Version(0)
+	// A daemon that has just started knows hardly anybody and would choose itself.
+	// Had all started at once, each would hold a watch.
+	wait.Sleep(ctx, firstWatch)
 	for ctx.Err() == nil {
-		chosen := f.peers.Holds(WatchDuty, f.options.Watchers)
+		chosen := f.chosen()
 		f.watching.Store(chosen)
 		if !chosen {
 			version = 0
@@ -283,12 +288,27 @@
 	}
 }
 
+func (f *Follower) chosen() bool {
+	return f.peers.Holds(WatchDuty, f.options.Watchers)
+}
+
+// cancelWhenNotChosen ends a watch once others are chosen to watch.
+func (f *Follower) cancelWhenNotChosen(ctx context.Context, cancel context.CancelFunc) {
+	for wait.Sleep(ctx, pollInterval) {
+		if !f.chosen() {
+			cancel()
+			return
+		}
+	}
+}
+
 // watch waits for one change and puts it in force.
 func (f *Follower) watch(ctx context.Context, after platform.Version) (platform.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+f.options.Timeout)
 	defer cancel()
+	go f.cancelWhenNotChosen(ctx, cancel)
 	object, err := f.options.Store.Watch(ctx, config.HeadKey, after, watchWait)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, platform.ErrNotFound) || (err != nil && !f.chosen()) {
 		return after, nil
 	}
 	if err != nil {
--- /dev/null
+++ b/docs/capacity_test.go
@@ -0,0 +1,99 @@
+// Package docs holds no code; its test keeps the pages true to the results.
+package docs
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// figure finds a number with its source, such as 2892 [scale:850/40:bytes_per_second].
+var figure = regexp.MustCompile(`(-?[0-9][0-9,.]*) \[([a-z-]+):([^:\]]+):([a-z0-9_]+)\]`)
+
+type row map[string]any
+
+// read returns the rows of a results file, by what names them on the page.
+func read(t *testing.T, name string) map[string]row {
+	t.Helper()
+	data, err := os.ReadFile("results/" + name + ".json")
+	require.NoError(t, err)
+	rows := make(map[string]row)
+	switch name {
+	case "scale":
+		var results struct{ Rows, Fits []row }
+		require.NoError(t, json.Unmarshal(data, &results))
+		for _, one := range results.Rows {
+			rows[fmt.Sprintf("%v/%v", one["members"], one["services"])] = one
+		}
+		for _, one := range results.Fits {
+			rows[fmt.Sprintf("%v %v", one["figure"], one["shape"])] = one
+		}
+	case "claims":
+		var results []row
+		require.NoError(t, json.Unmarshal(data, &results))
+		for _, one := range results {
+			rows[fmt.Sprint(one["callers"])] = one
+		}
+	case "data-path":
+		var results []row
+		require.NoError(t, json.Unmarshal(data, &results))
+		for _, one := range results {
+			rows[fmt.Sprintf("%v/%v/%v", one["load"], one["backends"], one["log_decisions"])] = one
+		}
+	}
+	return rows
+}
+
+// TestCapacityFigures checks that each figure on CAPACITY.md stands in the results
+// file, to the digits that the page gives.
+func TestCapacityFigures(t *testing.T) {
+	page, err := os.ReadFile("CAPACITY.md")
+	require.NoError(t, err)
+	files := make(map[string]map[string]row)
+	found := figure.FindAllStringSubmatch(string(page), -1)
+	require.Greater(t, len(found), 20)
+	for _, match := range found {
+		if files[match[2]] == nil {
+			files[match[2]] = read(t, match[2])
+		}
+		one, known := files[match[2]][match[3]]
+		require.True(t, known, "no row %s in %s", match[3], match[2])
+		value, known := one[match[4]].(float64)
+		require.True(t, known, "no figure %s in row %s", match[4], match[3])
+		text := strings.ReplaceAll(match[1], ",", "")
+		digits := 0
+		if _, fraction, has := strings.Cut(text, "."); has {
+			digits = len(fraction)
+		}
+		require.Equal(t, strconv.FormatFloat(value, 'f', digits, 64), text, match[0])
+	}
+}
+
+// TestCapacityRows checks that every row of the roles names a slope, a mechanism and
+// a bound.
+func TestCapacityRows(t *testing.T) {
+	page, err := os.ReadFile("CAPACITY.md")
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(page), "## Roles")
+	require.True(t, found)
+	section, _, _ := strings.Cut(rest, "\n## ")
+	rows := 0
+	for line := range strings.SplitSeq(section, "\n") {
+		if !strings.HasPrefix(line, "| ") || strings.HasPrefix(line, "| ---") || strings.HasPrefix(line, "| role") {
+			continue
+		}
+		rows++
+		cells := strings.Split(strings.Trim(line, "|"), "|")
+		require.Len(t, cells, 7, line)
+		for _, cell := range cells {
+			require.NotEmpty(t, strings.TrimSpace(cell), line)
+		}
+	}
+	require.Greater(t, rows, 10)
+}
--- a/lab/site/quiet_test.go
+++ b/lab/site/quiet_test.go
@@ -30,6 +30,7 @@
 			time.Sleep(20 * time.Second)
 			rates = append(rates, (sent()-before)/20/daemons)
 		}
+		require.LessOrEqual(t, running.Platform.MostWatches(), 12, "daemons that had just started watched")
 		t.Log("bytes a second and daemon, every 20 s:", rates)
 		require.Less(t, rates[len(rates)-1], int64(500))
 	})
