A change of a member's status always renews the view

Ruled out: the membership itself (the refuting incarnation was there). Change: every change of status counts. The test fails without it.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -106,7 +106,7 @@
 	return s.self
 }
 
-// Version grows whenever the set of serving members changes.
+// Version grows whenever a member comes, goes, or changes its status or address.
 func (s *State) Version() uint64 {
 	return s.version
 }
@@ -236,7 +236,7 @@
 	if !known && !update.Serving() {
 		return false // nothing is lost by not knowing of a member that is gone
 	}
-	if !known || present.Serving() != update.Serving() || present.ForwardAddress != update.ForwardAddress {
+	if !known || present.Status != update.Status || present.ForwardAddress != update.ForwardAddress {
 		s.version++
 	}
 	s.members[update.Name] = &entry{Member: update, changed: now}
@@ -326,6 +326,7 @@
 		return
 	}
 	present.Status, present.changed, present.sent = Suspect, now, 0
+	s.version++
 }
 
 // Tick declares suspects dead whose time is over, forgets what is long dead, and
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -165,6 +165,29 @@
 	}
 }
 
+// TestVersionFollowsStatus expects every change of a member's status to be seen by
+// those who keep a view by the version: suspicion as well as its refutation.
+func TestVersionFollowsStatus(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := membership.NewState(membership.Member{Name: "self"}, rand.New(rand.NewPCG(1, 1)))
+	versions := map[uint64]bool{state.Version(): true}
+	changed := func(what string) {
+		t.Helper()
+		require.False(t, versions[state.Version()], what)
+		versions[state.Version()] = true
+	}
+	state.Merge(now, []membership.Member{{Name: "other", Incarnation: 1}})
+	changed("joined")
+	state.Unreachable(now, "other")
+	changed("suspected")
+	state.Merge(now, []membership.Member{{Name: "other", Incarnation: 2}})
+	changed("refuted")
+	state.Unreachable(now, "other")
+	changed("suspected again")
+	state.Tick(now.Add(time.Hour))
+	changed("dead")
+}
+
 // TestLeave says goodbye aloud: nobody suspects first.
 func TestLeave(t *testing.T) {
 	c := newCluster(10)
