A burst after a quiet time is not refused

Cause (found by reading): the wait was estimated from the requests finished in the last second, which is next to nothing right after a quiet time, so that a burst was refused with deadline-too-short though it could be served in a tenth of its deadline. Change: the shorter of that estimate and one from latencies and slots.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -69,8 +69,11 @@
 // Offer puts a ticket into the queue. When the queue is full, the least
 // important waiting ticket is taken out and returned as displaced if the new
 // one matters more.
-func (q *Queue) Offer(now time.Time, ticket *Ticket) (verdict Verdict, displaced *Ticket) {
-	if now.Add(q.Wait(now, ticket)).After(ticket.Deadline) {
+//
+// pace is how long the back ends take for one request, all together, as far as
+// their latencies tell.
+func (q *Queue) Offer(now time.Time, ticket *Ticket, pace time.Duration) (verdict Verdict, displaced *Ticket) {
+	if now.Add(q.Wait(now, ticket.Weight, pace)).After(ticket.Deadline) {
 		return Late, nil
 	}
 	if len(q.tickets) >= q.limit {
@@ -129,19 +132,22 @@
 }
 
 // Wait estimates how long a ticket of this weight would wait now: until all that
-// matter as much or more have gone.
-func (q *Queue) Wait(now time.Time, ticket *Ticket) time.Duration {
+// matter as much or more have gone. It takes the shorter of two estimates: the
+// requests finished in the last second, which is low after a quiet time, and the
+// pace, which counts the queues at busy back ends twice.
+func (q *Queue) Wait(now time.Time, weight int, pace time.Duration) time.Duration {
 	ahead := 0
-	for weight, count := range q.counts {
-		if weight >= ticket.Weight {
+	for waiting, count := range q.counts {
+		if waiting >= weight {
 			ahead += count
 		}
 	}
+	byPace := time.Duration(ahead) * pace
 	perSecond := q.rate.perSecond(now)
-	if perSecond == 0 || ahead == 0 {
-		return 0
+	if perSecond == 0 {
+		return byPace
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	return min(byPace, time.Duration(float64(ahead)/perSecond*float64(time.Second)))
 }
 
 // leastWeight returns the smallest weight that waits. An empty queue, whose
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -61,7 +61,7 @@
 		}
 	}
 	ticket := newTicket(now, request, payload)
-	verdict, displaced := c.Queue.Offer(now, ticket)
+	verdict, displaced := c.Queue.Offer(now, ticket, c.Group.Pace())
 	var decision Decision
 	if displaced != nil {
 		decision.Displaced = displaced.Payload.(*waiting).payload
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,7 +130,7 @@
 	if code == resultcode.NoBackend {
 		detail = "every back end is draining or none is placed"
 	}
-	advice := max(d.core.Queue.Wait(now, &admission.Ticket{Weight: request.Weight}), retryAfter)
+	advice := max(d.core.Queue.Wait(now, request.Weight, d.core.Group.Pace()), retryAfter)
 	return &resultcode.Failure{Code: code, Detail: detail, RetryAfter: advice}
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/dispatch"
@@ -83,6 +85,32 @@
 	})
 }
 
+// TestBurstAfterQuiet sends many requests at once, and more while the first are
+// under way: all can be served long before their deadline, and none is refused.
+func TestBurstAfterQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(4, 1000)
+		time.Sleep(time.Minute)
+		var running sync.WaitGroup
+		for range 4 {
+			for range 60 {
+				running.Go(func() {
+					made := request(1, 0)
+					made.Deadline = time.Now().Add(2 * time.Second)
+					grant, err := d.Acquire(t.Context(), made)
+					if !assert.NoError(t, err) {
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+					grant.Done(routing.Success, 10*time.Millisecond)
+				})
+			}
+			time.Sleep(15 * time.Millisecond)
+		}
+		running.Wait()
+	})
+}
+
 // TestCallerLeaves takes a waiting request out of the queue when its caller goes.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/routing/group.go
+++ b/routing/group.go
@@ -79,6 +79,21 @@
 	return slots
 }
 
+// Pace returns how long the back ends take for one request, all together, as far
+// as their latencies tell. It is 0 when no back end takes requests.
+func (g *Group) Pace() time.Duration {
+	perSecond := 0.0
+	for _, state := range g.states {
+		if !state.Draining {
+			perSecond += float64(state.Slots) / state.Latency().Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
 // SetDraining notes that a back end is leaving, or is back.
 func (g *Group) SetDraining(id string, draining bool) {
 	if state, ok := g.byID[id]; ok {
