A daemon that starts hears of back ends that are leaving

Cause (found by reading): drains are passed on a bounded number of times, so that a daemon that started later knew of none until a leaving back end told it with its first answer. Change: the list of members names them. The test fails without it: one daemon left, started 3 minutes after the drain with the platform down.

--- a/lab/site/faults_test.go
+++ b/lab/site/faults_test.go
@@ -180,6 +180,24 @@
 		load.Run(ctx, made)
 		require.Equal(t, before, leaving.Stub.Total(), "a leaving back end got requests")
 
+		// A daemon that starts only now hears of it from the others, even if it is
+		// the only one left, long after the news was passed on.
+		require.NoError(t, running.StartDaemon("entry-5"))
+		time.Sleep(2 * time.Minute)
+		running.KillDaemon("entry-5")
+		time.Sleep(time.Minute)
+		require.NoError(t, running.StartDaemon("entry-6"))
+		time.Sleep(10 * time.Second)
+		for number := range 4 {
+			running.KillDaemon(site.DaemonName(number))
+		}
+		time.Sleep(10 * time.Second)
+		made.Seed = 11
+		made.Targets = running.Targets()
+		last := load.Run(ctx, made)
+		require.Positive(t, last.Answered, last.FirstFailure())
+		require.Equal(t, before, leaving.Stub.Total(), "a leaving back end got requests from a new daemon")
+
 		running.Platform.SetFaults(platformstub.Faults{})
 		time.Sleep(time.Minute)
 		made.Seed = 10
--- a/peer/drains.go
+++ b/peer/drains.go
@@ -81,10 +81,26 @@
 	var chosen []*peerpb.Drain
 	for _, entry := range fresh[:min(len(fresh), maxDrains)] {
 		entry.sent++
-		chosen = append(chosen, &peerpb.Drain{
-			Service: entry.Service, Backend: entry.Backend, Draining: entry.Draining,
-			Source: peerpb.DrainSource(entry.Source), At: entry.At.UnixMilli(),
-		})
+		chosen = append(chosen, encodeDrain(entry.Drain))
 	}
 	return chosen
 }
+
+// draining returns every back end that is leaving, for a daemon that has just
+// started.
+func (t *drainTable) draining() []*peerpb.Drain {
+	var leaving []*peerpb.Drain
+	for _, entry := range t.entries {
+		if entry.Draining {
+			leaving = append(leaving, encodeDrain(entry.Drain))
+		}
+	}
+	return leaving
+}
+
+func encodeDrain(drain Drain) *peerpb.Drain {
+	return &peerpb.Drain{
+		Service: drain.Service, Backend: drain.Backend, Draining: drain.Draining,
+		Source: peerpb.DrainSource(drain.Source), At: drain.At.UnixMilli(),
+	}
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -246,7 +246,14 @@
 		if err != nil {
 			return err
 		}
-		n.change(func(now time.Time) { n.state.MergeList(now, decodeMembers(reply.Members)) })
+		var news []Drain
+		n.change(func(now time.Time) {
+			n.state.MergeList(now, decodeMembers(reply.Members))
+			news = n.drains.take(reply.Drains)
+		})
+		for _, drain := range news {
+			n.options.OnDrain(drain)
+		}
 		return nil
 	})
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,7 +54,11 @@
 func (s *server) Members(_ context.Context, request *peerpb.MembersRequest) (*peerpb.MembersReply, error) {
 	n := s.node
 	n.change(func(now time.Time) { n.state.Heard(now, decodeMember(request.Sender)) })
-	return &peerpb.MembersReply{Members: encodeMembers(n.Members())}, nil
+	reply := &peerpb.MembersReply{Members: encodeMembers(n.Members())}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	reply.Drains = n.drains.draining()
+	return reply, nil
 }
 
 // Changes implements peerpb.DRPCPeerServer.
