--- a/lab/labcommand/site.go
+++ b/lab/labcommand/site.go
@@ -33,29 +33,51 @@
 	return declared
 }
 
-// kingstonServices declares Kingston's three services with 12 back ends.
-func kingstonServices() []site.Service {
+// deployment is one user's site.
+type deployment struct {
+	reads, changes, archives   string // names of the services
+	readers, changers, keepers int    // their back ends
+}
+
+// The users' sites. Kingston's is cut down to 12 back ends.
+var deployments = map[string]deployment{
+	"kingston": {reads: "price-query", changes: "correction", archives: "history", readers: 5, changers: 3, keepers: 4},
+	"zhetysu":  {reads: "roster", changes: "swap", archives: "archives", readers: 7, changers: 6, keepers: 14},
+}
+
+// services declares the site's three services.
+func (d deployment) services() []site.Service {
 	return []site.Service{
 		{
-			Declared: probed(config.Service{Name: "price-query", PathPrefix: "/prices", Policy: "reads"}),
+			Declared: probed(config.Service{Name: d.reads, PathPrefix: "/" + d.reads, Policy: "reads"}),
 			Policy:   config.Policy{Name: "reads", Source: policy.Source{Class: `"read"`, Weight: "100", Retry: "true", Deadline: `duration("2s")`}},
-			Backends: 5, Backend: noisy(5 * time.Millisecond),
+			Backends: d.readers, Backend: noisy(5 * time.Millisecond),
 		},
 		{
-			Declared: probed(config.Service{Name: "correction", PathPrefix: "/corrections", Policy: "corrections", RefusalStatus: http.StatusServiceUnavailable}),
-			Policy:   config.Policy{Name: "corrections", Source: policy.Source{Class: `"correction"`, Weight: "200", Once: "true", Deadline: `duration("5s")`}},
-			Backends: 3, Backend: noisy(10 * time.Millisecond),
+			Declared: probed(config.Service{Name: d.changes, PathPrefix: "/" + d.changes, Policy: "changes", RefusalStatus: http.StatusServiceUnavailable}),
+			Policy:   config.Policy{Name: "changes", Source: policy.Source{Class: `"change"`, Weight: "200", Once: "true", Deadline: `duration("5s")`}},
+			Backends: d.changers, Backend: noisy(10 * time.Millisecond),
 		},
 		{
-			Declared: probed(config.Service{Name: "history", PathPrefix: "/history", Policy: "batch"}),
+			Declared: probed(config.Service{Name: d.archives, PathPrefix: "/" + d.archives, Policy: "batch"}),
 			Policy:   config.Policy{Name: "batch", Source: policy.Source{Class: `"batch"`, Weight: "1", Retry: "true", Wait: `duration("30s")`, Deadline: `duration("60s")`}},
-			Backends: 4, Backend: noisy(40 * time.Millisecond),
+			Backends: d.keepers, Backend: noisy(40 * time.Millisecond),
 		},
 	}
 }
 
+// kinds is the mix of requests.
+func (d deployment) kinds() []load.Kind {
+	return []load.Kind{
+		{Name: d.reads, Method: http.MethodGet, Path: "/" + d.reads, Share: 0.88},
+		{Name: d.changes, Method: http.MethodPost, Path: "/" + d.changes, Share: 0.05, Once: true},
+		{Name: d.archives, Method: http.MethodGet, Path: "/" + d.archives, Share: 0.07},
+	}
+}
+
 type siteRun struct {
 	out      io.Writer
+	Site     string        `long:"site" choice:"kingston" choice:"zhetysu" default:"kingston" description:"whose services"`
 	Duration time.Duration `long:"duration" default:"5s" description:"how long load is sent"`
 	Seed     uint64        `long:"seed" default:"1" description:"start of the random choices"`
 	Verbose  bool          `short:"v" long:"verbose" description:"show the daemons' logs, with a line for each decision"`
@@ -65,8 +87,9 @@
 func (c *siteRun) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Duration+time.Minute)
 	defer cancel()
-	fmt.Fprintln(c.out, "starting: platform, 3 zones, 4 daemons, 12 back ends")
-	options := site.Options{Zones: []string{"zone-a", "zone-b", "zone-c"}, Daemons: 4, Services: kingstonServices(), Notice: 500 * time.Millisecond}
+	chosen := deployments[c.Site]
+	fmt.Fprintf(c.out, "starting: platform, 3 zones, 4 daemons, %d back ends\n", chosen.readers+chosen.changers+chosen.keepers)
+	options := site.Options{Zones: []string{"zone-a", "zone-b", "zone-c"}, Daemons: 4, Services: chosen.services(), Notice: 500 * time.Millisecond}
 	if c.Verbose {
 		options.LogTo, options.LogLevel, options.Decisions = c.out, "info", true
 	}
@@ -78,7 +101,7 @@
 	fmt.Fprintf(c.out, "configuration in force at 4 daemons; sending load for %s\n", c.Duration)
 	done := make(chan *load.Result, 1)
 	go func() {
-		done <- load.Run(ctx, load.Options{Targets: running.Targets(), Rate: 600, Duration: c.Duration, Seed: c.Seed, Kinds: kingstonKinds()})
+		done <- load.Run(ctx, load.Options{Targets: running.Targets(), Rate: 600, Duration: c.Duration, Seed: c.Seed, Kinds: chosen.kinds()})
 	}()
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -93,20 +116,12 @@
 	}
 }
 
-func kingstonKinds() []load.Kind {
-	return []load.Kind{
-		{Name: "price-query", Method: http.MethodGet, Path: "/prices", Share: 0.88},
-		{Name: "correction", Method: http.MethodPost, Path: "/corrections", Share: 0.05, Once: true},
-		{Name: "history", Method: http.MethodGet, Path: "/history", Share: 0.07},
-	}
-}
-
 // print shows latency, decisions and platform calls.
 func (c *siteRun) print(running *site.Site, result *load.Result) error {
 	if err := printLoad(c.out, result); err != nil {
 		return err
 	}
-	for _, kind := range kingstonKinds() {
+	for _, kind := range deployments[c.Site].kinds() {
 		fmt.Fprintf(c.out, "  %-12s p50 %-10s p99 %s\n", kind.Name, result.KindQuantile(kind.Name, 50), result.KindQuantile(kind.Name, 99))
 	}
 	fmt.Fprintln(c.out, "decisions (requests run at each back end):")
