--- a/lab/datapath/datapath.go
+++ b/lab/datapath/datapath.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"sort"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/tuliphall/tuliphall/lab/backendstub"
 	"github.com/tuliphall/tuliphall/lab/load"
 	"github.com/tuliphall/tuliphall/lab/site"
+	"github.com/tuliphall/tuliphall/lab/usage"
 )
 
 // Row is one way of sending, measured in turn directly and through a daemon.
@@ -115,9 +115,9 @@
 }
 
 func (s *side) add(ctx context.Context, options load.Options) {
-	before := processorTime()
+	before := usage.Processor()
 	result := load.Run(ctx, options)
-	s.processor += processorTime() - before
+	s.processor += usage.Processor() - before
 	s.elapsed += result.Elapsed
 	s.requests += result.Answered
 	s.p50 = append(s.p50, milliseconds(result.Quantile(50)))
@@ -138,13 +138,6 @@
 	return values[len(values)/2]
 }
 
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	// Getrusage fails only for wrong arguments.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // Print writes the rows as a table.
 func Print(w io.Writer, rows []Row) error {
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -22,6 +22,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/tuliphall/tuliphall/lab/backendstub"
+	"github.com/tuliphall/tuliphall/lab/weighted"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -199,18 +200,7 @@
 }
 
 func (g *generator) pickKind() Kind {
-	total := 0.0
-	for _, kind := range g.options.Kinds {
-		total += kind.Share
-	}
-	drawn := g.random.Float64() * total
-	for _, kind := range g.options.Kinds {
-		drawn -= kind.Share
-		if drawn < 0 {
-			return kind
-		}
-	}
-	return g.options.Kinds[len(g.options.Kinds)-1]
+	return weighted.Draw(g.random, g.options.Kinds, func(kind Kind) float64 { return kind.Share })
 }
 
 // againSuffix tells the second attempt of an operation from the first.
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -11,7 +11,6 @@
 	"runtime"
 	"sort"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -22,6 +21,7 @@
 	"github.com/tuliphall/tuliphall/lab/fakenet"
 	"github.com/tuliphall/tuliphall/lab/platformstub"
 	"github.com/tuliphall/tuliphall/lab/site"
+	"github.com/tuliphall/tuliphall/lab/usage"
 	"github.com/tuliphall/tuliphall/policy"
 )
 
@@ -220,11 +220,11 @@
 // steady measures the fleet while nothing happens.
 func (m *measurement) steady(window time.Duration) {
 	bytes, conns := m.sent()
-	counts, processor, begun := m.site.Platform.Counts(), processorTime(), time.Now()
+	counts, processor, begun := m.site.Platform.Counts(), usage.Processor(), time.Now()
 	time.Sleep(window)
 	elapsed := time.Since(begun).Seconds()
 	bytesNow, connsNow := m.sent()
-	countsNow, processorNow := m.site.Platform.Counts(), processorTime()
+	countsNow, processorNow := m.site.Platform.Counts(), usage.Processor()
 	each := elapsed * float64(m.members)
 	m.row.ConnsSecond = float64(connsNow-conns) / each
 	m.row.BytesSecond = float64(bytesNow-bytes)/each + m.row.ConnsSecond*handshakeBytes
@@ -301,14 +301,6 @@
 	return int64(stats.HeapAlloc + stats.StackInuse)
 }
 
-// processorTime returns the processor time of this process.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	// Getrusage fails only for wrong arguments.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // fit puts a line and a logarithm through each figure over the members.
 func fit(rows []Row) []Fit {
 	var fits []Fit
--- a/lab/simulation/flow.go
+++ b/lab/simulation/flow.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/lab/weighted"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
@@ -48,18 +49,7 @@
 }
 
 func (s *simulation) pickClass() Class {
-	total := 0.0
-	for _, class := range s.scenario.Classes {
-		total += class.Share
-	}
-	drawn := s.random.Float64() * total
-	for _, class := range s.scenario.Classes {
-		drawn -= class.Share
-		if drawn < 0 {
-			return class
-		}
-	}
-	return s.scenario.Classes[len(s.scenario.Classes)-1]
+	return weighted.Draw(s.random, s.scenario.Classes, func(class Class) float64 { return class.Share })
 }
 
 // deciding returns the node that decides for a daemon.
