--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -222,3 +222,13 @@
 func (d *Daemon) Region() string {
 	return d.settings.Region
 }
+
+// Knows says whether this daemon takes another one for alive.
+func (d *Daemon) Knows(name string) bool {
+	for _, member := range d.node.View().Serving {
+		if member.Name == name {
+			return true
+		}
+	}
+	return false
+}
