--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/routing"
 )
@@ -41,7 +42,7 @@
 // the whole answer was passed on.
 func (a *attempter) pass(response *http.Response, backendID string, code resultcode.Code) *passError {
 	header := a.writer.Header()
-	copyEndToEnd(header, response.Header)
+	backend.CopyHeader(header, response.Header)
 	if backendID != "" {
 		header.Set(HeaderBackend, backendID)
 		setCode(header, code)
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
@@ -203,7 +204,7 @@
 		Method: r.Method, URL: cloneURL(r), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: make(http.Header, len(r.Header)+4), Host: r.Host, ContentLength: r.ContentLength, Body: r.Body,
 	}
-	copyEndToEnd(out.Header, r.Header)
+	backend.CopyHeader(out.Header, r.Header)
 	if c.buffered {
 		out.Body = http.NoBody
 		if len(c.body) > 0 {
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -11,7 +11,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
@@ -145,7 +144,3 @@
 	copied := *r.URL
 	return &copied
 }
-
-func copyEndToEnd(target, source http.Header) {
-	backend.CopyHeader(target, source)
-}
