--- a/logging/logging.go
+++ b/logging/logging.go
@@ -24,7 +24,6 @@
 	target  io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	total   atomic.Int64
 	done    chan struct{}
 	once    sync.Once
 }
@@ -42,16 +41,10 @@
 	case w.lines <- append([]byte(nil), line...):
 	default:
 		w.dropped.Add(1)
-		w.total.Add(1)
 	}
 	return len(line), nil
 }
 
-// Dropped returns how many lines were ever dropped.
-func (w *Writer) Dropped() int64 {
-	return w.total.Load()
-}
-
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.lines {
--- a/routing/group.go
+++ b/routing/group.go
@@ -68,17 +68,6 @@
 	return g.states
 }
 
-// Slots returns the slots of the back ends that take requests.
-func (g *Group) Slots() int {
-	slots := 0
-	for _, state := range g.states {
-		if !state.Draining {
-			slots += state.Slots
-		}
-	}
-	return slots
-}
-
 // Pace returns how long the back ends take for one request, all together, as far
 // as their latencies tell. It is 0 when no back end takes requests.
 func (g *Group) Pace() time.Duration {
@@ -287,17 +276,6 @@
 	}
 }
 
-// Ejections returns how many back ends are out for failing.
-func (g *Group) Ejections(now time.Time) int {
-	count := 0
-	for _, state := range g.states {
-		if state.Ejected(now) {
-			count++
-		}
-	}
-	return count
-}
-
 func contains(list []string, id string) bool {
 	for _, one := range list {
 		if one == id {
