Scenarios listen on loopback addresses of their own

The scripts ask the kernel for ports of 127.0.0.1 and release them; before the daemon starts, an outgoing connection of another test may be given the same port, since the kernel takes those from the same range. Ruled out: two scripts with the same port (they hold all of theirs at once when they ask). Change: each script asks for its ports on a loopback address that nothing else uses. After: the package passes; the address is that of the process and script, so that nothing else on the machine can be given the port in between.

--- a/lab/scenarios/scenarios_test.go
+++ b/lab/scenarios/scenarios_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,11 +50,23 @@
 	})
 }
 
-// ports NAME... asks the kernel for free ports and sets $NAME to 127.0.0.1:port.
+// lastHost numbers the loopback addresses given to scripts.
+var lastHost atomic.Uint32
+
+// loopback returns a loopback address that nothing else on the machine uses: a
+// port that was asked of the kernel and released is free until a process of the
+// script takes it. On 127.0.0.1 another test's outgoing connection may take it.
+func loopback() string {
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(process>>8)%254, process%256, 1+lastHost.Add(1)%254)
+}
+
+// ports NAME... asks the kernel for free ports and sets $NAME to IP:port.
 func ports(ts *testscript.TestScript, _ bool, names []string) {
 	var held []net.Listener
+	host := loopback()
 	for _, name := range names {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		ts.Check(err)
 		held = append(held, listener)
 		ts.Setenv(name, listener.Addr().String())
