Package platform becomes objectstore

The package holds the product's own model of an object store and a machine list; the name platform is needed for the translation between a given platform and the product. Only the name changes; go vet and the build pass.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/config"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 const good = `
@@ -96,7 +96,7 @@
 // TestBadObjects feeds wrong objects: each is refused with the place, none
 // panics, and what is in force stays.
 func TestBadObjects(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	editor := config.NewEditor(store, time.Now)
 	content, err := config.DecodeTOML("good.toml", []byte(good))
 	require.NoError(t, err)
@@ -128,7 +128,7 @@
 
 // TestHistory follows changes, takes them back, and spreads them as differences.
 func TestHistory(t *testing.T) {
-	editor := config.NewEditor(platform.NewMemory(), time.Now)
+	editor := config.NewEditor(objectstore.NewMemory(), time.Now)
 	var documents []config.Document
 	for number := range 5 {
 		set := config.Content{Policies: []config.Policy{{Name: fmt.Sprintf("p%d", number%2)}}}
--- a/config/editor.go
+++ b/config/editor.go
@@ -8,12 +8,12 @@
 
 	"github.com/juju/errors"
 
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/wait"
 )
 
 // HeadKey names the object that holds the document.
-var HeadKey = platform.Key{Kind: "configuration", Name: "head"}
+var HeadKey = objectstore.Key{Kind: "configuration", Name: "head"}
 
 // Bounds on how often a change is tried again after a lost answer or a lost race.
 const (
@@ -55,21 +55,21 @@
 
 // Editor writes changes to the head object.
 type Editor struct {
-	store platform.Store
+	store objectstore.Store
 	now   func() time.Time
 }
 
 // NewEditor returns an editor on the store. now gives the time noted in the
 // history.
-func NewEditor(store platform.Store, now func() time.Time) *Editor {
+func NewEditor(store objectstore.Store, now func() time.Time) *Editor {
 	return &Editor{store: store, now: now}
 }
 
 // Load reads the document and the version of the head object. A head that was
 // never written is an empty document.
-func Load(ctx context.Context, store platform.Store) (Document, platform.Version, error) {
+func Load(ctx context.Context, store objectstore.Store) (Document, objectstore.Version, error) {
 	object, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return Document{}, 0, nil
 	}
 	if err != nil {
@@ -104,7 +104,7 @@
 }
 
 func retriable(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, platform.ErrUnavailable)
+	return errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrOutcomeUnknown) || errors.Is(err, objectstore.ErrUnavailable)
 }
 
 func (e *Editor) try(ctx context.Context, edit Edit) (Document, error) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,9 +25,9 @@
 	"github.com/tuliphall/tuliphall/measure"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/operation"
 	"github.com/tuliphall/tuliphall/peer"
-	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
 	"github.com/tuliphall/tuliphall/wait"
@@ -41,8 +41,8 @@
 	Settings settings.Settings
 	Network  network.Network // nil: TCP
 	// Store and Machines are the platform; nil: the one in the settings.
-	Store    platform.Store
-	Machines platform.Machines
+	Store    objectstore.Store
+	Machines objectstore.Machines
 	LogTo    io.Writer
 }
 
@@ -50,9 +50,9 @@
 type Daemon struct {
 	settings  settings.Settings
 	network   network.Network
-	store     platform.Store
-	machines  platform.Machines
-	client    *platform.Client // nil when the platform was given
+	store     objectstore.Store
+	machines  objectstore.Machines
+	client    *objectstore.Client // nil when the platform was given
 	logWriter *logging.Writer
 	logger    *slog.Logger
 	log       *slog.Logger
@@ -118,7 +118,7 @@
 	if d.store != nil {
 		return
 	}
-	d.client = platform.NewClient(d.network, d.settings.Platform.Address, d.settings.Name)
+	d.client = objectstore.NewClient(d.network, d.settings.Platform.Address, d.settings.Name)
 	d.store, d.machines = d.client, d.client
 }
 
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -11,8 +11,8 @@
 	"github.com/tuliphall/tuliphall/admin"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/peer"
-	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/service"
 )
 
@@ -36,7 +36,7 @@
 		d.log.Warn("machine list not read", "error", err)
 	}
 	for _, machine := range machines {
-		if machine.Role == platform.RoleEntry && machine.Address != d.listeners.Peer {
+		if machine.Role == objectstore.RoleEntry && machine.Address != d.listeners.Peer {
 			addresses = append(addresses, machine.Address)
 		}
 	}
@@ -71,8 +71,8 @@
 	}
 	leaving := make(map[string]bool, len(machines))
 	for _, machine := range machines {
-		if machine.Role == platform.RoleBackend {
-			leaving[machine.Address] = machine.State == platform.MachineLeaving
+		if machine.Role == objectstore.RoleBackend {
+			leaving[machine.Address] = machine.State == objectstore.MachineLeaving
 		}
 	}
 	for name, running := range d.services.All() {
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -22,7 +22,7 @@
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/wait"
 )
@@ -57,7 +57,7 @@
 
 // Options are a Follower's collaborators.
 type Options struct {
-	Store    platform.Store
+	Store    objectstore.Store
 	Services *service.Registry
 	Timeout  time.Duration // of one call to the store
 	Watchers int           // daemons of a region that watch
@@ -264,7 +264,7 @@
 // watchLoop watches the store while this daemon is chosen to.
 func (f *Follower) watchLoop(ctx context.Context) {
 	backoff := firstBackoff
-	version := platform.Version(0)
+	version := objectstore.Version(0)
 	// A daemon that has just started knows hardly anybody and would choose itself.
 	// Had all started at once, each would hold a watch.
 	wait.Sleep(ctx, firstWatch)
@@ -303,12 +303,12 @@
 }
 
 // watch waits for one change and puts it in force.
-func (f *Follower) watch(ctx context.Context, after platform.Version) (platform.Version, error) {
+func (f *Follower) watch(ctx context.Context, after objectstore.Version) (objectstore.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+f.options.Timeout)
 	defer cancel()
 	go f.cancelWhenNotChosen(ctx, cancel)
 	object, err := f.options.Store.Watch(ctx, config.HeadKey, after, watchWait)
-	if errors.Is(err, platform.ErrNotFound) || (err != nil && !f.chosen()) {
+	if errors.Is(err, objectstore.ErrNotFound) || (err != nil && !f.chosen()) {
 		return after, nil
 	}
 	if err != nil {
--- a/lab/labcommand/demo.go
+++ b/lab/labcommand/demo.go
@@ -14,7 +14,7 @@
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/daemon"
 	"github.com/tuliphall/tuliphall/lab/backendstub"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/standalone"
 )
 
@@ -50,7 +50,7 @@
 
 // exampleBackends serves a stand-in at each address that the options place.
 func exampleBackends(options daemon.Options) (stop func(), err error) {
-	store, ok := options.Store.(*platform.Memory)
+	store, ok := options.Store.(*objectstore.Memory)
 	if !ok {
 		return nil, fmt.Errorf("standalone without a store in memory")
 	}
@@ -83,7 +83,7 @@
 	return stop, nil
 }
 
-func documentOf(store platform.Store) (config.Document, error) {
+func documentOf(store objectstore.Store) (config.Document, error) {
 	document, _, err := config.Load(context.Background(), store)
 	return document, err
 }
--- a/lab/platformstub/stub.go
+++ b/lab/platformstub/stub.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // The platform's rates, in calls a second, for all callers together.
@@ -59,7 +59,7 @@
 
 // Stub is the stand-in. It is safe for concurrent use.
 type Stub struct {
-	store  *platform.Memory
+	store  *objectstore.Memory
 	writes *rate.Limiter
 	reads  *rate.Limiter
 
@@ -68,7 +68,7 @@
 	counts   map[callKey]int
 	watching int
 	mostWait int
-	stale    []platform.Machine // served instead of the list while lagging
+	stale    []objectstore.Machine // served instead of the list while lagging
 	lagging  bool
 	broken   chan struct{} // closed to end waiting watches
 }
@@ -76,7 +76,7 @@
 // New returns a platform that is well and empty.
 func New() *Stub {
 	return &Stub{
-		store:  platform.NewMemory(),
+		store:  objectstore.NewMemory(),
 		writes: rate.NewLimiter(WritesPerSecond, WritesPerSecond),
 		reads:  rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
 		counts: make(map[callKey]int),
@@ -85,7 +85,7 @@
 }
 
 // Store returns the store behind the stand-in, for checks.
-func (s *Stub) Store() *platform.Memory {
+func (s *Stub) Store() *objectstore.Memory {
 	return s.store
 }
 
@@ -102,7 +102,7 @@
 
 // SetMachines replaces the machine list. While the list lags, the old one is
 // still served.
-func (s *Stub) SetMachines(machines []platform.Machine) {
+func (s *Stub) SetMachines(machines []objectstore.Machine) {
 	s.store.SetMachines(machines)
 }
 
@@ -138,11 +138,11 @@
 // Handler serves the object API and the machine list.
 func (s *Stub) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.ObjectsPath+"{kind}/{name}", s.get)
-	mux.HandleFunc("PUT "+platform.ObjectsPath+"{kind}/{name}", s.put)
-	mux.HandleFunc("DELETE "+platform.ObjectsPath+"{kind}/{name}", s.delete)
-	mux.HandleFunc("GET "+platform.ObjectsPath+"{kind}", s.list)
-	mux.HandleFunc("GET "+platform.MachinesPath, s.machines)
+	mux.HandleFunc("GET "+objectstore.ObjectsPath+"{kind}/{name}", s.get)
+	mux.HandleFunc("PUT "+objectstore.ObjectsPath+"{kind}/{name}", s.put)
+	mux.HandleFunc("DELETE "+objectstore.ObjectsPath+"{kind}/{name}", s.delete)
+	mux.HandleFunc("GET "+objectstore.ObjectsPath+"{kind}", s.list)
+	mux.HandleFunc("GET "+objectstore.MachinesPath, s.machines)
 	return mux
 }
 
@@ -151,7 +151,7 @@
 func (s *Stub) begin(w http.ResponseWriter, r *http.Request, kind CallKind) bool {
 	s.mutex.Lock()
 	faults := s.faults
-	s.counts[callKey{caller: r.Header.Get(platform.HeaderCaller), kind: kind}]++
+	s.counts[callKey{caller: r.Header.Get(objectstore.HeaderCaller), kind: kind}]++
 	s.mutex.Unlock()
 	if faults.Down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
@@ -172,7 +172,7 @@
 	}
 	if !limiter.Allow() {
 		s.mutex.Lock()
-		s.counts[callKey{caller: r.Header.Get(platform.HeaderCaller), kind: CallRefused}]++
+		s.counts[callKey{caller: r.Header.Get(objectstore.HeaderCaller), kind: CallRefused}]++
 		s.mutex.Unlock()
 		http.Error(w, "rate exceeded", http.StatusTooManyRequests)
 		return false
@@ -194,12 +194,12 @@
 	}
 }
 
-func keyOf(r *http.Request) platform.Key {
-	return platform.Key{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
+func keyOf(r *http.Request) objectstore.Key {
+	return objectstore.Key{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 }
 
 func (s *Stub) get(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has(platform.ParamWait) {
+	if r.URL.Query().Has(objectstore.ParamWait) {
 		s.watch(w, r)
 		return
 	}
@@ -214,12 +214,12 @@
 const maxWait = time.Minute
 
 func (s *Stub) watch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get(platform.ParamAfter), 10, 64)
+	after, err := strconv.ParseUint(r.URL.Query().Get(objectstore.ParamAfter), 10, 64)
 	if err != nil {
 		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	wait, err := time.ParseDuration(r.URL.Query().Get(platform.ParamWait))
+	wait, err := time.ParseDuration(r.URL.Query().Get(objectstore.ParamWait))
 	if err != nil || wait < 0 || wait > maxWait {
 		http.Error(w, "wait: not a duration up to 1m", http.StatusBadRequest)
 		return
@@ -227,7 +227,7 @@
 	if !s.begin(w, r, CallWatch) {
 		return
 	}
-	object, err := s.wait(r.Context(), keyOf(r), platform.Version(after), wait)
+	object, err := s.wait(r.Context(), keyOf(r), objectstore.Version(after), wait)
 	if errors.Is(err, context.Canceled) {
 		panic(http.ErrAbortHandler)
 	}
@@ -235,7 +235,7 @@
 }
 
 // wait waits for a change; a broken watch ends as canceled.
-func (s *Stub) wait(ctx context.Context, key platform.Key, after platform.Version, wait time.Duration) (platform.Object, error) {
+func (s *Stub) wait(ctx context.Context, key objectstore.Key, after objectstore.Version, wait time.Duration) (objectstore.Object, error) {
 	s.mutex.Lock()
 	s.watching++
 	s.mostWait = max(s.mostWait, s.watching)
@@ -263,14 +263,14 @@
 	if !ok || !s.begin(w, r, CallWrite) {
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectstore.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
 	version, err := s.store.Put(r.Context(), keyOf(r), value, expected)
 	s.loseAnswer()
-	answer(w, platform.Object{Version: version}, err)
+	answer(w, objectstore.Object{Version: version}, err)
 }
 
 func (s *Stub) delete(w http.ResponseWriter, r *http.Request) {
@@ -280,16 +280,16 @@
 	}
 	err := s.store.Delete(r.Context(), keyOf(r), expected)
 	s.loseAnswer()
-	answer(w, platform.Object{Version: expected}, err)
+	answer(w, objectstore.Object{Version: expected}, err)
 }
 
-func expectedOf(w http.ResponseWriter, r *http.Request) (platform.Version, bool) {
-	expected, err := strconv.ParseUint(r.Header.Get(platform.HeaderExpect), 10, 64)
+func expectedOf(w http.ResponseWriter, r *http.Request) (objectstore.Version, bool) {
+	expected, err := strconv.ParseUint(r.Header.Get(objectstore.HeaderExpect), 10, 64)
 	if err != nil {
-		http.Error(w, platform.HeaderExpect+": not a version", http.StatusBadRequest)
+		http.Error(w, objectstore.HeaderExpect+": not a version", http.StatusBadRequest)
 		return 0, false
 	}
-	return platform.Version(expected), true
+	return objectstore.Version(expected), true
 }
 
 func (s *Stub) list(w http.ResponseWriter, r *http.Request) {
@@ -298,11 +298,11 @@
 	}
 	objects, err := s.store.List(r.Context(), r.PathValue("kind"))
 	if err != nil {
-		answer(w, platform.Object{}, err)
+		answer(w, objectstore.Object{}, err)
 		return
 	}
 	// A caller that has gone cannot be told.
-	_ = platform.EncodeList(w, objects)
+	_ = objectstore.EncodeList(w, objects)
 }
 
 func (s *Stub) machines(w http.ResponseWriter, r *http.Request) {
@@ -321,18 +321,18 @@
 }
 
 // answer writes an object or the status of an error.
-func answer(w http.ResponseWriter, object platform.Object, err error) {
+func answer(w http.ResponseWriter, object objectstore.Object, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
-		w.Header().Set(platform.HeaderVersion, strconv.FormatUint(uint64(object.Version), 10))
+		w.Header().Set(objectstore.HeaderVersion, strconv.FormatUint(uint64(object.Version), 10))
 		_, _ = w.Write(object.Value)
 	}
 }
--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -11,8 +11,8 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/operation"
-	"github.com/tuliphall/tuliphall/platform"
 )
 
 // storeLatency is what one write to the platform's store takes.
@@ -20,13 +20,13 @@
 
 // slowStore answers writes after storeLatency and counts them.
 type slowStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	writes atomic.Int64
 	bytes  atomic.Int64
 }
 
-// Put implements platform.Store.
-func (s *slowStore) Put(ctx context.Context, key platform.Key, value []byte, expected platform.Version) (platform.Version, error) {
+// Put implements objectstore.Store.
+func (s *slowStore) Put(ctx context.Context, key objectstore.Key, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	time.Sleep(storeLatency)
 	s.writes.Add(1)
 	s.bytes.Add(int64(len(value)))
@@ -45,7 +45,7 @@
 
 // MeasureClaims lets callers claim and finish operations one after another.
 func MeasureClaims(writes float64, callers int, length time.Duration) Claims {
-	store := &slowStore{Memory: platform.NewMemory()}
+	store := &slowStore{Memory: objectstore.NewMemory()}
 	executor := operation.NewExecutor(operation.Options{
 		Store: store, Writes: rate.NewLimiter(rate.Limit(writes), 1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -22,7 +22,7 @@
 	"github.com/tuliphall/tuliphall/lab/backendstub"
 	"github.com/tuliphall/tuliphall/lab/platformstub"
 	"github.com/tuliphall/tuliphall/network"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/settings"
 )
 
@@ -241,12 +241,12 @@
 func (s *Site) updateMachines() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var machines []platform.Machine
+	var machines []objectstore.Machine
 	for name, running := range s.daemons {
-		machines = append(machines, platform.Machine{ID: name, Role: platform.RoleEntry, Address: running.Addresses().Peer, State: platform.MachineLive})
+		machines = append(machines, objectstore.Machine{ID: name, Role: objectstore.RoleEntry, Address: running.Addresses().Peer, State: objectstore.MachineLive})
 	}
 	for _, one := range s.Backends {
-		machines = append(machines, platform.Machine{ID: one.ID, Role: platform.RoleBackend, Address: one.Address, Zone: one.Zone, State: platform.MachineLive})
+		machines = append(machines, objectstore.Machine{ID: one.ID, Role: objectstore.RoleBackend, Address: one.Address, Zone: one.Zone, State: objectstore.MachineLive})
 	}
 	s.Platform.SetMachines(machines)
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -18,7 +18,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // Timing of a lease.
@@ -34,13 +34,13 @@
 // State is what one daemon knows of one lease. It is pure and not safe for
 // concurrent use.
 type State struct {
-	version platform.Version // last seen
-	seen    time.Time        // when this version was first seen
-	until   time.Time        // end of the daemon's own right; zero: none
+	version objectstore.Version // last seen
+	seen    time.Time           // when this version was first seen
+	until   time.Time           // end of the daemon's own right; zero: none
 }
 
 // Observe notes the version read from the store; 0 means that there is no object.
-func (s *State) Observe(now time.Time, version platform.Version) {
+func (s *State) Observe(now time.Time, version objectstore.Version) {
 	if s.seen.IsZero() || version != s.version {
 		s.version, s.seen = version, now
 	}
@@ -53,7 +53,7 @@
 }
 
 // Written notes that the daemon's own write, begun at the given time, took effect.
-func (s *State) Written(begun time.Time, version platform.Version) {
+func (s *State) Written(begun time.Time, version objectstore.Version) {
 	s.version, s.seen = version, begun
 	s.until = begun.Add(Lifetime - margin)
 }
@@ -80,8 +80,8 @@
 
 // Lease is a lease that this daemon may hold. It is safe for concurrent use.
 type Lease struct {
-	store  platform.Store
-	key    platform.Key
+	store  objectstore.Store
+	key    objectstore.Key
 	holder string
 
 	mutex sync.Mutex
@@ -89,8 +89,8 @@
 }
 
 // New returns a lease that is not held.
-func New(store platform.Store, name, holder string) *Lease {
-	return &Lease{store: store, key: platform.Key{Kind: "lease", Name: name}, holder: holder}
+func New(store objectstore.Store, name, holder string) *Lease {
+	return &Lease{store: store, key: objectstore.Key{Kind: "lease", Name: name}, holder: holder}
 }
 
 // Valid says whether this daemon holds the lease now. It does not block on the
@@ -130,7 +130,7 @@
 
 func (l *Lease) look(ctx context.Context) error {
 	object, err := l.store.Get(ctx, l.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return errors.Annotatef(err, "lease %s", l.key.Name)
 	}
 	l.mutex.Lock()
@@ -139,7 +139,7 @@
 	return nil
 }
 
-func (l *Lease) write(ctx context.Context, expected platform.Version) error {
+func (l *Lease) write(ctx context.Context, expected objectstore.Version) error {
 	data, err := json.Marshal(record{Holder: l.holder})
 	if err != nil {
 		return err
@@ -152,7 +152,7 @@
 	case err == nil:
 		l.state.Written(begun, version)
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		l.state.Lost()
 		return nil
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -21,7 +21,7 @@
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/lease"
 	"github.com/tuliphall/tuliphall/logging"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/service"
 )
 
@@ -68,7 +68,7 @@
 // Options are a Prober's collaborators.
 type Options struct {
 	Name     string // the daemon's
-	Store    platform.Store
+	Store    objectstore.Store
 	Services *service.Registry
 	// Dispatches says whether this daemon dispatches a service.
 	Dispatches func(service string) bool
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/tuliphall/tuliphall/lease"
 	"github.com/tuliphall/tuliphall/measure"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // daemonLife is one daemon of a random fleet.
@@ -25,7 +25,7 @@
 // fleet wants to probe one service: its daemons start, pause for a while, and are
 // replaced.
 type fleet struct {
-	store  *platform.Memory
+	store  *objectstore.Memory
 	mutex  sync.Mutex
 	probes []time.Time
 }
@@ -86,7 +86,7 @@
 // run lets the fleet live in virtual time and returns the probes over the budget.
 func run(t *testing.T, lives []daemonLife, rate float64, unchecked bool) (excess, probes int) {
 	synctest.Test(t, func(*testing.T) {
-		f := &fleet{store: platform.NewMemory()}
+		f := &fleet{store: objectstore.NewMemory()}
 		var running sync.WaitGroup
 		for number, life := range lives {
 			running.Go(func() {
--- a/platform/memory.go
+++ b/objectstore/memory.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/objectstore/objectstore.go
@@ -1,4 +1,4 @@
-// Package platform is the client side of the platform's two services: the
+// Package objectstore is the client side of the platform's two services: the
 // object API, which keeps everything that must last or must be agreed, and
 // the machine list.
 //
@@ -6,7 +6,7 @@
 // Writes are conditional on the version the writer has read, which is the only
 // form of agreement the load balancer relies on. Every call counts against the
 // platform's rates, a waiting watch as one call.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/operation/executor.go
+++ b/operation/executor.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/tuliphall/tuliphall/logging"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
@@ -34,7 +34,7 @@
 
 // Options are an Executor's collaborators.
 type Options struct {
-	Store     platform.Store
+	Store     objectstore.Store
 	Writes    *rate.Limiter // of this daemon's calls that write
 	Retention time.Duration // 0: DefaultRetention
 	Log       *slog.Logger
--- a/operation/journal.go
+++ b/operation/journal.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // Bounds of a journal.
@@ -42,18 +42,18 @@
 
 // journal reads and appends to one service's chain. One goroutine owns it.
 type journal struct {
-	store   platform.Store
+	store   objectstore.Store
 	limiter *rate.Limiter
 	kind    string
 	ledger  *Ledger
 	loaded  bool
 	tail    segment
-	version platform.Version // of the tail; 0: it does not exist yet
-	inTail  int              // entries of the tail that are in the ledger
-	synced  time.Time        // when the store last answered
+	version objectstore.Version // of the tail; 0: it does not exist yet
+	inTail  int                 // entries of the tail that are in the ledger
+	synced  time.Time           // when the store last answered
 }
 
-func newJournal(store platform.Store, limiter *rate.Limiter, service string, retention time.Duration) *journal {
+func newJournal(store objectstore.Store, limiter *rate.Limiter, service string, retention time.Duration) *journal {
 	return &journal{store: store, limiter: limiter, kind: "operations-" + service, ledger: NewLedger(retention)}
 }
 
@@ -98,7 +98,7 @@
 func (j *journal) refresh(ctx context.Context) error {
 	for {
 		object, err := j.get(ctx, j.tail.Number)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectstore.ErrNotFound) {
 			if j.version == 0 {
 				return nil
 			}
@@ -121,14 +121,14 @@
 	}
 }
 
-func (j *journal) get(ctx context.Context, number int) (platform.Object, error) {
+func (j *journal) get(ctx context.Context, number int) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return j.store.Get(ctx, platform.Key{Kind: j.kind, Name: segmentName(number)})
+	return j.store.Get(ctx, objectstore.Key{Kind: j.kind, Name: segmentName(number)})
 }
 
 // fold takes a segment into the ledger and makes it the tail.
-func (j *journal) fold(object platform.Object) error {
+func (j *journal) fold(object objectstore.Object) error {
 	var read segment
 	if err := json.Unmarshal(object.Value, &read); err != nil {
 		return errors.Annotatef(err, "journal segment %s/%s", object.Key.Kind, object.Key.Name)
@@ -174,13 +174,13 @@
 	return nil
 }
 
-func (j *journal) put(ctx context.Context, number int, data []byte) (platform.Version, error) {
+func (j *journal) put(ctx context.Context, number int, data []byte) (objectstore.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := j.limiter.Wait(ctx); err != nil {
-		return 0, errors.WithType(err, platform.ErrUnavailable)
+		return 0, errors.WithType(err, objectstore.ErrUnavailable)
 	}
-	return j.store.Put(ctx, platform.Key{Kind: j.kind, Name: segmentName(number)}, data, j.version)
+	return j.store.Put(ctx, objectstore.Key{Kind: j.kind, Name: segmentName(number)}, data, j.version)
 }
 
 // expire removes the oldest sealed segments whose entries have all expired.
@@ -208,7 +208,7 @@
 		if err := j.limiter.Wait(ctx); err != nil {
 			return err
 		}
-		if err := j.store.Delete(ctx, object.Key, object.Version); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := j.store.Delete(ctx, object.Key, object.Version); err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			return errors.Annotate(err, "removing an expired segment")
 		}
 	}
--- a/operation/operation_test.go
+++ b/operation/operation_test.go
@@ -15,15 +15,15 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/time/rate"
 
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/operation"
-	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
 // faultyStore loses answers of writes that took effect, refuses calls, and is
 // slow.
 type faultyStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	mutex  sync.Mutex
 	random *rand.Rand
 	lost   float64
@@ -37,18 +37,18 @@
 	return s.random.Float64() < share
 }
 
-// Put implements platform.Store.
-func (s *faultyStore) Put(ctx context.Context, key platform.Key, value []byte, expected platform.Version) (platform.Version, error) {
+// Put implements objectstore.Store.
+func (s *faultyStore) Put(ctx context.Context, key objectstore.Key, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	time.Sleep(5 * time.Millisecond)
 	if s.draw(s.down) {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	s.mutex.Lock()
 	s.writes++
 	s.mutex.Unlock()
 	version, err := s.Memory.Put(ctx, key, value, expected)
 	if s.draw(s.lost) {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, objectstore.ErrOutcomeUnknown
 	}
 	return version, err
 }
@@ -59,7 +59,7 @@
 	return s.writes
 }
 
-func newExecutor(store platform.Store) *operation.Executor {
+func newExecutor(store objectstore.Store) *operation.Executor {
 	return operation.NewExecutor(operation.Options{
 		Store: store, Writes: rate.NewLimiter(100, 1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -105,7 +105,7 @@
 func TestClaimsAreLinearizable(t *testing.T) {
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
-			store := &faultyStore{Memory: platform.NewMemory(), random: rand.New(rand.NewPCG(seed, 1)), lost: 0.2, down: 0.1}
+			store := &faultyStore{Memory: objectstore.NewMemory(), random: rand.New(rand.NewPCG(seed, 1)), lost: 0.2, down: 0.1}
 			history := race(t, store, seed)
 			require.True(t, porcupine.CheckOperations(model, history), "seed %d", seed)
 		})
@@ -113,7 +113,7 @@
 }
 
 // race runs three daemons with two callers each over few keys.
-func race(t *testing.T, store platform.Store, seed uint64) []porcupine.Operation {
+func race(t *testing.T, store objectstore.Store, seed uint64) []porcupine.Operation {
 	var mutex sync.Mutex
 	var history []porcupine.Operation
 	note := func(client int, called time.Time, input, output begin) {
@@ -170,7 +170,7 @@
 // TestReplayAndReuse answers a key that was seen before with the record.
 func TestReplayAndReuse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &faultyStore{Memory: platform.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
+		store := &faultyStore{Memory: objectstore.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
 		first, second := newExecutor(store), newExecutor(store)
 		claim, _, failure := first.Begin(t.Context(), "swaps", "key", 1)
 		require.Nil(t, failure)
@@ -193,7 +193,7 @@
 // them expire.
 func TestLongJournal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &faultyStore{Memory: platform.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
+		store := &faultyStore{Memory: objectstore.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
 		first := newExecutor(store)
 		const keys = 2000
 		var callers sync.WaitGroup
@@ -230,7 +230,7 @@
 // TestOldClaimIsNotUsable holds a claim past its lifetime, as a paused daemon does.
 func TestOldClaimIsNotUsable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		executor := newExecutor(platform.NewMemory())
+		executor := newExecutor(objectstore.NewMemory())
 		claim, _, failure := executor.Begin(t.Context(), "swaps", "key", 1)
 		require.Nil(t, failure)
 		require.True(t, claim.Usable())
--- a/operation/writer.go
+++ b/operation/writer.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/wait"
 )
@@ -197,9 +197,9 @@
 	err := error(errNotLoaded)
 	refreshed := false
 	for range maxTries {
-		if !w.journal.loaded || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
+		if !w.journal.loaded || errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrOutcomeUnknown) {
 			if loadErr := w.journal.load(ctx); loadErr != nil {
-				err = errors.WithType(loadErr, platform.ErrOutcomeUnknown)
+				err = errors.WithType(loadErr, objectstore.ErrOutcomeUnknown)
 				if !wait.Sleep(ctx, tryPause) {
 					return err
 				}
@@ -217,7 +217,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !wait.Sleep(ctx, tryPause) {
+		if !errors.Is(err, objectstore.ErrConflict) && !wait.Sleep(ctx, tryPause) {
 			return err
 		}
 	}
--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -11,7 +11,7 @@
 
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/daemon"
-	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/settings"
 )
 
@@ -43,7 +43,7 @@
 	if err := read.Content.Validate(); err != nil {
 		return daemon.Options{}, config.Locate(name, text, err)
 	}
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	document, err := config.Document{}.Advance(read.Content, config.Change{ID: "standalone", Author: "standalone", Summary: name})
 	if err != nil {
 		return daemon.Options{}, err
