--- a/backend/backend.go
+++ b/backend/backend.go
@@ -37,6 +37,9 @@
 	// AllowUnframed passes on answers that only the end of the connection
 	// delimits.
 	AllowUnframed bool
+	// Echo is a header of which each answer must carry the request's value;
+	// empty: none.
+	Echo string
 }
 
 // Defaults of Options.
@@ -177,6 +180,15 @@
 	return e.conn == nil || e.conn.reads.Load() != e.readsThen
 }
 
+// close ends the connection, so that nothing more is read from it.
+func (e *exchange) close() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.conn != nil {
+		e.conn.Close()
+	}
+}
+
 // Do sends the request and returns the answer, whose body the caller reads and
 // closes. request.URL needs path and query only. It blocks until the answer's
 // header is there or ctx ends; a deadline is told by the cause of ctx being
@@ -201,6 +213,7 @@
 		return nil, c.failure(ctx, exchange, body, err)
 	}
 	if err := c.verify(exchange, response); err != nil {
+		exchange.close()
 		response.Body.Close()
 		return nil, &Failure{Code: resultcode.AnswerUnverifiable, Cause: err}
 	}
@@ -236,6 +249,9 @@
 	if !exchange.fresh() {
 		return errors.New("bytes of the answer came before the request was sent")
 	}
+	if c.options.Echo != "" && response.Header.Get(c.options.Echo) != response.Request.Header.Get(c.options.Echo) {
+		return errors.Errorf("the answer belongs to request %q", response.Header.Get(c.options.Echo))
+	}
 	if response.ContentLength >= 0 || c.options.AllowUnframed || response.StatusCode == http.StatusSwitchingProtocols {
 		return nil
 	}
--- /dev/null
+++ b/backend/dialect.go
@@ -0,0 +1,39 @@
+package backend
+
+// Dialect is how callers and back ends spell what travels with a request, and
+// what may be expected of them.
+type Dialect struct {
+	// RequestID is the header that identifies a request.
+	RequestID string
+	// Deadline is the header that holds the milliseconds that remain.
+	Deadline string
+	// Instance is the header that names the back end a request is meant for;
+	// any other one refuses it with 421. Empty: it is not sent.
+	Instance string
+	// NotRun is the header by which a back end says that it did not run a
+	// request. Empty: a service's refusal status says so.
+	NotRun string
+	// Report is the header that carries a back end's load on its answers.
+	Report string
+	// ParseReport reads that header. It returns false when the value has no
+	// usable count.
+	ParseReport func(value string) (Report, bool)
+	// EchoesRequestID: every answer carries the id of its request. An answer
+	// without it, or with another one, is refused.
+	EchoesRequestID bool
+	// Transparent: nothing is added to a request besides the headers above.
+	Transparent bool
+	// FractionalRetryAfter: callers understand fractions of a second there.
+	FractionalRetryAfter bool
+}
+
+// Headers of the project's own dialect.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderDeadline  = "Tuliphall-Deadline-Ms"
+)
+
+// DefaultDialect is the project's own.
+func DefaultDialect() Dialect {
+	return Dialect{RequestID: HeaderRequestID, Deadline: HeaderDeadline, Report: HeaderReport, ParseReport: ParseReport}
+}
--- a/backend/report.go
+++ b/backend/report.go
@@ -20,7 +20,10 @@
 
 // Report is a back end's word on its load.
 type Report struct {
-	InFlight int
+	InFlight int // requests it has, those in its queue included
+	// Slowdown is how much longer work takes there now than usually; 0: not
+	// told.
+	Slowdown float64
 }
 
 // jsonReport is the JSON form of a report.
--- a/config/document.go
+++ b/config/document.go
@@ -42,6 +42,8 @@
 	Revision Revision `json:"revision"`
 	Content  Content  `json:"content"`
 	History  []Change `json:"history,omitempty"`
+	// Directory is not part of the revision, nor of the history.
+	Directory Directory `json:"directory,omitzero"`
 }
 
 // DecodeDocument reads a document as Encode wrote it.
@@ -73,6 +75,11 @@
 			return nil, err
 		}
 	}
+	for _, route := range c.Routes {
+		if err := put(KindRoute, route.Name, route); err != nil {
+			return nil, err
+		}
+	}
 	for _, placement := range c.Placements {
 		if err := put(KindPlacement, placement.Service, placement); err != nil {
 			return nil, err
@@ -109,6 +116,8 @@
 	switch key.Kind {
 	case KindService:
 		return decodeInto(data, &c.Services)
+	case KindRoute:
+		return decodeInto(data, &c.Routes)
 	case KindPlacement:
 		return decodeInto(data, &c.Placements)
 	case KindPolicy:
@@ -186,7 +195,7 @@
 	change.Revision = d.Revision + 1
 	change.Objects = changed
 	history := append(append([]Change(nil), d.History...), change)
-	return Document{Revision: change.Revision, Content: content, History: boundHistory(history)}, nil
+	return Document{Revision: change.Revision, Content: content, History: boundHistory(history), Directory: d.Directory}, nil
 }
 
 // boundHistory drops the oldest changes until the history is within its bounds.
@@ -227,7 +236,7 @@
 	if err != nil {
 		return Document{}, err
 	}
-	return Document{Revision: revision, Content: content, History: boundHistory(history)}, nil
+	return Document{Revision: revision, Content: content, History: boundHistory(history), Directory: d.Directory}, nil
 }
 
 func (o objects) apply(changes []ObjectChange) {
--- a/config/objects.go
+++ b/config/objects.go
@@ -1,5 +1,5 @@
-// Package config is the model of what operators declare: services, the
-// placements of their back ends, and policies.
+// Package config is the model of what operators declare: services, routes to
+// them, the placements of their back ends, and policies.
 //
 // All objects together form one Document with a revision number. Revisions are
 // totally ordered because a new one is written with a conditional update of one
@@ -44,6 +44,9 @@
 	Hosts []string `toml:"hosts" json:"hosts,omitempty"`
 	// PathPrefix selects the service; the longest match wins. Empty: "/".
 	PathPrefix string `toml:"path_prefix" json:"path_prefix,omitempty"`
+	// RoutesOnly: only declared routes select the service, not its own hosts
+	// and prefix.
+	RoutesOnly bool `toml:"routes_only" json:"routes_only,omitempty"`
 	// Policy names the policy object; empty: every default.
 	Policy string `toml:"policy" json:"policy,omitempty"`
 	// Slots is how many requests one back end works on at once; 0: 3.
@@ -88,6 +91,9 @@
 	Connections int `toml:"connections" json:"connections,omitempty"`
 	// Drained: the back end gets no new requests.
 	Drained bool `toml:"drained" json:"drained,omitempty"`
+	// WarmUp is how much longer the back end is slow after its start; 0: it is
+	// warm.
+	WarmUp Duration `toml:"warm_up" json:"warm_up,omitempty"`
 }
 
 // Policy is a named policy.
@@ -99,6 +105,7 @@
 // Content is a set of objects.
 type Content struct {
 	Services   []Service   `toml:"service" json:"services,omitempty"`
+	Routes     []Route     `toml:"route" json:"routes,omitempty"`
 	Placements []Placement `toml:"placement" json:"placements,omitempty"`
 	Policies   []Policy    `toml:"policy" json:"policies,omitempty"`
 }
@@ -109,6 +116,7 @@
 // The kinds of object.
 const (
 	KindService   Kind = "service"
+	KindRoute     Kind = "route"
 	KindPlacement Kind = "placement"
 	KindPolicy    Kind = "policy"
 )
--- /dev/null
+++ b/config/route.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/tuliphall/tuliphall/policy"
+)
+
+// Share is a service's part of the requests of a route.
+type Share struct {
+	Service string `toml:"service" json:"service"`
+	// Weight is the part relative to the other shares'; 0: none.
+	Weight int `toml:"weight" json:"weight"`
+}
+
+// Route declares requests that are recognised by host and path, and the service
+// or services that serve them. A service can have many routes.
+type Route struct {
+	Name string `toml:"name" json:"name"`
+	// Hosts are the host names that select the route; none: any host.
+	Hosts []string `toml:"hosts" json:"hosts,omitempty"`
+	// PathPrefix selects the route; the longest match wins. Empty: "/".
+	PathPrefix string `toml:"path_prefix" json:"path_prefix,omitempty"`
+	// Shares are the services, among which requests are divided by weight.
+	Shares []Share `toml:"share" json:"shares"`
+	// Policy names the policy object; empty: that of the service.
+	Policy string `toml:"policy" json:"policy,omitempty"`
+	// Timeout ends a request whose caller set no earlier deadline; 0: the
+	// service's deadline.
+	Timeout Duration `toml:"timeout" json:"timeout,omitempty"`
+	// Attempts is the most back ends that one request is sent to; 0: 3.
+	Attempts int `toml:"attempts" json:"attempts,omitempty"`
+}
+
+// DefaultAttempts is how often one request is sent, the first time included,
+// where its route says nothing else.
+const DefaultAttempts = 3
+
+// Bounds on routes.
+const (
+	MaxRoutes   = 20000
+	MaxAttempts = 10
+	MaxShare    = 1_000_000
+)
+
+// Division is one service's part of a running route.
+type Division struct {
+	Target *Target
+	Weight int
+}
+
+// RunningRoute is a route as a daemon serves it. It is immutable.
+type RunningRoute struct {
+	Route
+	Policy    *policy.Program
+	Divisions []Division // of weight above 0; at least one
+	total     int
+}
+
+// Deadline returns how long a request of the route may take when its caller says
+// nothing.
+func (r *RunningRoute) Deadline(target *Target) time.Duration {
+	if r.Timeout > 0 {
+		return time.Duration(r.Timeout)
+	}
+	return target.Deadline()
+}
+
+// Choose returns the service of one request. random gives a number from 0 to
+// below its argument.
+func (r *RunningRoute) Choose(random func(int) int) *Target {
+	if len(r.Divisions) == 1 {
+		return r.Divisions[0].Target
+	}
+	point := random(r.total)
+	for _, division := range r.Divisions {
+		if point -= division.Weight; point < 0 {
+			return division.Target
+		}
+	}
+	return r.Divisions[len(r.Divisions)-1].Target
+}
+
+// running compiles the route. The names were checked before.
+func (r Route) running(targets map[string]*Target, programs map[string]*policy.Program) *RunningRoute {
+	made := &RunningRoute{Route: r}
+	if made.PathPrefix == "" {
+		made.PathPrefix = "/"
+	}
+	if made.Attempts == 0 {
+		made.Attempts = DefaultAttempts
+	}
+	for _, share := range r.Shares {
+		if share.Weight > 0 {
+			made.Divisions = append(made.Divisions, Division{Target: targets[share.Service], Weight: share.Weight})
+			made.total += share.Weight
+		}
+	}
+	made.Policy = made.Divisions[0].Target.Policy
+	if r.Policy != "" {
+		made.Policy = programs[r.Policy]
+	}
+	return made
+}
+
+// ownRoute is the route that a service's own host and prefix make.
+func (s Service) ownRoute() Route {
+	return Route{Name: s.Name, Hosts: s.Hosts, PathPrefix: s.PathPrefix, Shares: []Share{{Service: s.Name, Weight: 1}}}
+}
+
+// keys gives the host and prefix pairs that select the route.
+func (r Route) keys() []string {
+	if len(r.Hosts) == 0 {
+		return []string{"*" + r.PathPrefix}
+	}
+	keys := make([]string, 0, len(r.Hosts))
+	for _, host := range r.Hosts {
+		keys = append(keys, strings.ToLower(host)+r.PathPrefix)
+	}
+	return keys
+}
+
+// routeTable finds routes by host. It is immutable.
+type routeTable struct {
+	byHost  map[string][]*RunningRoute // longest prefix first
+	anyHost []*RunningRoute
+}
+
+func newRouteTable(routes []*RunningRoute) routeTable {
+	// The longest prefix comes first, so that the first match is the best.
+	sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	table := routeTable{byHost: make(map[string][]*RunningRoute)}
+	for _, route := range routes {
+		if len(route.Hosts) == 0 {
+			table.anyHost = append(table.anyHost, route)
+		}
+		for _, host := range route.Hosts {
+			host = strings.ToLower(host)
+			table.byHost[host] = append(table.byHost[host], route)
+		}
+	}
+	return table
+}
+
+// match returns the route with the longest prefix; among equals, the one that
+// names the host.
+func (t routeTable) match(host, path string) (*RunningRoute, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	named, found := firstMatch(t.byHost[strings.ToLower(host)], path)
+	unnamed, other := firstMatch(t.anyHost, path)
+	if other && (!found || len(unnamed.PathPrefix) > len(named.PathPrefix)) {
+		return unnamed, true
+	}
+	return named, found
+}
+
+func firstMatch(routes []*RunningRoute, path string) (*RunningRoute, bool) {
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -1,9 +1,6 @@
 package config
 
 import (
-	"net"
-	"sort"
-	"strings"
 	"time"
 
 	"github.com/tuliphall/tuliphall/policy"
@@ -27,6 +24,7 @@
 	Revision Revision
 	Document Document
 	Targets  []*Target
+	routes   routeTable
 }
 
 // NewSnapshot checks and compiles a document.
@@ -39,11 +37,10 @@
 	if err != nil {
 		return nil, err
 	}
-	placements := make(map[string][]Backend)
-	for _, placement := range document.Content.Placements {
-		placements[placement.Service] = placement.Backends
-	}
+	placements := document.placements()
 	snapshot := &Snapshot{Revision: document.Revision, Document: document}
+	targets := make(map[string]*Target, len(document.Content.Services))
+	var routes []*RunningRoute
 	for _, service := range document.Content.Services {
 		target := &Target{Service: service.withDefaults(), Policy: noPolicy}
 		if service.Policy != "" {
@@ -53,14 +50,39 @@
 			target.Backends = append(target.Backends, backend.withDefaults(target.Service))
 		}
 		snapshot.Targets = append(snapshot.Targets, target)
+		targets[service.Name] = target
+		if !service.RoutesOnly {
+			routes = append(routes, service.ownRoute().running(targets, programs))
+		}
+	}
+	for _, route := range document.Content.Routes {
+		routes = append(routes, route.running(targets, programs))
 	}
-	// The longest prefix comes first, so that the first match is the best.
-	sort.SliceStable(snapshot.Targets, func(i, j int) bool {
-		return len(snapshot.Targets[i].Service.PathPrefix) > len(snapshot.Targets[j].Service.PathPrefix)
-	})
+	snapshot.routes = newRouteTable(routes)
 	return snapshot, nil
 }
 
+// Newer says whether the snapshot is newer than another in one part and older in
+// none.
+func (s *Snapshot) Newer(than *Snapshot) bool {
+	mine, others := s.Document.Position(), than.Document.Position()
+	return others.Behind(mine) && !mine.Behind(others)
+}
+
+// placements gives the back ends of each service, those of the directory after
+// the declared ones.
+func (d Document) placements() map[string][]Backend {
+	placements := make(map[string][]Backend)
+	for _, placement := range d.Content.Placements {
+		placements[placement.Service] = placement.Backends
+	}
+	for _, placement := range d.Directory.Placements {
+		declared := placements[placement.Service]
+		placements[placement.Service] = append(declared[:len(declared):len(declared)], placement.Backends...)
+	}
+	return placements
+}
+
 func (s Service) withDefaults() Service {
 	if s.PathPrefix == "" {
 		s.PathPrefix = "/"
@@ -82,30 +104,10 @@
 	return b
 }
 
-// Match returns the target for a request's host (with or without port) and
-// path, and false when there is none.
-func (s *Snapshot) Match(host, path string) (*Target, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, target := range s.Targets {
-		if strings.HasPrefix(path, target.Service.PathPrefix) && target.Service.takesHost(host) {
-			return target, true
-		}
-	}
-	return nil, false
-}
-
-func (s Service) takesHost(host string) bool {
-	if len(s.Hosts) == 0 {
-		return true
-	}
-	for _, name := range s.Hosts {
-		if strings.EqualFold(name, host) {
-			return true
-		}
-	}
-	return false
+// Match returns the route for a request's host (with or without port) and path,
+// and false when there is none.
+func (s *Snapshot) Match(host, path string) (*RunningRoute, bool) {
+	return s.routes.match(host, path)
 }
 
 // Target returns the target of a service by name.
--- a/config/validate.go
+++ b/config/validate.go
@@ -87,7 +87,9 @@
 	root := ObjectKey{Kind: "document", Name: "all"}
 	checkRange(v, root, "services", len(c.Services), 0, MaxServices)
 	programs := v.policies(c.Policies)
-	services := v.services(c.Services, programs)
+	taken := make(takenKeys)
+	services := v.services(c.Services, programs, taken)
+	v.routes(c.Routes, services, programs, taken)
 	v.placements(c.Placements, services)
 	if len(v.wrong) > 0 {
 		return nil, stderrors.Join(v.wrong...)
@@ -111,46 +113,81 @@
 	return programs
 }
 
-func (v *validator) services(declared []Service, programs map[string]*policy.Program) map[string]Service {
+// takenKeys says which service or route has a host and prefix.
+type takenKeys map[string]string
+
+// take notes the keys of a route and refuses those that another has.
+func (t takenKeys) take(v *validator, object ObjectKey, route Route) {
+	for _, key := range route.keys() {
+		other, taken := t[key]
+		v.check(!taken, object, "path_prefix", route.PathPrefix, "a host and prefix that nothing else has; "+other+" has it")
+		t[key] = object.Name
+	}
+}
+
+func (v *validator) services(declared []Service, programs map[string]*policy.Program, taken takenKeys) map[string]Service {
 	services := make(map[string]Service, len(declared))
-	routes := make(map[string]string)
 	for _, service := range declared {
 		object := ObjectKey{Kind: KindService, Name: service.Name}
 		_, twice := services[service.Name]
 		v.check(!twice, object, "name", service.Name, "a name used once")
 		v.service(object, service, programs)
-		for _, route := range service.routes() {
-			other, taken := routes[route]
-			v.check(!taken, object, "path_prefix", service.PathPrefix, "a host and prefix that no other service has; "+other+" has it")
-			routes[route] = service.Name
+		if !service.RoutesOnly {
+			taken.take(v, object, service.ownRoute())
 		}
 		services[service.Name] = service
 	}
 	return services
 }
 
-// routes gives the host and prefix pairs that select the service.
-func (s Service) routes() []string {
-	if len(s.Hosts) == 0 {
-		return []string{"*" + s.PathPrefix}
+func (v *validator) routes(declared []Route, services map[string]Service, programs map[string]*policy.Program, taken takenKeys) {
+	checkRange(v, ObjectKey{Kind: "document", Name: "all"}, "routes", len(declared), 0, MaxRoutes)
+	names := make(map[string]bool, len(declared))
+	for _, route := range declared {
+		object := ObjectKey{Kind: KindRoute, Name: route.Name}
+		v.check(!names[route.Name], object, "name", route.Name, "a name used once")
+		names[route.Name] = true
+		v.route(object, route, services, programs)
+		taken.take(v, object, route)
 	}
-	routes := make([]string, 0, len(s.Hosts))
-	for _, host := range s.Hosts {
-		routes = append(routes, strings.ToLower(host)+s.PathPrefix)
+}
+
+func (v *validator) route(object ObjectKey, route Route, services map[string]Service, programs map[string]*policy.Program) {
+	v.check(namePattern.MatchString(route.Name), object, "name", route.Name, nameAllowed)
+	v.selector(object, route.Hosts, route.PathPrefix)
+	v.policyName(object, route.Policy, programs)
+	v.checkDuration(object, "timeout", route.Timeout, MaxDeadline)
+	checkRange(v, object, "attempts", route.Attempts, 0, MaxAttempts)
+	total := 0
+	for _, share := range route.Shares {
+		_, known := services[share.Service]
+		v.check(known, object, "share.service", share.Service, "the name of a declared service")
+		checkRange(v, object, "share.weight", share.Weight, 0, MaxShare)
+		total += share.Weight
 	}
-	return routes
+	v.check(total > 0, object, "share", total, "shares with a weight above 0")
 }
 
-func (v *validator) service(object ObjectKey, s Service, programs map[string]*policy.Program) {
-	v.check(namePattern.MatchString(s.Name), object, "name", s.Name, nameAllowed)
-	v.check(s.PathPrefix == "" || strings.HasPrefix(s.PathPrefix, "/"), object, "path_prefix", s.PathPrefix, "a path that begins with /")
-	for _, host := range s.Hosts {
+// selector checks what selects requests.
+func (v *validator) selector(object ObjectKey, hosts []string, prefix string) {
+	v.check(prefix == "" || strings.HasPrefix(prefix, "/"), object, "path_prefix", prefix, "a path that begins with /")
+	for _, host := range hosts {
 		v.check(host != "" && !strings.ContainsAny(host, "/: "), object, "hosts", host, "a host name without port")
 	}
-	if s.Policy != "" {
-		_, known := programs[s.Policy]
-		v.check(known, object, "policy", s.Policy, "the name of a declared policy")
+}
+
+func (v *validator) policyName(object ObjectKey, name string, programs map[string]*policy.Program) {
+	if name == "" {
+		return
 	}
+	_, known := programs[name]
+	v.check(known, object, "policy", name, "the name of a declared policy")
+}
+
+func (v *validator) service(object ObjectKey, s Service, programs map[string]*policy.Program) {
+	v.check(namePattern.MatchString(s.Name), object, "name", s.Name, nameAllowed)
+	v.selector(object, s.Hosts, s.PathPrefix)
+	v.policyName(object, s.Policy, programs)
 	checkRange(v, object, "slots", s.Slots, 0, MaxSlots)
 	checkRange(v, object, "queue_limit", s.QueueLimit, 0, MaxQueueLimit)
 	v.checkDuration(object, "deadline", s.Deadline, MaxDeadline)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/dissemination"
 	"github.com/tuliphall/tuliphall/frontend"
@@ -43,7 +44,11 @@
 	// Store and Machines are the platform; nil: the one in the settings.
 	Store    objectstore.Store
 	Machines objectstore.Machines
-	LogTo    io.Writer
+	// Sources give the configuration; nil: the head object of the store.
+	Sources []dissemination.Source
+	// Dialect is how callers and back ends spell headers; nil: the project's.
+	Dialect *backend.Dialect
+	LogTo   io.Writer
 }
 
 // Daemon is one running load balancer process.
@@ -51,6 +56,8 @@
 	settings  settings.Settings
 	network   network.Network
 	store     objectstore.Store
+	sources   []dissemination.Source
+	dialect   backend.Dialect
 	machines  objectstore.Machines
 	client    *objectstore.Client // nil when the platform was given
 	logWriter *logging.Writer
@@ -114,12 +121,18 @@
 }
 
 func (d *Daemon) connectPlatform(options Options) {
-	d.store, d.machines = options.Store, options.Machines
-	if d.store != nil {
-		return
+	d.store, d.machines, d.sources = options.Store, options.Machines, options.Sources
+	if d.store == nil {
+		d.client = objectstore.NewClient(d.network, d.settings.Platform.Address, d.settings.Name)
+		d.store, d.machines = d.client, d.client
+	}
+	if d.sources == nil {
+		d.sources = []dissemination.Source{dissemination.NewHead(d.store, time.Duration(d.settings.Platform.Timeout))}
+	}
+	d.dialect = backend.DefaultDialect()
+	if options.Dialect != nil {
+		d.dialect = *options.Dialect
 	}
-	d.client = objectstore.NewClient(d.network, d.settings.Platform.Address, d.settings.Name)
-	d.store, d.machines = d.client, d.client
 }
 
 // opened are a daemon's listeners.
@@ -176,11 +189,11 @@
 // build makes the parts and joins them.
 func (d *Daemon) build(scope tally.Scope) {
 	seed := rand.Uint64()
-	d.services = service.NewRegistry(d.network, seed)
+	d.services = service.NewRegistry(service.Options{Network: d.network, Seed: seed, Echo: d.echo()})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
-		Store: d.store, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
-		Watchers: d.settings.Platform.Watchers, Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
+		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
+		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
 	})
 	d.node = peer.NewNode(peer.Options{
 		Self: membership.Member{
@@ -197,13 +210,21 @@
 	})
 	d.handler = frontend.NewHandler(frontend.Options{
 		Name: d.settings.Name, Network: d.network, Services: d.services, Peers: d, Operations: d.operations,
-		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions,
+		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
 		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.dispatches, Log: d.logger, Metrics: scope,
 	})
 }
 
+// echo is the header that answers of back ends must carry back.
+func (d *Daemon) echo() string {
+	if d.dialect.EchoesRequestID {
+		return d.dialect.RequestID
+	}
+	return ""
+}
+
 // dispatches says whether this daemon dispatches a service.
 func (d *Daemon) dispatches(name string) bool {
 	_, other := d.node.DispatcherOf(name)
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -124,10 +124,12 @@
 	if d.stopping.Load() {
 		return errors.New("stopping")
 	}
-	if d.services.Snapshot() == nil {
+	select {
+	case <-d.follower.Configured():
+		return nil
+	default:
 		return errors.New("no configuration yet")
 	}
-	return nil
 }
 
 // Apply implements admin.Backend.
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -22,15 +22,12 @@
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
-	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Timing and bounds.
 const (
-	// watchWait is how long one watch waits; it counts as one call.
-	watchWait = 30 * time.Second
 	// pollInterval is how often a daemon that does not watch looks whether it
 	// should.
 	pollInterval = time.Second
@@ -57,12 +54,15 @@
 
 // Options are a Follower's collaborators.
 type Options struct {
-	Store    objectstore.Store
+	// Sources give the parts of the document; each is watched by itself.
+	Sources  []Source
 	Services *service.Registry
 	Timeout  time.Duration // of one call to the store
-	Watchers int           // daemons of a region that watch
-	Log      *slog.Logger
-	Random   *rand.Rand
+	Watchers int           // daemons of a region that watch; 0: all, from the start
+	// MaxBackoff bounds the pause after a failed call; 0: 15 s.
+	MaxBackoff time.Duration
+	Log        *slog.Logger
+	Random     *rand.Rand
 	// Seeds returns peer addresses to ask at the start. It may block.
 	Seeds func(ctx context.Context) []string
 }
@@ -79,6 +79,8 @@
 
 	configured chan struct{} // closed once a document is in force
 
+	once sync.Once // closes it
+
 	mutex    sync.Mutex // held while a document is put in force
 	document atomic.Pointer[config.Document]
 	randomMu sync.Mutex
@@ -90,6 +92,9 @@
 // NewFollower returns a follower without configuration. SetPeers must be called
 // before Run.
 func NewFollower(options Options) *Follower {
+	if options.MaxBackoff == 0 {
+		options.MaxBackoff = maxBackoff
+	}
 	return &Follower{options: options, log: logging.Part(options.Log, "configuration"), behind: make(chan membership.Member, behindQueue), configured: make(chan struct{})}
 }
 
@@ -100,10 +105,15 @@
 
 // Revision returns the revision in force, 0 if there is none.
 func (f *Follower) Revision() config.Revision {
+	return f.Position().Revision
+}
+
+// Position implements peer.Configuration.
+func (f *Follower) Position() config.Position {
 	if document := f.document.Load(); document != nil {
-		return document.Revision
+		return document.Position()
 	}
-	return 0
+	return config.Position{}
 }
 
 // Document returns the document in force; it must not be changed.
@@ -132,15 +142,19 @@
 	}
 }
 
-// Offer puts a document in force if it is newer than the present one, and tells
-// others. The error says why a newer document could not be used.
+// Offer puts what is newer in a document than in the present one in force, and
+// tells others. The error says why a newer document could not be used.
 func (f *Follower) Offer(document config.Document, source string) error {
 	f.noteHead(document.Revision)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	present := f.document.Load()
-	if present != nil && document.Revision <= present.Revision {
-		return nil
+	if present != nil {
+		newest, newer := present.Newest(document)
+		if !newer {
+			return nil
+		}
+		document = newest
 	}
 	snapshot, err := config.NewSnapshot(document)
 	if err != nil {
@@ -148,14 +162,23 @@
 	}
 	f.options.Services.Put(snapshot)
 	f.document.Store(&document)
-	if present == nil {
-		close(f.configured)
+	if f.isConfigured(document) {
+		f.once.Do(func() { close(f.configured) })
 	}
-	f.log.Info("in force", "revision", uint64(document.Revision), "source", source)
+	f.log.Info("in force", "revision", uint64(document.Revision), "directory", uint64(document.Directory.Revision), "source", source)
 	f.peers.Spread()
 	return nil
 }
 
+// isConfigured says whether requests can be served with a document: where there
+// are several sources, the directory must have been read as well.
+func (f *Follower) isConfigured(document config.Document) bool {
+	if len(f.options.Sources) == 1 {
+		return true
+	}
+	return document.Revision > 0 && document.Directory.Revision > 0
+}
+
 func (f *Follower) noteHead(revision config.Revision) {
 	for {
 		present := f.head.Load()
@@ -175,16 +198,18 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.fetchLoop(ctx) })
 	f.start(ctx)
-	f.watchLoop(ctx)
+	for _, source := range f.options.Sources {
+		running.Go(func() { f.watchLoop(ctx, source) })
+	}
 	running.Wait()
 }
 
-// start reads the first configuration: from the store, or, when it is down,
+// start reads the first configuration: from the sources, or, when one is down,
 // the newest that the peers have.
 func (f *Follower) start(ctx context.Context) {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		if err := f.readStore(ctx); err == nil {
+		if err := f.readSources(ctx); err == nil {
 			return
 		} else {
 			f.log.Warn("store not read at the start, asking peers", "error", err)
@@ -196,14 +221,19 @@
 	}
 }
 
-func (f *Follower) readStore(ctx context.Context) error {
+func (f *Follower) readSources(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
-	document, _, err := config.Load(ctx, f.options.Store)
-	if err != nil {
-		return err
+	for _, source := range f.options.Sources {
+		document, err := source.Read(ctx)
+		if err != nil {
+			return err
+		}
+		if err := f.Offer(document, "platform"); err != nil {
+			return err
+		}
 	}
-	return f.Offer(document, "platform")
+	return nil
 }
 
 // askPeers puts the newest document of a few peers in force and says whether
@@ -220,14 +250,12 @@
 		if err != nil {
 			continue
 		}
-		if document.Revision > newest.Revision {
-			newest = document
-		}
+		newest, _ = newest.Newest(document)
 		if answered++; answered >= startPeers {
 			break
 		}
 	}
-	if newest.Revision == 0 {
+	if newest.Position() == (config.Position{}) {
 		return false
 	}
 	if err := f.Offer(newest, "peers"); err != nil {
@@ -261,35 +289,34 @@
 	}
 }
 
-// watchLoop watches the store while this daemon is chosen to.
-func (f *Follower) watchLoop(ctx context.Context) {
+// watchLoop watches a source while this daemon is chosen to.
+func (f *Follower) watchLoop(ctx context.Context, source Source) {
 	backoff := firstBackoff
-	version := objectstore.Version(0)
-	// A daemon that has just started knows hardly anybody and would choose itself.
-	// Had all started at once, each would hold a watch.
-	wait.Sleep(ctx, firstWatch)
+	if f.options.Watchers > 0 {
+		// A daemon that has just started knows hardly anybody and would choose
+		// itself. Had all started at once, each would hold a watch.
+		wait.Sleep(ctx, firstWatch)
+	}
 	for ctx.Err() == nil {
 		chosen := f.chosen()
 		f.watching.Store(chosen)
 		if !chosen {
-			version = 0
 			if !wait.Sleep(ctx, pollInterval) {
 				return
 			}
 			continue
 		}
-		next, err := f.watch(ctx, version)
-		if err != nil {
+		if err := f.watch(ctx, source); err != nil {
 			f.log.Warn("watch failed", "error", err)
 			backoff = f.pause(ctx, backoff)
 			continue
 		}
-		version, backoff = next, firstBackoff
+		backoff = firstBackoff
 	}
 }
 
 func (f *Follower) chosen() bool {
-	return f.peers.Holds(WatchDuty, f.options.Watchers)
+	return f.options.Watchers == 0 || f.peers.Holds(WatchDuty, f.options.Watchers)
 }
 
 // cancelWhenNotChosen ends a watch once others are chosen to watch.
@@ -303,22 +330,20 @@
 }
 
 // watch waits for one change and puts it in force.
-func (f *Follower) watch(ctx context.Context, after objectstore.Version) (objectstore.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+f.options.Timeout)
+func (f *Follower) watch(ctx context.Context, source Source) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go f.cancelWhenNotChosen(ctx, cancel)
-	object, err := f.options.Store.Watch(ctx, config.HeadKey, after, watchWait)
-	if errors.Is(err, objectstore.ErrNotFound) || (err != nil && !f.chosen()) {
-		return after, nil
+	if f.options.Watchers > 0 {
+		go f.cancelWhenNotChosen(ctx, cancel)
 	}
-	if err != nil {
-		return after, err
+	document, err := source.Watch(ctx, f.Document())
+	if err != nil && !f.chosen() {
+		return nil
 	}
-	document, err := config.DecodeDocument(object.Value)
 	if err != nil {
-		return after, err
+		return err
 	}
-	return object.Version, f.Offer(document, "platform")
+	return f.Offer(document, "platform")
 }
 
 // pause sleeps for a random part of the backoff and returns the next one. The
@@ -328,5 +353,5 @@
 	length := backoff/2 + time.Duration(f.options.Random.Int64N(int64(backoff)))
 	f.randomMu.Unlock()
 	wait.Sleep(ctx, length)
-	return min(backoff*2, maxBackoff)
+	return min(backoff*2, f.options.MaxBackoff)
 }
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -47,7 +47,7 @@
 		header.Set(HeaderBackend, backendID)
 		setCode(header, code)
 	}
-	header.Set(HeaderRequestID, a.call.id)
+	header.Set(a.handler.options.Dialect.RequestID, a.call.id)
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return a.passUpgrade(response)
 	}
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -57,7 +56,7 @@
 		return false // it never got a place
 	}
 	verdict := c.service.DecideRetry(retry.Attempt{
-		Code: failure.Code, Number: number, Repeatable: c.decision.Retry, Upstream: c.attempt > 1,
+		Code: failure.Code, Number: number, Most: c.route.Attempts, Repeatable: c.decision.Retry, Upstream: c.attempt > 1,
 		Rewindable: c.buffered, Remaining: time.Until(c.deadline), Expected: time.Millisecond,
 		Backends: len(c.service.Target().Backends) - len(c.tried),
 	})
@@ -113,17 +112,18 @@
 		return &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim lapsed before the request could be sent"}
 	}
 	c.tried = append(c.tried, grant.Backend.ID)
-	out := c.outgoing(c.request)
-	out.Header.Set(HeaderAttempt, strconv.Itoa(max(len(c.tried), c.attempt)))
-	out.Header.Set(HeaderDepth, strconv.Itoa(c.depth+1))
-	response, err := client.Do(ctx, out)
+	response, err := client.Do(ctx, c.toBackend(grant.Backend.ID, a.handler.options.Dialect))
 	if err != nil {
 		return a.sendFailed(grant, err)
 	}
 	defer response.Body.Close()
 	latency := time.Since(grant.Sent)
 	a.learn(grant, response)
-	if refused := c.service.Target().Service.RefusalStatus; refused != 0 && response.StatusCode == refused {
+	if a.refused(response) {
+		if response.StatusCode == http.StatusMisdirectedRequest {
+			// Another back end has the address: this one is gone.
+			a.handler.options.Peers.HeardDraining(c.service.Name(), grant.Backend.ID, true)
+		}
 		grant.Done(routing.Failed, 0)
 		return &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + grant.Backend.ID, RetryAfter: time.Second}
 	}
@@ -143,6 +143,19 @@
 	return nil
 }
 
+// refused says whether the back end says that it did not run the request.
+func (a *attempter) refused(response *http.Response) bool {
+	dialect := a.handler.options.Dialect
+	if dialect.NotRun != "" && response.Header.Get(dialect.NotRun) != "" {
+		return true
+	}
+	if dialect.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	refusal := a.call.service.Target().Service.RefusalStatus
+	return refusal != 0 && response.StatusCode == refusal
+}
+
 func (a *attempter) sendFailed(grant *dispatch.Grant, err error) *resultcode.Failure {
 	var failed *backend.Failure
 	if !errors.As(err, &failed) {
@@ -158,7 +171,8 @@
 
 // learn takes in what the back end says of itself on an answer.
 func (a *attempter) learn(grant *dispatch.Grant, response *http.Response) {
-	if report, ok := backend.ParseReport(response.Header.Get(backend.HeaderReport)); ok {
+	dialect := a.handler.options.Dialect
+	if report, ok := dialect.ParseReport(response.Header.Get(dialect.Report)); ok {
 		a.call.service.Dispatcher.Report(grant.Backend, report.InFlight)
 	}
 	switch response.Header.Get(backend.HeaderDraining) {
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
@@ -19,10 +22,11 @@
 
 // Headers that travel with a request from level to level and between daemons.
 const (
-	// HeaderRequestID identifies a request in logs.
-	HeaderRequestID = "X-Request-Id"
-	// HeaderDeadline holds the milliseconds that remain.
-	HeaderDeadline = "Tuliphall-Deadline-Ms"
+	// HeaderRequestID identifies a request in logs, in the project's dialect.
+	HeaderRequestID = backend.HeaderRequestID
+	// HeaderDeadline holds the milliseconds that remain, in the project's
+	// dialect.
+	HeaderDeadline = backend.HeaderDeadline
 	// HeaderAttempt holds the number of this attempt, 1 for the first.
 	HeaderAttempt = "Tuliphall-Attempt"
 	// HeaderDepth holds how many load-balanced calls lead to this one.
@@ -33,6 +37,10 @@
 	HeaderBackend = "Tuliphall-Backend"
 )
 
+// ownHeaders are the project's own headers on requests. Back ends that expect
+// nothing besides their dialect do not get them.
+var ownHeaders = []string{HeaderAttempt, HeaderDepth, HeaderForwardedBy}
+
 // Bounds on what a caller may ask.
 const (
 	maxDepth           = 64
@@ -46,6 +54,7 @@
 type call struct {
 	id        string
 	service   *service.Service
+	route     *config.RunningRoute
 	decision  policy.Decision
 	deadline  time.Time
 	depth     int
@@ -66,9 +75,9 @@
 	depth     int
 }
 
-func parseHeaders(header http.Header) (headers, error) {
+func parseHeaders(header http.Header, dialect backend.Dialect) (headers, error) {
 	parsed := headers{attempt: 1}
-	milliseconds, err := number(header, HeaderDeadline, 0, 1, int((24 * time.Hour).Milliseconds()))
+	milliseconds, err := number(header, dialect.Deadline, 0, 1, int((24 * time.Hour).Milliseconds()))
 	if err != nil {
 		return headers{}, err
 	}
@@ -97,7 +106,7 @@
 
 // requestID takes the caller's id if it is short and printable, or makes one.
 func (h *Handler) requestID(header http.Header) string {
-	id := header.Get(HeaderRequestID)
+	id := header.Get(h.options.Dialect.RequestID)
 	if id != "" && len(id) <= maxRequestIDLength && printable(id) {
 		return id
 	}
@@ -114,24 +123,24 @@
 }
 
 // newCall reads what the request asks for. The error is a *resultcode.Failure.
-func (h *Handler) newCall(r *http.Request, id string, running *service.Service) (*call, *resultcode.Failure) {
-	parsed, err := parseHeaders(r.Header)
+func (h *Handler) newCall(r *http.Request, id string, route *config.RunningRoute, running *service.Service) (*call, *resultcode.Failure) {
+	parsed, err := parseHeaders(r.Header, h.options.Dialect)
 	if err != nil {
 		return nil, &resultcode.Failure{Code: resultcode.BadRequest, Detail: err.Error()}
 	}
 	target := running.Target()
-	decision, err := target.Policy.Evaluate(policy.Request{Method: r.Method, Path: r.URL.Path, Header: r.Header})
+	decision, err := route.Policy.Evaluate(policy.Request{Method: r.Method, Path: r.URL.Path, Header: r.Header})
 	if err != nil {
 		h.metrics.policyErrors.Inc(1)
 		h.log.Warn("policy failed, safe defaults used", "request", id, "service", target.Service.Name, "error", err)
 	}
 	now := time.Now()
 	c := &call{
-		id: id, service: running, decision: decision, request: r, received: now,
+		id: id, service: running, route: route, decision: decision, request: r, received: now,
 		depth: parsed.depth, attempt: parsed.attempt,
 		upgrade: r.Header.Get("Upgrade") != "",
 	}
-	c.deadline = now.Add(firstPositive(decision.Deadline, target.Deadline()))
+	c.deadline = now.Add(firstPositive(decision.Deadline, route.Deadline(target)))
 	if parsed.remaining > 0 && now.Add(parsed.remaining).Before(c.deadline) {
 		c.deadline = now.Add(parsed.remaining)
 	}
@@ -199,9 +208,9 @@
 }
 
 // outgoing builds the request as sent to a back end or another daemon.
-func (c *call) outgoing(r *http.Request) *http.Request {
+func (c *call) outgoing(r *http.Request, dialect backend.Dialect) *http.Request {
 	out := &http.Request{
-		Method: r.Method, URL: cloneURL(r), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: r.Method, URL: targetOf(r), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: make(http.Header, len(r.Header)+4), Host: r.Host, ContentLength: r.ContentLength, Body: r.Body,
 	}
 	backend.CopyHeader(out.Header, r.Header)
@@ -215,11 +224,40 @@
 		out.Header.Set("Connection", "Upgrade")
 		out.Header.Set("Upgrade", r.Header.Get("Upgrade"))
 	}
+	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
+	out.Header.Set(dialect.Deadline, strconv.FormatInt(remaining, 10))
+	if dialect.Transparent {
+		return out
+	}
 	if !c.forwarded {
 		appendForwardedFor(out.Header, r.RemoteAddr)
 	}
-	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
-	out.Header.Set(HeaderRequestID, c.id)
-	out.Header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+	out.Header.Set(dialect.RequestID, c.id)
+	return out
+}
+
+// targetOf returns a URL that is sent just as the request's target came, bytes
+// that would be escaped differently included.
+func targetOf(r *http.Request) *url.URL {
+	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
+		return cloneURL(r)
+	}
+	return &url.URL{Opaque: r.RequestURI}
+}
+
+// toBackend builds the request as sent to the back end of a grant.
+func (c *call) toBackend(id string, dialect backend.Dialect) *http.Request {
+	out := c.outgoing(c.request, dialect)
+	if dialect.Instance != "" {
+		out.Header.Set(dialect.Instance, id)
+	}
+	if dialect.Transparent {
+		for _, name := range ownHeaders {
+			out.Header.Del(name)
+		}
+		return out
+	}
+	out.Header.Set(HeaderAttempt, strconv.Itoa(max(len(c.tried), c.attempt)))
+	out.Header.Set(HeaderDepth, strconv.Itoa(c.depth+1))
 	return out
 }
--- a/frontend/call_test.go
+++ b/frontend/call_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/backend"
 )
 
 func TestBadHeaders(t *testing.T) {
@@ -14,10 +16,10 @@
 		{HeaderAttempt, "0"}, {HeaderAttempt, "1.5"}, {HeaderAttempt, "100000"},
 		{HeaderDepth, "-1"}, {HeaderDepth, "65"}, {HeaderDepth, "x"},
 	} {
-		_, err := parseHeaders(http.Header{one.name: {one.value}})
+		_, err := parseHeaders(http.Header{one.name: {one.value}}, backend.DefaultDialect())
 		require.ErrorContains(t, err, one.name)
 	}
-	parsed, err := parseHeaders(http.Header{})
+	parsed, err := parseHeaders(http.Header{}, backend.DefaultDialect())
 	require.NoError(t, err)
 	require.Equal(t, headers{attempt: 1}, parsed)
 }
@@ -33,7 +35,7 @@
 	f.Add("5000", "1", "3", "id")
 	f.Add("", "", "", "")
 	f.Fuzz(func(t *testing.T, deadline, attempt, depth, id string) {
-		parsed, err := parseHeaders(http.Header{HeaderDeadline: {deadline}, HeaderAttempt: {attempt}, HeaderDepth: {depth}})
+		parsed, err := parseHeaders(http.Header{HeaderDeadline: {deadline}, HeaderAttempt: {attempt}, HeaderDepth: {depth}}, backend.DefaultDialect())
 		if err != nil {
 			return
 		}
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -49,7 +49,7 @@
 	if a.handler.options.LogDecisions {
 		a.handler.routing.Info("forwarded", "request", c.id, "service", c.service.Name(), "class", c.decision.Class, "dispatcher", dispatcher.Name)
 	}
-	out := c.outgoing(c.request)
+	out := c.outgoing(c.request, a.handler.options.Dialect)
 	out.Header.Set(HeaderForwardedBy, a.handler.options.Name)
 	response, err := a.handler.forwarder.client(dispatcher.ForwardAddress).Do(ctx, out)
 	if err != nil {
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
@@ -42,6 +44,8 @@
 	Metrics    tally.Scope
 	// LogDecisions logs a line for each routing decision.
 	LogDecisions bool
+	// Dialect is how callers and back ends spell headers.
+	Dialect backend.Dialect
 }
 
 // Handler serves callers. Use Forwarded for requests from other daemons.
@@ -122,11 +126,16 @@
 	if h.options.Services.Snapshot() == nil {
 		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "no configuration has been read yet", RetryAfter: time.Second}
 	}
-	running, ok := h.options.Services.Match(r.Host, r.URL.Path)
+	route, ok := h.options.Services.Match(r.Host, r.URL.Path)
 	if !ok {
 		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "host " + r.Host + ", path " + r.URL.Path}
 	}
-	c, failure := h.newCall(r, id, running)
+	name := route.Choose(rand.IntN).Service.Name
+	running, ok := h.options.Services.Find(name)
+	if !ok {
+		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "service " + name}
+	}
+	c, failure := h.newCall(r, id, route, running)
 	if failure != nil {
 		return nil, failure
 	}
@@ -137,7 +146,7 @@
 // refuse answers with a failure.
 func (h *Handler) refuse(w http.ResponseWriter, id string, failure *resultcode.Failure) {
 	h.metrics.count(failure.Code)
-	failure.Write(w, id)
+	failure.Write(w, id, h.options.Dialect.FractionalRetryAfter)
 }
 
 func cloneURL(r *http.Request) *url.URL {
--- a/frontend/operation.go
+++ b/frontend/operation.go
@@ -60,7 +60,7 @@
 		header.Set("Content-Type", result.ContentType)
 	}
 	setCode(header, resultcode.Replayed)
-	header.Set(HeaderRequestID, a.call.id)
+	header.Set(a.handler.options.Dialect.RequestID, a.call.id)
 	a.writer.WriteHeader(result.Status)
 	// A caller that has gone may come back for the same record.
 	_, _ = a.writer.Write(result.Body)
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/platform"
 	"github.com/tuliphall/tuliphall/settings"
 	"github.com/tuliphall/tuliphall/standalone"
 )
@@ -25,7 +26,7 @@
 )
 
 type options struct {
-	Settings    string `long:"settings" short:"s" value-name:"FILE" description:"settings file (TOML)"`
+	Settings    string `long:"settings" short:"s" env:"TULIPHALL_CONFIG" value-name:"FILE" description:"settings file (TOML)"`
 	Standalone  string `long:"standalone" value-name:"FILE" description:"serve the services in one file, without a platform"`
 	CheckConfig bool   `long:"check-config" description:"check the file and exit"`
 	LogLevel    string `long:"log-level" description:"override log.level: debug, info, warn or error"`
@@ -101,7 +102,22 @@
 	if loaded.Platform.Address == "" {
 		return daemon.Options{}, errors.Annotate(&settings.SettingError{Key: "platform.address", Value: "", Allowed: "http://IP:port"}, path)
 	}
-	return daemon.Options{Settings: loaded}, nil
+	built := daemon.Options{Settings: loaded}
+	if loaded.Platform.Protocol == settings.ProtocolObjects {
+		connect(&built)
+	}
+	return built, nil
+}
+
+// connect lets a daemon follow a platform that declares services and lists back
+// ends itself.
+func connect(built *daemon.Options) {
+	chosen := built.Settings.Platform
+	connected := platform.Connect(platform.Options{
+		Address: chosen.Address, Direct: chosen.Direct, Connections: chosen.Connections,
+	})
+	dialect := platform.Dialect()
+	built.Store, built.Machines, built.Sources, built.Dialect = connected, connected, connected.Sources(), &dialect
 }
 
 // serve runs the daemon until SIGTERM or SIGINT, and then stops it without
@@ -111,6 +127,9 @@
 	if err != nil {
 		return err
 	}
+	// The settings file is read at the start only; a hangup must not end the
+	// daemon.
+	signal.Ignore(syscall.SIGHUP)
 	first, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	<-first.Done()
 	release()
--- a/peer/call.go
+++ b/peer/call.go
@@ -32,7 +32,7 @@
 func (n *Node) RevisionAt(ctx context.Context, address string) (config.Revision, error) {
 	var revision config.Revision
 	err := n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
-		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: revisionOnly})
+		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: revisionOnly, DirectoryAfter: revisionOnly})
 		if err != nil {
 			return err
 		}
@@ -48,7 +48,7 @@
 func (n *Node) FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error) {
 	var document config.Document
 	err := n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
-		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: uint64(present.Revision)})
+		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: uint64(present.Revision), DirectoryAfter: uint64(present.Directory.Revision)})
 		if err != nil {
 			return err
 		}
@@ -59,11 +59,26 @@
 }
 
 func follow(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
+	next, err := followChanges(present, reply)
+	if err != nil || len(reply.Directory) == 0 {
+		return next, err
+	}
+	var directory config.Directory
+	if err := json.Unmarshal(reply.Directory, &directory); err != nil {
+		return config.Document{}, errors.Annotate(err, "the directory")
+	}
+	next.Directory = directory
+	return next, nil
+}
+
+func followChanges(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
 	if config.Revision(reply.Revision) <= present.Revision {
 		return present, nil
 	}
 	if len(reply.Document) > 0 {
-		return config.DecodeDocument(reply.Document)
+		document, err := config.DecodeDocument(reply.Document)
+		document.Directory = present.Directory
+		return document, err
 	}
 	changes := make([]config.Change, len(reply.Changes))
 	for index, data := range reply.Changes {
--- a/peer/node.go
+++ b/peer/node.go
@@ -40,11 +40,11 @@
 
 // Configuration is what a Node tells and asks about the configuration.
 type Configuration interface {
-	// Revision returns the revision in force, 0 if there is none.
-	Revision() config.Revision
+	// Position returns the revisions in force, 0 where there is none.
+	Position() config.Position
 	// Document returns the document in force.
 	Document() config.Document
-	// Behind notes that a member has a higher revision. It must not block.
+	// Behind notes that a member has a higher position. It must not block.
 	Behind(member membership.Member)
 }
 
@@ -332,9 +332,10 @@
 
 // exchange tells a member what is new and takes in what it tells.
 func (n *Node) exchange(ctx context.Context, target membership.Member) error {
+	position := n.options.Configuration.Position()
 	n.mutex.Lock()
 	request := &peerpb.ExchangeRequest{
-		Sender: encodeMember(n.state.Self()), Revision: uint64(n.options.Configuration.Revision()),
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory),
 		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}
 	n.mutex.Unlock()
@@ -352,6 +353,7 @@
 type told interface {
 	GetSender() *peerpb.Member
 	GetRevision() uint64
+	GetDirectory() uint64
 	GetUpdates() []*peerpb.Member
 	GetDrains() []*peerpb.Drain
 	GetDigest() uint64
@@ -374,7 +376,8 @@
 	if len(news) > 0 {
 		n.Spread()
 	}
-	if config.Revision(message.GetRevision()) > n.options.Configuration.Revision() {
+	theirs := config.Position{Revision: config.Revision(message.GetRevision()), Directory: config.Revision(message.GetDirectory())}
+	if n.options.Configuration.Position().Behind(theirs) {
 		n.options.Configuration.Behind(from)
 	}
 	if sync {
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,10 +36,11 @@
 func (s *server) Exchange(ctx context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	n := s.node
 	n.take(ctx, request)
+	position := n.options.Configuration.Position()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return &peerpb.ExchangeReply{
-		Sender: encodeMember(n.state.Self()), Revision: uint64(n.options.Configuration.Revision()),
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory),
 		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}, nil
 }
@@ -65,9 +66,17 @@
 func (s *server) Changes(_ context.Context, request *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
 	document := s.node.options.Configuration.Document()
 	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision)}
+	if request.DirectoryAfter < uint64(document.Directory.Revision) {
+		data, err := json.Marshal(document.Directory)
+		if err != nil {
+			return nil, errors.Annotate(err, "the directory")
+		}
+		reply.Directory = data
+	}
 	if request.After >= uint64(document.Revision) {
 		return reply, nil
 	}
+	document.Directory = config.Directory{} // sent by itself
 	changes, reaches := document.ChangesAfter(config.Revision(request.After))
 	if !reaches || request.After == 0 {
 		data, err := document.Encode()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/cel-go/cel"
@@ -103,18 +104,46 @@
 	constant ref.Val
 }
 
-// environment declares the inputs of an expression.
-func environment() (*cel.Env, error) {
+// environment declares the inputs of an expression. It is made once, when the
+// first policy is compiled.
+var environment = sync.OnceValues(func() (*cel.Env, error) {
 	return cel.NewEnv(
 		cel.Variable("method", cel.StringType),
 		cel.Variable("path", cel.StringType),
 		cel.Variable("header", cel.MapType(cel.StringType, cel.StringType)),
 	)
+})
+
+// maxCompiled bounds the programs that are kept for the next configuration.
+const maxCompiled = 500
+
+// compiled keeps programs by their source: a new configuration mostly holds the
+// policies of the one before.
+var compiled struct {
+	mutex    sync.Mutex
+	programs map[Source]*Program
 }
 
 // Compile checks every expression of the source. The error lists each wrong
 // expression as an *ExpressionError, joined.
 func Compile(source Source) (*Program, error) {
+	compiled.mutex.Lock()
+	defer compiled.mutex.Unlock()
+	if program, known := compiled.programs[source]; known {
+		return program, nil
+	}
+	program, err := compile(source)
+	if err != nil {
+		return nil, err
+	}
+	if compiled.programs == nil || len(compiled.programs) >= maxCompiled {
+		compiled.programs = make(map[Source]*Program)
+	}
+	compiled.programs[source] = program
+	return program, nil
+}
+
+func compile(source Source) (*Program, error) {
 	env, err := environment()
 	if err != nil {
 		return nil, errors.Annotate(err, "policy environment")
--- a/resultcode/problem.go
+++ b/resultcode/problem.go
@@ -34,17 +34,26 @@
 	return f.Code.String() + ": " + f.Detail
 }
 
+// retryAfter spells the advice in seconds, whole ones unless fractions are
+// understood.
+func (f *Failure) retryAfter(fractions bool) string {
+	if fractions {
+		return strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds())))
+}
+
 // Write sends the failure as a problem answer. The caller must not have
-// written anything to w before.
-func (f *Failure) Write(w http.ResponseWriter, requestID string) {
+// written anything to w before. fractions says whether a fraction of a second is
+// understood as the time to come back.
+func (f *Failure) Write(w http.ResponseWriter, requestID string, fractions bool) {
 	info := f.Code.Info()
 	header := w.Header()
 	header.Set("Content-Type", ProblemType)
 	header.Set(HeaderCode, strconv.Itoa(int(f.Code)))
 	header.Set(HeaderRun, string(info.Run))
 	if f.RetryAfter > 0 {
-		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
-		header.Set("Retry-After", strconv.Itoa(seconds))
+		header.Set("Retry-After", f.retryAfter(fractions))
 	}
 	w.WriteHeader(info.Status)
 	body := Problem{
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,9 +16,6 @@
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
-// MaxAttempts is how often one request is sent, the first time included.
-const MaxAttempts = 3
-
 // Tuning of the budget.
 const (
 	// budgetRatio is the number of retries earned by one request.
@@ -51,6 +48,7 @@
 type Attempt struct {
 	Code       resultcode.Code
 	Number     int           // 1 for the first
+	Most       int           // attempts allowed, the first included
 	Repeatable bool          // the policy allows a repeat
 	Upstream   bool          // the caller's request was itself a retry
 	Rewindable bool          // the request's body can be sent again
@@ -81,7 +79,7 @@
 	switch {
 	case !notRun && !attempt.Repeatable:
 		return NotRepeatable
-	case attempt.Number >= MaxAttempts:
+	case attempt.Number >= attempt.Most:
 		return TooMany
 	case attempt.Upstream:
 		return FromUpstream
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -12,7 +12,7 @@
 
 // attempt is a failed first attempt that may be made again.
 func attempt() retry.Attempt {
-	return retry.Attempt{Code: resultcode.ConnectionBroken, Number: 1, Repeatable: true, Rewindable: true, Remaining: time.Second, Backends: 3}
+	return retry.Attempt{Code: resultcode.ConnectionBroken, Number: 1, Most: 3, Repeatable: true, Rewindable: true, Remaining: time.Second, Backends: 3}
 }
 
 func full() *retry.Budget {
@@ -32,7 +32,7 @@
 		{"repeatable", func(*retry.Attempt) {}, retry.Again},
 		{"not repeatable", func(a *retry.Attempt) { a.Repeatable = false }, retry.NotRepeatable},
 		{"not run, not repeatable", func(a *retry.Attempt) { a.Repeatable = false; a.Code = resultcode.BackendRefused }, retry.Again},
-		{"too many", func(a *retry.Attempt) { a.Number = retry.MaxAttempts }, retry.TooMany},
+		{"too many", func(a *retry.Attempt) { a.Number = a.Most }, retry.TooMany},
 		{"a retry already", func(a *retry.Attempt) { a.Upstream = true }, retry.FromUpstream},
 		{"body gone", func(a *retry.Attempt) { a.Rewindable = false }, retry.NoBody},
 		{"no time", func(a *retry.Attempt) { a.Expected = time.Minute }, retry.NoTime},
--- a/service/service.go
+++ b/service/service.go
@@ -22,6 +22,7 @@
 	Dispatcher *dispatch.Dispatcher
 
 	network network.Network
+	echo    string // header that answers carry back; empty: none
 	target  atomic.Pointer[config.Target]
 	clients atomic.Pointer[clients]
 
@@ -31,9 +32,10 @@
 	declared map[string]config.Backend
 }
 
-func newService(over network.Network, seed uint64) *Service {
+func newService(options Options, seed uint64) *Service {
 	service := &Service{
-		network:    over,
+		network:    options.Network,
+		echo:       options.Echo,
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
 		drained:    make(map[drainKey]bool),
 	}
@@ -81,9 +83,9 @@
 	places := make([]routing.Backend, 0, len(target.Backends))
 	for _, one := range target.Backends {
 		declared[one.ID] = one
-		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed}
+		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo}
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
-		options.NoReuse = true
+		options.NoReuse, options.Echo = true, ""
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
 		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots})
 	}
@@ -175,9 +177,9 @@
 // Registry holds the running services. It is safe for concurrent use; Match and
 // Find do not block.
 type Registry struct {
+	options Options
 	mutex   sync.Mutex
 	seed    uint64
-	network network.Network
 	table   atomic.Pointer[table]
 }
 
@@ -187,9 +189,18 @@
 	services map[string]*Service
 }
 
-// NewRegistry returns an empty registry. seed starts the random choices.
-func NewRegistry(over network.Network, seed uint64) *Registry {
-	return &Registry{network: over, seed: seed}
+// Options are what services are run with.
+type Options struct {
+	Network network.Network
+	Seed    uint64 // starts the random choices
+	// Echo is a header of which each answer carries the request's value;
+	// empty: none.
+	Echo string
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(options Options) *Registry {
+	return &Registry{options: options, seed: options.Seed}
 }
 
 // Put puts a snapshot in force unless the present one is as new or newer, and
@@ -198,7 +209,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	present := r.table.Load()
-	if present != nil && present.snapshot.Revision >= snapshot.Revision {
+	if present != nil && !snapshot.Newer(present.snapshot) {
 		return false
 	}
 	services := make(map[string]*Service, len(snapshot.Targets))
@@ -218,7 +229,7 @@
 		}
 	}
 	r.seed++
-	return newService(r.network, r.seed)
+	return newService(r.options, r.seed)
 }
 
 // Snapshot returns the snapshot in force, or nil when there is none yet.
@@ -230,17 +241,13 @@
 	return present.snapshot
 }
 
-// Match returns the service for a host and path.
-func (r *Registry) Match(host, path string) (*Service, bool) {
+// Match returns the route for a host and path.
+func (r *Registry) Match(host, path string) (*config.RunningRoute, bool) {
 	present := r.table.Load()
 	if present == nil {
 		return nil, false
 	}
-	target, ok := present.snapshot.Match(host, path)
-	if !ok {
-		return nil, false
-	}
-	return present.services[target.Service.Name], true
+	return present.snapshot.Match(host, path)
 }
 
 // Find returns a service by name.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -52,10 +52,22 @@
 type Platform struct {
 	// Address is a URL; empty only in standalone mode.
 	Address string `toml:"address"`
+	// Protocol is how the platform is spoken to: ProtocolOwn or
+	// ProtocolObjects; empty: ProtocolOwn.
+	Protocol string `toml:"protocol"`
 	// Timeout bounds one call; 0: 2s.
 	Timeout config.Duration `toml:"timeout"`
-	// Watchers is how many daemons watch the configuration; 0: 3.
+	// MaxBackoff bounds the pause after failed calls; 0: 15s.
+	MaxBackoff config.Duration `toml:"max_backoff"`
+	// Watchers is how many daemons watch the configuration; 0: 3; AllWatch:
+	// every daemon.
 	Watchers int `toml:"watchers"`
+	// Direct keeps requests on the daemon they came to, where the platform
+	// declares the services; false: they are forwarded to a dispatcher.
+	Direct bool `toml:"direct"`
+	// Connections bounds one daemon's connections to a back end that the
+	// platform lists; 0: config.DefaultConnections.
+	Connections int `toml:"connections"`
 	// WritesPerSecond bounds this daemon's writes; 0: 20.
 	WritesPerSecond float64 `toml:"writes_per_second"`
 }
@@ -80,9 +92,22 @@
 	Decisions bool `toml:"decisions"`
 }
 
+// The protocols of a platform.
+const (
+	// ProtocolOwn is the object API and machine list of package objectstore.
+	ProtocolOwn = "own"
+	// ProtocolObjects is the store of package platform, which also declares
+	// the services and lists the back ends.
+	ProtocolObjects = "objects"
+)
+
+// AllWatch as the number of watchers lets every daemon watch.
+const AllWatch = -1
+
 // Defaults and bounds.
 const (
 	DefaultTimeout         = config.Duration(2 * time.Second)
+	DefaultMaxBackoff      = config.Duration(15 * time.Second)
 	DefaultWatchers        = 3
 	DefaultWritesPerSecond = 20
 	DefaultNotice          = config.Duration(2 * time.Second)
@@ -123,6 +148,15 @@
 	if s.Platform.Timeout == 0 {
 		s.Platform.Timeout = DefaultTimeout
 	}
+	if s.Platform.Protocol == "" {
+		s.Platform.Protocol = ProtocolOwn
+	}
+	if s.Platform.MaxBackoff == 0 {
+		s.Platform.MaxBackoff = DefaultMaxBackoff
+	}
+	if s.Platform.Connections == 0 {
+		s.Platform.Connections = config.DefaultConnections
+	}
 	if s.Platform.Watchers == 0 {
 		s.Platform.Watchers = DefaultWatchers
 	}
@@ -173,7 +207,11 @@
 	}
 	check(isBase(s.Platform.Address), "platform.address", s.Platform.Address, "http://IP:port")
 	check(within(s.Platform.Timeout, maxTimeout), "platform.timeout", time.Duration(s.Platform.Timeout), "10µs to 1m, with a unit")
-	check(s.Platform.Watchers >= 1 && s.Platform.Watchers <= maxWatchers, "platform.watchers", s.Platform.Watchers, "1 to 20")
+	check(s.Platform.Protocol == ProtocolOwn || s.Platform.Protocol == ProtocolObjects, "platform.protocol", s.Platform.Protocol, ProtocolOwn+" or "+ProtocolObjects)
+	check(within(s.Platform.MaxBackoff, maxTimeout), "platform.max_backoff", time.Duration(s.Platform.MaxBackoff), "10µs to 1m, with a unit")
+	check(s.Platform.Connections >= 1 && s.Platform.Connections <= config.MaxConnections, "platform.connections", s.Platform.Connections, "1 to 10000")
+	watchers := s.Platform.Watchers
+	check(watchers == AllWatch || (watchers >= 1 && watchers <= maxWatchers), "platform.watchers", watchers, "1 to 20, or -1 for every daemon")
 	check(s.Platform.WritesPerSecond > 0 && s.Platform.WritesPerSecond <= maxWrites, "platform.writes_per_second", s.Platform.WritesPerSecond, "above 0 to 100")
 	check(within(s.Stop.Notice, maxNotice), "stop.notice", time.Duration(s.Stop.Notice), "10µs to 10m, with a unit")
 	check(s.Stop.Sessions == 0 || within(s.Stop.Sessions, maxSessions), "stop.sessions", time.Duration(s.Stop.Sessions), "0 or 10µs to 168h, with a unit")
