Slowdown that back ends tell weighs in the pick; requests wait before the choice, not behind it

Cause: on the users' platform neighbours slow a quarter of the workers fivefold for 150 ms at a time, and each answer says so; the pick did not look. And a window of 2 x slots + 1, made for work that is short against the wire, let requests queue at workers that turned slow.

--- a/config/objects.go
+++ b/config/objects.go
@@ -51,6 +51,9 @@
 	Policy string `toml:"policy" json:"policy,omitempty"`
 	// Slots is how many requests one back end works on at once; 0: 3.
 	Slots int `toml:"slots" json:"slots,omitempty"`
+	// MaxLoad bounds the requests at a back end, from one daemon, as a multiple
+	// of its slots; 0: learned, from twice the slots and one up.
+	MaxLoad float64 `toml:"max_load" json:"max_load,omitempty"`
 	// QueueLimit bounds the requests waiting at one daemon; 0: 1000.
 	QueueLimit int `toml:"queue_limit" json:"queue_limit,omitempty"`
 	// Deadline ends a request whose policy and caller set none; 0: 10 s.
--- a/config/validate.go
+++ b/config/validate.go
@@ -17,6 +17,7 @@
 	MaxBackends          = 2000
 	MaxSlots             = 10000
 	MaxQueueLimit        = 1_000_000
+	MaxMaxLoad           = 100.0
 	MaxDeadline          = Duration(24 * time.Hour)
 	MaxProbeCost         = Duration(10 * time.Second)
 	MinDuration          = Duration(10 * time.Microsecond)
@@ -189,6 +190,7 @@
 	v.selector(object, s.Hosts, s.PathPrefix)
 	v.policyName(object, s.Policy, programs)
 	checkRange(v, object, "slots", s.Slots, 0, MaxSlots)
+	checkRange(v, object, "max_load", s.MaxLoad, 0, MaxMaxLoad)
 	checkRange(v, object, "queue_limit", s.QueueLimit, 0, MaxQueueLimit)
 	v.checkDuration(object, "deadline", s.Deadline, MaxDeadline)
 	v.check(s.RefusalStatus == 0 || (s.RefusalStatus >= minStatus && s.RefusalStatus <= maxStatus), object, "refusal_status", s.RefusalStatus, "0 or 400 to 599")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -213,7 +213,7 @@
 		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
-		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.dispatches, Log: d.logger, Metrics: scope,
+		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.dispatches, Dialect: d.dialect, Log: d.logger, Metrics: scope,
 	})
 }
 
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -114,6 +114,6 @@
 }
 
 // Report takes in a load report of a back end.
-func (c *Core) Report(now time.Time, state *routing.State, inFlight int) {
-	c.Group.Report(state, inFlight, c.Queue.Len() > 0, now)
+func (c *Core) Report(now time.Time, state *routing.State, report routing.Report) {
+	c.Group.Report(state, report, c.Queue.Len() > 0, now)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,8 +46,8 @@
 }
 
 // Report takes in a load report that came with an answer, or from a probe.
-func (d *Dispatcher) Report(state *routing.State, inFlight int) {
-	d.change(func() { d.core.Report(time.Now(), state, inFlight) })
+func (d *Dispatcher) Report(state *routing.State, report routing.Report) {
+	d.change(func() { d.core.Report(time.Now(), state, report) })
 }
 
 // ProbeTarget returns the back end that a probe would tell most about, and false
@@ -58,10 +58,10 @@
 	return d.core.Group.ProbeTarget(time.Now(), silence)
 }
 
-// Probed takes in the outcome of a probe; inFlight is nil where the back end did
+// Probed takes in the outcome of a probe; report is nil where the back end did
 // not report its load.
-func (d *Dispatcher) Probed(id string, well bool, inFlight *int) {
-	d.change(func() { d.core.Group.Probed(time.Now(), id, well, inFlight) })
+func (d *Dispatcher) Probed(id string, well bool, report *routing.Report) {
+	d.change(func() { d.core.Group.Probed(time.Now(), id, well, report) })
 }
 
 // change runs a change under the mutex and gives out places it may have freed.
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -173,7 +173,7 @@
 func (a *attempter) learn(grant *dispatch.Grant, response *http.Response) {
 	dialect := a.handler.options.Dialect
 	if report, ok := dialect.ParseReport(response.Header.Get(dialect.Report)); ok {
-		a.call.service.Dispatcher.Report(grant.Backend, report.InFlight)
+		a.call.service.Dispatcher.Report(grant.Backend, routing.Report(report))
 	}
 	switch response.Header.Get(backend.HeaderDraining) {
 	case "true":
--- a/lab/simulation/flow.go
+++ b/lab/simulation/flow.go
@@ -126,7 +126,7 @@
 	now := s.time()
 	r.node.core.Done(now, place, routing.Success, now.Sub(place.Sent))
 	if s.system.Reports {
-		r.node.core.Report(now, place.Backend, load)
+		r.node.core.Report(now, place.Backend, routing.Report{InFlight: load})
 	}
 	s.serve(r.node)
 	wait := time.Duration(0)
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -22,6 +22,7 @@
 	"github.com/tuliphall/tuliphall/lease"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/objectstore"
+	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
 )
 
@@ -72,8 +73,10 @@
 	Services *service.Registry
 	// Dispatches says whether this daemon dispatches a service.
 	Dispatches func(service string) bool
-	Log        *slog.Logger
-	Metrics    tally.Scope
+	// Dialect is how back ends spell their load.
+	Dialect backend.Dialect
+	Log     *slog.Logger
+	Metrics tally.Scope
 }
 
 // Prober probes the back ends of the services that this daemon dispatches. One
@@ -200,10 +203,10 @@
 	}
 	defer response.Body.Close()
 	well := response.StatusCode < http.StatusInternalServerError
-	var inFlight *int
-	if report, ok := backend.ParseReport(response.Header.Get(backend.HeaderReport)); ok {
-		inFlight = &report.InFlight
+	var load *routing.Report
+	if report, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
+		load = new(routing.Report(report))
 	}
-	running.Dispatcher.Probed(target, well, inFlight)
+	running.Dispatcher.Probed(target, well, load)
 	p.log.Debug("probed", "service", name, "backend", target, "well", well, "took", time.Since(begun))
 }
--- a/routing/group.go
+++ b/routing/group.go
@@ -53,8 +53,8 @@
 		if !known {
 			state = &State{root: math.Sqrt(initialLatency.Seconds())}
 		}
-		if state.Slots != backend.Slots {
-			state.window = g.leastWindow(backend.Slots)
+		if state.Slots != backend.Slots || state.Window != backend.Window {
+			state.window = g.firstWindow(backend)
 		}
 		state.Backend = backend
 		byID[backend.ID] = state
@@ -254,16 +254,36 @@
 	s.root = math.Sqrt(s.latency.Seconds())
 }
 
+// firstWindow is the bound before any report.
+func (g *Group) firstWindow(backend Backend) float64 {
+	if backend.Window > 0 {
+		return float64(backend.Window)
+	}
+	return g.leastWindow(backend.Slots)
+}
+
 func (g *Group) leastWindow(slots int) float64 {
 	return float64(slots + g.options.Overcommit(slots))
 }
 
-// Report notes a load report of the back end: all requests it holds, those of
-// this daemon included. waiting says whether requests wait for a place here.
-func (g *Group) Report(state *State, inFlight int, waiting bool, at time.Time) {
+// Report is what a back end tells of its load.
+type Report struct {
+	InFlight int // requests it holds, of every daemon
+	// Slowdown is how much longer work takes there now than usually; 0: not
+	// told.
+	Slowdown float64
+}
+
+// Report notes a load report of the back end. waiting says whether requests wait
+// for a place here.
+func (g *Group) Report(state *State, report Report, waiting bool, at time.Time) {
 	if at.Before(state.reportAt) {
 		return
 	}
+	if report.Slowdown > 0 {
+		state.slowdown.report(at, report.Slowdown)
+	}
+	inFlight := report.InFlight
 	state.learnWindow(inFlight, waiting, g.leastWindow(state.Slots))
 	state.reported = max(inFlight-state.InFlight, 0)
 	state.reportAt = at
@@ -307,9 +327,9 @@
 	return quietest.ID, true
 }
 
-// Probed takes in the outcome of a probe; inFlight is nil where the back end did
+// Probed takes in the outcome of a probe; report is nil where the back end did
 // not report its load.
-func (g *Group) Probed(now time.Time, id string, well bool, inFlight *int) {
+func (g *Group) Probed(now time.Time, id string, well bool, report *Report) {
 	state, known := g.byID[id]
 	if !known {
 		return
@@ -324,7 +344,7 @@
 		state.warmth = 0
 		state.health.Success()
 	}
-	if inFlight != nil {
-		g.Report(state, *inFlight, false, now)
+	if report != nil {
+		g.Report(state, *report, false, now)
 	}
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -24,6 +24,8 @@
 	ID    string
 	Zone  string
 	Slots int // requests worked on at once; at least 1
+	// Window bounds this daemon's requests at the back end; 0: it is learned.
+	Window int
 }
 
 // State is what one daemon knows of one back end.
@@ -44,6 +46,7 @@
 	health   outlier.Detector
 	heard    time.Time // of the last answer or probe
 	window   float64   // most requests of this daemon at the back end
+	slowdown slowdown
 }
 
 // Others estimates the requests of other daemons at the back end from the
@@ -75,12 +78,20 @@
 	return s.latency
 }
 
-// score is the load with one more request, weighed by the latency.
+// score is the load with one more request, weighed by the latency and, where the
+// back end tells it, by how much longer work takes there now.
 func (s *State) score(now time.Time) float64 {
 	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
-	return load * s.root
+	if !s.slowdown.known() {
+		return load * s.root
+	}
+	return (slotWeight*min(load, 1) + max(load, 1)) * s.slowdown.expected(now)
 }
 
+// slotWeight is how much a slot's load counts while slots are free, against the
+// time that work takes.
+const slotWeight = 0.5
+
 // limit bounds this daemon's requests at the back end.
 func (s *State) limit(slowStart bool) int {
 	full := int(s.window)
@@ -103,6 +114,8 @@
 // it again when its queue grows.
 func (s *State) learnWindow(inFlight int, waiting bool, least float64) {
 	switch {
+	case s.Window > 0:
+		s.window = float64(s.Window)
 	case waiting && inFlight < s.Slots:
 		s.window = min(s.window+windowUp, float64(windowFactor*s.Slots))
 	case inFlight > s.Slots+windowExcess:
--- a/service/service.go
+++ b/service/service.go
@@ -87,7 +87,7 @@
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
 		options.NoReuse, options.Echo = true, ""
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
-		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots})
+		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one)})
 	}
 	closeReplaced(present.requests, next.requests)
 	closeReplaced(present.probes, next.probes)
@@ -99,6 +99,14 @@
 	}
 }
 
+// window is the bound that the service sets on requests at a back end; 0: none.
+func window(declared config.Service, one config.Backend) int {
+	if declared.MaxLoad == 0 {
+		return 0
+	}
+	return max(int(declared.MaxLoad*float64(one.Slots)+0.5), 1)
+}
+
 // keep returns the present client if it was made with the same options.
 func keep(present *backend.Client, options backend.Options) *backend.Client {
 	if present != nil && present.Serves(options) {
