--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -90,7 +90,7 @@
 
 // Done gives a place back. latency counts only for a success.
 func (c *Core) Done(now time.Time, place *Place, outcome routing.Outcome, latency time.Duration) {
-	c.Group.Finished(place.Backend, now, outcome, latency)
+	c.Group.Finished(place.PickResult, now, outcome, latency)
 	if outcome == routing.Success {
 		c.Queue.Served(now)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -121,7 +121,7 @@
 }
 
 // retryAfter is the advice given where no better estimate exists.
-const retryAfter = time.Second
+const retryAfter = 100 * time.Millisecond
 
 // refusal tells the caller when to come back: when the requests that now wait
 // should have been served.
--- a/routing/group.go
+++ b/routing/group.go
@@ -36,6 +36,7 @@
 	states  []*State
 	byID    map[string]*State
 	scratch []*State
+	knee    knee
 }
 
 // NewGroup returns a group without back ends.
@@ -143,7 +144,10 @@
 }
 
 func (g *Group) result(state *State, reason Reason, candidates int, now time.Time) PickResult {
-	return PickResult{Backend: state, Reason: reason, Candidates: candidates, ReportAge: state.ReportAge(now)}
+	return PickResult{
+		Backend: state, Reason: reason, Candidates: candidates, ReportAge: state.ReportAge(now),
+		slowdown: state.slowdown.expected(now), tookLast: state.InFlight >= state.Slots,
+	}
 }
 
 // trial returns an ejected back end whose trial is due, or nil.
@@ -189,14 +193,25 @@
 // free keeps the candidates that hold fewer requests than their limit.
 func (g *Group) free(candidates []*State) []*State {
 	kept := candidates[:0]
+	explore := g.options.Random.Float64() < kneeExplore
 	for _, state := range candidates {
-		if state.InFlight < state.limit(g.options.SlowStart) {
+		if state.InFlight < g.limit(state, explore) {
 			kept = append(kept, state)
 		}
 	}
 	return kept
 }
 
+// limit bounds this daemon's requests at a back end. explore lets it fill one
+// whose last slot is better left free.
+func (g *Group) limit(state *State, explore bool) int {
+	limit := state.limit(g.options.SlowStart)
+	if state.Window == 0 || explore || !g.knee.spare(state.Slots) {
+		return limit
+	}
+	return min(limit, max(state.Window-1, 1))
+}
+
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
 func (g *Group) pickSession(now time.Time, session string, candidates []*State) (PickResult, bool) {
@@ -231,7 +246,8 @@
 )
 
 // Finished notes the end of a request that Pick counted as sent.
-func (g *Group) Finished(state *State, now time.Time, outcome Outcome, latency time.Duration) {
+func (g *Group) Finished(picked PickResult, now time.Time, outcome Outcome, latency time.Duration) {
+	state := picked.Backend
 	state.InFlight--
 	state.heard = now
 	switch outcome {
@@ -239,6 +255,7 @@
 		state.health.Success()
 		state.warmth++
 		state.observe(latency)
+		g.knee.observe(picked.tookLast, latency, picked.slowdown)
 	case Failed:
 		state.health.Failure(now)
 	case Canceled:
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -36,6 +36,9 @@
 	Reason     Reason
 	Candidates int           // candidates weighed
 	ReportAge  time.Duration // age of the back end's last report; -1: none yet
+
+	slowdown float64 // expected when it was picked
+	tookLast bool    // the request took the last free slot, or queued
 }
 
 // LeastLoad picks the candidate with the smallest load, counted in requests a
--- a/routing/slowdown.go
+++ b/routing/slowdown.go
@@ -38,6 +38,9 @@
 // expected returns the slowdown to be expected now: the last report, which
 // gives way to the usual value with age.
 func (s *slowdown) expected(now time.Time) float64 {
+	if !s.known() {
+		return 1
+	}
 	weight := math.Exp(-now.Sub(s.at).Seconds() / slowdownMemory.Seconds())
 	return s.usual + weight*(s.last-s.usual)
 }
