Watches are renewed in turn, and news that a watch missed is passed on at once

While the store dropped its history, the watches that waited heard nothing and stayed open; with the log of all daemons, only 2 of 18 got a reset, the others waited on. Ruled out: a lost event after a renewed watch (a renewed watch answers 410 and the list is read), a refused fetch from peers (none).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -193,7 +193,8 @@
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
-		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
+		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff),
+		WatchInterval: time.Duration(d.settings.Platform.WatchInterval), WatchGap: time.Duration(d.settings.Platform.WatchGap), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
 	})
 	d.node = peer.NewNode(peer.Options{
 		Self: membership.Member{
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -36,6 +36,8 @@
 	maxBackoff   = 15 * time.Second
 	// firstWatch is how long a daemon gets to know the others before it may watch.
 	firstWatch = 5 * time.Second
+	// fromPlatform is the source of what the daemon read itself.
+	fromPlatform = "platform"
 	// startPeers is how many peers a starting daemon asks.
 	startPeers = 5
 	// WatchDuty is the key by which watchers are chosen.
@@ -44,8 +46,10 @@
 
 // Peers is what a Follower asks of the other daemons.
 type Peers interface {
-	// Holds says whether this daemon is chosen for a duty.
-	Holds(duty string, count int) bool
+	// Place returns this daemon's place, from 0, among those that are chosen for
+	// a duty, and their number; chosen is false when it is none of them. With a
+	// count of 0 all are chosen.
+	Place(duty string, count int) (place, of int, chosen bool)
 	// FetchDocument returns the document of the daemon at an address.
 	FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error)
 	// Spread tells a few members at once that there is news.
@@ -59,6 +63,12 @@
 	Services *service.Registry
 	Timeout  time.Duration // of one call to the store
 	Watchers int           // daemons of a region that watch; 0: all, from the start
+	// WatchInterval is the least time between the beginnings of two watches of a
+	// source: changes that come in quick succession cost one call.
+	WatchInterval time.Duration
+	// WatchGap is the time between the renewals of two daemons' watches; 0: a
+	// watch waits as long as it may.
+	WatchGap time.Duration
 	// MaxBackoff bounds the pause after a failed call; 0: 15 s.
 	MaxBackoff time.Duration
 	Log        *slog.Logger
@@ -166,7 +176,10 @@
 		f.once.Do(func() { close(f.configured) })
 	}
 	f.log.Info("in force", "revision", uint64(document.Revision), "directory", uint64(document.Directory.Revision), "source", source)
-	f.peers.Spread()
+	// Where every daemon watches, only news that a watch missed is passed on.
+	if f.options.Watchers > 0 || source != fromPlatform {
+		f.peers.Spread()
+	}
 	return nil
 }
 
@@ -229,7 +242,7 @@
 		if err != nil {
 			return err
 		}
-		if err := f.Offer(document, "platform"); err != nil {
+		if err := f.Offer(document, fromPlatform); err != nil {
 			return err
 		}
 	}
@@ -297,8 +310,9 @@
 		// itself. Had all started at once, each would hold a watch.
 		wait.Sleep(ctx, firstWatch)
 	}
+	fresh := true
 	for ctx.Err() == nil {
-		chosen := f.chosen()
+		place, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
 		f.watching.Store(chosen)
 		if !chosen {
 			if !wait.Sleep(ctx, pollInterval) {
@@ -306,17 +320,22 @@
 			}
 			continue
 		}
-		if err := f.watch(ctx, source); err != nil {
+		begun := time.Now()
+		before := f.Position()
+		if err := f.watch(ctx, source, watchLength(f.options.WatchGap, place, watchers, fresh)); err != nil {
 			f.log.Warn("watch failed", "error", err)
 			backoff = f.pause(ctx, backoff)
 			continue
 		}
+		fresh = f.Position() != before
 		backoff = firstBackoff
+		wait.Sleep(ctx, f.options.WatchInterval-time.Since(begun))
 	}
 }
 
 func (f *Follower) chosen() bool {
-	return f.options.Watchers == 0 || f.peers.Holds(WatchDuty, f.options.Watchers)
+	_, _, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
+	return chosen
 }
 
 // cancelWhenNotChosen ends a watch once others are chosen to watch.
@@ -330,20 +349,20 @@
 }
 
 // watch waits for one change and puts it in force.
-func (f *Follower) watch(ctx context.Context, source Source) error {
+func (f *Follower) watch(ctx context.Context, source Source, length time.Duration) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.options.Watchers > 0 {
 		go f.cancelWhenNotChosen(ctx, cancel)
 	}
-	document, err := source.Watch(ctx, f.Document())
+	document, err := source.Watch(ctx, f.Document(), length)
 	if err != nil && !f.chosen() {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	return f.Offer(document, "platform")
+	return f.Offer(document, fromPlatform)
 }
 
 // pause sleeps for a random part of the backoff and returns the next one. The
--- a/dissemination/source.go
+++ b/dissemination/source.go
@@ -15,13 +15,30 @@
 type Source interface {
 	// Read returns the newest there is; its other parts are empty.
 	Read(ctx context.Context) (config.Document, error)
-	// Watch blocks until there is something newer than present, or until its
-	// own wait is over; then it returns present.
-	Watch(ctx context.Context, present config.Document) (config.Document, error)
+	// Watch blocks until there is something newer than present, or until wait
+	// has passed; then it returns present.
+	Watch(ctx context.Context, present config.Document, wait time.Duration) (config.Document, error)
 }
 
-// watchWait is how long one watch waits; it counts as one call.
-const watchWait = 30 * time.Second
+// longestWatch is how long one watch waits at most; it counts as one call.
+const longestWatch = 30 * time.Second
+
+// watchLength is how long a watch waits. A watch that waits may be deaf: a store
+// that drops its history may cut it without a word. The watchers therefore renew
+// their watches in turn, one each gap, so that one of them soon hears what the
+// others miss; peers tell the rest. place is the watcher's own, from 0, among so
+// many. fresh: there was news just now, which all got at once and which begins
+// the turns anew.
+func watchLength(gap time.Duration, place, watchers int, fresh bool) time.Duration {
+	if gap <= 0 {
+		return longestWatch
+	}
+	turns := watchers
+	if fresh {
+		turns = place + 1
+	}
+	return min(gap*time.Duration(max(turns, 1)), longestWatch)
+}
 
 // Head is the source for documents that operators write with the project's own
 // command.
@@ -44,10 +61,10 @@
 }
 
 // Watch implements Source.
-func (h *Head) Watch(ctx context.Context, present config.Document) (config.Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+h.timeout)
+func (h *Head) Watch(ctx context.Context, present config.Document, wait time.Duration) (config.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+h.timeout)
 	defer cancel()
-	object, err := h.store.Watch(ctx, config.HeadKey, h.version, watchWait)
+	object, err := h.store.Watch(ctx, config.HeadKey, h.version, wait)
 	if errors.Is(err, objectstore.ErrNotFound) {
 		return present, nil
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -160,13 +160,24 @@
 // Holds says whether this daemon is among the count daemons of its region that
 // are chosen for a duty.
 func (n *Node) Holds(duty string, count int) bool {
+	_, _, chosen := n.Place(duty, count)
+	return chosen
+}
+
+// Place returns this daemon's place, from 0, among the count daemons of its region
+// that are chosen for a duty, and their number. With a count of 0 all are chosen.
+func (n *Node) Place(duty string, count int) (place, of int, chosen bool) {
 	view := n.View()
-	for _, member := range membership.Choose(view.region, duty, count) {
+	holders := view.region
+	if count > 0 {
+		holders = membership.Choose(view.region, duty, count)
+	}
+	for place, member := range holders {
 		if member.Name == view.self {
-			return true
+			return place, len(holders), true
 		}
 	}
-	return false
+	return 0, len(holders), count == 0
 }
 
 // Suspect notes that a member could not be reached.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,6 +62,13 @@
 	// Watchers is how many daemons watch the configuration; 0: 3; AllWatch:
 	// every daemon.
 	Watchers int `toml:"watchers"`
+	// WatchInterval is the least time between two watches of one kind of
+	// object; 0: none.
+	WatchInterval config.Duration `toml:"watch_interval"`
+	// WatchGap is the time between the renewals of two daemons' watches, so
+	// that news which some miss is heard by another soon; 0: each waits as long
+	// as it may.
+	WatchGap config.Duration `toml:"watch_gap"`
 	// Direct keeps requests on the daemon they came to, where the platform
 	// declares the services; false: they are forwarded to a dispatcher.
 	Direct bool `toml:"direct"`
@@ -209,6 +216,8 @@
 	check(within(s.Platform.Timeout, maxTimeout), "platform.timeout", time.Duration(s.Platform.Timeout), "10µs to 1m, with a unit")
 	check(s.Platform.Protocol == ProtocolOwn || s.Platform.Protocol == ProtocolObjects, "platform.protocol", s.Platform.Protocol, ProtocolOwn+" or "+ProtocolObjects)
 	check(within(s.Platform.MaxBackoff, maxTimeout), "platform.max_backoff", time.Duration(s.Platform.MaxBackoff), "10µs to 1m, with a unit")
+	check(s.Platform.WatchInterval == 0 || within(s.Platform.WatchInterval, maxTimeout), "platform.watch_interval", time.Duration(s.Platform.WatchInterval), "0 or 10µs to 1m, with a unit")
+	check(s.Platform.WatchGap == 0 || within(s.Platform.WatchGap, maxTimeout), "platform.watch_gap", time.Duration(s.Platform.WatchGap), "0 or 10µs to 1m, with a unit")
 	check(s.Platform.Connections >= 1 && s.Platform.Connections <= config.MaxConnections, "platform.connections", s.Platform.Connections, "1 to 10000")
 	watchers := s.Platform.Watchers
 	check(watchers == AllWatch || (watchers >= 1 && watchers <= maxWatchers), "platform.watchers", watchers, "1 to 20, or -1 for every daemon")
