Daemons ask the dispatcher for places and send requests themselves

And a dispatcher that died cut the requests of a whole service. Change: package slots. A daemon asks the dispatcher for a place over one drpc stream, sends the request directly, and gives the place back with what it learned. The end of the stream frees its places.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/tuliphall/tuliphall/peer"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
+	"github.com/tuliphall/tuliphall/slots"
 	"github.com/tuliphall/tuliphall/wait"
 )
 
@@ -68,6 +69,7 @@
 	node       *peer.Node
 	follower   *dissemination.Follower
 	operations *operation.Executor
+	slots      *slots.Client
 	handler    *frontend.Handler
 	prober     *measure.Prober
 	editor     *config.Editor
@@ -203,14 +205,15 @@
 			Incarnation: uint64(d.started.UnixMilli()),
 		},
 		Network: d.network, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
-		Configuration: d.follower, Seeds: d.seeds, OnDrain: d.onDrain,
+		Configuration: d.follower, Slots: slots.NewServer(d.services), Seeds: d.seeds, OnDrain: d.onDrain,
 	})
 	d.follower.SetPeers(d.node)
 	d.operations = operation.NewExecutor(operation.Options{
 		Store: d.store, Writes: rate.NewLimiter(rate.Limit(d.settings.Platform.WritesPerSecond), 1), Log: d.logger,
 	})
+	d.slots = slots.NewClient(d.network, d.logger)
 	d.handler = frontend.NewHandler(frontend.Options{
-		Name: d.settings.Name, Network: d.network, Services: d.services, Peers: d, Operations: d.operations,
+		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.network, Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
 		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
@@ -337,6 +340,7 @@
 
 func (d *Daemon) close() {
 	d.cancel()
+	d.slots.Close()
 	for _, server := range d.servers {
 		server.Close()
 	}
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/backend"
-	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
@@ -23,18 +22,9 @@
 	record   *operationRecord // of an operation; nil otherwise
 }
 
-// run serves the call here, or forwards it to the daemon that dispatches its
-// service.
-func (a *attempter) run(ctx context.Context) {
-	if a.forward(ctx) {
-		return
-	}
-	a.local(ctx)
-}
-
-// local sends the call to back ends until one answers or no retry is allowed,
+// run sends the call to back ends until one answers or no retry is allowed,
 // and returns the code it ended with.
-func (a *attempter) local(ctx context.Context) resultcode.Code {
+func (a *attempter) run(ctx context.Context) resultcode.Code {
 	c := a.call
 	c.service.Earn()
 	for number := 1; ; number++ {
@@ -72,60 +62,52 @@
 // once makes one attempt. It returns nil once an answer, or a part of one, has
 // been passed on.
 func (a *attempter) once(ctx context.Context) *resultcode.Failure {
-	c := a.call
-	grant, err := c.service.Dispatcher.Acquire(ctx, dispatch.Request{
-		Weight: c.decision.Weight, Wait: c.decision.Wait, Deadline: c.deadline,
-		Routing: routing.Request{Session: c.decision.Session, Tried: c.tried, Repeatable: c.decision.Retry},
-	})
-	if err != nil {
-		var failure *resultcode.Failure
-		if errors.As(err, &failure) {
-			return failure
-		}
-		return &resultcode.Failure{Code: resultcode.NoBackend, Detail: err.Error()}
+	place, failure := a.acquire(ctx)
+	if failure != nil {
+		return failure
 	}
-	a.logDecision(grant)
-	return a.send(ctx, grant)
+	a.logDecision(place)
+	return a.send(ctx, place)
 }
 
-func (a *attempter) logDecision(grant *dispatch.Grant) {
-	a.handler.metrics.waited.RecordDuration(grant.Waited())
+func (a *attempter) logDecision(chosen *place) {
+	a.handler.metrics.waited.RecordDuration(chosen.waited)
 	if !a.handler.options.LogDecisions {
 		return
 	}
 	c := a.call
 	a.handler.routing.Info("chosen", "request", c.id, "service", c.service.Name(), "class", c.decision.Class,
-		"backend", grant.Backend.ID, "reason", string(grant.Reason), "candidates", grant.Candidates,
-		"report_age", grant.ReportAge, "waited", grant.Waited())
+		"backend", chosen.backend, "reason", string(chosen.reason), "candidates", chosen.candidates,
+		"report_age", chosen.reportAge, "waited", chosen.waited)
 }
 
-// send sends the call to the back end of the grant and passes the answer on.
-func (a *attempter) send(ctx context.Context, grant *dispatch.Grant) *resultcode.Failure {
+// send sends the call to the back end of the place and passes the answer on.
+func (a *attempter) send(ctx context.Context, chosen *place) *resultcode.Failure {
 	c := a.call
-	client := c.service.Client(grant.Backend.ID)
+	client := c.service.Client(chosen.backend)
 	if client == nil {
-		grant.Done(routing.Canceled, 0)
+		chosen.done(routing.Canceled, 0, nil)
 		return &resultcode.Failure{Code: resultcode.NoBackend, Detail: "the back end was taken out of the placement"}
 	}
 	if a.record != nil && !a.record.usable() {
-		grant.Done(routing.Canceled, 0)
+		chosen.done(routing.Canceled, 0, nil)
 		return &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim lapsed before the request could be sent"}
 	}
-	c.tried = append(c.tried, grant.Backend.ID)
-	response, err := client.Do(ctx, c.toBackend(grant.Backend.ID, a.handler.options.Dialect))
+	c.tried = append(c.tried, chosen.backend)
+	response, err := client.Do(ctx, c.toBackend(chosen.backend, a.handler.options.Dialect))
 	if err != nil {
-		return a.sendFailed(grant, err)
+		return a.sendFailed(chosen, err)
 	}
 	defer response.Body.Close()
-	latency := time.Since(grant.Sent)
-	a.learn(grant, response)
+	latency := time.Since(chosen.sent)
+	report := a.learn(chosen, response)
 	if a.refused(response) {
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			// Another back end has the address: this one is gone.
-			a.handler.options.Peers.HeardDraining(c.service.Name(), grant.Backend.ID, true)
+			a.handler.options.Peers.HeardDraining(c.service.Name(), chosen.backend, true)
 		}
-		grant.Done(routing.Failed, 0)
-		return &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + grant.Backend.ID, RetryAfter: time.Second}
+		chosen.done(routing.Failed, 0, report)
+		return &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + chosen.backend, RetryAfter: time.Second}
 	}
 	outcome := routing.Success
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -135,8 +117,8 @@
 	// The place is held until the whole answer has been read, as the back
 	// end's slot is. A caller that does not take the answer says nothing about
 	// the back end.
-	defer func() { grant.Done(outcome, latency) }()
-	if err := a.pass(response, grant.Backend.ID, resultcode.Answered); err != nil {
+	defer func() { chosen.done(outcome, latency, report) }()
+	if err := a.pass(response, chosen.backend, resultcode.Answered); err != nil {
 		outcome = err.outcome()
 		a.abort(err)
 	}
@@ -156,7 +138,7 @@
 	return refusal != 0 && response.StatusCode == refusal
 }
 
-func (a *attempter) sendFailed(grant *dispatch.Grant, err error) *resultcode.Failure {
+func (a *attempter) sendFailed(chosen *place, err error) *resultcode.Failure {
 	var failed *backend.Failure
 	if !errors.As(err, &failed) {
 		failed = &backend.Failure{Code: resultcode.ConnectionBroken, Cause: err}
@@ -165,22 +147,26 @@
 	if failed.Code == resultcode.CallerGone || failed.Code == resultcode.CallerGoneAfterSend || failed.Code == resultcode.WaitExpired {
 		outcome = routing.Canceled
 	}
-	grant.Done(outcome, 0)
-	return &resultcode.Failure{Code: failed.Code, Detail: "back end " + grant.Backend.ID + ": " + failed.Cause.Error()}
+	chosen.done(outcome, 0, nil)
+	return &resultcode.Failure{Code: failed.Code, Detail: "back end " + chosen.backend + ": " + failed.Cause.Error()}
 }
 
-// learn takes in what the back end says of itself on an answer.
-func (a *attempter) learn(grant *dispatch.Grant, response *http.Response) {
-	dialect := a.handler.options.Dialect
-	if report, ok := dialect.ParseReport(response.Header.Get(dialect.Report)); ok {
-		a.call.service.Dispatcher.Report(grant.Backend, routing.Report(report))
-	}
+// learn takes in what the back end says of itself on an answer, and returns its
+// load; nil where it told none.
+func (a *attempter) learn(chosen *place, response *http.Response) *routing.Report {
+	peers, name := a.handler.options.Peers, a.call.service.Name()
 	switch response.Header.Get(backend.HeaderDraining) {
 	case "true":
-		a.handler.options.Peers.HeardDraining(a.call.service.Name(), grant.Backend.ID, true)
+		peers.HeardDraining(name, chosen.backend, true)
 	case "false":
-		a.handler.options.Peers.HeardDraining(a.call.service.Name(), grant.Backend.ID, false)
+		peers.HeardDraining(name, chosen.backend, false)
+	}
+	dialect := a.handler.options.Dialect
+	report, ok := dialect.ParseReport(response.Header.Get(dialect.Report))
+	if !ok {
+		return nil
 	}
+	return new(routing.Report(report))
 }
 
 // abort breaks off an answer that has begun, so that the caller cannot take it
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -19,6 +19,7 @@
 	"github.com/tuliphall/tuliphall/operation"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/slots"
 )
 
 // Peers says which daemon dispatches a service. The frontend calls it for each
@@ -36,9 +37,11 @@
 // Options are the frontend's collaborators.
 type Options struct {
 	Name       string // the daemon's
+	Zone       string // the daemon's
 	Network    network.Network
 	Services   *service.Registry
 	Peers      Peers
+	Slots      *slots.Client // asks other daemons for places
 	Operations *operation.Executor
 	Log        *slog.Logger
 	Metrics    tally.Scope
--- a/frontend/operation.go
+++ b/frontend/operation.go
@@ -44,7 +44,7 @@
 	a.record = record
 	// A panic that breaks off the answer must leave the claim settled too.
 	defer claim.Abandon()
-	code := a.local(detached)
+	code := a.run(detached)
 	switch {
 	case record.begun:
 		claim.Finish(record.result)
--- a/peer/node.go
+++ b/peer/node.go
@@ -64,6 +64,8 @@
 	Random        *rand.Rand
 	Log           *slog.Logger
 	Configuration Configuration
+	// Slots answers daemons that ask for places; nil: none are given.
+	Slots peerpb.DRPCSlotsServer
 	// Seeds returns peer addresses of daemons that may be alive. It may block.
 	Seeds func(ctx context.Context) []string
 	// OnDrain is told of each drain that is news. It must not block.
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,11 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &server{node: n}); err != nil {
 		return errors.Annotate(err, "peer server")
 	}
+	if n.options.Slots != nil {
+		if err := peerpb.DRPCRegisterSlots(mux, n.options.Slots); err != nil {
+			return errors.Annotate(err, "slots server")
+		}
+	}
 	err := drpcserver.New(mux).Serve(ctx, listener)
 	if ctx.Err() != nil {
 		return nil
--- a/routing/group.go
+++ b/routing/group.go
@@ -117,6 +117,8 @@
 	Tried []string
 	// Repeatable requests may be used to try an ejected back end.
 	Repeatable bool
+	// Zone is that of the daemon that sends the request.
+	Zone string
 }
 
 // Pick chooses a back end for a request and counts it as sent. It returns false
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,178 @@
+package slots_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/routing"
+	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/slots"
+)
+
+const serviceName = "prices"
+
+// dispatcher is a daemon that gives out the one place of a service.
+type dispatcher struct {
+	address string
+	service *service.Service
+	stop    func()
+}
+
+func startDispatcher(t *testing.T) *dispatcher {
+	t.Helper()
+	services := service.NewRegistry(service.Options{Network: network.TCP{}, Seed: 1})
+	snapshot, err := config.NewSnapshot(config.Document{Revision: 1, Content: config.Content{
+		Services:   []config.Service{{Name: serviceName, MaxLoad: 1}},
+		Placements: []config.Placement{{Service: serviceName, Backends: []config.Backend{{ID: "b1", Address: "127.0.0.1:1", Slots: 1}}}},
+	}})
+	require.NoError(t, err)
+	services.Put(snapshot)
+	mux := drpcmux.New()
+	require.NoError(t, peerpb.DRPCRegisterSlots(mux, slots.NewServer(services)))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = drpcserver.New(mux).Serve(ctx, listener)
+	}()
+	running, _ := services.Find(serviceName)
+	return &dispatcher{address: listener.Addr().String(), service: running, stop: func() {
+		cancel()
+		<-done
+	}}
+}
+
+func newClient() *slots.Client {
+	return slots.NewClient(network.TCP{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func request(wait time.Duration) dispatch.Request {
+	return dispatch.Request{Weight: 1, Wait: wait, Deadline: time.Now().Add(time.Minute)}
+}
+
+func acquire(t *testing.T, client *slots.Client, d *dispatcher) *slots.Grant {
+	t.Helper()
+	grant, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
+	require.NoError(t, err)
+	require.Equal(t, "b1", grant.Backend)
+	return grant
+}
+
+// TestPlaceGoesOn lets a second request wait until the first gives its place back.
+func TestPlaceGoesOn(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	d := startDispatcher(t)
+	defer d.stop()
+	client := newClient()
+	defer client.Close()
+	first := acquire(t, client, d)
+	second := make(chan *slots.Grant)
+	go func() {
+		grant, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
+		if err != nil {
+			close(second)
+			return
+		}
+		second <- grant
+	}()
+	select {
+	case <-second:
+		t.Fatal("two requests hold one place")
+	case <-time.After(100 * time.Millisecond):
+	}
+	first.Done(routing.Success, time.Millisecond, &routing.Report{InFlight: 1, Slowdown: 2})
+	grant, granted := <-second
+	require.True(t, granted)
+	require.GreaterOrEqual(t, grant.Waited, 100*time.Millisecond)
+	grant.Done(routing.Success, time.Millisecond, nil)
+}
+
+// TestSessionEnds gives the places of a daemon that is gone to others.
+func TestSessionEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	d := startDispatcher(t)
+	defer d.stop()
+	gone, client := newClient(), newClient()
+	defer client.Close()
+	acquire(t, gone, d)
+	gone.Close()
+	acquire(t, client, d).Done(routing.Canceled, 0, nil)
+}
+
+// TestGivenUp takes back the place of a request whose caller left while it waited.
+func TestGivenUp(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	d := startDispatcher(t)
+	defer d.stop()
+	client := newClient()
+	defer client.Close()
+	first := acquire(t, client, d)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := client.Acquire(ctx, d.address, serviceName, request(0))
+	require.Equal(t, resultcode.CallerGone, err.(*resultcode.Failure).Code)
+	first.Done(routing.Canceled, 0, nil)
+	acquire(t, client, d).Done(routing.Canceled, 0, nil)
+}
+
+// TestRefused passes the dispatcher's refusal on, with its advice.
+func TestRefused(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	d := startDispatcher(t)
+	defer d.stop()
+	client := newClient()
+	defer client.Close()
+	first := acquire(t, client, d)
+	defer first.Done(routing.Canceled, 0, nil)
+	_, err := client.Acquire(t.Context(), d.address, serviceName, request(time.Millisecond))
+	failure, refused := err.(*resultcode.Failure)
+	require.True(t, refused, err)
+	require.Equal(t, resultcode.WaitExpired, failure.Code)
+	require.Positive(t, failure.RetryAfter)
+	_, err = client.Acquire(t.Context(), d.address, "unknown", request(0))
+	require.Equal(t, resultcode.NoService, err.(*resultcode.Failure).Code)
+}
+
+// TestSilentDispatcher gives up on one that takes connections and never answers.
+func TestSilentDispatcher(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	client := newClient()
+	defer client.Close()
+	_, err = client.Acquire(t.Context(), listener.Addr().String(), serviceName, request(0))
+	require.ErrorIs(t, err, slots.ErrUnreachable)
+}
+
+// TestNewSession opens another session after the dispatcher has come back.
+func TestNewSession(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	d := startDispatcher(t)
+	client := newClient()
+	defer client.Close()
+	held := acquire(t, client, d)
+	d.stop()
+	held.Done(routing.Success, time.Millisecond, nil) // nobody takes it back; nothing breaks
+	other := startDispatcher(t)
+	defer other.stop()
+	acquire(t, client, other).Done(routing.Canceled, 0, nil)
+	_, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
+	require.ErrorIs(t, err, slots.ErrUnreachable)
+}
