--- a/routing/group.go
+++ b/routing/group.go
@@ -140,7 +140,7 @@
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
-	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Candidates: free})]
+	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Zone: request.Zone, Candidates: free})]
 	g.sent(chosen)
 	return g.result(chosen, ReasonLoad, len(free), now), true
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -80,14 +80,22 @@
 
 // score is the load with one more request, weighed by the latency and, where the
 // back end tells it, by how much longer work takes there now.
-func (s *State) score(now time.Time) float64 {
+func (s *State) score(now time.Time, zone string) float64 {
 	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
 	if !s.slowdown.known() {
 		return load * s.root
 	}
-	return (slotWeight*min(load, 1) + max(load, 1)) * s.slowdown.expected(now)
+	score := (slotWeight*min(load, 1) + max(load, 1)) * s.slowdown.expected(now)
+	if zone != s.Zone {
+		score *= otherZone
+	}
+	return score
 }
 
+// otherZone is how much a back end in another zone counts more: its wire is longer
+// and its bytes cost, but a free or undisturbed one is worth more than a near one.
+const otherZone = 1.2
+
 // slotWeight is how much a slot's load counts while slots are free, against the
 // time that work takes.
 const slotWeight = 0.5
