A slow request that may be repeated is sent to a second back end beside the first

Cause: a quarter of the workers is disturbed at any moment and that changes within a request, so that even a good choice turns out late. Change: a policy may name a time after which a request without an answer is also sent to another back end that has a free place; the first answer counts, the other exchange is broken off.

--- a/config/objects.go
+++ b/config/objects.go
@@ -58,6 +58,12 @@
 	QueueLimit int `toml:"queue_limit" json:"queue_limit,omitempty"`
 	// Deadline ends a request whose policy and caller set none; 0: 10 s.
 	Deadline Duration `toml:"deadline" json:"deadline,omitempty"`
+	// RetryRatio is the share of requests that may be sent once more, as
+	// retries or hedges; 0: 0.1.
+	RetryRatio float64 `toml:"retry_ratio" json:"retry_ratio,omitempty"`
+	// RetryBurst is how many of them may be saved up, by all daemons together;
+	// 0: 10 for each daemon.
+	RetryBurst float64 `toml:"retry_burst" json:"retry_burst,omitempty"`
 	// RefusalStatus is the status with which a back end says that it did not
 	// run a request; 0: no status says so.
 	RefusalStatus int `toml:"refusal_status" json:"refusal_status,omitempty"`
--- a/config/validate.go
+++ b/config/validate.go
@@ -18,6 +18,8 @@
 	MaxSlots             = 10000
 	MaxQueueLimit        = 1_000_000
 	MaxMaxLoad           = 100.0
+	MaxRetryRatio        = 1.0
+	MaxRetryBurst        = 100000.0
 	MaxDeadline          = Duration(24 * time.Hour)
 	MaxProbeCost         = Duration(10 * time.Second)
 	MinDuration          = Duration(10 * time.Microsecond)
@@ -191,6 +193,8 @@
 	v.policyName(object, s.Policy, programs)
 	checkRange(v, object, "slots", s.Slots, 0, MaxSlots)
 	checkRange(v, object, "max_load", s.MaxLoad, 0, MaxMaxLoad)
+	checkRange(v, object, "retry_ratio", s.RetryRatio, 0, MaxRetryRatio)
+	checkRange(v, object, "retry_burst", s.RetryBurst, 0, MaxRetryBurst)
 	checkRange(v, object, "queue_limit", s.QueueLimit, 0, MaxQueueLimit)
 	v.checkDuration(object, "deadline", s.Deadline, MaxDeadline)
 	v.check(s.RefusalStatus == 0 || (s.RefusalStatus >= minStatus && s.RefusalStatus <= maxStatus), object, "refusal_status", s.RefusalStatus, "0 or 400 to 599")
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -109,6 +109,11 @@
 	return d.node.DispatcherOf(name)
 }
 
+// Daemons implements frontend.Peers.
+func (d *Daemon) Daemons() int {
+	return d.KnownMembers()
+}
+
 // Suspect implements frontend.Peers.
 func (d *Daemon) Suspect(name string) {
 	d.node.Suspect(name)
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -26,7 +26,7 @@
 // and returns the code it ended with.
 func (a *attempter) run(ctx context.Context) resultcode.Code {
 	c := a.call
-	c.service.Earn()
+	c.service.Earn(a.handler.options.Peers.Daemons())
 	for number := 1; ; number++ {
 		failure := a.once(ctx)
 		if failure == nil {
@@ -62,12 +62,23 @@
 // once makes one attempt. It returns nil once an answer, or a part of one, has
 // been passed on.
 func (a *attempter) once(ctx context.Context) *resultcode.Failure {
-	place, failure := a.acquire(ctx)
+	place, failure := a.acquire(ctx, a.call.decision.Wait)
 	if failure != nil {
 		return failure
 	}
-	a.logDecision(place)
-	return a.send(ctx, place)
+	first, failure := a.prepare(place)
+	if failure != nil {
+		return failure
+	}
+	if a.call.decision.Hedge > 0 && a.call.buffered {
+		return a.race(ctx, first)
+	}
+	got, failure := a.exchange(ctx, first)
+	if failure != nil {
+		return failure
+	}
+	a.deliver(got)
+	return nil
 }
 
 func (a *attempter) logDecision(chosen *place) {
@@ -81,48 +92,91 @@
 		"report_age", chosen.reportAge, "waited", chosen.waited)
 }
 
-// send sends the call to the back end of the place and passes the answer on.
-func (a *attempter) send(ctx context.Context, chosen *place) *resultcode.Failure {
+// outbound is a request that is ready to be sent to the back end of a place.
+type outbound struct {
+	chosen  *place
+	client  *backend.Client
+	request *http.Request
+}
+
+// prepare logs the choice and builds the request. Where it fails, the place is
+// given back.
+func (a *attempter) prepare(chosen *place) (*outbound, *resultcode.Failure) {
+	a.logDecision(chosen)
 	c := a.call
 	client := c.service.Client(chosen.backend)
 	if client == nil {
 		chosen.done(routing.Canceled, 0, nil)
-		return &resultcode.Failure{Code: resultcode.NoBackend, Detail: "the back end was taken out of the placement"}
+		return nil, &resultcode.Failure{Code: resultcode.NoBackend, Detail: "the back end was taken out of the placement", RetryAfter: refusedRetryAfter}
 	}
 	if a.record != nil && !a.record.usable() {
 		chosen.done(routing.Canceled, 0, nil)
-		return &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim lapsed before the request could be sent"}
+		return nil, &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim lapsed before the request could be sent"}
 	}
 	c.tried = append(c.tried, chosen.backend)
-	response, err := client.Do(ctx, c.toBackend(chosen.backend, a.handler.options.Dialect))
+	return &outbound{chosen: chosen, client: client, request: c.toBackend(chosen.backend, a.handler.options.Dialect)}, nil
+}
+
+// refusedRetryAfter is when a caller may come back whose request the back ends
+// refused.
+const refusedRetryAfter = 100 * time.Millisecond
+
+// received is an answer whose body is still to be read.
+type received struct {
+	chosen   *place
+	response *http.Response
+	latency  time.Duration
+	report   *routing.Report
+}
+
+// exchange sends the request and returns the answer. It blocks until the answer's
+// header is there; a failed exchange has given its place back.
+func (a *attempter) exchange(ctx context.Context, sent *outbound) (*received, *resultcode.Failure) {
+	chosen := sent.chosen
+	response, err := sent.client.Do(ctx, sent.request)
 	if err != nil {
-		return a.sendFailed(chosen, err)
-	}
-	defer response.Body.Close()
-	latency := time.Since(chosen.sent)
-	report := a.learn(chosen, response)
-	if a.refused(response) {
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			// Another back end has the address: this one is gone.
-			a.handler.options.Peers.HeardDraining(c.service.Name(), chosen.backend, true)
-		}
-		chosen.done(routing.Failed, 0, report)
-		return &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + chosen.backend, RetryAfter: time.Second}
+		return nil, a.sendFailed(chosen, err)
 	}
-	outcome := routing.Success
-	if response.StatusCode >= http.StatusInternalServerError {
-		outcome = routing.Failed
+	got := &received{chosen: chosen, response: response, latency: time.Since(chosen.sent), report: a.learn(chosen, response)}
+	if !a.refused(response) {
+		return got, nil
+	}
+	response.Body.Close()
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		// Another back end has the address: this one is gone.
+		a.handler.options.Peers.HeardDraining(a.call.service.Name(), chosen.backend, true)
+	}
+	chosen.done(routing.Failed, 0, got.report)
+	return nil, &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + chosen.backend, RetryAfter: refusedRetryAfter}
+}
+
+// outcome says what the answer tells of the back end.
+func (r *received) outcome() routing.Outcome {
+	if r.response.StatusCode >= http.StatusInternalServerError {
+		return routing.Failed
 	}
+	return routing.Success
+}
+
+// discard gives an answer up that nobody needs any more.
+func (r *received) discard() {
+	r.response.Body.Close()
+	r.chosen.done(r.outcome(), r.latency, r.report)
+}
+
+// deliver passes the answer on.
+func (a *attempter) deliver(got *received) {
+	defer got.response.Body.Close()
 	a.deadline.Stop()
 	// The place is held until the whole answer has been read, as the back
 	// end's slot is. A caller that does not take the answer says nothing about
 	// the back end.
-	defer func() { chosen.done(outcome, latency, report) }()
-	if err := a.pass(response, chosen.backend, resultcode.Answered); err != nil {
+	outcome := got.outcome()
+	defer func() { got.chosen.done(outcome, got.latency, got.report) }()
+	if err := a.pass(got.response, got.chosen.backend, resultcode.Answered); err != nil {
 		outcome = err.outcome()
 		a.abort(err)
 	}
-	return nil
 }
 
 // refused says whether the back end says that it did not run the request.
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -28,6 +28,8 @@
 	// DispatcherOf returns the daemon that dispatches the service, and false
 	// when it is this one.
 	DispatcherOf(service string) (member membership.Member, other bool)
+	// Daemons returns how many daemons take requests, this one included.
+	Daemons() int
 	// Suspect notes that a daemon could not be reached.
 	Suspect(name string)
 	// HeardDraining notes that a back end says it is leaving, or is back.
--- /dev/null
+++ b/frontend/hedge.go
@@ -0,0 +1,137 @@
+package frontend
+
+import (
+	"context"
+	"time"
+
+	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/routing"
+)
+
+// hedgeWait is how long a second attempt may wait for a place: it is worth one
+// only while there are free ones.
+const hedgeWait = time.Millisecond
+
+// result is how one exchange of a race ended: exactly one of got and failure is
+// set.
+type result struct {
+	number  int // of the exchange in its race
+	got     *received
+	failure *resultcode.Failure
+}
+
+// race is one attempt that gets a second one beside it when it is slow. The first
+// answer counts, the other exchange is broken off. One goroutine owns it.
+type race struct {
+	attempter *attempter
+	results   chan result // room for both
+	running   int         // exchanges whose result is still to come
+	cancels   []context.CancelFunc
+	places    chan *place // room for the one that was asked for; nil where there is none
+	asking    bool
+}
+
+// race sends the request and, if no answer has come when the policy says so, sends
+// it to another back end too. It returns nil once an answer has been passed on.
+func (a *attempter) race(ctx context.Context, first *outbound) *resultcode.Failure {
+	r := &race{attempter: a, results: make(chan result, 2), places: make(chan *place, 1)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer r.drain()
+	defer cancel()
+	r.launch(ctx, first)
+	timer := time.NewTimer(time.Until(a.call.received.Add(a.call.decision.Hedge)))
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			r.ask(ctx)
+		case chosen := <-r.places:
+			r.asking = false
+			r.add(ctx, chosen)
+		case one := <-r.results:
+			r.running--
+			if one.got != nil {
+				r.stopOthers(one.number)
+				a.deliver(one.got)
+				return nil
+			}
+			if r.running == 0 {
+				return one.failure
+			}
+		}
+	}
+}
+
+// launch starts one exchange.
+func (r *race) launch(ctx context.Context, sent *outbound) {
+	ctx, cancel := context.WithCancel(ctx)
+	number := len(r.cancels)
+	r.cancels = append(r.cancels, cancel)
+	r.running++
+	go func() {
+		got, failure := r.attempter.exchange(ctx, sent)
+		r.results <- result{number: number, got: got, failure: failure}
+	}()
+}
+
+// ask asks for a place for the second attempt, if route and budget allow one.
+func (r *race) ask(ctx context.Context) {
+	a := r.attempter
+	c := a.call
+	others := len(c.service.Target().Backends) - len(c.tried)
+	if len(c.tried) >= c.route.Attempts || others <= 0 || c.attempt > 1 || !c.service.SpendRetry() {
+		return
+	}
+	r.asking = true
+	go func() {
+		chosen, failure := a.acquire(ctx, hedgeWait)
+		if failure != nil {
+			c.service.RefundRetry()
+		}
+		r.places <- chosen
+	}()
+}
+
+// add sends the second attempt, unless there was no place for it.
+func (r *race) add(ctx context.Context, chosen *place) {
+	if chosen == nil {
+		return
+	}
+	sent, failure := r.attempter.prepare(chosen)
+	if failure != nil {
+		return
+	}
+	r.attempter.handler.metrics.hedges.Inc(1)
+	r.launch(ctx, sent)
+}
+
+// stopOthers breaks off the other exchange, so that its back end can stop working
+// on it.
+func (r *race) stopOthers(winner int) {
+	for number, cancel := range r.cancels {
+		if number != winner {
+			cancel()
+		}
+	}
+}
+
+// drain gives back what still comes in after the race is over. It does not block.
+func (r *race) drain() {
+	running, asking := r.running, r.asking
+	if running == 0 && !asking {
+		return
+	}
+	go func() {
+		for range running {
+			if late := <-r.results; late.got != nil {
+				late.got.discard()
+			}
+		}
+		if !asking {
+			return
+		}
+		if chosen := <-r.places; chosen != nil {
+			chosen.done(routing.Canceled, 0, nil)
+		}
+	}()
+}
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -16,6 +16,7 @@
 	latency      tally.Histogram
 	waited       tally.Histogram
 	retries      tally.Counter
+	hedges       tally.Counter
 	forwards     tally.Counter
 	policyErrors tally.Counter
 	inFlight     tally.Gauge
@@ -28,6 +29,7 @@
 		latency:      scope.Histogram("request_latency", latencies),
 		waited:       scope.Histogram("request_waited", latencies),
 		retries:      scope.Counter("retries"),
+		hedges:       scope.Counter("hedges"),
 		forwards:     scope.Counter("forwards"),
 		policyErrors: scope.Counter("policy_errors"),
 		inFlight:     scope.Gauge("requests_in_flight"),
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,12 +25,13 @@
 }
 
 // acquire gets a place for the next attempt: from the daemon that dispatches the
-// service, or here if that is this one or it cannot be reached.
-func (a *attempter) acquire(ctx context.Context) (*place, *resultcode.Failure) {
+// service, or here if that is this one or it cannot be reached. It blocks for as
+// long as wait allows; 0: until the deadline.
+func (a *attempter) acquire(ctx context.Context, wait time.Duration) (*place, *resultcode.Failure) {
 	c := a.call
 	request := dispatch.Request{
-		Weight: c.decision.Weight, Wait: c.decision.Wait, Deadline: c.deadline,
-		Routing: routing.Request{Session: c.decision.Session, Tried: c.tried, Repeatable: c.decision.Retry, Zone: a.handler.options.Zone},
+		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline,
+		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: a.handler.options.Zone},
 	}
 	if !c.forwarded && !c.service.Target().Service.Direct {
 		dispatcher, other := a.handler.options.Peers.DispatcherOf(c.service.Name())
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -115,6 +115,7 @@
 	chosen := built.Settings.Platform
 	connected := platform.Connect(platform.Options{
 		Address: chosen.Address, Direct: chosen.Direct, Connections: chosen.Connections,
+		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst,
 	})
 	dialect := platform.Dialect()
 	built.Store, built.Machines, built.Sources, built.Dialect = connected, connected, connected.Sources(), &dialect
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,6 +50,7 @@
 	Once     string `toml:"once" json:"once,omitempty"`         // bool; false
 	Key      string `toml:"key" json:"key,omitempty"`           // text; the Idempotency-Key header
 	Session  string `toml:"session" json:"session,omitempty"`   // text; "", no affinity
+	Hedge    string `toml:"hedge" json:"hedge,omitempty"`       // duration; 0, no second attempt beside a slow one
 }
 
 // Request is what a policy may look at.
@@ -69,6 +70,7 @@
 	Once     bool
 	Key      string
 	Session  string
+	Hedge    time.Duration // 0: never
 }
 
 // HeaderKey is the header that carries an operation's key where the policy
@@ -93,8 +95,8 @@
 
 // Program is a compiled policy. It is safe for concurrent use.
 type Program struct {
-	class, weight, retry, wait, deadline, once, key, session *expression
-	needsHeader                                              bool
+	class, weight, retry, wait, deadline, once, key, session, hedge *expression
+	needsHeader                                                     bool
 }
 
 // expression is one compiled expression; constant holds its value where it
@@ -164,6 +166,7 @@
 		{"once", source.Once, cel.BoolType, &program.once},
 		{"key", source.Key, cel.StringType, &program.key},
 		{"session", source.Session, cel.StringType, &program.session},
+		{"hedge", source.Hedge, cel.DurationType, &program.hedge},
 	} {
 		if field.text == "" {
 			continue
@@ -268,6 +271,7 @@
 	note(evaluate(p.wait, "wait", input, &decision.Wait))
 	note(evaluate(p.deadline, "deadline", input, &decision.Deadline))
 	note(evaluate(p.session, "session", input, &decision.Session))
+	note(evaluate(p.hedge, "hedge", input, &decision.Hedge))
 	// An operation whose expression fails is treated as one: not repeating
 	// is the safe side.
 	if err := evaluate(p.once, "once", input, &decision.Once); err != nil {
@@ -284,6 +288,10 @@
 	if decision.Once {
 		decision.Retry = false
 	}
+	if !decision.Retry {
+		decision.Hedge = 0
+	}
+	decision.Hedge = max(decision.Hedge, 0)
 	decision.Wait = max(decision.Wait, 0)
 	decision.Deadline = max(decision.Deadline, 0)
 	return decision, failed
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,23 +16,33 @@
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
-// Tuning of the budget.
+// Defaults of a budget.
 const (
-	// budgetRatio is the number of retries earned by one request.
-	budgetRatio = 0.1
-	// budgetCap is the most retries that can be saved up.
-	budgetCap = 10
+	// DefaultRatio is the number of retries earned by one request.
+	DefaultRatio = 0.1
+	// DefaultBurst is the most retries that can be saved up.
+	DefaultBurst = 10
 )
 
-// Budget bounds the retries of a service to a share of its requests. The zero
-// value is empty: a daemon that has just started earns its first retries.
+// Budget bounds the retries of a service to a share of its requests. Without a
+// first retry saved it is empty: a daemon that has just started earns its first
+// retries.
 type Budget struct {
+	Ratio float64 // retries earned by one request; 0: DefaultRatio
+	Burst float64 // most retries that can be saved up; 0: DefaultBurst
 	saved float64
 }
 
 // Earn notes a first attempt.
 func (b *Budget) Earn() {
-	b.saved = min(b.saved+budgetRatio, budgetCap)
+	ratio, burst := b.Ratio, b.Burst
+	if ratio == 0 {
+		ratio = DefaultRatio
+	}
+	if burst == 0 {
+		burst = DefaultBurst
+	}
+	b.saved = min(b.saved+ratio, max(burst, 1))
 }
 
 // Spend takes one retry, and says whether there was one.
@@ -44,6 +54,11 @@
 	return true
 }
 
+// Refund gives back what Spend took for a retry that was not made.
+func (b *Budget) Refund() {
+	b.saved++
+}
+
 // Attempt describes a failed attempt.
 type Attempt struct {
 	Code       resultcode.Code
--- a/service/service.go
+++ b/service/service.go
@@ -168,13 +168,32 @@
 	return false
 }
 
-// Earn notes a first attempt in the retry budget.
-func (s *Service) Earn() {
+// Earn notes a first attempt in the retry budget. The burst that all daemons have
+// together is divided among so many.
+func (s *Service) Earn(daemons int) {
+	declared := s.Target().Service
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.budget.Ratio = declared.RetryRatio
+	s.budget.Burst = declared.RetryBurst / float64(max(daemons, 1))
 	s.budget.Earn()
 }
 
+// SpendRetry takes one more attempt from the retry budget, and says whether there
+// was one.
+func (s *Service) SpendRetry() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.budget.Spend()
+}
+
+// RefundRetry gives back what SpendRetry took for an attempt that was not made.
+func (s *Service) RefundRetry() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Refund()
+}
+
 // DecideRetry says whether a failed attempt is sent again.
 func (s *Service) DecideRetry(attempt retry.Attempt) retry.Verdict {
 	s.mutex.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,6 +72,12 @@
 	// Direct keeps requests on the daemon they came to, where the platform
 	// declares the services; false: they are forwarded to a dispatcher.
 	Direct bool `toml:"direct"`
+	// RetryRatio is the share of a service's requests that the platform lets
+	// all daemons together send once more; 0: the default of retry.Budget.
+	RetryRatio float64 `toml:"retry_ratio"`
+	// RetryBurst is how many more than that they may send in a short time; 0:
+	// the default of retry.Budget for each daemon.
+	RetryBurst float64 `toml:"retry_burst"`
 	// Connections bounds one daemon's connections to a back end that the
 	// platform lists; 0: config.DefaultConnections.
 	Connections int `toml:"connections"`
@@ -218,6 +224,8 @@
 	check(within(s.Platform.MaxBackoff, maxTimeout), "platform.max_backoff", time.Duration(s.Platform.MaxBackoff), "10µs to 1m, with a unit")
 	check(s.Platform.WatchInterval == 0 || within(s.Platform.WatchInterval, maxTimeout), "platform.watch_interval", time.Duration(s.Platform.WatchInterval), "0 or 10µs to 1m, with a unit")
 	check(s.Platform.WatchGap == 0 || within(s.Platform.WatchGap, maxTimeout), "platform.watch_gap", time.Duration(s.Platform.WatchGap), "0 or 10µs to 1m, with a unit")
+	check(s.Platform.RetryRatio >= 0 && s.Platform.RetryRatio <= config.MaxRetryRatio, "platform.retry_ratio", s.Platform.RetryRatio, "0 to 1")
+	check(s.Platform.RetryBurst >= 0 && s.Platform.RetryBurst <= config.MaxRetryBurst, "platform.retry_burst", s.Platform.RetryBurst, "0 to 100000")
 	check(s.Platform.Connections >= 1 && s.Platform.Connections <= config.MaxConnections, "platform.connections", s.Platform.Connections, "1 to 10000")
 	watchers := s.Platform.Watchers
 	check(watchers == AllWatch || (watchers >= 1 && watchers <= maxWatchers), "platform.watchers", watchers, "1 to 20, or -1 for every daemon")
