--- a/admission/admission.go
+++ b/admission/admission.go
@@ -2,7 +2,7 @@
 // refused.
 //
 // Requests wait at the daemon, not in the queue of a back end. The heaviest
-// class goes first; within a weight, the earliest deadline. A full queue makes
+// class goes first; within a weight, the one that may wait least longer. A full queue makes
 // room by refusing the request that matters least, and a request that cannot be
 // served before its deadline is refused on arrival, so that under overload the
 // back ends work only on requests whose callers still wait. A refusal here is
@@ -177,8 +177,8 @@
 	if a.Weight != b.Weight {
 		return a.Weight > b.Weight
 	}
-	if !a.Deadline.Equal(b.Deadline) {
-		return a.Deadline.Before(b.Deadline)
+	if !a.Expiry.Equal(b.Expiry) {
+		return a.Expiry.Before(b.Expiry)
 	}
 	return a.sequence < b.sequence
 }
