--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -35,7 +35,7 @@
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = 15 * time.Second
 	// firstWatch is how long a daemon gets to know the others before it may watch.
-	firstWatch = 5 * time.Second
+	firstWatch = 3 * time.Second
 	// fromPlatform is the source of what the daemon read itself.
 	fromPlatform = "platform"
 	// startPeers is how many peers a starting daemon asks.
@@ -50,6 +50,8 @@
 	// a duty, and their number; chosen is false when it is none of them. With a
 	// count of 0 all are chosen.
 	Place(duty string, count int) (place, of int, chosen bool)
+	// Daemons returns how many daemons of the region take requests.
+	Daemons() int
 	// FetchDocument returns the document of the daemon at an address.
 	FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error)
 	// Spread tells a few members at once that there is news.
@@ -177,12 +179,18 @@
 	}
 	f.log.Info("in force", "revision", uint64(document.Revision), "directory", uint64(document.Directory.Revision), "source", source)
 	// Where every daemon watches, only news that a watch missed is passed on.
-	if f.options.Watchers > 0 || source != fromPlatform {
+	if source != fromPlatform || !f.allWatch() {
 		f.peers.Spread()
 	}
 	return nil
 }
 
+// allWatch says whether there are no daemons but those that watch.
+func (f *Follower) allWatch() bool {
+	_, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
+	return chosen && watchers == f.peers.Daemons()
+}
+
 // isConfigured says whether requests can be served with a document: where there
 // are several sources, the directory must have been read as well.
 func (f *Follower) isConfigured(document config.Document) bool {
--- a/peer/node.go
+++ b/peer/node.go
@@ -182,6 +182,11 @@
 	return 0, len(holders), count == 0
 }
 
+// Daemons returns how many daemons of the region take requests, this one included.
+func (n *Node) Daemons() int {
+	return len(n.View().region)
+}
+
 // Suspect notes that a member could not be reached.
 func (n *Node) Suspect(name string) {
 	n.change(func(now time.Time) { n.state.Unreachable(now, name) })
