Tests for the users' platform: a stand-in store, workers and daemons in virtual time

What each brings about: deaf watches and a dropped history, a store that is down at a daemon's start, a leaving and a vanished worker, a reused address, refusals, an answer that belongs to another request, a slow worker that is hedged. Found by them: a retry budget with a burst of one lost a tenth of what it earned, since each fraction above one was cut off. It keeps one and a ratio now.

--- /dev/null
+++ b/lab/objectstub/fleet_test.go
@@ -0,0 +1,385 @@
+package objectstub_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/lab/fakenet"
+	"github.com/tuliphall/tuliphall/lab/objectstub"
+	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/settings"
+)
+
+func TestMain(m *testing.M) {
+	// net/http logs the unsolicited answers that the tests provoke.
+	log.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// worker is a stand-in for one of the users' workers.
+type worker struct {
+	id      string
+	address string
+	net     *fakenet.Net
+	server  *http.Server
+
+	mutex    sync.Mutex
+	runs     map[string]int // by request id
+	work     time.Duration
+	refuse   bool   // says Not-Executed
+	instance string // the id it goes by; another than its own: its address was reused
+	echo     string // answers with this request id; empty: the request's
+}
+
+func (w *worker) change(apply func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	apply()
+}
+
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.mutex.Lock()
+	work, refuse, echo := w.work, w.refuse, w.echo
+	misdirected := r.Header.Get("Expected-Instance") != w.instance
+	if !refuse && !misdirected {
+		w.runs[id]++
+	}
+	w.mutex.Unlock()
+	if echo == "" {
+		echo = id
+	}
+	rw.Header().Set("Request-Id", echo)
+	rw.Header().Set("Server-Load", "1,0,3,100")
+	switch {
+	case misdirected:
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	case refuse:
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		time.Sleep(work)
+		rw.Header().Set("Server-Stamp", w.id)
+		fmt.Fprint(rw, r.RequestURI)
+	}
+}
+
+func (w *worker) total() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	total := 0
+	for _, count := range w.runs {
+		total += count
+	}
+	return total
+}
+
+// fleet is a few daemons on the users' platform, in virtual time.
+type fleet struct {
+	t       *testing.T
+	net     *fakenet.Net
+	store   *objectstub.Stub
+	daemons []*daemon.Daemon
+	workers []*worker
+	servers []*http.Server
+	client  *http.Client
+	last    int
+}
+
+const daemons = 4
+
+// run brings up a store, workers and daemons, and checks something of them.
+func run(t *testing.T, workers int, check func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: fakenet.New(100 * time.Microsecond), store: objectstub.New()}
+		defer time.Sleep(time.Minute) // what still writes ends
+		defer f.close()
+		store := f.serve("store", f.store.Handler())
+		for number := range workers {
+			one := &worker{id: fmt.Sprintf("i-%d", number), net: f.net, runs: make(map[string]int), work: 20 * time.Millisecond}
+			one.instance = one.id
+			one.address = f.serve(one.id, one)
+			f.workers = append(f.workers, one)
+			f.announce(one, "ready")
+		}
+		f.configure("/one/")
+		for number := range daemons {
+			f.start(number, store)
+		}
+		transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return f.net.Host("callers").Dial(ctx, address)
+		}}
+		f.client = &http.Client{Transport: transport}
+		time.Sleep(10 * time.Second)
+		check(f)
+	})
+}
+
+func (f *fleet) serve(name string, handler http.Handler) string {
+	listener, err := f.net.Network(name).Listen(f.net.Address(name))
+	require.NoError(f.t, err)
+	server := &http.Server{Handler: handler}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String()
+}
+
+func (f *fleet) start(number int, store string) {
+	name := fmt.Sprintf("edge-%d", number)
+	address := f.net.Address(name)
+	var seeds []string
+	for _, other := range f.daemons {
+		seeds = append(seeds, other.Addresses().Peer)
+	}
+	chosen := settings.Settings{
+		Name: name, Region: "region", Zone: "zone", Peers: seeds,
+		Listen: settings.Listen{Caller: address, Peer: address, Forward: address, Admin: address},
+		Platform: settings.Platform{
+			Address: "http://" + store, Protocol: settings.ProtocolObjects, Watchers: 20,
+			WatchInterval: config.Duration(500 * time.Millisecond), WatchGap: config.Duration(600 * time.Millisecond),
+			MaxBackoff: config.Duration(time.Second),
+		},
+		Log: settings.Log{Level: "error"},
+	}
+	chosen.Provision()
+	require.NoError(f.t, chosen.Validate())
+	connected := platform.Connect(platform.Options{Network: f.net.Network(name), Address: "http://" + store, Connections: 8})
+	dialect := platform.Dialect()
+	running, err := daemon.Start(daemon.Options{
+		Settings: chosen, Network: f.net.Network(name), LogTo: os.Stderr,
+		Store: connected, Machines: connected, Sources: connected.Sources(), Dialect: &dialect,
+	})
+	require.NoError(f.t, err)
+	f.daemons = append(f.daemons, running)
+}
+
+func (f *fleet) close() {
+	f.client.CloseIdleConnections()
+	for _, one := range f.daemons {
+		one.Kill()
+	}
+	for _, one := range f.servers {
+		one.Close()
+	}
+}
+
+type serverSpec struct {
+	Address string            `json:"address"`
+	Info    map[string]any    `json:"info"`
+	Status  map[string]string `json:"status"`
+}
+
+func (f *fleet) announce(one *worker, state string) {
+	f.store.Set("servers", one.id, serverSpec{
+		Address: one.address, Info: map[string]any{"service": "board", "zone": "zone", "slots": 3}, Status: map[string]string{"state": state},
+	})
+}
+
+type resource struct {
+	Kind     string         `json:"resourceKind"`
+	Metadata map[string]any `json:"metadata"`
+	Spec     map[string]any `json:"spec"`
+}
+
+// configure writes a configuration with a safe and an unsafe route under prefix.
+func (f *fleet) configure(prefix string) {
+	route := func(kind string) resource {
+		return resource{Kind: "routes", Metadata: map[string]any{"name": kind}, Spec: map[string]any{
+			"host": "a.example", "pathPrefix": prefix + kind + "/", "kind": kind, "timeoutS": 2, "targetLatencyS": 0.4,
+			"priority": 1, "service": "board", "maxAttempts": 2,
+		}}
+	}
+	f.store.Set("config", "main", map[string]any{"version": 1, "resources": []resource{
+		route("safe"), route("unsafe"), {Kind: "services", Metadata: map[string]any{"name": "board"}, Spec: map[string]any{}},
+	}})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// send sends one request through a daemon.
+func (f *fleet) send(number int, path string) answer {
+	f.last++
+	method := http.MethodGet
+	if strings.Contains(path, "unsafe") {
+		method = http.MethodPost
+	}
+	address := f.daemons[number].Addresses().Caller
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, nil)
+	require.NoError(f.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Request-Id", "request-"+strconv.Itoa(f.last))
+	request.Header.Set("Deadline-Ms", "1500")
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(body), header: response.Header, err: err}
+}
+
+// TestServes passes requests on as they came, escapes included.
+func TestServes(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		for number := range daemons {
+			for _, path := range []string{"/one/safe/a%2Fb?x=1&y", "/one/unsafe/%7e"} {
+				got := f.send(number, path)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, path, got.body)
+				require.Equal(t, "request-"+strconv.Itoa(f.last), got.header.Get("Request-Id"))
+				require.NotEmpty(t, got.header.Get("Server-Stamp"))
+			}
+		}
+		require.Equal(t, http.StatusNotFound, f.send(0, "/none/").status)
+	})
+}
+
+// awaitRoute returns how long it takes until every daemon serves a route.
+func (f *fleet) awaitRoute(path string) time.Duration {
+	begun := time.Now()
+	for number := range daemons {
+		for f.send(number, path).status != http.StatusOK {
+			if time.Since(begun) > time.Minute {
+				f.t.Fatalf("daemon %d never served %s", number, path)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// TestConfigurationInForce puts a new configuration in force everywhere, also when
+// every watch is deaf and the store drops its history.
+func TestConfigurationInForce(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.configure("/two/")
+		require.Less(t, f.awaitRoute("/two/safe/"), 200*time.Millisecond)
+		f.store.SetFaults(objectstub.Faults{Deaf: true})
+		f.configure("/three/")
+		f.store.Compact()
+		require.Less(t, f.awaitRoute("/three/safe/"), 2*time.Second)
+		f.store.SetFaults(objectstub.Faults{})
+		require.Equal(t, http.StatusNotFound, f.send(0, "/two/safe/").status)
+	})
+}
+
+// TestStoreDownAtStart lets a daemon start while the store is down: it learns
+// routes and back ends from the others.
+func TestStoreDownAtStart(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.store.SetFaults(objectstub.Faults{Down: true})
+		f.start(daemons, "127.0.0.1:1")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, http.StatusOK, f.send(daemons, "/one/safe/").status)
+	})
+}
+
+// TestLeaving sends nothing to a worker that said it leaves, nor to one that is
+// gone from the list.
+func TestLeaving(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.announce(f.workers[0], "draining")
+		f.store.Remove("servers", f.workers[1].id)
+		time.Sleep(time.Second)
+		before := []int{f.workers[0].total(), f.workers[1].total()}
+		for number := range 40 {
+			require.Equal(t, http.StatusOK, f.send(number%daemons, "/one/safe/").status)
+		}
+		require.Equal(t, before, []int{f.workers[0].total(), f.workers[1].total()})
+	})
+}
+
+// earnRetries sends requests until every daemon has a few retries saved.
+func (f *fleet) earnRetries() {
+	for number := range 200 {
+		require.Equal(f.t, http.StatusOK, f.send(number%daemons, "/one/safe/").status)
+	}
+}
+
+// TestReusedAddress gives up on a worker whose address another one has, and runs
+// what it refused elsewhere, once.
+func TestReusedAddress(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.earnRetries()
+		gone, before := f.workers[0], f.workers[1].total()
+		ran := gone.total()
+		gone.change(func() { gone.instance = "i-other" })
+		for number := range 20 {
+			require.Equal(t, http.StatusOK, f.send(number%daemons, "/one/unsafe/").status)
+		}
+		require.Equal(t, ran, gone.total())
+		require.Equal(t, before+20, f.workers[1].total())
+	})
+}
+
+// TestRefused says 503 with a time to come back when every worker refuses, which
+// is true: nothing ran.
+func TestRefused(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		for _, one := range f.workers {
+			one.change(func() { one.refuse = true })
+		}
+		got := f.send(0, "/one/unsafe/")
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Positive(t, seconds)
+		require.Zero(t, f.workers[0].total()+f.workers[1].total())
+	})
+}
+
+// TestAnswerOfAnother does not pass on an answer that carries another request's id.
+func TestAnswerOfAnother(t *testing.T) {
+	run(t, 1, func(f *fleet) {
+		f.workers[0].change(func() { f.workers[0].echo = "request-of-another" })
+		for _, path := range []string{"/one/safe/", "/one/unsafe/"} {
+			require.Equal(t, http.StatusBadGateway, f.send(0, path).status, path)
+		}
+	})
+}
+
+// TestHedge answers in time although one of two workers has become slow, and does
+// not send what may run once only to both.
+func TestHedge(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.earnRetries()
+		slow := f.workers[0]
+		slow.change(func() { slow.work = time.Second })
+		late := 0
+		for number := range 8 {
+			begun := time.Now()
+			require.Equal(t, http.StatusOK, f.send(number%daemons, "/one/safe/").status)
+			if time.Since(begun) > 400*time.Millisecond {
+				late++
+			}
+		}
+		require.Zero(t, late)
+		before := f.workers[0].total() + f.workers[1].total()
+		for number := range 8 {
+			f.send(number%daemons, "/one/unsafe/")
+		}
+		require.Equal(t, before+8, f.workers[0].total()+f.workers[1].total())
+	})
+}
--- /dev/null
+++ b/lab/objectstub/stub.go
@@ -0,0 +1,288 @@
+// Package objectstub stands in for the users' platform store: objects by kind and
+// name over HTTP, with one revision counter, conditional updates, lists in pages,
+// watches whose history can be dropped, and faults by script.
+package objectstub
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Metadata is what the store keeps of an object.
+type Metadata struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Object is one object.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// Faults say how the store misbehaves. The zero value is a store that is well.
+type Faults struct {
+	// Down refuses every call with 503.
+	Down bool
+	// Deaf watches hear of no change, and are not told so.
+	Deaf bool
+	// LoseAnswers is how many coming writes take effect without an answer.
+	LoseAnswers int
+}
+
+// pageLength is how many objects one answer to a list holds.
+const pageLength = 20
+
+type event struct {
+	kind   string
+	at     uint64
+	Object Object `json:"object"`
+	Gone   bool   `json:"gone"`
+}
+
+// Stub is the stand-in. It is safe for concurrent use.
+type Stub struct {
+	mutex    sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]Object
+	history  []event
+	floor    uint64 // changes up to here are forgotten
+	changed  chan struct{}
+	faults   Faults
+	calls    int
+}
+
+// New returns a store that is well and empty.
+func New() *Stub {
+	return &Stub{kinds: make(map[string]map[string]Object), changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Stub) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+}
+
+// Calls returns how many calls were made.
+func (s *Stub) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// Compact forgets the history. Watches that wait are not told.
+func (s *Stub) Compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.floor = nil, s.revision
+}
+
+// Set writes an object whatever its revision, as the operator and the workers do,
+// and returns the new revision.
+func (s *Stub) Set(kind, name string, spec any) uint64 {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // the caller's own types
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: encoded}).Metadata.Revision
+}
+
+// Remove removes an object.
+func (s *Stub) Remove(kind, name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.remove(kind, name)
+}
+
+// put stores the object at the next revision. The caller holds the mutex.
+func (s *Stub) put(kind string, object Object) Object {
+	s.revision++
+	object.Metadata.Revision = s.revision
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = make(map[string]Object)
+	}
+	s.kinds[kind][object.Metadata.Name] = object
+	s.note(event{kind: kind, at: s.revision, Object: object})
+	return object
+}
+
+func (s *Stub) remove(kind, name string) {
+	object := s.kinds[kind][name]
+	delete(s.kinds[kind], name)
+	s.revision++
+	s.note(event{kind: kind, at: s.revision, Object: object, Gone: true})
+}
+
+func (s *Stub) note(one event) {
+	s.history = append(s.history, one)
+	if !s.faults.Deaf {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// Handler returns the store's interface.
+func (s *Stub) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/objects/{kind}", s.list)
+	mux.HandleFunc("POST /-/objects/{kind}", s.write)
+	mux.HandleFunc("GET /-/objects/{kind}/{name}", s.get)
+	mux.HandleFunc("PUT /-/objects/{kind}/{name}", s.write)
+	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", s.delete)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		s.calls++
+		down := s.faults.Down
+		s.mutex.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A client that has gone cannot be told.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Stub) get(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	object, known := s.kinds[r.PathValue("kind")][r.PathValue("name")]
+	s.mutex.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, object)
+}
+
+func (s *Stub) list(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if query.Has("watch") {
+		s.watch(w, r)
+		return
+	}
+	after := query.Get("after")
+	s.mutex.Lock()
+	var items []Object
+	for name, object := range s.kinds[r.PathValue("kind")] {
+		if name > after {
+			items = append(items, object)
+		}
+	}
+	at := s.revision
+	s.mutex.Unlock()
+	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
+	more := len(items) > pageLength
+	answer(w, http.StatusOK, struct {
+		Items []Object `json:"items"`
+		More  bool     `json:"more"`
+		At    uint64   `json:"at"`
+	}{items[:min(len(items), pageLength)], more, at})
+}
+
+// watch answers once there are changes, or when the wait is over.
+func (s *Stub) watch(w http.ResponseWriter, r *http.Request) {
+	after, errAfter := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, errWait := strconv.ParseUint(r.URL.Query().Get("waitMs"), 10, 32)
+	if errAfter != nil || errWait != nil || wait > 30000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		changed, at, forgotten := s.changed, s.revision, after < s.floor
+		events := s.since(r.PathValue("kind"), after)
+		s.mutex.Unlock()
+		if forgotten {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		over := false
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-timer.C:
+				over = true
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if over {
+			at = after
+		}
+		answer(w, http.StatusOK, struct {
+			Events []event `json:"events"`
+			At     uint64  `json:"at"`
+		}{events, at})
+		return
+	}
+}
+
+// since returns a kind's changes after a revision. The caller holds the mutex.
+func (s *Stub) since(kind string, after uint64) []event {
+	if s.faults.Deaf {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(s.history), func(one event) bool { return one.kind != kind || one.at <= after })
+}
+
+// write makes or replaces an object, if its revision is the one that is given.
+func (s *Stub) write(w http.ResponseWriter, r *http.Request) {
+	var object Object
+	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	kind := r.PathValue("kind")
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	present, known := s.kinds[kind][object.Metadata.Name]
+	switch {
+	case r.Method == http.MethodPost && known, object.Metadata.Revision != 0 && object.Metadata.Revision != present.Metadata.Revision:
+		answer(w, http.StatusConflict, present)
+		return
+	case r.Method == http.MethodPut && !known:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	written := s.put(kind, object)
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, written)
+}
+
+func (s *Stub) delete(w http.ResponseWriter, r *http.Request) {
+	kind, name := r.PathValue("kind"), r.PathValue("name")
+	revision := r.URL.Query().Get("revision")
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	present, known := s.kinds[kind][name]
+	switch {
+	case !known:
+		w.WriteHeader(http.StatusNotFound)
+	case revision != "" && revision != strconv.FormatUint(present.Metadata.Revision, 10):
+		answer(w, http.StatusConflict, present)
+	default:
+		s.remove(kind, name)
+		w.WriteHeader(http.StatusOK)
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -42,7 +42,8 @@
 	if burst == 0 {
 		burst = DefaultBurst
 	}
-	b.saved = min(b.saved+ratio, max(burst, 1))
+	// Below one and a ratio, what is earned beyond one would be lost each time.
+	b.saved = min(b.saved+ratio, max(burst, 1+ratio))
 }
 
 // Spend takes one retry, and says whether there was one.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -83,3 +83,37 @@
 	require.LessOrEqual(t, float64(attempts[levels-1]), 1.2*requests)
 	require.Greater(t, attempts[levels-1], requests, "nothing was retried")
 }
+
+// TestBudgetKeepsItsRatio spends whatever a budget gives and finds no more than
+// its ratio of the requests and one burst.
+func TestBudgetKeepsItsRatio(t *testing.T) {
+	for _, one := range []struct{ ratio, burst float64 }{{0, 0}, {0.16, 3}, {0.16, 0.4}, {0.5, 20}} {
+		budget := &retry.Budget{Ratio: one.ratio, Burst: one.burst}
+		ratio, burst := one.ratio, one.burst
+		if ratio == 0 {
+			ratio = retry.DefaultRatio
+		}
+		if burst == 0 {
+			burst = retry.DefaultBurst
+		}
+		const quiet, busy = 1000, 2000
+		for range quiet {
+			budget.Earn()
+		}
+		spent := 0.0
+		for range busy {
+			budget.Earn()
+			for budget.Spend() {
+				spent++
+			}
+		}
+		require.LessOrEqual(t, spent, ratio*busy+max(burst, 1+ratio))
+		require.GreaterOrEqual(t, spent, ratio*busy-1)
+	}
+	budget := &retry.Budget{Ratio: 1}
+	budget.Earn()
+	require.True(t, budget.Spend())
+	budget.Refund()
+	require.True(t, budget.Spend(), "a refund is there again")
+	require.False(t, budget.Spend())
+}
--- /dev/null
+++ b/routing/learning_test.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const work = 100 * time.Millisecond
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newTestGroup(backends ...Backend) *Group {
+	group := NewGroup(Options{Picker: LeastLoad{}, Random: rand.New(rand.NewPCG(1, 2)), Overcommit: DefaultOvercommit})
+	group.SetBackends(backends)
+	return group
+}
+
+func pick(t *testing.T, group *Group, now time.Time, zone string) PickResult {
+	t.Helper()
+	picked, ok := group.Pick(now, Request{Zone: zone})
+	require.True(t, ok)
+	return picked
+}
+
+// TestSlowdownIsAvoidedWhileFresh sends requests past a back end that just said it
+// is disturbed, and back to it once that is old.
+func TestSlowdownIsAvoidedWhileFresh(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 3}, Backend{ID: "b", Slots: 3, Window: 3})
+	a, b := group.byID["a"], group.byID["b"]
+	for range 50 {
+		group.Report(a, Report{Slowdown: 2}, false, start)
+		group.Report(b, Report{Slowdown: 2}, false, start)
+	}
+	group.Report(a, Report{Slowdown: 5}, false, start)
+	for range 2 {
+		require.Equal(t, "b", pick(t, group, start, "").Backend.ID, "the disturbed one was chosen")
+	}
+	later := start.Add(2 * time.Second)
+	require.InDelta(t, 2, a.slowdown.expected(later), 0.2)
+	require.Equal(t, "a", pick(t, group, later, "").Backend.ID, "the report is old, a holds fewer requests")
+}
+
+// TestOwnZoneFirst prefers the own zone among equals, and not a disturbed back end
+// there.
+func TestOwnZoneFirst(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Zone: "here", Slots: 3, Window: 3}, Backend{ID: "b", Zone: "there", Slots: 3, Window: 3})
+	group.Report(group.byID["a"], Report{Slowdown: 1}, false, start)
+	group.Report(group.byID["b"], Report{Slowdown: 1}, false, start)
+	for range 20 {
+		picked := pick(t, group, start, "here")
+		require.Equal(t, "a", picked.Backend.ID)
+		group.Finished(picked, start, Canceled, 0)
+	}
+	group.Report(group.byID["a"], Report{Slowdown: 3}, false, start)
+	require.Equal(t, "b", pick(t, group, start, "here").Backend.ID)
+}
+
+// serveFull lets the group serve requests three at a time from a back end that
+// takes kneed times as long for the one that fills it, and returns the most that
+// it held in the last rounds.
+func serveFull(t *testing.T, kneed float64) int {
+	t.Helper()
+	group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 3})
+	now, most := start, 0
+	for round := range 300 {
+		var held []PickResult
+		for {
+			picked, ok := group.Pick(now, Request{})
+			if !ok {
+				break
+			}
+			held = append(held, picked)
+		}
+		if round >= 250 {
+			most += len(held)
+		}
+		now = now.Add(work)
+		for _, picked := range held {
+			latency := work
+			if picked.tookLast {
+				latency = time.Duration(kneed * float64(work))
+			}
+			group.Finished(picked, now, Success, latency)
+		}
+	}
+	return most
+}
+
+// TestLastSlotIsSpared leaves the last slot free where it slows everything down,
+// and uses it where it does not. Now and then it is tried all the same.
+func TestLastSlotIsSpared(t *testing.T) {
+	const rounds = 50
+	require.Equal(t, 3*rounds, serveFull(t, 1))
+	spared := serveFull(t, 1.7)
+	require.Less(t, spared, 2*rounds+rounds/4)
+	require.GreaterOrEqual(t, spared, 2*rounds)
+}
+
+// TestWindowIsKept never sends more to a back end than its declared window,
+// whatever its reports say.
+func TestWindowIsKept(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 2})
+	for range 100 {
+		group.Report(group.byID["a"], Report{InFlight: 0}, true, start)
+	}
+	pick(t, group, start, "")
+	pick(t, group, start, "")
+	_, ok := group.Pick(start, Request{})
+	require.False(t, ok)
+}
