--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -30,7 +30,7 @@
 type Faults struct {
 	// Down refuses every call with 503.
 	Down bool
-	// Deaf watches hear of no change, and are not told so.
+	// Deaf watches hear of no change, nor of the end of their wait.
 	Deaf bool
 	// LoseAnswers is how many coming writes take effect without an answer.
 	LoseAnswers int
@@ -219,6 +219,10 @@
 			case <-changed:
 				continue
 			case <-timer.C:
+				if s.deaf() {
+					<-r.Context().Done() // cut without a word
+					return
+				}
 				over = true
 			case <-r.Context().Done():
 				return
@@ -235,6 +239,12 @@
 	}
 }
 
+func (s *Stub) deaf() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults.Deaf
+}
+
 // since returns a kind's changes after a revision. The caller holds the mutex.
 func (s *Stub) since(kind string, after uint64) []event {
 	if s.faults.Deaf {
