Back ends that say they are warm need no slow start

Cause: after a restart of all daemons, and whenever a service gets a new dispatcher, each back end began with one request at a time although it had run for long. Change: the directory says which back ends are warm.

--- a/config/objects.go
+++ b/config/objects.go
@@ -100,9 +100,9 @@
 	Connections int `toml:"connections" json:"connections,omitempty"`
 	// Drained: the back end gets no new requests.
 	Drained bool `toml:"drained" json:"drained,omitempty"`
-	// WarmUp is how much longer the back end is slow after its start; 0: it is
-	// warm.
-	WarmUp Duration `toml:"warm_up" json:"warm_up,omitempty"`
+	// Warm: the back end needs no slow start; false: a daemon that meets it for
+	// the first time begins with one request.
+	Warm bool `toml:"warm" json:"warm,omitempty"`
 }
 
 // Policy is a named policy.
--- a/routing/group.go
+++ b/routing/group.go
@@ -53,6 +53,9 @@
 		state, known := g.byID[backend.ID]
 		if !known {
 			state = &State{root: math.Sqrt(initialLatency.Seconds())}
+			if backend.Warm {
+				state.warmth = backend.Slots * windowFactor
+			}
 		}
 		if state.Slots != backend.Slots || state.Window != backend.Window {
 			state.window = g.firstWindow(backend)
--- a/routing/state.go
+++ b/routing/state.go
@@ -26,6 +26,9 @@
 	Slots int // requests worked on at once; at least 1
 	// Window bounds this daemon's requests at the back end; 0: it is learned.
 	Window int
+	// Warm: the back end is known to have run for a while, so that it needs no
+	// slow start although this daemon meets it for the first time.
+	Warm bool
 }
 
 // State is what one daemon knows of one back end.
--- a/service/service.go
+++ b/service/service.go
@@ -87,7 +87,7 @@
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
 		options.NoReuse, options.Echo = true, ""
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
-		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one)})
+		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one), Warm: one.Warm})
 	}
 	closeReplaced(present.requests, next.requests)
 	closeReplaced(present.probes, next.probes)
