The simulator knows places; a service may still be forwarded

Cause: the simulator's tuliphall forwarded requests, which the daemons no longer do. Change: systems with places add the wire of the decision and of its return; forwarding stays in the table, and a service with work short against the wire can choose it (forward).

--- a/config/objects.go
+++ b/config/objects.go
@@ -67,9 +67,12 @@
 	// RefusalStatus is the status with which a back end says that it did not
 	// run a request; 0: no status says so.
 	RefusalStatus int `toml:"refusal_status" json:"refusal_status,omitempty"`
-	// Direct keeps requests on the daemon they came to; false: they are
-	// forwarded to the daemon that dispatches the service.
+	// Direct lets each daemon choose back ends by itself; false: it asks the
+	// daemon that dispatches the service.
 	Direct bool `toml:"direct" json:"direct,omitempty"`
+	// Forward sends requests through the dispatcher instead of asking it for a
+	// place only. It is for work that is short against the wire.
+	Forward bool `toml:"forward" json:"forward,omitempty"`
 	// ProbePath is the load endpoint; empty: back ends are never probed.
 	ProbePath string `toml:"probe_path" json:"probe_path,omitempty"`
 	// ProbesPerSecond is the budget for all daemons together; 0: no probes.
--- a/config/validate.go
+++ b/config/validate.go
@@ -191,6 +191,7 @@
 	v.check(namePattern.MatchString(s.Name), object, "name", s.Name, nameAllowed)
 	v.selector(object, s.Hosts, s.PathPrefix)
 	v.policyName(object, s.Policy, programs)
+	v.check(!s.Direct || !s.Forward, object, "forward", s.Forward, "false, as direct is true")
 	checkRange(v, object, "slots", s.Slots, 0, MaxSlots)
 	checkRange(v, object, "max_load", s.MaxLoad, 0, MaxMaxLoad)
 	checkRange(v, object, "retry_ratio", s.RetryRatio, 0, MaxRetryRatio)
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -123,6 +123,9 @@
 		a.runOnce(ctx)
 		return
 	}
+	if c.service.Target().Service.Forward && a.forward(ctx) {
+		return
+	}
 	a.run(ctx)
 }
 
--- a/lab/simulation/flow.go
+++ b/lab/simulation/flow.go
@@ -107,20 +107,41 @@
 		s.result.Attempts++
 	}
 	s.noteSent(target)
-	s.after(s.wire(r.node.zone, target.zone), func() {
+	s.after(s.toTarget(r, target), func() {
 		if target.rejects {
 			target.assigned--
-			s.after(s.wire(target.zone, r.node.zone), func() { s.rejected(r, place) })
+			s.after(s.backToNode(r, target), func() { s.rejected(r, place) })
 			return
 		}
 		target.arrive(r.work, func() {
 			r.ran = true
 			load := target.inFlight()
-			s.after(s.wire(target.zone, r.node.zone), func() { s.answered(r, place, load) })
+			if s.system.Places {
+				s.after(s.wire(target.zone, r.zone), func() { s.record(r) })
+			}
+			s.after(s.backToNode(r, target), func() { s.answered(r, place, load) })
 		})
 	})
 }
 
+// toTarget is how long it takes from the decision until the request is at the back
+// end: with places, the decision first travels to the request's own daemon.
+func (s *simulation) toTarget(r *request, target *worker) time.Duration {
+	if s.system.Places {
+		return s.wire(r.node.zone, r.zone) + s.scenario.HopCost + s.wire(r.zone, target.zone)
+	}
+	return s.wire(r.node.zone, target.zone)
+}
+
+// backToNode is how long it takes until the deciding node knows of an answer: with
+// places, the request's own daemon tells it.
+func (s *simulation) backToNode(r *request, target *worker) time.Duration {
+	if s.system.Places {
+		return s.wire(target.zone, r.zone) + s.wire(r.zone, r.node.zone)
+	}
+	return s.wire(target.zone, r.node.zone)
+}
+
 // answered takes in an answer at the node.
 func (s *simulation) answered(r *request, place *dispatch.Place, load int) {
 	now := s.time()
@@ -129,6 +150,9 @@
 		r.node.core.Report(now, place.Backend, routing.Report{InFlight: load})
 	}
 	s.serve(r.node)
+	if s.system.Places {
+		return // recorded when the answer came to the request's own daemon
+	}
 	wait := time.Duration(0)
 	if s.system.Dispatchers > 0 {
 		wait = s.wire(r.node.zone, r.zone)
--- a/lab/simulation/scenario.go
+++ b/lab/simulation/scenario.go
@@ -83,6 +83,9 @@
 	// Dispatchers is how many daemons decide, the others forward to one in
 	// their zone or the first; 0: every daemon decides for itself.
 	Dispatchers int
+	// Places lets the others ask the dispatcher for a place only, and send the
+	// request themselves.
+	Places bool
 	// Exchange is how often deciding daemons tell each other their requests in
 	// flight; 0: never.
 	Exchange time.Duration
--- a/lab/simulation/simulation_test.go
+++ b/lab/simulation/simulation_test.go
@@ -14,7 +14,7 @@
 func product() simulation.System {
 	return simulation.System{
 		Name: "tuliphall", Picker: func(simulation.Oracle) routing.Picker { return routing.LeastLoad{} },
-		Overcommit: routing.DefaultOvercommit, Dispatchers: 1, Reports: true,
+		Overcommit: routing.DefaultOvercommit, Dispatchers: 1, Places: true, Reports: true,
 	}
 }
 
--- a/lab/site/virtual_test.go
+++ b/lab/site/virtual_test.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// TestForwardedService serves a service whose requests go through its dispatcher.
+func TestForwardedService(t *testing.T) {
+	services := testServices(4)
+	services[0].Declared.Forward = true
+	virtual(t, site.Options{Zones: []string{"zone-a", "zone-b"}, Daemons: 3, Services: services}, func(ctx context.Context, net *fakenet.Net, running *site.Site) {
+		result := load.Run(ctx, load.Options{Network: net.Host("callers"), Targets: running.Targets(), Rate: 300, Duration: 5 * time.Second, Seed: 1, Kinds: kinds()})
+		require.Equal(t, result.Sent, result.Answered, result.FirstFailure())
+		checkPromises(t, running, result)
+	})
+}
+
 func TestVirtualSite(t *testing.T) {
 	virtual(t, site.Options{Zones: []string{"zone-a", "zone-b"}, Daemons: 3, Services: testServices(4)}, func(ctx context.Context, net *fakenet.Net, running *site.Site) {
 		result := load.Run(ctx, load.Options{Network: net.Host("callers"), Targets: running.Targets(), Rate: 300, Duration: 5 * time.Second, Seed: 1, Kinds: kinds()})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,8 +69,8 @@
 	// that news which some miss is heard by another soon; 0: each waits as long
 	// as it may.
 	WatchGap config.Duration `toml:"watch_gap"`
-	// Direct keeps requests on the daemon they came to, where the platform
-	// declares the services; false: they are forwarded to a dispatcher.
+	// Direct lets each daemon choose back ends by itself, where the platform
+	// declares the services; false: it asks the service's dispatcher.
 	Direct bool `toml:"direct"`
 	// RetryRatio is the share of a service's requests that the platform lets
 	// all daemons together send once more; 0: the default of retry.Budget.
