--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -35,8 +35,6 @@
 type worker struct {
 	id      string
 	address string
-	net     *fakenet.Net
-	server  *http.Server
 
 	mutex    sync.Mutex
 	runs     map[string]int // by request id
@@ -111,7 +109,7 @@
 		defer f.close()
 		store := f.serve("store", f.store.Handler())
 		for number := range workers {
-			one := &worker{id: fmt.Sprintf("i-%d", number), net: f.net, runs: make(map[string]int), work: 20 * time.Millisecond}
+			one := &worker{id: fmt.Sprintf("i-%d", number), runs: make(map[string]int), work: 20 * time.Millisecond}
 			one.instance = one.id
 			one.address = f.serve(one.id, one)
 			f.workers = append(f.workers, one)
