The silence of a back end counts as slowdown

Cause: a back end that takes requests and never answers looked idle whenever a request to it was given up on, and drew the next one; cancelled requests told nothing. Change: a back end that holds requests and has answered none for several times its usual latency counts as that much slower; what is given up on after four times that is a failure. Measured: of 200 requests 110 went to a silent one of two back ends, now fewer than 20 (test).

--- a/routing/group.go
+++ b/routing/group.go
@@ -129,7 +129,7 @@
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
 	if trial := g.trial(now, request); trial != nil {
 		trial.health.Trial(now)
-		g.sent(trial)
+		g.sent(trial, now)
 		return g.result(trial, ReasonTrial, 1, now), true
 	}
 	candidates := g.eligible(now, request)
@@ -144,7 +144,7 @@
 		return PickResult{}, false
 	}
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Zone: request.Zone, Candidates: free})]
-	g.sent(chosen)
+	g.sent(chosen, now)
 	return g.result(chosen, ReasonLoad, len(free), now), true
 }
 
@@ -228,11 +228,14 @@
 			best, bestHash = state, hash
 		}
 	}
-	g.sent(best)
+	g.sent(best, now)
 	return g.result(best, ReasonSession, len(candidates), now), true
 }
 
-func (g *Group) sent(state *State) {
+func (g *Group) sent(state *State, now time.Time) {
+	if state.InFlight == 0 {
+		state.quietSince = now
+	}
 	state.InFlight++
 }
 
@@ -254,7 +257,14 @@
 func (g *Group) Finished(picked PickResult, now time.Time, outcome Outcome, latency time.Duration) {
 	state := picked.Backend
 	state.InFlight--
-	state.heard = now
+	if outcome == Canceled {
+		state.gaveUp(now)
+	} else {
+		state.heard, state.quietSince = now, now
+	}
+	if state.InFlight == 0 {
+		state.quietSince = time.Time{}
+	}
 	switch outcome {
 	case Success:
 		state.health.Success()
@@ -267,6 +277,22 @@
 	}
 }
 
+// gaveUp notes that a request was given up on before its answer: by its caller, or
+// because another back end answered first. How long the back end has been silent
+// is all that this tells.
+func (s *State) gaveUp(now time.Time) {
+	if !s.slowdown.known() {
+		return
+	}
+	stall := s.stall(now)
+	if stall > s.slowdown.expected(now) {
+		s.slowdown.last, s.slowdown.at = stall, now
+	}
+	if stall > stallLimit*s.slowdown.usual {
+		s.health.Failure(now)
+	}
+}
+
 func (s *State) observe(latency time.Duration) {
 	if s.latency == 0 {
 		s.latency = latency
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -111,3 +111,27 @@
 	_, ok := group.Pick(start, Request{})
 	require.False(t, ok)
 }
+
+// TestSilentBackendIsLeftOut sends hardly anything to a back end that takes requests
+// and never answers, although it looks idle whenever a request is given up on.
+func TestSilentBackendIsLeftOut(t *testing.T) {
+	group := newTestGroup(Backend{ID: "silent", Slots: 3, Window: 3}, Backend{ID: "well", Slots: 3, Window: 3})
+	for _, state := range group.states {
+		group.Report(state, Report{Slowdown: 1}, false, start)
+		state.observe(work)
+	}
+	now, toSilent := start, 0
+	for range 200 {
+		picked := pick(t, group, now, "")
+		if picked.Backend.ID == "silent" {
+			toSilent++
+			now = now.Add(5 * work)
+			group.Finished(picked, now, Canceled, 0)
+			continue
+		}
+		now = now.Add(work)
+		group.Finished(picked, now, Success, work)
+		group.Report(group.byID["well"], Report{Slowdown: 1}, false, now)
+	}
+	require.Less(t, toSilent, 20)
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -50,6 +50,9 @@
 	heard    time.Time // of the last answer or probe
 	window   float64   // most requests of this daemon at the back end
 	slowdown slowdown
+	// quietSince is since when the back end holds requests and has answered
+	// none; zero: it holds none.
+	quietSince time.Time
 }
 
 // Others estimates the requests of other daemons at the back end from the
@@ -88,13 +91,26 @@
 	if !s.slowdown.known() {
 		return load * s.root
 	}
-	score := (slotWeight*min(load, 1) + max(load, 1)) * s.slowdown.expected(now)
+	score := (slotWeight*min(load, 1) + max(load, 1)) * max(s.slowdown.expected(now), s.stall(now))
 	if zone != s.Zone {
 		score *= otherZone
 	}
 	return score
 }
 
+// stall is the slowdown that the back end's silence tells: it holds requests and
+// has not answered any for so many times its usual latency.
+func (s *State) stall(now time.Time) float64 {
+	if s.quietSince.IsZero() || s.latency == 0 {
+		return 0
+	}
+	return s.slowdown.usual * float64(now.Sub(s.quietSince)) / float64(s.latency)
+}
+
+// stallLimit is how many times its usual slowdown a back end may seem slow by its
+// silence, before a request that was given up on counts as failed.
+const stallLimit = 4
+
 // otherZone is how much a back end in another zone counts more: its wire is longer
 // and its bytes cost, but a free or undisturbed one is worth more than a near one.
 const otherZone = 1.2
