--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -32,7 +32,7 @@
 	stop    func()
 }
 
-func startDispatcher(t *testing.T) *dispatcher {
+func startDispatcher(t testing.TB) *dispatcher {
 	t.Helper()
 	services := service.NewRegistry(service.Options{Network: network.TCP{}, Seed: 1})
 	snapshot, err := config.NewSnapshot(config.Document{Revision: 1, Content: config.Content{
@@ -176,3 +176,19 @@
 	_, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
 	require.ErrorIs(t, err, slots.ErrUnreachable)
 }
+
+// BenchmarkPlace asks for a place over loopback and gives it back.
+func BenchmarkPlace(b *testing.B) {
+	d := startDispatcher(b)
+	defer d.stop()
+	client := newClient()
+	defer client.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		grant, err := client.Acquire(b.Context(), d.address, serviceName, request(0))
+		if err != nil {
+			b.Fatal(err)
+		}
+		grant.Done(routing.Success, time.Millisecond, &routing.Report{InFlight: 1, Slowdown: 1})
+	}
+}
