--- /dev/null
+++ b/dissemination/watch.go
@@ -0,0 +1,87 @@
+package dissemination
+
+import (
+	"context"
+	"time"
+
+	"github.com/tuliphall/tuliphall/wait"
+)
+
+// allWatch says whether there are no daemons but those that watch.
+func (f *Follower) allWatch() bool {
+	_, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
+	return chosen && watchers == f.peers.Daemons()
+}
+
+// watchLoop watches a source while this daemon is chosen to.
+func (f *Follower) watchLoop(ctx context.Context, source Source) {
+	backoff := firstBackoff
+	if f.options.Watchers > 0 {
+		// A daemon that has just started knows hardly anybody and would choose
+		// itself. Had all started at once, each would hold a watch.
+		wait.Sleep(ctx, firstWatch)
+	}
+	fresh := true
+	for ctx.Err() == nil {
+		place, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
+		f.watching.Store(chosen)
+		if !chosen {
+			if !wait.Sleep(ctx, pollInterval) {
+				return
+			}
+			continue
+		}
+		begun := time.Now()
+		before := f.Position()
+		if err := f.watch(ctx, source, watchLength(f.options.WatchGap, place, watchers, fresh)); err != nil {
+			f.log.Warn("watch failed", "error", err)
+			backoff = f.pause(ctx, backoff)
+			continue
+		}
+		fresh = f.Position() != before
+		backoff = firstBackoff
+		wait.Sleep(ctx, f.options.WatchInterval-time.Since(begun))
+	}
+}
+
+func (f *Follower) chosen() bool {
+	_, _, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
+	return chosen
+}
+
+// cancelWhenNotChosen ends a watch once others are chosen to watch.
+func (f *Follower) cancelWhenNotChosen(ctx context.Context, cancel context.CancelFunc) {
+	for wait.Sleep(ctx, pollInterval) {
+		if !f.chosen() {
+			cancel()
+			return
+		}
+	}
+}
+
+// watch waits for one change and puts it in force.
+func (f *Follower) watch(ctx context.Context, source Source, length time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if f.options.Watchers > 0 {
+		go f.cancelWhenNotChosen(ctx, cancel)
+	}
+	document, err := source.Watch(ctx, f.Document(), length)
+	if err != nil && !f.chosen() {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return f.Offer(document, fromPlatform)
+}
+
+// pause sleeps for a random part of the backoff and returns the next one. The
+// spread keeps daemons that failed together from coming back together.
+func (f *Follower) pause(ctx context.Context, backoff time.Duration) time.Duration {
+	f.randomMu.Lock()
+	length := backoff/2 + time.Duration(f.options.Random.Int64N(int64(backoff)))
+	f.randomMu.Unlock()
+	wait.Sleep(ctx, length)
+	return min(backoff*2, f.options.MaxBackoff)
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -88,14 +88,6 @@
 	view atomic.Pointer[View]
 }
 
-// View is an immutable picture of the members that take requests.
-type View struct {
-	Serving []membership.Member // alive ones of every region, this daemon included
-	self    string
-	region  []membership.Member
-	cache   sync.Map // service name to membership.Member
-}
-
 // NewNode returns a node that knows only itself.
 func NewNode(options Options) *Node {
 	n := &Node{
@@ -106,21 +98,6 @@
 	return n
 }
 
-// refreshView makes a new View. The caller holds the mutex or is alone.
-func (n *Node) refreshView() {
-	view := &View{self: n.options.Self.Name}
-	for _, member := range n.state.Serving() {
-		if member.Status != membership.Alive {
-			continue
-		}
-		view.Serving = append(view.Serving, member)
-		if member.Region == n.options.Self.Region {
-			view.region = append(view.region, member)
-		}
-	}
-	n.view.Store(view)
-}
-
 // change runs a change of the members under the mutex and refreshes the view.
 func (n *Node) change(apply func(now time.Time)) {
 	n.mutex.Lock()
@@ -132,11 +109,6 @@
 	}
 }
 
-// View returns the present picture of the members.
-func (n *Node) View() *View {
-	return n.view.Load()
-}
-
 // Members returns every member known, this daemon included.
 func (n *Node) Members() []membership.Member {
 	n.mutex.Lock()
@@ -144,50 +116,6 @@
 	return append(n.state.Members(), n.state.Self())
 }
 
-// DispatcherOf returns the daemon that dispatches a service in this region, and
-// false when it is this one. It does not block.
-func (n *Node) DispatcherOf(name string) (member membership.Member, other bool) {
-	view := n.View()
-	if cached, ok := view.cache.Load(name); ok {
-		member = cached.(membership.Member)
-		return member, member.Name != view.self
-	}
-	chosen := membership.Choose(view.region, "dispatch/"+name, 1)
-	if len(chosen) == 0 {
-		return membership.Member{}, false
-	}
-	view.cache.Store(name, chosen[0])
-	return chosen[0], chosen[0].Name != view.self
-}
-
-// Holds says whether this daemon is among the count daemons of its region that
-// are chosen for a duty.
-func (n *Node) Holds(duty string, count int) bool {
-	_, _, chosen := n.Place(duty, count)
-	return chosen
-}
-
-// Place returns this daemon's place, from 0, among the count daemons of its region
-// that are chosen for a duty, and their number. With a count of 0 all are chosen.
-func (n *Node) Place(duty string, count int) (place, of int, chosen bool) {
-	view := n.View()
-	holders := view.region
-	if count > 0 {
-		holders = membership.Choose(view.region, duty, count)
-	}
-	for place, member := range holders {
-		if member.Name == view.self {
-			return place, len(holders), true
-		}
-	}
-	return 0, len(holders), count == 0
-}
-
-// Daemons returns how many daemons of the region take requests, this one included.
-func (n *Node) Daemons() int {
-	return len(n.View().region)
-}
-
 // Suspect notes that a member could not be reached.
 func (n *Node) Suspect(name string) {
 	n.change(func(now time.Time) { n.state.Unreachable(now, name) })
