--- a/config/validate.go
+++ b/config/validate.go
@@ -51,9 +51,9 @@
 	return e.Cause
 }
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$`)
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
-const nameAllowed = "1 to 63 letters, digits and inner dots, hyphens and underscores"
+const nameAllowed = "1 to 63 lower-case letters, digits and inner hyphens"
 
 // validator gathers errors.
 type validator struct {
