--- a/config/objects.go
+++ b/config/objects.go
@@ -80,6 +80,10 @@
 	// ProbeCost is the slot time one probe takes; it is checked against the
 	// budget MaxProbeShare.
 	ProbeCost Duration `toml:"probe_cost" json:"probe_cost,omitempty"`
+	// IdleTimeout closes connections to back ends that were unused for so long;
+	// 0: 30 s. It stays below what the back ends use: a request on a connection
+	// that its back end closes at the same moment may or may not have run.
+	IdleTimeout Duration `toml:"idle_timeout" json:"idle_timeout,omitempty"`
 	// AllowUnframed passes on answers that only the end of the connection
 	// delimits, which cannot be shown to be whole.
 	AllowUnframed bool `toml:"allow_unframed" json:"allow_unframed,omitempty"`
--- a/service/service.go
+++ b/service/service.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/config"
@@ -83,7 +84,7 @@
 	places := make([]routing.Backend, 0, len(target.Backends))
 	for _, one := range target.Backends {
 		declared[one.ID] = one
-		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo}
+		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo, IdleTimeout: time.Duration(target.Service.IdleTimeout)}
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
 		options.NoReuse, options.Echo = true, ""
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
