--- a/command/change.go
+++ b/command/change.go
@@ -35,6 +35,7 @@
 			return config.Content{}, &exit{code: ExitUsage, cause: err}
 		}
 		all.Services = append(all.Services, content.Services...)
+		all.Routes = append(all.Routes, content.Routes...)
 		all.Placements = append(all.Placements, content.Placements...)
 		all.Policies = append(all.Policies, content.Policies...)
 	}
@@ -134,7 +135,7 @@
 	if err := content.Validate(); err != nil {
 		return &exit{code: ExitUsage, cause: err}
 	}
-	_, err = fmt.Fprintf(c.global.out, "valid: %d services, %d placements, %d policies\n", len(content.Services), len(content.Placements), len(content.Policies))
+	_, err = fmt.Fprintf(c.global.out, "valid: %d services, %d routes, %d placements, %d policies\n", len(content.Services), len(content.Routes), len(content.Placements), len(content.Policies))
 	return err
 }
 
--- a/command/show.go
+++ b/command/show.go
@@ -86,6 +86,12 @@
 			rows = append(rows, []string{s.Name, strings.Join(s.Hosts, ","), s.PathPrefix, s.Policy, time.Duration(s.Deadline).String()})
 		}
 		return c.global.print(content.Services, rows)
+	case config.KindRoute:
+		rows := [][]string{{"NAME", "HOSTS", "PATH", "SHARES", "POLICY", "TIMEOUT"}}
+		for _, r := range content.Routes {
+			rows = append(rows, []string{r.Name, strings.Join(r.Hosts, ","), r.PathPrefix, sharesText(r.Shares), r.Policy, time.Duration(r.Timeout).String()})
+		}
+		return c.global.print(content.Routes, rows)
 	case config.KindPlacement:
 		rows := [][]string{{"SERVICE", "BACKEND", "ADDRESS", "ZONE", "DRAINED"}}
 		for _, p := range content.Placements {
@@ -101,7 +107,16 @@
 		}
 		return c.global.print(content.Policies, rows)
 	}
-	return &exit{code: ExitUsage, cause: errors.NotValidf("KIND %q: allowed: service, placement, policy; it", c.Arguments.Kind)}
+	return &exit{code: ExitUsage, cause: errors.NotValidf("KIND %q: allowed: service, route, placement, policy; it", c.Arguments.Kind)}
+}
+
+// sharesText writes shares as service:weight.
+func sharesText(shares []config.Share) string {
+	parts := make([]string, 0, len(shares))
+	for _, share := range shares {
+		parts = append(parts, fmt.Sprintf("%s:%d", share.Service, share.Weight))
+	}
+	return strings.Join(parts, ",")
 }
 
 func (g *global) print(value any, rows [][]string) error {
@@ -170,6 +185,12 @@
 				return s, nil
 			}
 		}
+	case config.KindRoute:
+		for _, r := range content.Routes {
+			if r.Name == key.Name {
+				return r, nil
+			}
+		}
 	case config.KindPlacement:
 		for _, p := range content.Placements {
 			if p.Service == key.Name {
