--- a/peer/node.go
+++ b/peer/node.go
@@ -32,6 +32,10 @@
 	relays = 2
 	// fanout is how many members are told at once of a new revision or drain.
 	fanout = 3
+	// smallFleet is up to how many members smallFanout are told, so that hardly
+	// any waits for a heartbeat.
+	smallFleet  = 32
+	smallFanout = 8
 	// joinSeeds is how many seeds a starting daemon asks for the members.
 	joinSeeds = 3
 	// jitter is the share of the period by which each exchange is shifted.
@@ -244,8 +248,12 @@
 
 // tellSome exchanges news with a few members at once.
 func (n *Node) tellSome(ctx context.Context) {
+	count := fanout
+	if len(n.View().Serving) <= smallFleet {
+		count = smallFanout
+	}
 	n.mutex.Lock()
-	targets := n.state.Sample(fanout, "")
+	targets := n.state.Sample(count, "")
 	n.mutex.Unlock()
 	var waiting sync.WaitGroup
 	for _, target := range targets {
