--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -49,8 +49,8 @@
 	// a duty, and their number; chosen is false when it is none of them. With a
 	// count of 0 all are chosen.
 	Place(duty string, count int) (place, of int, chosen bool)
-	// Daemons returns how many daemons of the region take requests.
-	Daemons() int
+	// RegionSize returns how many daemons of the region take requests.
+	RegionSize() int
 	// FetchDocument returns the document of the daemon at an address.
 	FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error)
 	// Spread tells a few members at once that there is news.
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -10,7 +10,7 @@
 // allWatch says whether there are no daemons but those that watch.
 func (f *Follower) allWatch() bool {
 	_, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
-	return chosen && watchers == f.peers.Daemons()
+	return chosen && watchers == f.peers.RegionSize()
 }
 
 // watchLoop watches a source while this daemon is chosen to.
