--- a/frontend/place.go
+++ b/frontend/place.go
@@ -38,7 +38,7 @@
 		if other {
 			granted, err := a.handler.options.Slots.Acquire(ctx, dispatcher.PeerAddress, c.service.Name(), request)
 			if !errors.Is(err, slots.ErrUnreachable) {
-				return placeOf(granted), asFailure(err)
+				return placeOf(granted), resultcode.AsFailure(err, resultcode.NoBackend)
 			}
 			a.handler.options.Peers.Suspect(dispatcher.Name)
 			a.handler.log.Warn("dispatcher unreachable", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "error", err)
@@ -46,7 +46,7 @@
 	}
 	grant, err := c.service.Dispatcher.Acquire(ctx, request)
 	if err != nil {
-		return nil, asFailure(err)
+		return nil, resultcode.AsFailure(err, resultcode.NoBackend)
 	}
 	return a.ownPlace(grant), nil
 }
@@ -75,15 +75,3 @@
 		waited: grant.Waited, sent: time.Now(), done: grant.Done,
 	}
 }
-
-// asFailure returns the failure that an error is; nil for no error.
-func asFailure(err error) *resultcode.Failure {
-	if err == nil {
-		return nil
-	}
-	var failure *resultcode.Failure
-	if errors.As(err, &failure) {
-		return failure
-	}
-	return &resultcode.Failure{Code: resultcode.NoBackend, Detail: err.Error()}
-}
--- a/resultcode/problem.go
+++ b/resultcode/problem.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // ProblemType is the media type of a problem body (RFC 9457).
@@ -34,6 +36,19 @@
 	return f.Code.String() + ": " + f.Detail
 }
 
+// AsFailure returns the failure that an error is, nil for no error. Any other error
+// becomes a failure of the given code with the error's text.
+func AsFailure(err error, otherwise Code) *Failure {
+	if err == nil {
+		return nil
+	}
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &Failure{Code: otherwise, Detail: err.Error()}
+}
+
 // retryAfter spells the advice in seconds, whole ones unless fractions are
 // understood.
 func (f *Failure) retryAfter(fractions bool) string {
--- a/slots/server.go
+++ b/slots/server.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -124,7 +122,7 @@
 	notice.Stop()
 	if err != nil {
 		h.forget(id)
-		h.send(refusal(id, asFailure(err)))
+		h.send(refusal(id, resultcode.AsFailure(err, resultcode.NoBackend)))
 		return
 	}
 	if !h.hold(id, one, grant) {
@@ -192,14 +190,6 @@
 	}
 }
 
-func asFailure(err error) *resultcode.Failure {
-	var failure *resultcode.Failure
-	if errors.As(err, &failure) {
-		return failure
-	}
-	return &resultcode.Failure{Code: resultcode.NoBackend, Detail: err.Error()}
-}
-
 func refusal(id uint64, failure *resultcode.Failure) *peerpb.SlotReply {
 	return &peerpb.SlotReply{Id: id, Refusal: &peerpb.Refusal{
 		Code: int64(failure.Code), Detail: failure.Detail, RetryAfterUs: failure.RetryAfter.Microseconds(),
