A daemon that has its place from a dispatcher that knows less chooses by itself

Cause: a dispatcher that has just started listens before it has any configuration, and answered requests for places with 'no service'; the daemon with the request passed that on as 404, although it had shown the route to back ends a moment before. In the same way a dispatcher without a directory refused with 503, one that had not heard of a drain gave a place at a back end that leaves, and one that knew a back end that is gone made the daemon refuse.

Now a place counts only where the daemon with the request knows the back end and has not heard that it leaves; what the dispatcher lacks decides nothing. The same for forwarded requests.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,6 +45,13 @@
 	d.change(func() { d.core.Group.SetDraining(id, draining) })
 }
 
+// Takes says whether a back end is known and not leaving.
+func (d *Dispatcher) Takes(id string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Group.Takes(id)
+}
+
 // Report takes in a load report that came with an answer, or from a probe.
 func (d *Dispatcher) Report(state *routing.State, report routing.Report) {
 	d.change(func() { d.core.Report(time.Now(), state, report) })
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/juju/errors"
@@ -56,6 +58,10 @@
 		return a.forwardFailed(dispatcher.Name, err)
 	}
 	defer response.Body.Close()
+	if c.buffered && isBehind(response) {
+		a.handler.log.Info("dispatcher behind", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name)
+		return false
+	}
 	a.deadline.Stop()
 	if err := a.pass(response, "", resultcode.Answered); err != nil {
 		a.abort(err)
@@ -63,6 +69,20 @@
 	return true
 }
 
+// isBehind says whether another daemon did not run a request for want of a route, a
+// service or back ends that this one knows.
+func isBehind(response *http.Response) bool {
+	number, err := strconv.Atoi(response.Header.Get(resultcode.HeaderCode))
+	if err != nil {
+		return false
+	}
+	switch resultcode.Code(number) {
+	case resultcode.NoService, resultcode.NoBackend, resultcode.NotConfigured:
+		return true
+	}
+	return false
+}
+
 // forwardFailed says whether the call has been answered. A call that certainly
 // did not run, or may be repeated, is served here instead.
 func (a *attempter) forwardFailed(name string, err error) bool {
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/slots"
@@ -36,12 +37,9 @@
 	if !c.forwarded && !c.service.Target().Service.Direct {
 		dispatcher, other := a.handler.options.Peers.DispatcherOf(c.service.Name())
 		if other {
-			granted, err := a.handler.options.Slots.Acquire(ctx, dispatcher.PeerAddress, c.service.Name(), request)
-			if !errors.Is(err, slots.ErrUnreachable) {
-				return placeOf(granted), resultcode.AsFailure(err, resultcode.NoBackend)
+			if chosen, failure, decided := a.ask(ctx, dispatcher, request); decided {
+				return chosen, failure
 			}
-			a.handler.options.Peers.Suspect(dispatcher.Name)
-			a.handler.log.Warn("dispatcher unreachable", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "error", err)
 		}
 	}
 	grant, err := c.service.Dispatcher.Acquire(ctx, request)
@@ -51,6 +49,30 @@
 	return a.ownPlace(grant), nil
 }
 
+// ask asks another daemon for a place. decided is false where this daemon must
+// choose by itself: the other one cannot be reached, or knows less than this one.
+func (a *attempter) ask(ctx context.Context, dispatcher membership.Member, request dispatch.Request) (chosen *place, failure *resultcode.Failure, decided bool) {
+	c := a.call
+	granted, err := a.handler.options.Slots.Acquire(ctx, dispatcher.PeerAddress, c.service.Name(), request)
+	switch {
+	case errors.Is(err, slots.ErrUnreachable):
+		a.handler.options.Peers.Suspect(dispatcher.Name)
+		a.handler.log.Warn("dispatcher unreachable", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "error", err)
+		return nil, nil, false
+	case errors.Is(err, slots.ErrBehind):
+		a.handler.log.Info("dispatcher behind", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "error", err)
+		return nil, nil, false
+	case err != nil:
+		return nil, resultcode.AsFailure(err, resultcode.NoBackend), true
+	case !c.service.Dispatcher.Takes(granted.Backend):
+		// This daemon has heard that the back end leaves, or is gone.
+		granted.Done(routing.Canceled, 0, nil)
+		a.handler.log.Info("place not used", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "backend", granted.Backend)
+		return nil, nil, false
+	}
+	return placeOf(granted), nil, true
+}
+
 // ownPlace is a place that this daemon's own dispatcher gave.
 func (a *attempter) ownPlace(grant *dispatch.Grant) *place {
 	return &place{
@@ -65,11 +87,8 @@
 	}
 }
 
-// placeOf is a place that another daemon gave; nil where it gave none.
+// placeOf is a place that another daemon gave.
 func placeOf(grant *slots.Grant) *place {
-	if grant == nil {
-		return nil
-	}
 	return &place{
 		backend: grant.Backend, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited, sent: time.Now(), done: grant.Done,
--- /dev/null
+++ b/frontend/place_test.go
@@ -0,0 +1,131 @@
+package frontend
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/slots"
+)
+
+// fixedPeers names one daemon as the dispatcher of every service; nil: this one.
+type fixedPeers struct {
+	dispatcher *membership.Member
+}
+
+func (p fixedPeers) DispatcherOf(string) (membership.Member, bool) {
+	if p.dispatcher == nil {
+		return membership.Member{}, false
+	}
+	return *p.dispatcher, true
+}
+func (fixedPeers) Daemons() int                       { return 2 }
+func (fixedPeers) Suspect(string)                     {}
+func (fixedPeers) HeardDraining(string, string, bool) {}
+
+// registryOf returns the services of a daemon that has a document in force; nil:
+// it has none.
+func registryOf(t *testing.T, document *config.Document) *service.Registry {
+	t.Helper()
+	services := service.NewRegistry(service.Options{Network: network.TCP{}, Seed: 1})
+	if document == nil {
+		return services
+	}
+	snapshot, err := config.NewSnapshot(*document)
+	require.NoError(t, err)
+	services.Put(snapshot)
+	return services
+}
+
+// startDispatcher starts a daemon's side that gives out places and takes forwarded
+// requests.
+func startDispatcher(t *testing.T, services *service.Registry) *membership.Member {
+	t.Helper()
+	mux := drpcmux.New()
+	require.NoError(t, peerpb.DRPCRegisterSlots(mux, slots.NewServer(services)))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = drpcserver.New(mux).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	forwarded := httptest.NewServer(startHandler(t, services, fixedPeers{}).Forwarded())
+	t.Cleanup(forwarded.Close)
+	return &membership.Member{Name: "dispatcher", PeerAddress: listener.Addr().String(), ForwardAddress: forwarded.Listener.Addr().String()}
+}
+
+func startHandler(t *testing.T, services *service.Registry, peers Peers) *Handler {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	client := slots.NewClient(network.TCP{}, log)
+	t.Cleanup(client.Close)
+	return NewHandler(Options{
+		Name: "self", Network: network.TCP{}, Services: services, Peers: peers, Slots: client,
+		Log: log, Metrics: tally.NoopScope, Dialect: backend.DefaultDialect(),
+	})
+}
+
+// TestDispatcherThatKnowsLess asks a dispatcher that has not heard all that the
+// daemon with the request has: what it lacks must not decide.
+func TestDispatcherThatKnowsLess(t *testing.T) {
+	served := make(chan string, 1)
+	serve := func(name string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- name }))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	old, fresh := serve("old"), serve("fresh")
+	document := func(forward bool, backends ...config.Backend) *config.Document {
+		return &config.Document{
+			Revision:  1,
+			Content:   config.Content{Services: []config.Service{{Name: "prices", PathPrefix: "/", Forward: forward}}},
+			Directory: config.Directory{Revision: 1, Placements: []config.Placement{{Service: "prices", Backends: backends}}},
+		}
+	}
+	leaving := config.Backend{ID: "old", Address: old, Slots: 1, Drained: true}
+	known := []config.Backend{leaving, {ID: "fresh", Address: fresh, Slots: 1}}
+	for name, theirs := range map[string]*config.Document{
+		"no configuration":              nil,
+		"no back ends":                  document(false),
+		"a back end that is leaving":    document(false, config.Backend{ID: "old", Address: old, Slots: 1}),
+		"a back end that is gone":       document(false, config.Backend{ID: "gone", Address: "127.0.0.1:1", Slots: 1}),
+		"only back ends that have left": document(false, leaving),
+		"forwarded, no configuration":   nil,
+		"forwarded, no back ends":       document(true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			forward := strings.HasPrefix(name, "forwarded")
+			dispatcher := startDispatcher(t, registryOf(t, theirs))
+			handler := startHandler(t, registryOf(t, document(forward, known...)), fixedPeers{dispatcher: dispatcher})
+			recorder := httptest.NewRecorder()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/now", nil).WithContext(ctx))
+			require.Equal(t, http.StatusOK, recorder.Code, recorder.Body)
+			require.Equal(t, "fresh", <-served)
+		})
+	}
+}
--- a/routing/group.go
+++ b/routing/group.go
@@ -97,6 +97,12 @@
 	}
 }
 
+// Takes says whether a back end is known and not leaving.
+func (g *Group) Takes(id string) bool {
+	state, known := g.byID[id]
+	return known && !state.Draining
+}
+
 // Available says whether any back end could take a request, now or later.
 func (g *Group) Available() bool {
 	for _, state := range g.states {
--- a/slots/client.go
+++ b/slots/client.go
@@ -19,6 +19,10 @@
 // will not get one.
 const ErrUnreachable = errors.ConstError("dispatcher unreachable")
 
+// ErrBehind: the dispatcher has not heard of the service, or of any back end of
+// it: it has just started, or news has not reached it. The request has no place.
+const ErrBehind = errors.ConstError("dispatcher behind")
+
 // Timing of requests for places.
 const (
 	// openTimeout bounds the opening of a session.
@@ -64,8 +68,8 @@
 }
 
 // Acquire asks the dispatcher at an address for a place. It blocks while the
-// request waits. The error is ErrUnreachable, or a *resultcode.Failure that says
-// "not run".
+// request waits. The error is ErrUnreachable, ErrBehind, or a *resultcode.Failure
+// that says "not run".
 func (c *Client) Acquire(ctx context.Context, address, service string, request dispatch.Request) (*Grant, error) {
 	opened, err := c.session(address)
 	if err != nil {
--- a/slots/session.go
+++ b/slots/session.go
@@ -235,10 +235,8 @@
 }
 
 func (s *session) unpack(reply *peerpb.SlotReply) (*Grant, error) {
-	if refused := reply.Refusal; refused != nil {
-		return nil, &resultcode.Failure{
-			Code: resultcode.Code(refused.Code), Detail: refused.Detail, RetryAfter: microseconds(refused.RetryAfterUs),
-		}
+	if reply.Refusal != nil {
+		return nil, refusalError(reply.Refusal)
 	}
 	granted := reply.Grant
 	return &Grant{
@@ -247,6 +245,16 @@
 	}, nil
 }
 
+// refusalError is what a refusal means for the request. What a dispatcher lacks says
+// nothing of what this daemon knows.
+func refusalError(refused *peerpb.Refusal) error {
+	code := resultcode.Code(refused.Code)
+	if code == resultcode.NoService || code == resultcode.NoBackend {
+		return errors.Annotate(ErrBehind, refused.Detail)
+	}
+	return &resultcode.Failure{Code: code, Detail: refused.Detail, RetryAfter: microseconds(refused.RetryAfterUs)}
+}
+
 func (s *session) release(id uint64, outcome routing.Outcome, latency time.Duration, report *routing.Report) {
 	s.mutex.Lock()
 	s.held--
