Traffic is counted and logged by purpose

The bytes between daemons could not be accounted for. Each daemon counts what passes over the connections it opens, by what they are for, and logs and serves the figures.

Test: TestMeterCountsByPurpose.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,7 @@
 type Daemon struct {
 	settings  settings.Settings
 	network   network.Network
+	meter     *network.Meter
 	store     objectstore.Store
 	sources   []dissemination.Source
 	dialect   backend.Dialect
@@ -97,6 +98,7 @@
 	if d.network == nil {
 		d.network = network.TCP{}
 	}
+	d.meter = network.NewMeter(d.network)
 	d.startLogging(options.LogTo)
 	d.connectPlatform(options)
 	listeners, err := d.listen()
@@ -108,7 +110,7 @@
 	d.build(scope)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.run(ctx, listeners, reporter)
+	d.run(ctx, listeners, scope, reporter)
 	d.log.Info("serving", "caller", d.listeners.Caller, "peer", d.listeners.Peer, "forward", d.listeners.Forward, "admin", d.listeners.Admin)
 	return d, nil
 }
@@ -125,7 +127,7 @@
 func (d *Daemon) connectPlatform(options Options) {
 	d.store, d.machines, d.sources = options.Store, options.Machines, options.Sources
 	if d.store == nil {
-		d.client = objectstore.NewClient(d.network, d.settings.Platform.Address, d.settings.Name)
+		d.client = objectstore.NewClient(d.meter.For("store"), d.settings.Platform.Address, d.settings.Name)
 		d.store, d.machines = d.client, d.client
 	}
 	if d.sources == nil {
@@ -191,7 +193,7 @@
 // build makes the parts and joins them.
 func (d *Daemon) build(scope tally.Scope) {
 	seed := rand.Uint64()
-	d.services = service.NewRegistry(service.Options{Network: d.network, Seed: seed, Echo: d.echo()})
+	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo()})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
@@ -204,16 +206,16 @@
 			PeerAddress: d.listeners.Peer, ForwardAddress: d.listeners.Forward,
 			Incarnation: uint64(d.started.UnixMilli()),
 		},
-		Network: d.network, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
+		Meter: d.meter, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
 		Configuration: d.follower, Slots: slots.NewServer(d.services), Seeds: d.seeds, OnDrain: d.onDrain,
 	})
 	d.follower.SetPeers(d.node)
 	d.operations = operation.NewExecutor(operation.Options{
 		Store: d.store, Writes: rate.NewLimiter(rate.Limit(d.settings.Platform.WritesPerSecond), 1), Log: d.logger,
 	})
-	d.slots = slots.NewClient(d.network, d.logger)
+	d.slots = slots.NewClient(d.meter.For("places"), d.logger)
 	d.handler = frontend.NewHandler(frontend.Options{
-		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.network, Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
+		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
 		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
@@ -236,7 +238,7 @@
 }
 
 // run starts a goroutine for each duty.
-func (d *Daemon) run(ctx context.Context, listeners opened, metrics http.Handler) {
+func (d *Daemon) run(ctx context.Context, listeners opened, scope tally.Scope, metrics http.Handler) {
 	d.serveHTTP(listeners.caller, d.callerGate(d.handler))
 	d.serveHTTP(listeners.forward, d.handler.Forwarded())
 	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
@@ -249,6 +251,7 @@
 	d.running.Go(func() { d.follower.Run(ctx) })
 	d.running.Go(func() { d.watchMachines(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
+	d.running.Go(func() { d.reportTraffic(ctx, scope) })
 }
 
 // join makes the daemon known to the others once it can serve: from then on they
--- a/peer/call.go
+++ b/peer/call.go
@@ -12,11 +12,19 @@
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
+// What calls between daemons are for, as their traffic is counted.
+const (
+	purposeExchange = "exchange"
+	purposeMembers  = "members"
+	purposeChanges  = "changes"
+	purposeReach    = "reach"
+)
+
 // call opens a connection to a daemon, makes one call and closes it.
-func (n *Node) call(ctx context.Context, address string, make func(context.Context, peerpb.DRPCPeerClient) error) error {
+func (n *Node) call(ctx context.Context, purpose, address string, make func(context.Context, peerpb.DRPCPeerClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, err := n.options.Network.Dial(ctx, address)
+	conn, err := n.options.Meter.For(purpose).Dial(ctx, address)
 	if err != nil {
 		return errors.Annotatef(err, "daemon at %s", address)
 	}
@@ -31,7 +39,7 @@
 // RevisionAt asks a daemon which revision it has in force.
 func (n *Node) RevisionAt(ctx context.Context, address string) (config.Revision, error) {
 	var revision config.Revision
-	err := n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+	err := n.call(ctx, purposeReach, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: revisionOnly, DirectoryAfter: revisionOnly})
 		if err != nil {
 			return err
@@ -47,7 +55,7 @@
 // gives the document back as it was.
 func (n *Node) FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error) {
 	var document config.Document
-	err := n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+	err := n.call(ctx, purposeChanges, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		reply, err := client.Changes(ctx, &peerpb.ChangesRequest{After: uint64(present.Revision), DirectoryAfter: uint64(present.Directory.Revision)})
 		if err != nil {
 			return err
--- a/peer/node.go
+++ b/peer/node.go
@@ -64,7 +64,7 @@
 // Options are a Node's collaborators.
 type Options struct {
 	Self          membership.Member
-	Network       network.Network
+	Meter         *network.Meter // opens connections to other daemons
 	Random        *rand.Rand
 	Log           *slog.Logger
 	Configuration Configuration
@@ -192,7 +192,7 @@
 }
 
 func (n *Node) askMembers(ctx context.Context, address string) error {
-	return n.call(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+	return n.call(ctx, purposeMembers, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		reply, err := client.Members(ctx, &peerpb.MembersRequest{Sender: encodeMember(n.self())})
 		if err != nil {
 			return err
@@ -273,7 +273,7 @@
 	n.mutex.Unlock()
 	for _, helper := range helpers {
 		reached := false
-		err := n.call(ctx, helper.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		err := n.call(ctx, purposeReach, helper.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 			reply, err := client.Ping(ctx, &peerpb.PingRequest{Name: target.Name, Address: target.PeerAddress})
 			reached = err == nil && reply.Reached
 			return err
@@ -294,7 +294,7 @@
 		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}
 	n.mutex.Unlock()
-	return n.call(ctx, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+	return n.call(ctx, purposeExchange, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		reply, err := client.Exchange(ctx, request)
 		if err != nil {
 			return err
