Daemons tell each other what changed in the directory, not all of it

Each entry now has the revision of its last change, departures are remembered, and a daemon is told what came after its revision. Entries that say nothing new bring no news.

Ruled out: a log of changes from revision to revision. Watchers see changes in batches of their own, so that their logs would not fit together.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -76,9 +76,9 @@
 	for _, placement := range d.Content.Placements {
 		placements[placement.Service] = placement.Backends
 	}
-	for _, placement := range d.Directory.Placements {
-		declared := placements[placement.Service]
-		placements[placement.Service] = append(declared[:len(declared):len(declared)], placement.Backends...)
+	for service, backends := range d.Directory.Placements() {
+		declared := placements[service]
+		placements[service] = append(declared[:len(declared):len(declared)], backends...)
 	}
 	return placements
 }
--- a/frontend/place_test.go
+++ b/frontend/place_test.go
@@ -99,10 +99,14 @@
 	}
 	old, fresh := serve("old"), serve("fresh")
 	document := func(forward bool, backends ...config.Backend) *config.Document {
+		directory := config.Directory{Revision: 1}
+		for _, one := range backends {
+			directory.Listed = append(directory.Listed, config.Listed{Service: "prices", Revision: 1, Backend: one})
+		}
 		return &config.Document{
 			Revision:  1,
 			Content:   config.Content{Services: []config.Service{{Name: "prices", PathPrefix: "/", Forward: forward}}},
-			Directory: config.Directory{Revision: 1, Placements: []config.Placement{{Service: "prices", Backends: backends}}},
+			Directory: directory,
 		}
 	}
 	leaving := config.Backend{ID: "old", Address: old, Slots: 1, Drained: true}
--- a/peer/call.go
+++ b/peer/call.go
@@ -68,15 +68,28 @@
 
 func follow(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
 	next, err := followChanges(present, reply)
-	if err != nil || len(reply.Directory) == 0 {
-		return next, err
+	if err != nil {
+		return config.Document{}, err
 	}
-	var directory config.Directory
-	if err := decompress(reply.Directory, &directory); err != nil {
-		return config.Document{}, errors.Annotate(err, "the directory")
+	next.Directory, err = followDirectory(present.Directory, reply)
+	return next, err
+}
+
+func followDirectory(present config.Directory, reply *peerpb.ChangesReply) (config.Directory, error) {
+	switch {
+	case len(reply.DirectoryChange) > 0:
+		var change config.DirectoryChange
+		if err := json.Unmarshal(reply.DirectoryChange, &change); err != nil {
+			return config.Directory{}, errors.Annotate(err, "a change of the directory")
+		}
+		next, _, err := present.Follow(change)
+		return next, err
+	case len(reply.Directory) > 0:
+		var directory config.Directory
+		err := decompress(reply.Directory, &directory)
+		return directory, errors.Annotate(err, "the directory")
 	}
-	next.Directory = directory
-	return next, nil
+	return present, nil
 }
 
 func followChanges(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -71,12 +71,8 @@
 func (s *server) Changes(_ context.Context, request *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
 	document := s.node.options.Configuration.Document()
 	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision)}
-	if request.DirectoryAfter < uint64(document.Directory.Revision) {
-		data, err := s.node.encodings.directoryOf(document.Directory)
-		if err != nil {
-			return nil, err
-		}
-		reply.Directory = data
+	if err := s.addDirectory(reply, document.Directory, config.Revision(request.DirectoryAfter)); err != nil {
+		return nil, err
 	}
 	if request.After >= uint64(document.Revision) {
 		return reply, nil
@@ -96,3 +92,16 @@
 	}
 	return reply, nil
 }
+
+// addDirectory adds what changed in the directory after a revision, or all of it.
+func (s *server) addDirectory(reply *peerpb.ChangesReply, directory config.Directory, after config.Revision) (err error) {
+	if after >= directory.Revision {
+		return nil
+	}
+	if change, known := directory.ChangesAfter(after); known {
+		reply.DirectoryChange, err = json.Marshal(change)
+		return errors.Annotate(err, "a change of the directory")
+	}
+	reply.Directory, err = s.node.encodings.directoryOf(directory)
+	return err
+}
