Those who watch the store tell the others directly; daemons that start together know each other soon

Each telling was a whole heartbeat and was followed by a fetch over another connection. Twenty watchers heard of changes at moments of their own, so that each change of a worker went round several times.

Now each member is told by two of the daemons that watch, over one connection that hands over what it lacks; whoever heard so tells two more at random. After news they pause for the same time, so that they hear of the next changes together. Drains are told to the dispatcher first and then go with heartbeats and one member drawn at random. Lists of members are compressed. Before anything is declared, a starting daemon waits with one call instead of polling.

--- a/config/directory.go
+++ b/config/directory.go
@@ -67,11 +67,15 @@
 }
 
 // Follow returns the directory after a change, and says whether any back end came,
-// went or changed. It fails when changes before this one are missing.
+// went or changed. A change that ends no later than the directory is passed over. It
+// fails when changes before this one are missing.
 func (d Directory) Follow(change DirectoryChange) (next Directory, changed bool, err error) {
 	if change.After > d.Revision {
 		return Directory{}, false, errors.NotFoundf("what changed in the directory after revision %d", d.Revision)
 	}
+	if change.Revision <= d.Revision {
+		return d, false, nil
+	}
 	listed := make(map[string]Listed, len(d.Listed)+len(change.Listed))
 	for _, one := range d.Listed {
 		listed[one.ID] = one
@@ -92,7 +96,7 @@
 		// daemon may have seen it say something else in between.
 		listed[one.ID], back[one.ID] = one, true
 	}
-	next = Directory{Revision: max(d.Revision, change.Revision), Since: d.Since, Listed: sortedByID(listed)}
+	next = Directory{Revision: change.Revision, Since: d.Since, Listed: sortedByID(listed)}
 	next.remember(d.Departed, func(id string) bool { return !gone[id] && !back[id] })
 	next.remember(change.Departed, func(id string) bool { return !back[id] })
 	return next, changed, nil
--- a/config/directory_test.go
+++ b/config/directory_test.go
@@ -91,11 +91,9 @@
 		var history listHistory
 		held := make([]config.Directory, 4)
 		daemon := rapid.IntRange(0, len(held)-1)
-		// late are answers that are still on their way, with the directory that
-		// was asked for them.
+		// late are answers that are still on their way.
 		type answer struct {
 			to     int
-			base   config.Directory
 			change config.DirectoryChange
 		}
 		var late []answer
@@ -124,7 +122,7 @@
 			"ask": func(t *rapid.T) {
 				to, from := daemon.Draw(t, "asks"), daemon.Draw(t, "answers")
 				if change, known := held[from].ChangesAfter(held[to].Revision); known {
-					late = append(late, answer{to: to, base: held[to], change: change})
+					late = append(late, answer{to: to, change: change})
 					return
 				}
 				offer(to, held[from])
@@ -136,7 +134,7 @@
 				index := rapid.IntRange(0, len(late)-1).Draw(t, "which")
 				one := late[index]
 				late = append(late[:index], late[index+1:]...)
-				next, _, err := one.base.Follow(one.change)
+				next, _, err := held[one.to].Follow(one.change)
 				require.NoError(t, err)
 				offer(one.to, next)
 			},
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -37,6 +37,9 @@
 	firstWatch = 3 * time.Second
 	// fromPlatform is the source of what the daemon read itself.
 	fromPlatform = "platform"
+	// emptyWatch is how long a starting daemon waits for the first declaration
+	// before it looks again.
+	emptyWatch = 2 * time.Second
 	// startPeers is how many peers a starting daemon asks.
 	startPeers = 5
 	// WatchDuty is the key by which watchers are chosen.
@@ -49,12 +52,12 @@
 	// a duty, and their number; chosen is false when it is none of them. With a
 	// count of 0 all are chosen.
 	Place(duty string, count int) (place, of int, chosen bool)
-	// RegionSize returns how many daemons of the region take requests.
-	RegionSize() int
 	// FetchDocument returns the document of the daemon at an address.
 	FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error)
-	// Spread tells a few members at once that there is news.
-	Spread()
+	// Announce tells members of the region what is in force here: of the daemons
+	// that watch the store, this is the one at a place among so many. With of = 0
+	// the news came from another daemon. It may block.
+	Announce(ctx context.Context, place, of int)
 }
 
 // Options are a Follower's collaborators.
@@ -88,6 +91,10 @@
 	watching atomic.Bool
 	head     atomic.Uint64 // highest revision heard of
 
+	// toAnnounce and toPassOn have room for one each: news from the store, and from
+	// other daemons, that members are still to be told of.
+	toAnnounce, toPassOn chan struct{}
+
 	configured chan struct{} // closed once a document is in force
 
 	once sync.Once // closes it
@@ -106,7 +113,10 @@
 	if options.MaxBackoff == 0 {
 		options.MaxBackoff = maxBackoff
 	}
-	return &Follower{options: options, log: logging.Part(options.Log, "configuration"), behind: make(chan news, behindQueue), configured: make(chan struct{})}
+	return &Follower{
+		options: options, log: logging.Part(options.Log, "configuration"), behind: make(chan news, behindQueue),
+		toAnnounce: make(chan struct{}, 1), toPassOn: make(chan struct{}, 1), configured: make(chan struct{}),
+	}
 }
 
 // SetPeers sets the other daemons.
@@ -183,10 +193,7 @@
 		f.once.Do(func() { close(f.configured) })
 	}
 	f.log.Info("in force", "revision", uint64(document.Revision), "directory", uint64(document.Directory.Revision), "source", source)
-	// Where every daemon watches, only news that a watch missed is passed on.
-	if source != fromPlatform || !f.allWatch() {
-		f.peers.Spread()
-	}
+	f.announce(source == fromPlatform)
 	return nil
 }
 
@@ -217,6 +224,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	running.Go(func() { f.fetchLoop(ctx) })
+	running.Go(func() { f.announceLoop(ctx) })
 	f.start(ctx)
 	for _, source := range f.options.Sources {
 		running.Go(func() { f.watchLoop(ctx, source) })
@@ -242,10 +250,8 @@
 }
 
 func (f *Follower) readSources(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
-	defer cancel()
 	for _, source := range f.options.Sources {
-		document, err := source.Read(ctx)
+		document, err := f.readSource(ctx, source)
 		if err != nil {
 			return err
 		}
@@ -256,6 +262,22 @@
 	return nil
 }
 
+// readSource reads a source. Where nothing was declared yet, it waits for that for a
+// while: one call instead of many.
+func (f *Follower) readSource(ctx context.Context, source Source) (config.Document, error) {
+	limited, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	defer cancel()
+	document, err := source.Read(limited)
+	if !errors.Is(err, errors.NotFound) {
+		return document, err
+	}
+	document, watchErr := source.Watch(ctx, config.Document{}, emptyWatch)
+	if watchErr != nil || document.Position() == (config.Position{}) {
+		return config.Document{}, err
+	}
+	return document, nil
+}
+
 // askPeers puts the newest document of a few peers in force and says whether
 // any had one.
 func (f *Follower) askPeers(ctx context.Context) bool {
--- /dev/null
+++ b/dissemination/follower_test.go
@@ -0,0 +1,112 @@
+package dissemination
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// lonely are the peers of a daemon that knows no other.
+type lonely struct {
+	announced atomic.Int32
+}
+
+func (*lonely) Place(string, int) (int, int, bool) { return 0, 1, true }
+func (l *lonely) Announce(context.Context, int, int) {
+	l.announced.Add(1)
+}
+func (*lonely) FetchDocument(context.Context, string, config.Document) (config.Document, error) {
+	return config.Document{}, errors.New("nobody there")
+}
+
+// scriptedSource has nothing until it is told what to declare.
+type scriptedSource struct {
+	reads    atomic.Int32
+	watches  atomic.Int32
+	declared chan config.Document
+}
+
+func (s *scriptedSource) Read(context.Context) (config.Document, error) {
+	s.reads.Add(1)
+	return config.Document{}, errors.NotFoundf("declaration")
+}
+
+func (s *scriptedSource) Watch(ctx context.Context, present config.Document, wait time.Duration) (config.Document, error) {
+	s.watches.Add(1)
+	select {
+	case document := <-s.declared:
+		return document, nil
+	case <-time.After(wait):
+		return present, nil
+	case <-ctx.Done():
+		return config.Document{}, ctx.Err()
+	}
+}
+
+func startFollower(t *testing.T, source Source, peers Peers, interval time.Duration) *Follower {
+	t.Helper()
+	follower := NewFollower(Options{
+		Sources: []Source{source}, Services: service.NewRegistry(service.Options{Network: network.TCP{}}),
+		Timeout: time.Second, WatchInterval: interval, Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 1)),
+		Seeds: func(context.Context) []string { return nil },
+	})
+	follower.SetPeers(peers)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		follower.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return follower
+}
+
+// TestFirstDeclarationIsWaitedFor starts before anything was declared: the store is
+// asked once, not again and again.
+func TestFirstDeclarationIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{declared: make(chan config.Document, 1)}
+		follower := startFollower(t, source, &lonely{}, 0)
+		time.Sleep(1500 * time.Millisecond)
+		require.EqualValues(t, 1, source.reads.Load())
+		source.declared <- config.Document{Revision: 4}
+		time.Sleep(time.Millisecond)
+		require.Equal(t, config.Revision(4), follower.Revision())
+		<-follower.Configured()
+	})
+}
+
+// TestQuickChangesAreTakenTogether hears of a change, and pauses: what comes within
+// the interval is heard with the next watch, together with those of other daemons.
+func TestQuickChangesAreTakenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{declared: make(chan config.Document, 1)}
+		peers := &lonely{}
+		follower := startFollower(t, source, peers, 500*time.Millisecond)
+		source.declared <- config.Document{Revision: 1}
+		time.Sleep(10 * time.Second) // its watch began long ago
+		source.declared <- config.Document{Revision: 2}
+		time.Sleep(time.Millisecond)
+		require.Equal(t, config.Revision(2), follower.Revision())
+		require.EqualValues(t, 2, peers.announced.Load())
+		watches := source.watches.Load()
+		time.Sleep(498 * time.Millisecond)
+		require.Equal(t, watches, source.watches.Load(), "it pauses after news")
+		time.Sleep(2 * time.Millisecond)
+		require.Equal(t, watches+1, source.watches.Load())
+	})
+}
--- a/dissemination/source.go
+++ b/dissemination/source.go
@@ -13,7 +13,8 @@
 // Source is where a part of the document comes from. A Follower uses each source
 // from one goroutine at a time.
 type Source interface {
-	// Read returns the newest there is; its other parts are empty.
+	// Read returns the newest there is; its other parts are empty. The error is
+	// errors.NotFound where nothing was declared yet.
 	Read(ctx context.Context) (config.Document, error)
 	// Watch blocks until there is something newer than present, or until wait
 	// has passed; then it returns present.
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -7,12 +7,6 @@
 	"github.com/tuliphall/tuliphall/wait"
 )
 
-// allWatch says whether there are no daemons but those that watch.
-func (f *Follower) allWatch() bool {
-	_, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
-	return chosen && watchers == f.peers.RegionSize()
-}
-
 // watchLoop watches a source while this daemon is chosen to.
 func (f *Follower) watchLoop(ctx context.Context, source Source) {
 	backoff := firstBackoff
@@ -40,7 +34,13 @@
 		}
 		fresh = f.Position() != before
 		backoff = firstBackoff
-		wait.Sleep(ctx, f.options.WatchInterval-time.Since(begun))
+		if fresh {
+			// All who watch were answered at the same moment. They pause for the
+			// same time, so that they hear of the next changes together and as one.
+			wait.Sleep(ctx, f.options.WatchInterval)
+		} else {
+			wait.Sleep(ctx, f.options.WatchInterval-time.Since(begun))
+		}
 	}
 }
 
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -89,25 +89,32 @@
 
 // fleet is a few daemons on the users' platform, in virtual time.
 type fleet struct {
-	t       *testing.T
-	net     *fakenet.Net
-	store   *objectstub.Stub
-	daemons []*daemon.Daemon
-	workers []*worker
-	servers []*http.Server
-	client  *http.Client
-	last    int
+	t     *testing.T
+	net   *fakenet.Net
+	store *objectstub.Stub
+	// storeAddress is where the daemons find the store.
+	storeAddress string
+	daemons      []*daemon.Daemon
+	workers      []*worker
+	servers      []*http.Server
+	client       *http.Client
+	last         int
 }
 
 const daemons = 4
 
-// run brings up a store, workers and daemons, and checks something of them.
+// run brings up a store, workers and a few daemons, and checks something of them.
 func run(t *testing.T, workers int, check func(f *fleet)) {
+	runFleet(t, daemons, workers, check)
+}
+
+// runFleet is run with so many daemons.
+func runFleet(t *testing.T, daemons, workers int, check func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, net: fakenet.New(100 * time.Microsecond), store: objectstub.New()}
 		defer time.Sleep(time.Minute) // what still writes ends
 		defer f.close()
-		store := f.serve("store", f.store.Handler())
+		f.storeAddress = f.serve("store", f.store.Handler())
 		for number := range workers {
 			one := &worker{id: fmt.Sprintf("i-%d", number), runs: make(map[string]int), work: 20 * time.Millisecond}
 			one.instance = one.id
@@ -117,7 +124,7 @@
 		}
 		f.configure("/one/")
 		for number := range daemons {
-			f.start(number, store)
+			f.start(number, f.storeAddress)
 		}
 		transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return f.net.Host("callers").Dial(ctx, address)
@@ -137,18 +144,24 @@
 	return listener.Addr().String()
 }
 
+// watchers and seedsTold are as on the users' platform.
+const (
+	watchers  = 8
+	seedsTold = 3
+)
+
 func (f *fleet) start(number int, store string) {
 	name := fmt.Sprintf("edge-%d", number)
 	address := f.net.Address(name)
 	var seeds []string
-	for _, other := range f.daemons {
+	for _, other := range f.daemons[:min(len(f.daemons), seedsTold)] {
 		seeds = append(seeds, other.Addresses().Peer)
 	}
 	chosen := settings.Settings{
 		Name: name, Region: "region", Zone: "zone", Peers: seeds,
 		Listen: settings.Listen{Caller: address, Peer: address, Forward: address, Admin: address},
 		Platform: settings.Platform{
-			Address: "http://" + store, Protocol: settings.ProtocolObjects, Watchers: 20,
+			Address: "http://" + store, Protocol: settings.ProtocolObjects, Watchers: watchers,
 			WatchInterval: config.Duration(500 * time.Millisecond), WatchGap: config.Duration(600 * time.Millisecond),
 			MaxBackoff: config.Duration(time.Second),
 		},
@@ -283,6 +296,84 @@
 	})
 }
 
+// inForce returns how long it takes until every daemon has a revision of the
+// configuration or of the directory.
+func (f *fleet) inForce(revision uint64) time.Duration {
+	begun := time.Now()
+	for _, one := range f.daemons {
+		for {
+			position := one.Document().Position()
+			if uint64(max(position.Revision, position.Directory)) >= revision {
+				break
+			}
+			if time.Since(begun) > time.Minute {
+				f.t.Fatalf("revision %d never reached all", revision)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// TestNewsReachesAll changes configuration and directory at a fleet in which only a
+// few daemons watch the store: all others hear of each change soon, none is missed.
+func TestNewsReachesAll(t *testing.T) {
+	runFleet(t, 60, 3, func(f *fleet) {
+		for number := range 30 {
+			time.Sleep(2 * time.Second)
+			f.configure(fmt.Sprintf("/change-%d/", number))
+			require.Less(t, f.inForce(f.store.Revision()), 250*time.Millisecond)
+			time.Sleep(2 * time.Second)
+			f.announce(f.workers[0], []string{"draining", "ready"}[number%2])
+			require.Less(t, f.inForce(f.store.Revision()), 250*time.Millisecond)
+		}
+	})
+}
+
+// TestNewsWithoutTellers changes the configuration while daemons that watch the
+// store are dead and not yet known to be: the others make up for them.
+func TestNewsWithoutTellers(t *testing.T) {
+	runFleet(t, 40, 1, func(f *fleet) {
+		killed := 0
+		var alive []*daemon.Daemon
+		for _, one := range f.daemons {
+			if killed < watchers/2 && one.Status(f.t.Context()).Watching {
+				one.Kill()
+				killed++
+				continue
+			}
+			alive = append(alive, one)
+		}
+		require.Equal(t, watchers/2, killed)
+		f.daemons = alive
+		f.configure("/change/")
+		require.Less(t, f.inForce(f.store.Revision()), 2*time.Second)
+	})
+}
+
+// TestKnownSoonAfterAllStart loses all daemons at once: those that start in their
+// place soon know each other, so that they agree on who gives out places.
+func TestKnownSoonAfterAllStart(t *testing.T) {
+	const size = 60
+	runFleet(t, size, 1, func(f *fleet) {
+		for _, one := range f.daemons {
+			one.Kill()
+		}
+		f.daemons = nil
+		for number := range size {
+			f.start(size+number, f.storeAddress)
+		}
+		begun := time.Now()
+		for _, one := range f.daemons {
+			for one.KnownMembers() < size {
+				require.Less(f.t, time.Since(begun), time.Minute)
+				time.Sleep(time.Millisecond)
+			}
+		}
+		require.Less(f.t, time.Since(begun), 1200*time.Millisecond)
+	})
+}
+
 // TestStoreDownAtStart lets a daemon start while the store is down: it learns
 // routes and back ends from the others.
 func TestStoreDownAtStart(t *testing.T) {
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -77,6 +77,13 @@
 	return s.calls
 }
 
+// Revision returns the revision of the last change.
+func (s *Stub) Revision() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
+
 // Compact forgets the history. Watches that wait are not told.
 func (s *Stub) Compact() {
 	s.mutex.Lock()
--- /dev/null
+++ b/peer/announce.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+)
+
+// purposeAnnounce is what the traffic of announcements is counted as.
+const purposeAnnounce = "announce"
+
+// Bounds of announcements.
+const (
+	// tellers is how many of the daemons that hear of a change from the store
+	// tell each member of their region.
+	tellers = 2
+	// announceParallel is how many members are told at the same time.
+	announceParallel = 16
+	// passOn is how many members are told by a daemon that heard of a change from
+	// another one. Nearly all have been told then; this reaches those whose
+	// tellers failed.
+	passOn = 2
+)
+
+// Announce tells other members of the region what is in force here, and hands over
+// what they have not got. Of the daemons that hear of a change from the store, this
+// is the one at a place among so many; each member is told by a few of them. With
+// of = 0 the news came from another daemon, and is passed on to a few members in
+// random order. It blocks until all have been told or were given up on.
+func (n *Node) Announce(ctx context.Context, place, of int) {
+	targets := n.passOnTargets()
+	if of > 0 {
+		targets = assigned(n.View().region, n.options.Self.Name, place, of)
+	}
+	slots := make(chan struct{}, announceParallel)
+	var waiting sync.WaitGroup
+	for _, target := range targets {
+		slots <- struct{}{}
+		waiting.Go(func() {
+			defer func() { <-slots }()
+			if err := n.announceTo(ctx, target); err != nil {
+				n.log.Debug("announcement not delivered", "member", target.Name, "error", err)
+			}
+		})
+	}
+	waiting.Wait()
+}
+
+func (n *Node) passOnTargets() []membership.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.state.Sample(passOn, "")
+}
+
+// assigned returns the members that the teller at a place among so many tells. The
+// members come in the same order at every daemon that has the same view.
+func assigned(members []membership.Member, self string, place, of int) []membership.Member {
+	var targets []membership.Member
+	for index, member := range members {
+		distance := (place - index%of + of) % of
+		if distance < tellers && member.Name != self {
+			targets = append(targets, member)
+		}
+	}
+	return targets
+}
+
+// announceTo tells one member, over one connection.
+func (n *Node) announceTo(ctx context.Context, target membership.Member) error {
+	return n.call(ctx, purposeAnnounce, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Announce(ctx, n.position())
+		if err != nil {
+			return err
+		}
+		theirs := decodePosition(reply)
+		if n.options.Configuration.Position().Behind(theirs) {
+			n.options.Configuration.Behind(target, theirs)
+		}
+		if !theirs.Behind(n.options.Configuration.Position()) {
+			return nil
+		}
+		changes, err := n.changesAfter(theirs)
+		if err != nil {
+			return err
+		}
+		_, err = client.Deliver(ctx, &peerpb.Delivery{Name: n.options.Self.Name, Changes: changes})
+		return err
+	})
+}
+
+func (n *Node) position() *peerpb.Position {
+	position := n.options.Configuration.Position()
+	return &peerpb.Position{
+		Address: n.options.Self.PeerAddress, Revision: uint64(position.Revision), Directory: uint64(position.Directory),
+	}
+}
+
+func decodePosition(encoded *peerpb.Position) config.Position {
+	return config.Position{Revision: config.Revision(encoded.GetRevision()), Directory: config.Revision(encoded.GetDirectory())}
+}
+
+// deliveryGrace is how long a daemon that was told of news waits for it to be handed
+// over, before it asks for it.
+const deliveryGrace = callTimeout
+
+// Announce implements peerpb.DRPCPeerServer.
+func (s *server) Announce(_ context.Context, told *peerpb.Position) (*peerpb.Position, error) {
+	n := s.node
+	theirs := decodePosition(told)
+	if n.options.Configuration.Position().Behind(theirs) {
+		// The sender hands it over; should it fail to, it is asked.
+		time.AfterFunc(deliveryGrace, func() {
+			if n.options.Configuration.Position().Behind(theirs) {
+				n.options.Configuration.Behind(membership.Member{Name: told.Address, PeerAddress: told.Address}, theirs)
+			}
+		})
+	}
+	return n.position(), nil
+}
+
+// Deliver implements peerpb.DRPCPeerServer.
+func (s *server) Deliver(_ context.Context, delivery *peerpb.Delivery) (*peerpb.Position, error) {
+	n := s.node
+	document, err := follow(n.options.Configuration.Document(), delivery.GetChanges())
+	if err != nil {
+		return nil, err
+	}
+	if err := n.options.Configuration.Offer(document, delivery.Name); err != nil {
+		return nil, err
+	}
+	return n.position(), nil
+}
--- a/peer/call.go
+++ b/peer/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/juju/errors"
 	"storj.io/drpc/drpcconn"
@@ -66,53 +65,6 @@
 	return document, err
 }
 
-func follow(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
-	next, err := followChanges(present, reply)
-	if err != nil {
-		return config.Document{}, err
-	}
-	next.Directory, err = followDirectory(present.Directory, reply)
-	return next, err
-}
-
-func followDirectory(present config.Directory, reply *peerpb.ChangesReply) (config.Directory, error) {
-	switch {
-	case len(reply.DirectoryChange) > 0:
-		var change config.DirectoryChange
-		if err := json.Unmarshal(reply.DirectoryChange, &change); err != nil {
-			return config.Directory{}, errors.Annotate(err, "a change of the directory")
-		}
-		next, _, err := present.Follow(change)
-		return next, err
-	case len(reply.Directory) > 0:
-		var directory config.Directory
-		err := decompress(reply.Directory, &directory)
-		return directory, errors.Annotate(err, "the directory")
-	}
-	return present, nil
-}
-
-func followChanges(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
-	if config.Revision(reply.Revision) <= present.Revision {
-		return present, nil
-	}
-	if len(reply.Document) > 0 {
-		var document config.Document
-		if err := decompress(reply.Document, &document); err != nil {
-			return config.Document{}, errors.Annotate(err, "the document")
-		}
-		document.Directory = present.Directory
-		return document, nil
-	}
-	changes := make([]config.Change, len(reply.Changes))
-	for index, data := range reply.Changes {
-		if err := json.Unmarshal(data, &changes[index]); err != nil {
-			return config.Document{}, errors.Annotate(err, "a configuration change")
-		}
-	}
-	return present.Follow(changes)
-}
-
 func encodeMember(m membership.Member) *peerpb.Member {
 	return &peerpb.Member{
 		Name: m.Name, Region: m.Region, Zone: m.Zone, PeerAddress: m.PeerAddress, ForwardAddress: m.ForwardAddress,
--- /dev/null
+++ b/peer/changes.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+)
+
+// changesAfter encodes what is in force here and newer than a position.
+func (n *Node) changesAfter(after config.Position) (*peerpb.ChangesReply, error) {
+	document := n.options.Configuration.Document()
+	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision)}
+	if err := n.addDirectory(reply, document.Directory, after.Directory); err != nil {
+		return nil, err
+	}
+	return reply, n.addConfiguration(reply, document, after.Revision)
+}
+
+// addConfiguration adds the changes after a revision, or the whole configuration.
+func (n *Node) addConfiguration(reply *peerpb.ChangesReply, document config.Document, after config.Revision) (err error) {
+	if after >= document.Revision {
+		return nil
+	}
+	changes, reaches := document.ChangesAfter(after)
+	if !reaches || after == 0 {
+		reply.Document, err = n.encodings.documentOf(document)
+		return err
+	}
+	for _, change := range changes {
+		data, err := json.Marshal(change)
+		if err != nil {
+			return errors.Annotate(err, "a configuration change")
+		}
+		reply.Changes = append(reply.Changes, data)
+	}
+	return nil
+}
+
+// addDirectory adds what changed in the directory after a revision, or all of it.
+func (n *Node) addDirectory(reply *peerpb.ChangesReply, directory config.Directory, after config.Revision) (err error) {
+	if after >= directory.Revision {
+		return nil
+	}
+	change, known, err := n.encodings.changeOf(directory, after)
+	if err != nil || known {
+		reply.DirectoryChange = change
+		return err
+	}
+	reply.Directory, err = n.encodings.directoryOf(directory)
+	return err
+}
+
+// follow adds changes that another daemon told to a document. What is not newer is
+// passed over.
+func follow(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
+	next, err := followChanges(present, reply)
+	if err != nil {
+		return config.Document{}, err
+	}
+	next.Directory, err = followDirectory(present.Directory, reply)
+	return next, err
+}
+
+func followDirectory(present config.Directory, reply *peerpb.ChangesReply) (config.Directory, error) {
+	switch {
+	case len(reply.DirectoryChange) > 0:
+		var change config.DirectoryChange
+		if err := decompress(reply.DirectoryChange, &change); err != nil {
+			return config.Directory{}, errors.Annotate(err, "a change of the directory")
+		}
+		next, _, err := present.Follow(change)
+		return next, err
+	case len(reply.Directory) > 0:
+		var directory config.Directory
+		err := decompress(reply.Directory, &directory)
+		return directory, errors.Annotate(err, "the directory")
+	}
+	return present, nil
+}
+
+func followChanges(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
+	if config.Revision(reply.Revision) <= present.Revision {
+		return present, nil
+	}
+	if len(reply.Document) > 0 {
+		var document config.Document
+		if err := decompress(reply.Document, &document); err != nil {
+			return config.Document{}, errors.Annotate(err, "the document")
+		}
+		document.Directory = present.Directory
+		return document, nil
+	}
+	changes := make([]config.Change, len(reply.Changes))
+	for index, data := range reply.Changes {
+		if err := json.Unmarshal(data, &changes[index]); err != nil {
+			return config.Document{}, errors.Annotate(err, "a configuration change")
+		}
+	}
+	return present.Follow(changes)
+}
--- a/peer/encoding.go
+++ b/peer/encoding.go
@@ -8,8 +8,11 @@
 	"sync"
 
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
 // maxDecodedBytes bounds what an encoded part may unpack to.
@@ -21,6 +24,14 @@
 	mutex     sync.Mutex
 	document  encoding
 	directory encoding
+	change    changeEncoding
+}
+
+// changeEncoding is the last change of the directory in encoded form: most daemons
+// lack the same one.
+type changeEncoding struct {
+	after, revision config.Revision
+	data            []byte
 }
 
 // encoding is one part in compressed JSON.
@@ -49,33 +60,99 @@
 	return e.document.of(document.Revision, document)
 }
 
+// changeOf returns what changed in a directory after a revision in encoded form, and
+// false where that is not known.
+func (e *encodings) changeOf(directory config.Directory, after config.Revision) ([]byte, bool, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if kept := e.change; kept.data != nil && kept.after == after && kept.revision == directory.Revision {
+		return kept.data, true, nil
+	}
+	change, known := directory.ChangesAfter(after)
+	if !known {
+		return nil, false, nil
+	}
+	data, err := compress(change)
+	e.change = changeEncoding{after: after, revision: directory.Revision, data: data}
+	return data, true, err
+}
+
 func (e *encodings) directoryOf(directory config.Directory) ([]byte, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return e.directory.of(directory.Revision, directory)
 }
 
+// compress writes a part as compressed JSON.
 func compress(part any) ([]byte, error) {
-	var buffer bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	plain, err := json.Marshal(part)
 	if err != nil {
-		return nil, errors.Annotate(err, "compressing")
-	}
-	if err := json.NewEncoder(writer).Encode(part); err != nil {
 		return nil, errors.Annotate(err, "encoding for a daemon")
 	}
-	if err := writer.Close(); err != nil {
+	return pack(plain)
+}
+
+// decompress reads what compress wrote into target.
+func decompress(data []byte, target any) error {
+	plain, err := unpack(data)
+	if err != nil {
+		return err
+	}
+	return errors.Annotate(json.Unmarshal(plain, target), "compressed part")
+}
+
+// packers are compressors to be used again; each holds buffers of several hundred
+// kilobytes.
+var packers = sync.Pool{New: func() any {
+	packer, err := gzip.NewWriterLevel(nil, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	return packer
+}}
+
+func pack(plain []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	packer := packers.Get().(*gzip.Writer)
+	defer packers.Put(packer)
+	packer.Reset(&buffer)
+	if _, err := packer.Write(plain); err != nil {
+		return nil, errors.Annotate(err, "compressing")
+	}
+	if err := packer.Close(); err != nil {
 		return nil, errors.Annotate(err, "compressing")
 	}
 	return buffer.Bytes(), nil
 }
 
-// decompress reads what compress wrote into target.
-func decompress(data []byte, target any) error {
+func unpack(data []byte) ([]byte, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return errors.Annotate(err, "compressed part")
+		return nil, errors.Annotate(err, "compressed part")
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, maxDecodedBytes))
+	return plain, errors.Annotate(err, "compressed part")
+}
+
+// encodeList writes members and drains for a daemon that asks for all.
+func encodeList(members []membership.Member, drains []*peerpb.Drain) (*peerpb.MembersReply, error) {
+	plain, err := proto.Marshal(&peerpb.MemberList{Members: encodeMembers(members), Drains: drains})
+	if err != nil {
+		return nil, errors.Annotate(err, "list of members")
+	}
+	packed, err := pack(plain)
+	return &peerpb.MembersReply{List: packed}, err
+}
+
+// decodeList reads what encodeList wrote.
+func decodeList(reply *peerpb.MembersReply) ([]membership.Member, []*peerpb.Drain, error) {
+	plain, err := unpack(reply.GetList())
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "list of members")
+	}
+	var list peerpb.MemberList
+	if err := proto.Unmarshal(plain, &list); err != nil {
+		return nil, nil, errors.Annotate(err, "list of members")
 	}
-	limited := io.LimitReader(reader, maxDecodedBytes)
-	return errors.Annotate(json.NewDecoder(limited).Decode(target), "compressed part")
+	return decodeMembers(list.Members), list.Drains, nil
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -22,6 +22,7 @@
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Timing and bounds.
@@ -30,14 +31,19 @@
 	callTimeout = 700 * time.Millisecond
 	// relays is how many others are asked to reach a member that did not answer.
 	relays = 2
-	// fanout is how many members are told at once of a new revision or drain.
-	fanout = 3
-	// smallFleet is up to how many members smallFanout are told, so that hardly
-	// any waits for a heartbeat.
-	smallFleet  = 32
-	smallFanout = 8
+	// fanout is how many members are told at once of a drain, besides the daemon that
+	// gives out the places; each of them does the same.
+	fanout = 1
+	// spreadInterval is the least time between two tellings: drains that are heard
+	// in quick succession are told together.
+	spreadInterval = 100 * time.Millisecond
+	// firstPeriod is the time until the first heartbeat; each of the next takes
+	// twice as long, up to the full period. Daemons that start together thus soon
+	// know each other, and choose the same dispatchers.
+	firstPeriod     = 60 * time.Millisecond
+	periodDoublings = 5
 	// joinSeeds is how many seeds a starting daemon asks for the members.
-	joinSeeds = 3
+	joinSeeds = 2
 	// jitter is the share of the period by which each exchange is shifted.
 	jitter = 0.2
 )
@@ -50,6 +56,9 @@
 	Document() config.Document
 	// Behind notes that a member has a higher position. It must not block.
 	Behind(member membership.Member, position config.Position)
+	// Offer puts what is newer in a document than in the present one in force.
+	// source names the daemon it came from.
+	Offer(document config.Document, source string) error
 }
 
 // Drain is news that a back end is leaving, or is back.
@@ -84,6 +93,7 @@
 
 	encodings encodings
 	syncs     sync.WaitGroup
+	periods   int // heartbeats so far; of Run
 
 	mutex  sync.Mutex
 	state  *membership.State
@@ -125,22 +135,31 @@
 	n.change(func(now time.Time) { n.state.Unreachable(now, name) })
 }
 
-// Spread tells a few members at once, as there is news.
-func (n *Node) Spread() {
+// spreadSoon lets a few members be told at once, as there is news.
+func (n *Node) spreadSoon() {
 	select {
 	case n.spread <- struct{}{}:
 	default: // spreading is already asked for
 	}
 }
 
-// TellDrain spreads that a back end is leaving, or is back.
+// TellDrain spreads that a back end is leaving, or is back. The daemon that gives
+// out its places is told first.
 func (n *Node) TellDrain(drain Drain) {
 	n.mutex.Lock()
 	news := n.drains.add(drain)
 	n.mutex.Unlock()
-	if news {
-		n.Spread()
+	if !news {
+		return
 	}
+	if dispatcher, other := n.DispatcherOf(drain.Service); other {
+		n.syncs.Go(func() {
+			if err := n.exchange(context.Background(), dispatcher); err != nil {
+				n.log.Debug("drain not delivered", "member", dispatcher.Name, "error", err)
+			}
+		})
+	}
+	n.spreadSoon()
 }
 
 // Run joins the other daemons and exchanges news until ctx ends.
@@ -155,8 +174,10 @@
 			return
 		case <-n.spread:
 			n.tellSome(ctx)
+			wait.Sleep(ctx, spreadInterval)
 		case <-timer.C:
 			n.period(ctx)
+			n.periods++
 			timer.Reset(n.nextPeriod())
 		}
 	}
@@ -166,7 +187,11 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	shift := (n.options.Random.Float64()*2 - 1) * jitter
-	return time.Duration((1 + shift) * float64(membership.Period))
+	period := membership.Period
+	if n.periods < periodDoublings {
+		period = min(period, firstPeriod<<n.periods)
+	}
+	return time.Duration((1 + shift) * float64(period))
 }
 
 // join asks a few seeds for the members.
@@ -197,10 +222,14 @@
 		if err != nil {
 			return err
 		}
+		members, drains, err := decodeList(reply)
+		if err != nil {
+			return err
+		}
 		var news []Drain
 		n.change(func(now time.Time) {
-			n.state.MergeList(now, decodeMembers(reply.Members))
-			news = n.drains.take(reply.Drains)
+			n.state.MergeList(now, members)
+			news = n.drains.take(drains)
 		})
 		for _, drain := range news {
 			n.options.OnDrain(drain)
@@ -246,14 +275,10 @@
 	n.Suspect(target.Name)
 }
 
-// tellSome exchanges news with a few members at once.
+// tellSome exchanges news with fanout members at once.
 func (n *Node) tellSome(ctx context.Context) {
-	count := fanout
-	if len(n.View().Serving) <= smallFleet {
-		count = smallFanout
-	}
 	n.mutex.Lock()
-	targets := n.state.Sample(count, "")
+	targets := n.state.Sample(fanout, "")
 	n.mutex.Unlock()
 	var waiting sync.WaitGroup
 	for _, target := range targets {
@@ -329,7 +354,7 @@
 		n.options.OnDrain(drain)
 	}
 	if len(news) > 0 {
-		n.Spread()
+		n.spreadSoon()
 	}
 	theirs := config.Position{Revision: config.Revision(message.GetRevision()), Directory: config.Revision(message.GetDirectory())}
 	if n.options.Configuration.Position().Behind(theirs) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"time"
 
@@ -60,48 +59,15 @@
 func (s *server) Members(_ context.Context, request *peerpb.MembersRequest) (*peerpb.MembersReply, error) {
 	n := s.node
 	n.change(func(now time.Time) { n.state.Heard(now, decodeMember(request.Sender)) })
-	reply := &peerpb.MembersReply{Members: encodeMembers(n.Members())}
+	members := n.Members()
 	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	reply.Drains = n.drains.draining()
-	return reply, nil
+	drains := n.drains.draining()
+	n.mutex.Unlock()
+	return encodeList(members, drains)
 }
 
 // Changes implements peerpb.DRPCPeerServer.
 func (s *server) Changes(_ context.Context, request *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
-	document := s.node.options.Configuration.Document()
-	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision)}
-	if err := s.addDirectory(reply, document.Directory, config.Revision(request.DirectoryAfter)); err != nil {
-		return nil, err
-	}
-	if request.After >= uint64(document.Revision) {
-		return reply, nil
-	}
-	changes, reaches := document.ChangesAfter(config.Revision(request.After))
-	if !reaches || request.After == 0 {
-		data, err := s.node.encodings.documentOf(document)
-		reply.Document = data
-		return reply, err
-	}
-	for _, change := range changes {
-		data, err := json.Marshal(change)
-		if err != nil {
-			return nil, errors.Annotate(err, "a configuration change")
-		}
-		reply.Changes = append(reply.Changes, data)
-	}
-	return reply, nil
-}
-
-// addDirectory adds what changed in the directory after a revision, or all of it.
-func (s *server) addDirectory(reply *peerpb.ChangesReply, directory config.Directory, after config.Revision) (err error) {
-	if after >= directory.Revision {
-		return nil
-	}
-	if change, known := directory.ChangesAfter(after); known {
-		reply.DirectoryChange, err = json.Marshal(change)
-		return errors.Annotate(err, "a change of the directory")
-	}
-	reply.Directory, err = s.node.encodings.directoryOf(directory)
-	return err
+	after := config.Position{Revision: config.Revision(request.After), Directory: config.Revision(request.DirectoryAfter)}
+	return s.node.changesAfter(after)
 }
--- a/peer/view.go
+++ b/peer/view.go
@@ -72,8 +72,3 @@
 	}
 	return 0, len(holders), count == 0
 }
-
-// RegionSize returns how many daemons of the region take requests, this one included.
-func (n *Node) RegionSize() int {
-	return len(n.View().region)
-}
