--- a/routing/state.go
+++ b/routing/state.go
@@ -113,7 +113,7 @@
 
 // otherZone is how much a back end in another zone counts more: its wire is longer
 // and its bytes cost, but a free or undisturbed one is worth more than a near one.
-const otherZone = 1.2
+const otherZone = 1.6
 
 // slotWeight is how much a slot's load counts while slots are free, against the
 // time that work takes.
