The retry budget of a service is kept where its places are given out

Now a request for a place says whether it is a first attempt, a retry or a hedge. Whoever gives out places, nearly always the dispatcher, earns and spends for all daemons. Three quarters of the burst are the dispatcher's, the rest is shared by daemons that cannot reach it. Hedges leave a quarter of the burst to retries. A daemon that gives out no places for 2 s forgets what it saved. A repeatable request that may have run and then finds no place for its retry is told so; it was told 'not run' before.

--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
+	"github.com/tuliphall/tuliphall/service"
 )
 
 // attempter sees one call through its attempts.
@@ -25,48 +26,66 @@
 // run sends the call to back ends until one answers or no retry is allowed,
 // and returns the code it ended with.
 func (a *attempter) run(ctx context.Context) resultcode.Code {
-	c := a.call
-	c.service.Earn(a.handler.options.Peers.Daemons())
+	var last *resultcode.Failure // what the caller is told if nothing better comes
 	for number := 1; ; number++ {
-		failure := a.once(ctx)
+		kind := retry.First
+		if number > 1 {
+			kind = retry.Retry
+		}
+		chosen, err := a.acquire(ctx, kind, a.call.decision.Wait)
+		if errors.Is(err, service.ErrOverBudget) {
+			a.handler.log.Info("not retried", "request", a.call.id, "service", a.call.service.Name(), "error", err)
+			break
+		}
+		failure := resultcode.AsFailure(err, resultcode.NoBackend)
+		if chosen != nil {
+			failure = a.once(ctx, kind, chosen)
+		}
 		if failure == nil {
 			return resultcode.Answered
 		}
-		if !a.retry(failure, number) {
-			a.handler.refuse(a.writer, c.id, failure)
-			return failure.Code
+		last = worse(last, failure)
+		if chosen == nil || !a.mayRetry(failure, number) {
+			break
 		}
 	}
+	a.handler.refuse(a.writer, a.call.id, last)
+	return last.Code
+}
+
+// worse returns the failure that the caller is told of two: the later one, unless
+// only the earlier attempt may have run.
+func worse(earlier, later *resultcode.Failure) *resultcode.Failure {
+	if earlier != nil && earlier.Code.Info().Run != resultcode.NotRun && later.Code.Info().Run == resultcode.NotRun {
+		return earlier
+	}
+	return later
 }
 
-// retry asks whether the failed attempt is made again, and logs it.
-func (a *attempter) retry(failure *resultcode.Failure, number int) bool {
+// mayRetry says whether another attempt is asked for after one that failed, and logs
+// it.
+func (a *attempter) mayRetry(failure *resultcode.Failure, number int) bool {
 	c := a.call
 	if len(c.tried) == 0 {
-		return false // it never got a place
+		return false // it was never sent
 	}
-	verdict := c.service.DecideRetry(retry.Attempt{
+	verdict := retry.Judge(retry.Attempt{
 		Code: failure.Code, Number: number, Most: c.route.Attempts, Repeatable: c.decision.Retry, Upstream: c.attempt > 1,
 		Rewindable: c.buffered, Remaining: time.Until(c.deadline), Expected: time.Millisecond,
 		Backends: len(c.service.Target().Backends) - len(c.tried),
 	})
 	a.handler.log.Info("attempt failed", "request", c.id, "service", c.service.Name(), "attempt", number,
 		"code", int(failure.Code), "cause", failure.Detail, "retry", string(verdict))
-	if verdict == retry.Again {
-		a.handler.metrics.retries.Inc(1)
-		return true
-	}
-	return false
+	return verdict == retry.Again
 }
 
-// once makes one attempt. It returns nil once an answer, or a part of one, has
-// been passed on.
-func (a *attempter) once(ctx context.Context) *resultcode.Failure {
-	place, failure := a.acquire(ctx, a.call.decision.Wait)
-	if failure != nil {
-		return failure
+// once makes one attempt at a place. It returns nil once an answer, or a part of one,
+// has been passed on.
+func (a *attempter) once(ctx context.Context, kind retry.Kind, chosen *place) *resultcode.Failure {
+	if kind == retry.Retry {
+		a.handler.metrics.retries.Inc(1)
 	}
-	first, failure := a.prepare(place)
+	first, failure := a.prepare(chosen)
 	if failure != nil {
 		return failure
 	}
--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 )
 
@@ -74,20 +75,18 @@
 	}()
 }
 
-// ask asks for a place for the second attempt, if route and budget allow one.
+// ask asks for a place for the second attempt, if the route allows one.
 func (r *race) ask(ctx context.Context) {
 	a := r.attempter
 	c := a.call
 	others := len(c.service.Target().Backends) - len(c.tried)
-	if len(c.tried) >= c.route.Attempts || others <= 0 || c.attempt > 1 || !c.service.SpendRetry() {
+	if len(c.tried) >= c.route.Attempts || others <= 0 || c.attempt > 1 {
 		return
 	}
 	r.asking = true
 	go func() {
-		chosen, failure := a.acquire(ctx, hedgeWait)
-		if failure != nil {
-			c.service.RefundRetry()
-		}
+		// Where there is none, the first attempt goes on alone.
+		chosen, _ := a.acquire(ctx, retry.Hedge, hedgeWait)
 		r.places <- chosen
 	}()
 }
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -9,8 +9,9 @@
 
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/membership"
-	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
+	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/slots"
 )
 
@@ -25,52 +26,58 @@
 	done       func(outcome routing.Outcome, latency time.Duration, report *routing.Report)
 }
 
-// acquire gets a place for the next attempt: from the daemon that dispatches the
-// service, or here if that is this one or it cannot be reached. It blocks for as
-// long as wait allows; 0: until the deadline.
-func (a *attempter) acquire(ctx context.Context, wait time.Duration) (*place, *resultcode.Failure) {
+// acquire gets a place for an attempt: from the daemon that dispatches the service,
+// or here if that is this one or it cannot be reached. It blocks for as long as wait
+// allows; 0: until the deadline. The error is service.ErrOverBudget, or a
+// *resultcode.Failure.
+func (a *attempter) acquire(ctx context.Context, kind retry.Kind, wait time.Duration) (*place, error) {
 	c := a.call
 	request := dispatch.Request{
 		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline,
 		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: a.handler.options.Zone},
 	}
-	if !c.forwarded && !c.service.Target().Service.Direct {
-		dispatcher, other := a.handler.options.Peers.DispatcherOf(c.service.Name())
-		if other {
-			if chosen, failure, decided := a.ask(ctx, dispatcher, request); decided {
-				return chosen, failure
-			}
+	peers := a.handler.options.Peers
+	as := service.Dispatching()
+	if c.service.Target().Service.Direct {
+		as = service.Alone(peers.Daemons())
+	} else if dispatcher, other := peers.DispatcherOf(c.service.Name()); other && !c.forwarded {
+		chosen, err := a.ask(ctx, dispatcher, kind, request)
+		if chosen != nil || err != nil {
+			return chosen, err
 		}
+		as = service.Substitute(peers.Daemons())
 	}
-	grant, err := c.service.Dispatcher.Acquire(ctx, request)
+	grant, err := c.service.Acquire(ctx, as, kind, request)
 	if err != nil {
-		return nil, resultcode.AsFailure(err, resultcode.NoBackend)
+		return nil, err
 	}
 	return a.ownPlace(grant), nil
 }
 
-// ask asks another daemon for a place. decided is false where this daemon must
-// choose by itself: the other one cannot be reached, or knows less than this one.
-func (a *attempter) ask(ctx context.Context, dispatcher membership.Member, request dispatch.Request) (chosen *place, failure *resultcode.Failure, decided bool) {
+// ask asks another daemon for a place. It returns neither a place nor an error where
+// this daemon must choose by itself: the other one cannot be reached, or knows less
+// than this one.
+func (a *attempter) ask(ctx context.Context, dispatcher membership.Member, kind retry.Kind, request dispatch.Request) (*place, error) {
 	c := a.call
-	granted, err := a.handler.options.Slots.Acquire(ctx, dispatcher.PeerAddress, c.service.Name(), request)
+	log := a.handler.log.With("request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name)
+	granted, err := a.handler.options.Slots.Acquire(ctx, dispatcher.PeerAddress, c.service.Name(), kind, request)
 	switch {
 	case errors.Is(err, slots.ErrUnreachable):
 		a.handler.options.Peers.Suspect(dispatcher.Name)
-		a.handler.log.Warn("dispatcher unreachable", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "error", err)
-		return nil, nil, false
+		log.Warn("dispatcher unreachable", "error", err)
+		return nil, nil
 	case errors.Is(err, slots.ErrBehind):
-		a.handler.log.Info("dispatcher behind", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "error", err)
-		return nil, nil, false
+		log.Info("dispatcher behind", "error", err)
+		return nil, nil
 	case err != nil:
-		return nil, resultcode.AsFailure(err, resultcode.NoBackend), true
+		return nil, err
 	case !c.service.Dispatcher.Takes(granted.Backend):
 		// This daemon has heard that the back end leaves, or is gone.
 		granted.Done(routing.Canceled, 0, nil)
-		a.handler.log.Info("place not used", "request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name, "backend", granted.Backend)
-		return nil, nil, false
+		log.Info("place not used", "backend", granted.Backend)
+		return nil, nil
 	}
-	return placeOf(granted), nil, true
+	return placeOf(granted), nil
 }
 
 // ownPlace is a place that this daemon's own dispatcher gave.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -35,26 +35,56 @@
 
 // Earn notes a first attempt.
 func (b *Budget) Earn() {
-	ratio, burst := b.Ratio, b.Burst
+	ratio := b.Ratio
 	if ratio == 0 {
 		ratio = DefaultRatio
 	}
-	if burst == 0 {
-		burst = DefaultBurst
-	}
 	// Below one and a ratio, what is earned beyond one would be lost each time.
-	b.saved = min(b.saved+ratio, max(burst, 1+ratio))
+	b.saved = min(b.saved+ratio, max(b.burst(), 1+ratio))
 }
 
-// Spend takes one retry, and says whether there was one.
-func (b *Budget) Spend() bool {
-	if b.saved < 1 {
+func (b *Budget) burst() float64 {
+	if b.Burst == 0 {
+		return DefaultBurst
+	}
+	return b.Burst
+}
+
+// Kind is what an attempt is for.
+type Kind int
+
+// The kinds of attempt.
+const (
+	First Kind = iota // it costs nothing and earns
+	Retry             // another one failed
+	Hedge             // another one is slow
+)
+
+// hedgeReserve is the part of the burst that hedges leave: a request that failed is
+// lost without another attempt, one that is slow may still be answered.
+const hedgeReserve = 0.25
+
+// Spend takes one attempt of a kind, and says whether there was one.
+func (b *Budget) Spend(kind Kind) bool {
+	if kind == First {
+		return true
+	}
+	reserve := 0.0
+	if kind == Hedge {
+		reserve = hedgeReserve * b.burst()
+	}
+	if b.saved < 1+reserve {
 		return false
 	}
 	b.saved--
 	return true
 }
 
+// Forget gives up what was saved.
+func (b *Budget) Forget() {
+	b.saved = 0
+}
+
 // Refund gives back what Spend took for a retry that was not made.
 func (b *Budget) Refund() {
 	b.saved++
@@ -91,6 +121,15 @@
 // Decide says whether to send again. It spends from the budget only when the
 // verdict is Again.
 func Decide(attempt Attempt, budget *Budget) Verdict {
+	verdict := Judge(attempt)
+	if verdict == Again && !budget.Spend(Retry) {
+		return OverBudget
+	}
+	return verdict
+}
+
+// Judge says whether to send again, as far as that does not depend on the budget.
+func Judge(attempt Attempt) Verdict {
 	notRun := attempt.Code.Info().Run == resultcode.NotRun
 	switch {
 	case !notRun && !attempt.Repeatable:
@@ -105,8 +144,6 @@
 		return NoTime
 	case attempt.Backends <= 0:
 		return NoOther
-	case !budget.Spend():
-		return OverBudget
 	}
 	return Again
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -103,7 +103,7 @@
 		spent := 0.0
 		for range busy {
 			budget.Earn()
-			for budget.Spend() {
+			for budget.Spend(retry.Retry) {
 				spent++
 			}
 		}
@@ -112,8 +112,24 @@
 	}
 	budget := &retry.Budget{Ratio: 1}
 	budget.Earn()
-	require.True(t, budget.Spend())
+	require.True(t, budget.Spend(retry.Retry))
 	budget.Refund()
-	require.True(t, budget.Spend(), "a refund is there again")
-	require.False(t, budget.Spend())
+	require.True(t, budget.Spend(retry.Retry), "a refund is there again")
+	require.False(t, budget.Spend(retry.Retry))
+}
+
+// TestHedgesLeaveAReserve lets hedges spend until what is left is kept for requests
+// that failed.
+func TestHedgesLeaveAReserve(t *testing.T) {
+	budget := full()
+	hedges, retries := 0, 0
+	for budget.Spend(retry.Hedge) {
+		hedges++
+	}
+	for budget.Spend(retry.Retry) {
+		retries++
+	}
+	require.Equal(t, retry.DefaultBurst, hedges+retries)
+	require.Equal(t, 3, retries)
+	require.True(t, budget.Spend(retry.First), "a first attempt costs nothing")
 }
--- /dev/null
+++ b/service/acquire.go
@@ -0,0 +1,85 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/retry"
+)
+
+// ErrOverBudget: the retry budget of the service does not allow the attempt.
+const ErrOverBudget = errors.ConstError("retry budget empty")
+
+// Giver says as what a daemon gives out places of a service, and so which part of
+// the service's retry burst is its own. All parts together are never more than the
+// whole, whoever else gives out places.
+type Giver struct {
+	burstShare float64
+}
+
+// dispatcherShare is the dispatcher's part of the burst. The rest is for daemons that
+// cannot reach it.
+const dispatcherShare = 0.75
+
+// savedFor is how long a daemon that gets no requests of a service keeps what it
+// saved: another one dispatches then, and saves up as much.
+const savedFor = 2 * time.Second
+
+// Dispatching is the daemon that dispatches the service.
+func Dispatching() Giver {
+	return Giver{burstShare: dispatcherShare}
+}
+
+// Substitute is one of so many daemons, for a request for which it did not reach the
+// dispatcher.
+func Substitute(daemons int) Giver {
+	return Giver{burstShare: (1 - dispatcherShare) / float64(max(daemons, 1))}
+}
+
+// Alone is one of so many daemons that each give out places by themselves.
+func Alone(daemons int) Giver {
+	return Giver{burstShare: 1 / float64(max(daemons, 1))}
+}
+
+// Acquire gives out a place for an attempt of a kind. A first attempt earns for the
+// retry budget, the others spend from it. It blocks while the request waits. The
+// error is ErrOverBudget, or a *resultcode.Failure that says "not run".
+func (s *Service) Acquire(ctx context.Context, as Giver, kind retry.Kind, request dispatch.Request) (*dispatch.Grant, error) {
+	if !s.charge(as, kind) {
+		return nil, ErrOverBudget
+	}
+	grant, err := s.Dispatcher.Acquire(ctx, request)
+	if err != nil && kind != retry.First {
+		s.refund()
+	}
+	return grant, err
+}
+
+// charge earns or spends, and says whether the attempt may be made.
+func (s *Service) charge(as Giver, kind retry.Kind) bool {
+	declared := s.Target().Service
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Ratio = declared.RetryRatio
+	s.budget.Burst = declared.RetryBurst * as.burstShare
+	if kind == retry.First {
+		now := time.Now()
+		if now.Sub(s.earned) > savedFor {
+			s.budget.Forget()
+		}
+		s.earned = now
+		s.budget.Earn()
+		return true
+	}
+	return s.budget.Spend(kind)
+}
+
+// refund gives back what was spent for an attempt that got no place.
+func (s *Service) refund() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Refund()
+}
--- /dev/null
+++ b/service/acquire_test.go
@@ -0,0 +1,128 @@
+package service_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/retry"
+	"github.com/tuliphall/tuliphall/routing"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// The retry budget in these tests.
+const (
+	ratio = 0.2
+	burst = 40
+)
+
+// newService returns a service as one daemon runs it.
+func newService(t require.TestingT) *service.Service {
+	services := service.NewRegistry(service.Options{Network: network.TCP{}, Seed: 1})
+	snapshot, err := config.NewSnapshot(config.Document{Revision: 1, Content: config.Content{
+		Services:   []config.Service{{Name: "prices", RetryRatio: ratio, RetryBurst: burst}},
+		Placements: []config.Placement{{Service: "prices", Backends: []config.Backend{{ID: "b1", Address: "127.0.0.1:1", Slots: 1000}}}},
+	}})
+	require.NoError(t, err)
+	services.Put(snapshot)
+	running, _ := services.Find("prices")
+	return running
+}
+
+// attempt asks for a place and gives it back at once, and says whether there was one.
+func attempt(t require.TestingT, running *service.Service, as service.Giver, kind retry.Kind) bool {
+	grant, err := running.Acquire(nil, as, kind, dispatch.Request{Weight: 1, Deadline: time.Now().Add(time.Minute)})
+	if errors.Is(err, service.ErrOverBudget) {
+		return false
+	}
+	require.NoError(t, err)
+	grant.Done(routing.Success, time.Millisecond)
+	return true
+}
+
+// TestBudgetIsWhereItIsNeeded spends what the requests of a whole fleet earned for the
+// few that failed, whichever daemon has them.
+func TestBudgetIsWhereItIsNeeded(t *testing.T) {
+	running := newService(t)
+	for range 200 {
+		require.True(t, attempt(t, running, service.Dispatching(), retry.First))
+	}
+	for range 30 {
+		require.True(t, attempt(t, running, service.Dispatching(), retry.Retry))
+	}
+	require.False(t, attempt(t, running, service.Dispatching(), retry.Retry), "the dispatcher's part of the burst is spent")
+}
+
+// TestSavedRetriesLapse forgets what a daemon saved once another one dispatches.
+func TestSavedRetriesLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running := newService(t)
+		for range 200 {
+			attempt(t, running, service.Dispatching(), retry.First)
+		}
+		time.Sleep(3 * time.Second)
+		attempt(t, running, service.Dispatching(), retry.First)
+		require.False(t, attempt(t, running, service.Dispatching(), retry.Retry))
+	})
+}
+
+// TestRetriesStayInTheBudget lets daemons of a fleet dispatch, lose the dispatcher,
+// choose by themselves and start anew in any order: all attempts beyond the first
+// stay within the service's ratio and burst.
+func TestRetriesStayInTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 4
+		fleet := make([]*service.Service, daemons)
+		for index := range fleet {
+			fleet[index] = newService(t)
+		}
+		dispatcher, requests, more := 0, 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				for range rapid.IntRange(1, 60).Draw(t, "count") {
+					require.True(t, attempt(t, fleet[dispatcher], service.Dispatching(), retry.First))
+					requests++
+				}
+			},
+			"requests without the dispatcher": func(t *rapid.T) {
+				alone := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+				for range rapid.IntRange(1, 20).Draw(t, "count") {
+					require.True(t, attempt(t, fleet[alone], service.Substitute(daemons), retry.First))
+					requests++
+				}
+			},
+			"more attempts": func(t *rapid.T) {
+				kind := rapid.SampledFrom([]retry.Kind{retry.Retry, retry.Hedge}).Draw(t, "kind")
+				for range rapid.IntRange(1, 60).Draw(t, "count") {
+					if attempt(t, fleet[dispatcher], service.Dispatching(), kind) {
+						more++
+					}
+				}
+			},
+			"more attempts without the dispatcher": func(t *rapid.T) {
+				alone := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+				for range rapid.IntRange(1, 20).Draw(t, "count") {
+					if attempt(t, fleet[alone], service.Substitute(daemons), retry.Retry) {
+						more++
+					}
+				}
+			},
+			"another dispatcher": func(t *rapid.T) {
+				dispatcher = rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			},
+			"a daemon starts anew": func(t *rapid.T) {
+				fleet[rapid.IntRange(0, daemons-1).Draw(t, "daemon")] = newService(t)
+			},
+			"": func(t *rapid.T) {
+				require.LessOrEqual(t, float64(more), ratio*float64(requests)+burst)
+			},
+		})
+	})
+}
--- a/service/service.go
+++ b/service/service.go
@@ -29,6 +29,7 @@
 
 	mutex    sync.Mutex
 	budget   retry.Budget
+	earned   time.Time // of the last request that earned for it
 	drained  map[drainKey]bool
 	declared map[string]config.Backend
 }
@@ -169,39 +170,6 @@
 	return false
 }
 
-// Earn notes a first attempt in the retry budget. The burst that all daemons have
-// together is divided among so many.
-func (s *Service) Earn(daemons int) {
-	declared := s.Target().Service
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.budget.Ratio = declared.RetryRatio
-	s.budget.Burst = declared.RetryBurst / float64(max(daemons, 1))
-	s.budget.Earn()
-}
-
-// SpendRetry takes one more attempt from the retry budget, and says whether there
-// was one.
-func (s *Service) SpendRetry() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.budget.Spend()
-}
-
-// RefundRetry gives back what SpendRetry took for an attempt that was not made.
-func (s *Service) RefundRetry() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.budget.Refund()
-}
-
-// DecideRetry says whether a failed attempt is sent again.
-func (s *Service) DecideRetry(attempt retry.Attempt) retry.Verdict {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return retry.Decide(attempt, &s.budget)
-}
-
 // Registry holds the running services. It is safe for concurrent use; Match and
 // Find do not block.
 type Registry struct {
--- a/slots/client.go
+++ b/slots/client.go
@@ -12,6 +12,7 @@
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 )
 
@@ -68,14 +69,14 @@
 }
 
 // Acquire asks the dispatcher at an address for a place. It blocks while the
-// request waits. The error is ErrUnreachable, ErrBehind, or a *resultcode.Failure
-// that says "not run".
-func (c *Client) Acquire(ctx context.Context, address, service string, request dispatch.Request) (*Grant, error) {
+// request waits. The error is ErrUnreachable, ErrBehind, service.ErrOverBudget, or a
+// *resultcode.Failure that says "not run".
+func (c *Client) Acquire(ctx context.Context, address, service string, kind retry.Kind, request dispatch.Request) (*Grant, error) {
 	opened, err := c.session(address)
 	if err != nil {
 		return nil, err
 	}
-	grant, err := opened.acquire(ctx, service, request)
+	grant, err := opened.acquire(ctx, service, kind, request)
 	if errors.Is(err, ErrUnreachable) {
 		c.drop(address, opened)
 	}
--- a/slots/server.go
+++ b/slots/server.go
@@ -5,9 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
 )
@@ -112,17 +115,18 @@
 	h.mutex.Lock()
 	h.requests[id] = one
 	h.mutex.Unlock()
-	h.running.Go(func() { h.wait(ctx, id, one, decodeRequest(time.Now(), request)) })
+	kind := retry.Kind(request.Attempt)
+	h.running.Go(func() { h.wait(ctx, id, one, kind, decodeRequest(time.Now(), request)) })
 }
 
 // wait waits for the request's place and tells what became of it.
-func (h *holdings) wait(ctx context.Context, id uint64, one *holding, request dispatch.Request) {
+func (h *holdings) wait(ctx context.Context, id uint64, one *holding, kind retry.Kind, request dispatch.Request) {
 	notice := time.AfterFunc(waitingNotice, func() { h.send(&peerpb.SlotReply{Id: id, Waiting: true}) })
-	grant, err := one.service.Dispatcher.Acquire(ctx, request)
+	grant, err := one.service.Acquire(ctx, service.Dispatching(), kind, request)
 	notice.Stop()
 	if err != nil {
 		h.forget(id)
-		h.send(refusal(id, resultcode.AsFailure(err, resultcode.NoBackend)))
+		h.send(refusal(id, err))
 		return
 	}
 	if !h.hold(id, one, grant) {
@@ -190,7 +194,11 @@
 	}
 }
 
-func refusal(id uint64, failure *resultcode.Failure) *peerpb.SlotReply {
+func refusal(id uint64, err error) *peerpb.SlotReply {
+	if errors.Is(err, service.ErrOverBudget) {
+		return &peerpb.SlotReply{Id: id, Refusal: &peerpb.Refusal{OverBudget: true}}
+	}
+	failure := resultcode.AsFailure(err, resultcode.NoBackend)
 	return &peerpb.SlotReply{Id: id, Refusal: &peerpb.Refusal{
 		Code: int64(failure.Code), Detail: failure.Detail, RetryAfterUs: failure.RetryAfter.Microseconds(),
 	}}
--- a/slots/session.go
+++ b/slots/session.go
@@ -12,7 +12,9 @@
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
+	"github.com/tuliphall/tuliphall/service"
 )
 
 // session is one stream of requests to a dispatcher.
@@ -188,12 +190,12 @@
 }
 
 // acquire asks for a place and waits for the answer.
-func (s *session) acquire(ctx context.Context, service string, request dispatch.Request) (*Grant, error) {
+func (s *session) acquire(ctx context.Context, service string, kind retry.Kind, request dispatch.Request) (*Grant, error) {
 	id, told, err := s.enter()
 	if err != nil {
 		return nil, err
 	}
-	s.send(&peerpb.SlotRequest{Id: id, Acquire: encodeRequest(time.Now(), service, request)})
+	s.send(&peerpb.SlotRequest{Id: id, Acquire: encodeRequest(time.Now(), service, kind, request)})
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
 	for {
@@ -248,6 +250,9 @@
 // refusalError is what a refusal means for the request. What a dispatcher lacks says
 // nothing of what this daemon knows.
 func refusalError(refused *peerpb.Refusal) error {
+	if refused.OverBudget {
+		return service.ErrOverBudget
+	}
 	code := resultcode.Code(refused.Code)
 	if code == resultcode.NoService || code == resultcode.NoBackend {
 		return errors.Annotate(ErrBehind, refused.Detail)
@@ -270,9 +275,9 @@
 	s.send(&peerpb.SlotRequest{Id: id, Release: told})
 }
 
-func encodeRequest(now time.Time, service string, request dispatch.Request) *peerpb.Acquire {
+func encodeRequest(now time.Time, service string, kind retry.Kind, request dispatch.Request) *peerpb.Acquire {
 	return &peerpb.Acquire{
-		Service: service, Weight: int64(request.Weight), WaitUs: request.Wait.Microseconds(),
+		Service: service, Attempt: int32(kind), Weight: int64(request.Weight), WaitUs: request.Wait.Microseconds(),
 		RemainingUs: request.Deadline.Sub(now).Microseconds(), Session: request.Routing.Session,
 		Tried: request.Routing.Tried, Repeatable: request.Routing.Repeatable, Zone: request.Routing.Zone,
 	}
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -18,6 +18,7 @@
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/slots"
@@ -68,7 +69,7 @@
 
 func acquire(t *testing.T, client *slots.Client, d *dispatcher) *slots.Grant {
 	t.Helper()
-	grant, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
+	grant, err := client.Acquire(t.Context(), d.address, serviceName, retry.First, request(0))
 	require.NoError(t, err)
 	require.Equal(t, "b1", grant.Backend)
 	return grant
@@ -84,7 +85,7 @@
 	first := acquire(t, client, d)
 	second := make(chan *slots.Grant)
 	go func() {
-		grant, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
+		grant, err := client.Acquire(t.Context(), d.address, serviceName, retry.First, request(0))
 		if err != nil {
 			close(second)
 			return
@@ -125,7 +126,7 @@
 	first := acquire(t, client, d)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := client.Acquire(ctx, d.address, serviceName, request(0))
+	_, err := client.Acquire(ctx, d.address, serviceName, retry.First, request(0))
 	require.Equal(t, resultcode.CallerGone, err.(*resultcode.Failure).Code)
 	first.Done(routing.Canceled, 0, nil)
 	acquire(t, client, d).Done(routing.Canceled, 0, nil)
@@ -141,12 +142,12 @@
 	defer client.Close()
 	first := acquire(t, client, d)
 	defer first.Done(routing.Canceled, 0, nil)
-	_, err := client.Acquire(t.Context(), d.address, serviceName, request(time.Millisecond))
+	_, err := client.Acquire(t.Context(), d.address, serviceName, retry.First, request(time.Millisecond))
 	failure, refused := err.(*resultcode.Failure)
 	require.True(t, refused, err)
 	require.Equal(t, resultcode.WaitExpired, failure.Code)
 	require.Positive(t, failure.RetryAfter)
-	_, err = client.Acquire(t.Context(), d.address, "unknown", request(0))
+	_, err = client.Acquire(t.Context(), d.address, "unknown", retry.First, request(0))
 	require.ErrorIs(t, err, slots.ErrBehind)
 }
 
@@ -158,7 +159,7 @@
 	defer listener.Close()
 	client := newClient()
 	defer client.Close()
-	_, err = client.Acquire(t.Context(), listener.Addr().String(), serviceName, request(0))
+	_, err = client.Acquire(t.Context(), listener.Addr().String(), serviceName, retry.First, request(0))
 	require.ErrorIs(t, err, slots.ErrUnreachable)
 }
 
@@ -174,7 +175,7 @@
 	other := startDispatcher(t)
 	defer other.stop()
 	acquire(t, client, other).Done(routing.Canceled, 0, nil)
-	_, err := client.Acquire(t.Context(), d.address, serviceName, request(0))
+	_, err := client.Acquire(t.Context(), d.address, serviceName, retry.First, request(0))
 	require.ErrorIs(t, err, slots.ErrUnreachable)
 }
 
@@ -186,7 +187,7 @@
 	defer client.Close()
 	b.ReportAllocs()
 	for b.Loop() {
-		grant, err := client.Acquire(b.Context(), d.address, serviceName, request(0))
+		grant, err := client.Acquire(b.Context(), d.address, serviceName, retry.First, request(0))
 		if err != nil {
 			b.Fatal(err)
 		}
