Daemons know each other before they have a configuration; the first one is told

They joined only after that, one seed after another, 0.7 s for each that was gone: after a loss of all power each dispatched by itself for 1.5 s.

Now a daemon joins at once, through the first seed that answers, and again after 0.3 s. Who is chosen watches the store for the first declaration and tells the others, who need not read it. Drains that were heard before a configuration are kept for it (TestStoreDown found that).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -199,6 +199,7 @@
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
 		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff),
 		WatchInterval: time.Duration(d.settings.Platform.WatchInterval), WatchGap: time.Duration(d.settings.Platform.WatchGap), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
+		OnInForce: d.applyDrains,
 	})
 	d.node = peer.NewNode(peer.Options{
 		Self: membership.Member{
@@ -247,23 +248,15 @@
 			d.log.Error("peer server ended", "error", err)
 		}
 	})
-	d.running.Go(func() { d.join(ctx) })
+	// The daemon is known to others before it has a configuration, which they may
+	// bring it. Until then it gives out no places, and they do without.
+	d.running.Go(func() { d.node.Run(ctx) })
 	d.running.Go(func() { d.follower.Run(ctx) })
 	d.running.Go(func() { d.watchMachines(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
 	d.running.Go(func() { d.reportTraffic(ctx, scope) })
 }
 
-// join makes the daemon known to the others once it can serve: from then on they
-// forward requests to it.
-func (d *Daemon) join(ctx context.Context) {
-	select {
-	case <-d.follower.Configured():
-		d.node.Run(ctx)
-	case <-ctx.Done():
-	}
-}
-
 // Bounds of the HTTP servers.
 const (
 	headerTimeout  = 10 * time.Second
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -95,6 +95,14 @@
 	d.applyDrain(drain)
 }
 
+// applyDrains takes in the drains heard so far for services that have just come into
+// force.
+func (d *Daemon) applyDrains() {
+	for _, drain := range d.node.Draining() {
+		d.applyDrain(drain)
+	}
+}
+
 func (d *Daemon) applyDrain(drain peer.Drain) bool {
 	running, ok := d.services.Find(drain.Service)
 	if !ok || !running.SetDraining(drain.Backend, drain.Source, drain.Draining) {
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -23,6 +23,7 @@
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Timing and bounds.
@@ -37,9 +38,11 @@
 	firstWatch = 3 * time.Second
 	// fromPlatform is the source of what the daemon read itself.
 	fromPlatform = "platform"
-	// emptyWatch is how long a starting daemon waits for the first declaration
-	// before it looks again.
-	emptyWatch = 2 * time.Second
+	// acquaintance is how long a daemon that starts before anything was declared
+	// gets to know the others.
+	acquaintance = time.Second
+	// firstDeclaration is how long it then waits before it reads the store again.
+	firstDeclaration = 3 * time.Second
 	// startPeers is how many peers a starting daemon asks.
 	startPeers = 5
 	// WatchDuty is the key by which watchers are chosen.
@@ -79,6 +82,9 @@
 	Random     *rand.Rand
 	// Seeds returns peer addresses to ask at the start. It may block.
 	Seeds func(ctx context.Context) []string
+	// OnInForce is called when a document has been put in force. It must not
+	// block.
+	OnInForce func()
 }
 
 // Follower keeps a daemon at the newest configuration. It is safe for
@@ -189,6 +195,7 @@
 	}
 	f.options.Services.Put(snapshot)
 	f.document.Store(&document)
+	f.options.OnInForce()
 	if f.isConfigured(document) {
 		f.once.Do(func() { close(f.configured) })
 	}
@@ -206,6 +213,15 @@
 	return document.Revision > 0 && document.Directory.Revision > 0
 }
 
+func (f *Follower) isServing() bool {
+	select {
+	case <-f.configured:
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *Follower) noteHead(revision config.Revision) {
 	for {
 		present := f.head.Load()
@@ -233,15 +249,21 @@
 }
 
 // start reads the first configuration: from the sources, or, when one is down,
-// the newest that the peers have.
+// the newest that the peers have. It ends once requests can be served, also when
+// others brought what it takes.
 func (f *Follower) start(ctx context.Context) {
 	backoff := firstBackoff
-	for ctx.Err() == nil {
-		if err := f.readSources(ctx); err == nil {
+	for ctx.Err() == nil && !f.isServing() {
+		err := f.readSources(ctx)
+		if err == nil {
 			return
-		} else {
-			f.log.Warn("store not read at the start, asking peers", "error", err)
 		}
+		if errors.Is(err, errors.NotFound) {
+			f.log.Info("nothing declared yet")
+			f.awaitFirst(ctx)
+			continue
+		}
+		f.log.Warn("store not read at the start, asking peers", "error", err)
 		if f.askPeers(ctx) {
 			return
 		}
@@ -250,8 +272,10 @@
 }
 
 func (f *Follower) readSources(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	defer cancel()
 	for _, source := range f.options.Sources {
-		document, err := f.readSource(ctx, source)
+		document, err := source.Read(ctx)
 		if err != nil {
 			return err
 		}
@@ -262,20 +286,23 @@
 	return nil
 }
 
-// readSource reads a source. Where nothing was declared yet, it waits for that for a
-// while: one call instead of many.
-func (f *Follower) readSource(ctx context.Context, source Source) (config.Document, error) {
-	limited, cancel := context.WithTimeout(ctx, f.options.Timeout)
-	defer cancel()
-	document, err := source.Read(limited)
-	if !errors.Is(err, errors.NotFound) {
-		return document, err
-	}
-	document, watchErr := source.Watch(ctx, config.Document{}, emptyWatch)
-	if watchErr != nil || document.Position() == (config.Position{}) {
-		return config.Document{}, err
+// awaitFirst waits for the first declaration. Daemons that are chosen to watch the
+// store do so; the others wait to be told.
+func (f *Follower) awaitFirst(ctx context.Context) {
+	wait.Sleep(ctx, acquaintance)
+	end := time.Now().Add(firstDeclaration)
+	for !f.isServing() && ctx.Err() == nil && time.Now().Before(end) {
+		if !f.chosen() {
+			wait.Sleep(ctx, firstBackoff)
+			continue
+		}
+		// The first source is the one that operators declare by. An error comes
+		// again with the next reading.
+		document, err := f.options.Sources[0].Watch(ctx, config.Document{}, time.Until(end))
+		if err != nil || f.Offer(document, fromPlatform) != nil || f.Revision() > 0 {
+			return
+		}
 	}
-	return document, nil
 }
 
 // askPeers puts the newest document of a few peers in force and says whether
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -17,12 +17,14 @@
 	"github.com/tuliphall/tuliphall/service"
 )
 
-// lonely are the peers of a daemon that knows no other.
+// lonely are the peers of a daemon that is told of no other. It watches the store
+// unless others are chosen to.
 type lonely struct {
-	announced atomic.Int32
+	announced    atomic.Int32
+	othersChosen bool
 }
 
-func (*lonely) Place(string, int) (int, int, bool) { return 0, 1, true }
+func (l *lonely) Place(string, int) (int, int, bool) { return 0, 1, !l.othersChosen }
 func (l *lonely) Announce(context.Context, int, int) {
 	l.announced.Add(1)
 }
@@ -59,7 +61,7 @@
 	follower := NewFollower(Options{
 		Sources: []Source{source}, Services: service.NewRegistry(service.Options{Network: network.TCP{}}),
 		Timeout: time.Second, WatchInterval: interval, Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 1)),
-		Seeds: func(context.Context) []string { return nil },
+		Seeds: func(context.Context) []string { return nil }, OnInForce: func() {},
 	})
 	follower.SetPeers(peers)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -76,13 +78,14 @@
 }
 
 // TestFirstDeclarationIsWaitedFor starts before anything was declared: the store is
-// asked once, not again and again.
+// asked once and watched, not asked again and again.
 func TestFirstDeclarationIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &scriptedSource{declared: make(chan config.Document, 1)}
 		follower := startFollower(t, source, &lonely{}, 0)
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(3 * time.Second)
 		require.EqualValues(t, 1, source.reads.Load())
+		require.EqualValues(t, 1, source.watches.Load())
 		source.declared <- config.Document{Revision: 4}
 		time.Sleep(time.Millisecond)
 		require.Equal(t, config.Revision(4), follower.Revision())
@@ -90,6 +93,20 @@
 	})
 }
 
+// TestFirstDeclarationIsTold starts a daemon that others are chosen to watch for: it
+// asks the store once, and is told.
+func TestFirstDeclarationIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{declared: make(chan config.Document)}
+		follower := startFollower(t, source, &lonely{othersChosen: true}, 0)
+		time.Sleep(3 * time.Second)
+		require.EqualValues(t, 1, source.reads.Load())
+		require.EqualValues(t, 0, source.watches.Load())
+		require.NoError(t, follower.Offer(config.Document{Revision: 4}, "another"))
+		<-follower.Configured()
+	})
+}
+
 // TestQuickChangesAreTakenTogether hears of a change, and pauses: what comes within
 // the interval is heard with the next watch, together with those of other daemons.
 func TestQuickChangesAreTakenTogether(t *testing.T) {
@@ -98,7 +115,7 @@
 		peers := &lonely{}
 		follower := startFollower(t, source, peers, 500*time.Millisecond)
 		source.declared <- config.Document{Revision: 1}
-		time.Sleep(10 * time.Second) // its watch began long ago
+		time.Sleep(10 * time.Second) // the next watch began long ago
 		source.declared <- config.Document{Revision: 2}
 		time.Sleep(time.Millisecond)
 		require.Equal(t, config.Revision(2), follower.Revision())
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -32,11 +32,11 @@
 	syncPerMember = 35 * time.Millisecond
 	// leastSync is the shortest time between two syncs.
 	leastSync = 3 * time.Second
-	// firstSync is the time between the first two syncs; each of the next takes
-	// twice as long, up to the usual time. Daemons that start together know few
-	// members at first.
-	firstSync     = 100 * time.Millisecond
-	syncDoublings = 6
+	// firstSync is the time between the first syncs. It doubles after every few, up
+	// to the usual time. Daemons that start together know few members at first.
+	firstSync        = 100 * time.Millisecond
+	syncsPerDoubling = 3
+	syncDoublings    = 5
 )
 
 // Status is what is believed of a member.
@@ -318,8 +318,8 @@
 // may miss a daemon; this is what then closes the gap.
 func (s *State) SyncDue(now time.Time, digest uint64) bool {
 	wait := max(leastSync, time.Duration(len(s.members))*syncPerMember)
-	if s.syncs < syncDoublings {
-		wait = min(wait, firstSync<<s.syncs)
+	if doublings := s.syncs / syncsPerDoubling; doublings < syncDoublings {
+		wait = min(wait, firstSync<<doublings)
 	}
 	if digest == s.Digest() || now.Sub(s.synced) < wait {
 		return false
--- a/peer/drains.go
+++ b/peer/drains.go
@@ -86,18 +86,25 @@
 	return chosen
 }
 
-// draining returns every back end that is leaving, for a daemon that has just
-// started.
-func (t *drainTable) draining() []*peerpb.Drain {
-	var leaving []*peerpb.Drain
+// draining returns every back end that is leaving.
+func (t *drainTable) draining() []Drain {
+	var leaving []Drain
 	for _, entry := range t.entries {
 		if entry.Draining {
-			leaving = append(leaving, encodeDrain(entry.Drain))
+			leaving = append(leaving, entry.Drain)
 		}
 	}
 	return leaving
 }
 
+func encodeDrains(drains []Drain) []*peerpb.Drain {
+	encoded := make([]*peerpb.Drain, 0, len(drains))
+	for _, drain := range drains {
+		encoded = append(encoded, encodeDrain(drain))
+	}
+	return encoded
+}
+
 func encodeDrain(drain Drain) *peerpb.Drain {
 	return &peerpb.Drain{
 		Service: drain.Service, Backend: drain.Backend, Draining: drain.Draining,
--- a/peer/node.go
+++ b/peer/node.go
@@ -12,6 +12,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,13 +38,19 @@
 	// spreadInterval is the least time between two tellings: drains that are heard
 	// in quick succession are told together.
 	spreadInterval = 100 * time.Millisecond
-	// firstPeriod is the time until the first heartbeat; each of the next takes
-	// twice as long, up to the full period. Daemons that start together thus soon
+	// firstPeriod is the time between the first heartbeats of a daemon. It doubles
+	// after every few, up to the full period. Daemons that start together thus soon
 	// know each other, and choose the same dispatchers.
-	firstPeriod     = 60 * time.Millisecond
-	periodDoublings = 5
-	// joinSeeds is how many seeds a starting daemon asks for the members.
-	joinSeeds = 2
+	firstPeriod      = 100 * time.Millisecond
+	beatsPerDoubling = 3
+	periodDoublings  = 4
+	// joinSeeds is how many seeds a starting daemon asks for the members at first.
+	joinSeeds = 1
+	// joinAgain is when a seed is asked once more: had all daemons started
+	// together, the seeds knew few of them at first.
+	joinAgain = 300 * time.Millisecond
+	// joinPatience is after how long without an answer one more seed is asked.
+	joinPatience = 100 * time.Millisecond
 	// jitter is the share of the period by which each exchange is shifted.
 	jitter = 0.2
 )
@@ -162,12 +169,21 @@
 	n.spreadSoon()
 }
 
+// Draining returns the back ends that are known to be leaving.
+func (n *Node) Draining() []Drain {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.drains.draining()
+}
+
 // Run joins the other daemons and exchanges news until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer n.syncs.Wait()
 	n.join(ctx)
 	timer := time.NewTimer(n.nextPeriod())
 	defer timer.Stop()
+	again := time.NewTimer(joinAgain)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -175,6 +191,8 @@
 		case <-n.spread:
 			n.tellSome(ctx)
 			wait.Sleep(ctx, spreadInterval)
+		case <-again.C:
+			n.join(ctx)
 		case <-timer.C:
 			n.period(ctx)
 			n.periods++
@@ -188,32 +206,57 @@
 	defer n.mutex.Unlock()
 	shift := (n.options.Random.Float64()*2 - 1) * jitter
 	period := membership.Period
-	if n.periods < periodDoublings {
-		period = min(period, firstPeriod<<n.periods)
+	if doublings := n.periods / beatsPerDoubling; doublings < periodDoublings {
+		period = min(period, firstPeriod<<doublings)
 	}
 	return time.Duration((1 + shift) * float64(period))
 }
 
-// join asks a few seeds for the members.
+// join asks seeds for the members, until one has answered. Further seeds are asked
+// while the first ones are silent: seeds may be gone. What comes later is taken in
+// as well.
 func (n *Node) join(ctx context.Context) {
-	seeds := n.options.Seeds(ctx)
-	n.mutex.Lock()
-	n.options.Random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	n.mutex.Unlock()
-	asked := 0
-	for _, address := range seeds {
-		if asked >= joinSeeds || ctx.Err() != nil {
+	seeds := n.shuffledSeeds(ctx)
+	answers := make(chan error, len(seeds))
+	asked, pending := 0, 0
+	askNext := func() {
+		if asked == len(seeds) {
 			return
 		}
-		if address == n.options.Self.PeerAddress {
-			continue
-		}
-		if err := n.askMembers(ctx, address); err != nil {
-			n.log.Debug("seed did not answer", "address", address, "error", err)
-			continue
-		}
+		address := seeds[asked]
 		asked++
+		pending++
+		n.syncs.Go(func() { answers <- n.askMembers(ctx, address) })
 	}
+	for range joinSeeds {
+		askNext()
+	}
+	patience := time.NewTicker(joinPatience)
+	defer patience.Stop()
+	for pending > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-patience.C:
+			askNext()
+		case err := <-answers:
+			if err == nil {
+				return
+			}
+			n.log.Debug("seed did not answer", "error", err)
+			pending--
+			askNext()
+		}
+	}
+}
+
+// shuffledSeeds returns the seeds but this daemon itself, in random order.
+func (n *Node) shuffledSeeds(ctx context.Context) []string {
+	seeds := slices.DeleteFunc(n.options.Seeds(ctx), func(address string) bool { return address == n.options.Self.PeerAddress })
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.options.Random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds
 }
 
 func (n *Node) askMembers(ctx context.Context, address string) error {
--- a/peer/server.go
+++ b/peer/server.go
@@ -59,11 +59,7 @@
 func (s *server) Members(_ context.Context, request *peerpb.MembersRequest) (*peerpb.MembersReply, error) {
 	n := s.node
 	n.change(func(now time.Time) { n.state.Heard(now, decodeMember(request.Sender)) })
-	members := n.Members()
-	n.mutex.Lock()
-	drains := n.drains.draining()
-	n.mutex.Unlock()
-	return encodeList(members, drains)
+	return encodeList(n.Members(), encodeDrains(n.Draining()))
 }
 
 // Changes implements peerpb.DRPCPeerServer.
