At the first start of the whole system nobody reads the store but those who watch it; no ticking without probes

Cause: all daemons read the store although nothing can be there yet, and looked 50 times a second for probes to make where no service has a budget.

Test: TestFirstStart.

--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -82,6 +82,8 @@
 	Random     *rand.Rand
 	// Seeds returns peer addresses to ask at the start. It may block.
 	Seeds func(ctx context.Context) []string
+	// FirstStart says that nothing can have been declared yet when the daemon starts.
+	FirstStart bool
 	// OnInForce is called when a document has been put in force. It must not
 	// block.
 	OnInForce func()
@@ -253,6 +255,9 @@
 // others brought what it takes.
 func (f *Follower) start(ctx context.Context) {
 	backoff := firstBackoff
+	if f.options.FirstStart {
+		f.awaitFirst(ctx)
+	}
 	for ctx.Err() == nil && !f.isServing() {
 		err := f.readSources(ctx)
 		if err == nil {
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -58,11 +58,15 @@
 
 func startFollower(t *testing.T, source Source, peers Peers, interval time.Duration) *Follower {
 	t.Helper()
-	follower := NewFollower(Options{
-		Sources: []Source{source}, Services: service.NewRegistry(service.Options{Network: network.TCP{}}),
-		Timeout: time.Second, WatchInterval: interval, Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 1)),
-		Seeds: func(context.Context) []string { return nil }, OnInForce: func() {},
-	})
+	return runFollower(t, peers, Options{Sources: []Source{source}, WatchInterval: interval})
+}
+
+func runFollower(t *testing.T, peers Peers, options Options) *Follower {
+	t.Helper()
+	options.Services = service.NewRegistry(service.Options{Network: network.TCP{}})
+	options.Timeout, options.Log, options.Random = time.Second, slog.New(slog.DiscardHandler), rand.New(rand.NewPCG(1, 1))
+	options.Seeds, options.OnInForce = func(context.Context) []string { return nil }, func() {}
+	follower := NewFollower(options)
 	follower.SetPeers(peers)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
@@ -107,6 +111,20 @@
 	})
 }
 
+// TestFirstStart starts with the whole system: a daemon that others are chosen to
+// watch for does not ask the store at all.
+func TestFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{declared: make(chan config.Document)}
+		follower := runFollower(t, &lonely{othersChosen: true}, Options{Sources: []Source{source}, FirstStart: true})
+		time.Sleep(2 * time.Second)
+		require.NoError(t, follower.Offer(config.Document{Revision: 4}, "another"))
+		<-follower.Configured()
+		time.Sleep(time.Minute)
+		require.EqualValues(t, 0, source.reads.Load()+source.watches.Load())
+	})
+}
+
 // TestQuickChangesAreTakenTogether hears of a change, and pauses: what comes within
 // the interval is heard with the next watch, together with those of other daemons.
 func TestQuickChangesAreTakenTogether(t *testing.T) {
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -24,6 +24,7 @@
 	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Budget spaces probes evenly. It is pure and not safe for concurrent use.
@@ -59,6 +60,8 @@
 const (
 	// tick is how often the prober looks whether a probe is wanted.
 	tick = 20 * time.Millisecond
+	// restTick is how often it looks while no service has a budget.
+	restTick = time.Second
 	// silence is how long a back end may be unheard of before it is probed.
 	silence = 2 * time.Second
 	// probeTimeout bounds one probe.
@@ -110,20 +113,21 @@
 
 // Run probes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		pause := restTick
 		for name, running := range p.options.Services.All() {
 			declared := running.Target().Service
-			if declared.ProbesPerSecond > 0 && p.options.Dispatches(name) {
+			if declared.ProbesPerSecond <= 0 {
+				continue
+			}
+			pause = tick
+			if p.options.Dispatches(name) {
 				p.consider(ctx, name, running, declared.ProbesPerSecond, declared.ProbePath)
 			}
 		}
+		if !wait.Sleep(ctx, pause) {
+			return
+		}
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,9 @@
 	// that news which some miss is heard by another soon; 0: each waits as long
 	// as it may.
 	WatchGap config.Duration `toml:"watch_gap"`
+	// FirstStart says that the whole system starts for the first time: what is
+	// declared first is told to the daemon, which need not read the store.
+	FirstStart bool `toml:"first_start"`
 	// Direct lets each daemon choose back ends by itself, where the platform
 	// declares the services; false: it asks the service's dispatcher.
 	Direct bool `toml:"direct"`
