--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -187,6 +187,7 @@
 	if present != nil {
 		newest, newer := present.Newest(document)
 		if !newer {
+			f.notePassedOver(present.Position(), document.Position(), source)
 			return nil
 		}
 		document = newest
@@ -206,6 +207,15 @@
 	return nil
 }
 
+// notePassedOver logs a document that is older than the one in force. The same one
+// again is usual: several daemons tell of it.
+func (f *Follower) notePassedOver(present, offered config.Position, source string) {
+	if present.Revision > offered.Revision && offered.Revision > 0 || present.Directory > offered.Directory && offered.Directory > 0 {
+		f.log.Info("older document passed over", "revision", uint64(present.Revision), "directory", uint64(present.Directory),
+			"offered_revision", uint64(offered.Revision), "offered_directory", uint64(offered.Directory), "source", source)
+	}
+}
+
 // isConfigured says whether requests can be served with a document: where there
 // are several sources, the directory must have been read as well.
 func (f *Follower) isConfigured(document config.Document) bool {
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/network"
@@ -145,3 +147,35 @@
 		require.Equal(t, watches+1, source.watches.Load())
 	})
 }
+
+// TestOlderDocumentsArePassedOver offers documents in random orders, with parts that
+// are older and newer: each part in force only ever goes up.
+func TestOlderDocumentsArePassedOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		follower := NewFollower(Options{
+			Sources: make([]Source, 2), Services: service.NewRegistry(service.Options{Network: network.TCP{}}),
+			Log: slog.New(slog.DiscardHandler), OnInForce: func() {},
+		})
+		var highest config.Position
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			offered := config.Document{
+				Revision:  config.Revision(rapid.IntRange(0, 6).Draw(t, "revision")),
+				Directory: config.Directory{Revision: config.Revision(rapid.IntRange(0, 6).Draw(t, "directory"))},
+			}
+			// A document says by a service's name which revision it is of.
+			if offered.Revision > 0 {
+				offered.Content.Services = []config.Service{{Name: fmt.Sprintf("revision-%d", offered.Revision), RoutesOnly: true}}
+			}
+			require.NoError(t, follower.Offer(offered, "another"))
+			highest = config.Position{
+				Revision:  max(highest.Revision, offered.Revision),
+				Directory: max(highest.Directory, offered.Directory.Revision),
+			}
+			require.Equal(t, highest, follower.Position())
+			if highest.Revision > 0 {
+				_, found := follower.options.Services.Find(fmt.Sprintf("revision-%d", highest.Revision))
+				require.True(t, found, "what requests are served by is what is said to be in force")
+			}
+		}
+	})
+}
