How a request ended is logged: answered or failed, with what decided it

Cause: a refused request left no line, and the outcome of an answered one none either, so that neither a complaint nor a late answer could be traced. Each request now ends with 'frontend: answered' (back end, its latency, load and slowdown as told with the answer, attempts, total) or 'frontend: failed' (code, run or not, cause, time to come back).

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -64,7 +63,7 @@
 	for name, values := range response.Trailer {
 		header[name] = values
 	}
-	a.finish(code)
+	a.answered(code)
 	return nil
 }
 
@@ -73,11 +72,6 @@
 	header.Set(resultcode.HeaderRun, string(code.Info().Run))
 }
 
-func (a *attempter) finish(code resultcode.Code) {
-	a.handler.metrics.count(code)
-	a.handler.metrics.latency.RecordDuration(time.Since(a.call.received))
-}
-
 // copyBody copies the body. An answer of unknown length is flushed with each
 // piece, as its caller may be waiting for it. An operation's answer is read to
 // its end even when the caller has gone, so that it can be recorded.
@@ -137,7 +131,7 @@
 	a.handler.upgraded.Add(1)
 	defer a.handler.upgraded.Done()
 	defer downstream.Close()
-	a.finish(resultcode.Answered)
+	a.answered(resultcode.Answered)
 	done := make(chan struct{}, 2)
 	go join(upstream, buffered, done)
 	go join(downstream, upstream, done)
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -21,6 +21,7 @@
 	writer   http.ResponseWriter
 	deadline *time.Timer
 	record   *operationRecord // of an operation; nil otherwise
+	got      *received        // the answer that is passed on; nil before
 }
 
 // run sends the call to back ends until one answers or no retry is allowed,
@@ -49,7 +50,7 @@
 			break
 		}
 	}
-	a.handler.refuse(a.writer, a.call.id, last)
+	a.refuse(last)
 	return last.Code
 }
 
@@ -186,6 +187,7 @@
 // deliver passes the answer on.
 func (a *attempter) deliver(got *received) {
 	defer got.response.Body.Close()
+	a.got = got
 	a.deadline.Stop()
 	// The place is held until the whole answer has been read, as the back
 	// end's slot is. A caller that does not take the answer says nothing about
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -106,6 +106,6 @@
 	if unreachable && c.buffered && (code == resultcode.PeerUnreachable || c.decision.Retry) {
 		return false
 	}
-	a.handler.refuse(a.writer, c.id, &resultcode.Failure{Code: code, Detail: "daemon " + name})
+	a.refuse(&resultcode.Failure{Code: code, Detail: "daemon " + name})
 	return true
 }
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -151,12 +151,6 @@
 	return c, nil
 }
 
-// refuse answers with a failure.
-func (h *Handler) refuse(w http.ResponseWriter, id string, failure *resultcode.Failure) {
-	h.metrics.count(failure.Code)
-	failure.Write(w, id, h.options.Dialect.FractionalRetryAfter)
-}
-
 func cloneURL(r *http.Request) *url.URL {
 	copied := *r.URL
 	return &copied
--- a/frontend/operation.go
+++ b/frontend/operation.go
@@ -17,14 +17,14 @@
 	}
 	c := a.call
 	if !c.buffered {
-		a.handler.refuse(a.writer, c.id, &resultcode.Failure{Code: resultcode.BadRequest, Detail: "an operation's body must have a length of at most 64 KiB"})
+		a.refuse(&resultcode.Failure{Code: resultcode.BadRequest, Detail: "an operation's body must have a length of at most 64 KiB"})
 		return
 	}
 	fingerprint := operation.Fingerprint(c.request.Method, c.request.URL.RequestURI(), c.body)
 	claim, result, failure := a.handler.options.Operations.Begin(ctx, c.service.Name(), c.decision.Key, fingerprint)
 	switch {
 	case failure != nil:
-		a.handler.refuse(a.writer, c.id, failure)
+		a.refuse(failure)
 	case result != nil:
 		a.replay(result)
 	default:
@@ -64,7 +64,7 @@
 	a.writer.WriteHeader(result.Status)
 	// A caller that has gone may come back for the same record.
 	_, _ = a.writer.Write(result.Body)
-	a.finish(resultcode.Replayed)
+	a.answered(resultcode.Replayed)
 }
 
 // operationRecord keeps an operation's answer while it is passed on.
