Back ends that would get the next requests are probed while their reports are old

Tests: TestStaleTargetIsTheNextChoice, TestProbesAreEarnedAndSpaced, TestProbesFindTheUndisturbed (400 of 1,000 disturbed without), and TestProbesStayInTheBudget (dispatchers die, probes get no answer).

--- a/config/objects.go
+++ b/config/objects.go
@@ -77,6 +77,13 @@
 	ProbePath string `toml:"probe_path" json:"probe_path,omitempty"`
 	// ProbesPerSecond is the budget for all daemons together; 0: no probes.
 	ProbesPerSecond float64 `toml:"probes_per_second" json:"probes_per_second,omitempty"`
+	// ProbeFreshness is how old the report may be of the back end that would get the
+	// next request, while requests come: an older one is asked for by a probe. 0:
+	// only back ends that are silent or out for failing are probed.
+	ProbeFreshness Duration `toml:"probe_freshness" json:"probe_freshness,omitempty"`
+	// ProbesPerBackend is the budget for one back end and all daemons together; 0:
+	// none besides the service's. Only with ProbeFreshness.
+	ProbesPerBackend float64 `toml:"probes_per_backend" json:"probes_per_backend,omitempty"`
 	// ProbeCost is the slot time one probe takes; it is checked against the
 	// budget MaxProbeShare.
 	ProbeCost Duration `toml:"probe_cost" json:"probe_cost,omitempty"`
--- a/config/validate.go
+++ b/config/validate.go
@@ -203,6 +203,8 @@
 	v.check(s.ProbePath == "" || strings.HasPrefix(s.ProbePath, "/"), object, "probe_path", s.ProbePath, "a path that begins with /")
 	checkRange(v, object, "probes_per_second", s.ProbesPerSecond, 0, MaxProbesPerSecond)
 	v.checkDuration(object, "probe_cost", s.ProbeCost, MaxProbeCost)
+	v.checkDuration(object, "probe_freshness", s.ProbeFreshness, MaxProbeCost)
+	checkRange(v, object, "probes_per_backend", s.ProbesPerBackend, 0, MaxProbesPerSecond)
 	v.check(s.ProbesPerSecond == 0 || s.ProbePath != "", object, "probe_path", s.ProbePath, "a path, as probes_per_second is above 0")
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,26 @@
 	return d.core.Group.ProbeTarget(time.Now(), silence)
 }
 
+// StaleTarget returns a back end that a probe should bring a fresher report of, and
+// false when there is none; see routing.Group. Refreshed or Unprobed is called next.
+func (d *Dispatcher) StaleTarget(freshness, interval time.Duration) (string, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Group.StaleTarget(time.Now(), freshness, interval)
+}
+
+// Refreshed takes in the report that a probe brought.
+func (d *Dispatcher) Refreshed(id string, report routing.Report) {
+	d.change(func() { d.core.Group.Refreshed(time.Now(), id, report) })
+}
+
+// Unprobed notes that a probe told nothing.
+func (d *Dispatcher) Unprobed(id string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.core.Group.Unprobed(id)
+}
+
 // Probed takes in the outcome of a probe; report is nil where the back end did
 // not report its load.
 func (d *Dispatcher) Probed(id string, well bool, report *routing.Report) {
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -11,10 +11,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/config"
@@ -39,9 +41,37 @@
 	mutex    sync.Mutex
 	runs     map[string]int // by request id
 	work     time.Duration
-	refuse   bool   // says Not-Executed
-	instance string // the id it goes by; another than its own: its address was reused
-	echo     string // answers with this request id; empty: the request's
+	refuse   bool          // says Not-Executed
+	instance string        // the id it goes by; another than its own: its address was reused
+	echo     string        // answers with this request id; empty: the request's
+	disturb  time.Duration // work takes disturbedTimes as long in every other span of this length
+	probes   []time.Time
+	silent   bool // health checks get no answer
+}
+
+// disturbedTimes is how much longer work takes that begins while a worker is disturbed.
+const disturbedTimes = 5
+
+// slowdown returns how much longer work takes now. The caller holds the mutex.
+func (w *worker) slowdown() int {
+	if w.disturb > 0 && (time.Now().UnixNano()/int64(w.disturb)+int64(w.id[len(w.id)-1]))%2 == 0 {
+		return disturbedTimes
+	}
+	return 1
+}
+
+// health answers a health check.
+func (w *worker) health(rw http.ResponseWriter) {
+	w.mutex.Lock()
+	w.probes = append(w.probes, time.Now())
+	silent, slowdown := w.silent, w.slowdown()
+	w.mutex.Unlock()
+	if silent {
+		time.Sleep(time.Minute)
+		return
+	}
+	rw.Header().Set("Instance-Id", w.id)
+	rw.Header().Set("Server-Load", fmt.Sprintf("0,0,3,%d", 100*slowdown))
 }
 
 func (w *worker) change(apply func()) {
@@ -51,9 +81,14 @@
 }
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.health(rw)
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	w.mutex.Lock()
-	work, refuse, echo := w.work, w.refuse, w.echo
+	slowdown := w.slowdown()
+	work, refuse, echo := w.work*time.Duration(slowdown), w.refuse, w.echo
 	misdirected := r.Header.Get("Expected-Instance") != w.instance
 	if !refuse && !misdirected {
 		w.runs[id]++
@@ -63,7 +98,7 @@
 		echo = id
 	}
 	rw.Header().Set("Request-Id", echo)
-	rw.Header().Set("Server-Load", "1,0,3,100")
+	rw.Header().Set("Server-Load", fmt.Sprintf("1,0,3,%d", 100*slowdown))
 	switch {
 	case misdirected:
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -98,7 +133,7 @@
 	workers      []*worker
 	servers      []*http.Server
 	client       *http.Client
-	last         int
+	last         atomic.Int64 // number of the last request
 }
 
 const daemons = 4
@@ -144,10 +179,11 @@
 	return listener.Addr().String()
 }
 
-// watchers and seedsTold are as on the users' platform.
+// What is as on the users' platform.
 const (
-	watchers  = 8
-	seedsTold = 3
+	probesPerBackend = 60
+	watchers         = 8
+	seedsTold        = 3
 )
 
 func (f *fleet) start(number int, store string) {
@@ -169,7 +205,7 @@
 	}
 	chosen.Provision()
 	require.NoError(f.t, chosen.Validate())
-	connected := platform.Connect(platform.Options{Network: f.net.Network(name), Address: "http://" + store, Connections: 8})
+	connected := platform.Connect(platform.Options{Network: f.net.Network(name), Address: "http://" + store, Connections: 8, ProbesPerBackend: probesPerBackend})
 	dialect := platform.Dialect()
 	running, err := daemon.Start(daemon.Options{
 		Settings: chosen, Network: f.net.Network(name), LogTo: os.Stderr,
@@ -216,7 +252,7 @@
 		}}
 	}
 	f.store.Set("config", "main", map[string]any{"version": 1, "resources": []resource{
-		route("safe"), route("unsafe"), {Kind: "services", Metadata: map[string]any{"name": "board"}, Spec: map[string]any{}},
+		route("safe"), route("unsafe"), {Kind: "services", Metadata: map[string]any{"name": "board"}, Spec: map[string]any{"healthPath": "/health"}},
 	}})
 }
 
@@ -230,7 +266,7 @@
 
 // send sends one request through a daemon.
 func (f *fleet) send(number int, path string) answer {
-	f.last++
+	id := "request-" + strconv.FormatInt(f.last.Add(1), 10)
 	method := http.MethodGet
 	if strings.Contains(path, "unsafe") {
 		method = http.MethodPost
@@ -239,7 +275,7 @@
 	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, nil)
 	require.NoError(f.t, err)
 	request.Host = "a.example"
-	request.Header.Set("Request-Id", "request-"+strconv.Itoa(f.last))
+	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "1500")
 	response, err := f.client.Do(request)
 	if err != nil {
@@ -259,7 +295,7 @@
 				require.NoError(t, got.err)
 				require.Equal(t, http.StatusOK, got.status)
 				require.Equal(t, path, got.body)
-				require.Equal(t, "request-"+strconv.Itoa(f.last), got.header.Get("Request-Id"))
+				require.Equal(t, "request-"+strconv.FormatInt(f.last.Load(), 10), got.header.Get("Request-Id"))
 				require.NotEmpty(t, got.header.Get("Server-Stamp"))
 			}
 		}
@@ -472,3 +508,72 @@
 		require.Equal(t, before+8, f.workers[0].total()+f.workers[1].total())
 	})
 }
+
+// load sends a request each interval for a while, through all daemons in turn, and
+// returns how long each took.
+func (f *fleet) load(path string, interval, length time.Duration) []time.Duration {
+	took := make([]time.Duration, int(length/interval))
+	var running sync.WaitGroup
+	for number := range took {
+		running.Go(func() {
+			begun := time.Now()
+			got := f.send(number%len(f.daemons), path)
+			assert.NoError(f.t, got.err)
+			assert.Equal(f.t, http.StatusOK, got.status)
+			took[number] = time.Since(begun)
+		})
+		time.Sleep(interval)
+	}
+	running.Wait()
+	return took
+}
+
+// TestProbesFindTheUndisturbed lets half of the workers be disturbed by turns, so that
+// what they told with their last answer is soon wrong. Without probes 400 of 1,000
+// requests meet a disturbed one; a few do at each turn in any case.
+func TestProbesFindTheUndisturbed(t *testing.T) {
+	run(t, 4, func(f *fleet) {
+		for _, one := range f.workers {
+			one.change(func() { one.disturb = 150 * time.Millisecond })
+		}
+		f.load("/one/unsafe/", 30*time.Millisecond, 15*time.Second) // until the budget is granted
+		slow := 0
+		took := f.load("/one/unsafe/", 30*time.Millisecond, 30*time.Second)
+		for _, one := range took {
+			if one > 2*f.workers[0].work {
+				slow++
+			}
+		}
+		require.Less(t, slow, len(took)/4, "of %d requests", len(took))
+	})
+}
+
+// TestProbesStayInTheBudget counts the probes that workers get from all daemons
+// together, while the daemon that probes dies, others take over, and a worker does not
+// answer probes.
+func TestProbesStayInTheBudget(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.load("/one/safe/", 30*time.Millisecond, 20*time.Second)
+		f.workers[0].change(func() { f.workers[0].silent = true })
+		f.load("/one/safe/", 30*time.Millisecond, 5*time.Second)
+		for len(f.daemons) > 1 {
+			f.daemons[0].Kill()
+			f.daemons = f.daemons[1:]
+			time.Sleep(5 * time.Second) // its connections are given up
+			f.load("/one/safe/", 30*time.Millisecond, 25*time.Second)
+		}
+		total := 0
+		for _, one := range f.workers {
+			one.change(func() {
+				total += len(one.probes)
+				for first, last := 0, 0; last < len(one.probes); last++ {
+					for one.probes[last].Sub(one.probes[first]) >= time.Second {
+						first++
+					}
+					require.LessOrEqual(f.t, last-first+1, probesPerBackend, one.id)
+				}
+			})
+		}
+		require.Greater(f.t, total, 500, "hardly any probe was made")
+	})
+}
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -116,7 +116,7 @@
 	chosen := built.Settings.Platform
 	connected := platform.Connect(platform.Options{
 		Address: chosen.Address, Direct: chosen.Direct, Connections: chosen.Connections,
-		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst, Log: slog.New(slog.NewTextHandler(os.Stderr, nil)),
+		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst, ProbesPerBackend: chosen.ProbesPerBackend, Log: slog.New(slog.NewTextHandler(os.Stderr, nil)),
 	})
 	dialect := platform.Dialect()
 	built.Store, built.Machines, built.Sources, built.Dialect = connected, connected, connected.Sources(), &dialect
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -11,14 +11,17 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/lease"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/objectstore"
@@ -49,6 +52,11 @@
 	return true
 }
 
+// Ready says whether Spend would find a probe.
+func (b *Budget) Ready(now time.Time) bool {
+	return !now.Before(b.next)
+}
+
 func interval(perSecond float64) time.Duration {
 	if perSecond <= 0 {
 		return time.Duration(1<<62 - 1)
@@ -67,6 +75,14 @@
 	// probeTimeout bounds one probe.
 	probeTimeout = 500 * time.Millisecond
 	storeTimeout = 2 * time.Second
+	// freshTick is how often the prober looks whether a report is too old.
+	freshTick = 5 * time.Millisecond
+	// refreshTimeout bounds a probe for a fresher report; what comes later is old.
+	refreshTimeout = 100 * time.Millisecond
+	// maxOutstanding bounds such probes of one service that are under way.
+	maxOutstanding = 4
+	// maxProbeBody bounds what is read of the answer to a probe.
+	maxProbeBody = 4 << 10
 )
 
 // Options are a Prober's collaborators.
@@ -98,9 +114,10 @@
 	budget     Budget
 	held       bool
 	maintained time.Time
-	// outstanding: a probe is under way. The next one waits for its end, so that
-	// a network that stalls cannot gather several.
-	outstanding atomic.Bool
+	// outstanding probes are under way. Others wait for their end, so that a network
+	// that stalls cannot gather many; those for fresher reports go to different
+	// back ends.
+	outstanding atomic.Int32
 }
 
 // NewProber returns a prober.
@@ -117,13 +134,11 @@
 		pause := restTick
 		for name, running := range p.options.Services.All() {
 			declared := running.Target().Service
-			if declared.ProbesPerSecond <= 0 {
+			if declared.ProbesPerSecond <= 0 || !p.options.Dispatches(name) {
 				continue
 			}
-			pause = tick
-			if p.options.Dispatches(name) {
-				p.consider(ctx, name, running, declared.ProbesPerSecond, declared.ProbePath)
-			}
+			pause = min(pause, tickOf(declared))
+			p.consider(ctx, name, running, declared)
 		}
 		if !wait.Sleep(ctx, pause) {
 			return
@@ -131,33 +146,95 @@
 	}
 }
 
+// tickOf is how often the prober looks whether a probe is wanted.
+func tickOf(declared config.Service) time.Duration {
+	if declared.ProbeFreshness > 0 {
+		return freshTick
+	}
+	return tick
+}
+
 // consider probes one back end of a service if that is wanted and allowed.
-func (p *Prober) consider(ctx context.Context, name string, running *service.Service, perSecond float64, path string) {
+func (p *Prober) consider(ctx context.Context, name string, running *service.Service, declared config.Service) {
 	now := time.Now()
+	d := p.duty(name)
+	if declared.ProbeFreshness > 0 {
+		p.refresh(ctx, d, now, name, running, declared)
+		return
+	}
 	target, wanted := running.Dispatcher.ProbeTarget(silence)
+	if !wanted || !p.allowed(ctx, d, now, declared.ProbesPerSecond) {
+		return
+	}
+	client := running.ProbeClient(target)
+	if client == nil || d.outstanding.Load() > 0 || !d.budget.Spend(time.Now(), declared.ProbesPerSecond) {
+		return
+	}
+	p.launch(ctx, d, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		report, well, err := p.ask(ctx, client, declared.ProbePath)
+		if err != nil {
+			p.log.Debug("probe failed", "service", name, "backend", target, "error", err)
+		}
+		running.Dispatcher.Probed(target, err == nil && well, report)
+	})
+}
+
+// refresh asks for fresher reports of the back ends that would get the next requests.
+func (p *Prober) refresh(ctx context.Context, d *duty, now time.Time, name string, running *service.Service, declared config.Service) {
+	if d.outstanding.Load() >= maxOutstanding || !p.allowed(ctx, d, now, declared.ProbesPerSecond) || !d.budget.Ready(now) {
+		return
+	}
+	spacing := time.Duration(0)
+	if declared.ProbesPerBackend > 0 {
+		spacing = interval(declared.ProbesPerBackend)
+	}
+	target, wanted := running.Dispatcher.StaleTarget(time.Duration(declared.ProbeFreshness), spacing)
 	if !wanted {
 		return
 	}
-	d := p.duty(name)
+	client := running.ProbeClient(target)
+	if client == nil || !d.budget.Spend(time.Now(), declared.ProbesPerSecond) {
+		running.Dispatcher.Unprobed(target)
+		return
+	}
+	p.launch(ctx, d, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+		defer cancel()
+		report, _, err := p.ask(ctx, client, declared.ProbePath)
+		if err != nil || report == nil {
+			p.log.Debug("no fresher report", "service", name, "backend", target, "error", err)
+			running.Dispatcher.Unprobed(target)
+			return
+		}
+		running.Dispatcher.Refreshed(target, *report)
+	})
+}
+
+// allowed says whether this daemon has the right to a service's budget now, and keeps
+// it up.
+func (p *Prober) allowed(ctx context.Context, d *duty, now time.Time, perSecond float64) bool {
 	p.maintain(ctx, d, now, perSecond)
 	if !d.lease.Valid() {
 		d.held = false
 		p.skipped.Inc(1)
-		return
-	}
-	client := running.ProbeClient(target)
-	if client == nil || d.outstanding.Load() || !d.budget.Spend(time.Now(), perSecond) {
-		return
+		return false
 	}
+	return true
+}
+
+// launch makes one probe beside the others.
+func (p *Prober) launch(ctx context.Context, d *duty, probe func(ctx context.Context)) {
 	p.probes.Inc(1)
-	d.outstanding.Store(true)
+	d.outstanding.Add(1)
 	// The lease ends the probe too: a daemon paused between the check and the
 	// sending sends nothing when it wakes.
 	probeCtx, cancel := context.WithDeadline(ctx, d.lease.Until())
 	go func() {
-		defer d.outstanding.Store(false)
+		defer d.outstanding.Add(-1)
 		defer cancel()
-		p.probe(probeCtx, name, running, client, target, path)
+		probe(probeCtx)
 	}()
 }
 
@@ -188,29 +265,25 @@
 	}
 }
 
-// probe asks one back end and tells the dispatcher what came of it.
-func (p *Prober) probe(ctx context.Context, name string, running *service.Service, client *backend.Client, target, path string) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+// ask probes one back end. well says whether it takes itself for well; the report is
+// nil where it told none.
+func (p *Prober) ask(ctx context.Context, client *backend.Client, path string) (report *routing.Report, well bool, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
 	if err != nil {
-		p.log.Error("probe not made", "service", name, "error", err)
-		return
+		return nil, false, errors.Annotate(err, "probe")
 	}
-	request.Header = make(http.Header)
-	begun := time.Now()
+	request.Header = http.Header{"User-Agent": nil} // nil: none is sent
 	response, err := client.Do(ctx, request)
 	if err != nil {
-		running.Dispatcher.Probed(target, false, nil)
-		p.log.Debug("probe failed", "service", name, "backend", target, "error", err)
-		return
+		return nil, false, err
 	}
 	defer response.Body.Close()
-	well := response.StatusCode < http.StatusInternalServerError
-	var load *routing.Report
-	if report, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
-		load = new(routing.Report(report))
+	// What is read to its end leaves the connection to the next probe.
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBody)); err != nil {
+		return nil, false, errors.Annotate(err, "probe")
+	}
+	if told, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
+		report = new(routing.Report(told))
 	}
-	running.Dispatcher.Probed(target, well, load)
-	p.log.Debug("probed", "service", name, "backend", target, "well", well, "took", time.Since(begun))
+	return report, response.StatusCode < http.StatusInternalServerError, nil
 }
--- a/routing/group.go
+++ b/routing/group.go
@@ -37,6 +37,10 @@
 	byID    map[string]*State
 	scratch []*State
 	knee    knee
+	// probeCredit is how many probes for fresher reports the last requests earned,
+	// and zones are those that requests came from.
+	probeCredit float64
+	zones       []string
 }
 
 // NewGroup returns a group without back ends.
@@ -149,6 +153,7 @@
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
+	g.earnProbes(request.Zone)
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Zone: request.Zone, Candidates: free})]
 	g.sent(chosen, now)
 	return g.result(chosen, ReasonLoad, len(free), now), true
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -45,3 +45,73 @@
 		g.Report(state, *report, false, now)
 	}
 }
+
+// probesPerPick is how many probes a request earns: the back ends that it could have
+// gone to are asked, and not those that nobody will choose.
+const probesPerPick = 3
+
+// probeCredit is how many probes can be earned in advance.
+const probeCredit = 10
+
+// earnProbes notes a request that a back end was chosen for.
+func (g *Group) earnProbes(zone string) {
+	g.probeCredit = min(g.probeCredit+probesPerPick, probeCredit)
+	if !contains(g.zones, zone) {
+		g.zones = append(g.zones, zone)
+	}
+}
+
+// StaleTarget returns a back end that would get the next request of some zone, if its
+// report is older than freshness. It is not returned again before interval has
+// passed, nor before Probed or Unprobed was called for it.
+func (g *Group) StaleTarget(now time.Time, freshness, interval time.Duration) (string, bool) {
+	if g.probeCredit < 1 {
+		return "", false
+	}
+	for range g.zones {
+		// Zones take turns.
+		zone := g.zones[0]
+		g.zones = append(g.zones[1:], zone)
+		best := g.best(now, zone)
+		if best == nil || best.probing || now.Sub(best.probedAt) < interval || (!best.reportAt.IsZero() && now.Sub(best.reportAt) < freshness) {
+			continue
+		}
+		g.probeCredit--
+		best.probing, best.probedAt = true, now
+		return best.ID, true
+	}
+	return "", false
+}
+
+// best returns the back end that a request of a zone would get now, nil where all
+// are full.
+func (g *Group) best(now time.Time, zone string) *State {
+	var best *State
+	var least float64
+	for _, state := range g.states {
+		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state, false) {
+			continue
+		}
+		if score := state.score(now, zone); best == nil || score < least {
+			best, least = state, score
+		}
+	}
+	return best
+}
+
+// Unprobed notes that a probe of a back end told nothing.
+func (g *Group) Unprobed(id string) {
+	if state, known := g.byID[id]; known {
+		state.probing = false
+	}
+}
+
+// Refreshed takes in the report that a probe for a fresher one brought.
+func (g *Group) Refreshed(now time.Time, id string, report Report) {
+	state, known := g.byID[id]
+	if !known {
+		return
+	}
+	state.probing = false
+	g.Report(state, report, false, now)
+}
--- /dev/null
+++ b/routing/probe_test.go
@@ -0,0 +1,93 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	freshness = 25 * time.Millisecond
+	spacing   = 20 * time.Millisecond
+)
+
+// TestStaleTargetIsTheNextChoice asks for a report of the back end that the next
+// request would go to, while it is old, and of no other.
+func TestStaleTargetIsTheNextChoice(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Zone: "here", Slots: 3, Window: 3}, Backend{ID: "b", Zone: "there", Slots: 3, Window: 3})
+	for _, id := range []string{"a", "b"} {
+		group.Report(group.byID[id], Report{Slowdown: 1}, false, start)
+	}
+	_, wanted := group.StaleTarget(start.Add(time.Second), freshness, spacing)
+	require.False(t, wanted, "no requests come")
+	picked := pick(t, group, start, "here")
+	group.Finished(picked, start, Canceled, 0)
+
+	_, wanted = group.StaleTarget(start.Add(freshness-1), freshness, spacing)
+	require.False(t, wanted, "the report is fresh")
+	later := start.Add(freshness)
+	target, wanted := group.StaleTarget(later, freshness, spacing)
+	require.True(t, wanted)
+	require.Equal(t, "a", target)
+	_, wanted = group.StaleTarget(later.Add(time.Second), freshness, spacing)
+	require.False(t, wanted, "a probe is under way")
+
+	group.Refreshed(later, "a", Report{Slowdown: 5})
+	target, wanted = group.StaleTarget(later, freshness, spacing)
+	require.True(t, wanted)
+	require.Equal(t, "b", target, "the disturbed one is not the next choice")
+	group.Unprobed("b")
+	_, wanted = group.StaleTarget(later.Add(spacing-1), freshness, spacing)
+	require.False(t, wanted, "it was probed just now")
+}
+
+// TestProbesAreEarnedAndSpaced lets requests come and probes end in any order: there
+// are never more probes than requests earn, nor two of a back end within the spacing.
+func TestProbesAreEarnedAndSpaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 3}, Backend{ID: "b", Slots: 3, Window: 3}, Backend{ID: "c", Slots: 3, Window: 3})
+		now, picks, probes := start, 0, 0
+		last := make(map[string]time.Time)
+		underWay := make(map[string]bool)
+		ids := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				picked, ok := group.Pick(now, Request{Zone: rapid.SampledFrom([]string{"here", "there"}).Draw(t, "zone")})
+				if !ok {
+					return
+				}
+				picks++
+				group.Finished(picked, now, Canceled, 0)
+			},
+			"probe": func(t *rapid.T) {
+				target, wanted := group.StaleTarget(now, freshness, spacing)
+				if !wanted {
+					return
+				}
+				probes++
+				require.False(t, underWay[target])
+				if before, probed := last[target]; probed {
+					require.GreaterOrEqual(t, now.Sub(before), spacing)
+				}
+				last[target], underWay[target] = now, true
+			},
+			"probe ends": func(t *rapid.T) {
+				id := ids.Draw(t, "back end")
+				underWay[id] = false
+				if rapid.Bool().Draw(t, "told") {
+					group.Refreshed(now, id, Report{Slowdown: rapid.Float64Range(0.5, 6).Draw(t, "slowdown")})
+					return
+				}
+				group.Unprobed(id)
+			},
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				require.LessOrEqual(t, probes, probesPerPick*picks)
+			},
+		})
+	})
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -50,6 +50,8 @@
 	heard    time.Time // of the last answer or probe
 	window   float64   // most requests of this daemon at the back end
 	slowdown slowdown
+	probing  bool // a probe for a fresher report is under way
+	probedAt time.Time
 	// quietSince is since when the back end holds requests and has answered
 	// none; zero: it holds none.
 	quietSince time.Time
--- a/service/service.go
+++ b/service/service.go
@@ -60,6 +60,8 @@
 	requests map[string]*backend.Client
 	// probes open a connection for each probe: one that is written to a kept
 	// connection while the network stalls would arrive later, together with others.
+	// Where probes bring fresher reports, connections are kept: each back end has
+	// at most one such probe under way.
 	probes map[string]*backend.Client
 }
 
@@ -87,7 +89,8 @@
 		declared[one.ID] = one
 		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo, IdleTimeout: time.Duration(target.Service.IdleTimeout)}
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
-		options.NoReuse, options.Echo = true, ""
+		options.NoReuse, options.Echo = target.Service.ProbeFreshness == 0, ""
+		options.Connections = probeConnections
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
 		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one), Warm: one.Warm})
 	}
@@ -101,6 +104,9 @@
 	}
 }
 
+// probeConnections bounds the connections to one back end for probes.
+const probeConnections = 2
+
 // window is the bound that the service sets on requests at a back end; 0: none.
 func window(declared config.Service, one config.Backend) int {
 	if declared.MaxLoad == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,6 +81,9 @@
 	// RetryBurst is how many more than that they may send in a short time; 0:
 	// the default of retry.Budget for each daemon.
 	RetryBurst float64 `toml:"retry_burst"`
+	// ProbesPerBackend is what the platform lets all daemons together send to a back
+	// end in a second; 0: no probes.
+	ProbesPerBackend float64 `toml:"probes_per_backend"`
 	// Connections bounds one daemon's connections to a back end that the
 	// platform lists; 0: config.DefaultConnections.
 	Connections int `toml:"connections"`
@@ -227,6 +230,7 @@
 	check(within(s.Platform.MaxBackoff, maxTimeout), "platform.max_backoff", time.Duration(s.Platform.MaxBackoff), "10µs to 1m, with a unit")
 	check(s.Platform.WatchInterval == 0 || within(s.Platform.WatchInterval, maxTimeout), "platform.watch_interval", time.Duration(s.Platform.WatchInterval), "0 or 10µs to 1m, with a unit")
 	check(s.Platform.WatchGap == 0 || within(s.Platform.WatchGap, maxTimeout), "platform.watch_gap", time.Duration(s.Platform.WatchGap), "0 or 10µs to 1m, with a unit")
+	check(s.Platform.ProbesPerBackend >= 0 && s.Platform.ProbesPerBackend <= config.MaxProbesPerSecond, "platform.probes_per_backend", s.Platform.ProbesPerBackend, fmt.Sprintf("0 to %d", config.MaxProbesPerSecond))
 	check(s.Platform.RetryRatio >= 0 && s.Platform.RetryRatio <= config.MaxRetryRatio, "platform.retry_ratio", s.Platform.RetryRatio, "0 to 1")
 	check(s.Platform.RetryBurst >= 0 && s.Platform.RetryBurst <= config.MaxRetryBurst, "platform.retry_burst", s.Platform.RetryBurst, "0 to 100000")
 	check(s.Platform.Connections >= 1 && s.Platform.Connections <= config.MaxConnections, "platform.connections", s.Platform.Connections, "1 to 10000")
