--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -129,10 +129,14 @@
 	a.run(ctx)
 }
 
+// notConfiguredRetryAfter is when a caller may come back to a daemon that has just
+// started.
+const notConfiguredRetryAfter = 250 * time.Millisecond
+
 // admit finds the request's service and reads what it asks for.
 func (h *Handler) admit(r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
 	if h.options.Services.Snapshot() == nil {
-		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "no configuration has been read yet", RetryAfter: time.Second}
+		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "no configuration has been read yet", RetryAfter: notConfiguredRetryAfter}
 	}
 	route, ok := h.options.Services.Match(r.Host, r.URL.Path)
 	if !ok {
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -91,7 +91,7 @@
 	if chosen.LogFormat != "" {
 		built.Settings.Log.Format = chosen.LogFormat
 	}
-	built.LogTo = os.Stderr
+	built.LogTo = os.Stdout
 	return built, errors.Annotate(built.Settings.Validate(), "flags")
 }
 
@@ -116,7 +116,7 @@
 	chosen := built.Settings.Platform
 	connected := platform.Connect(platform.Options{
 		Address: chosen.Address, Direct: chosen.Direct, Connections: chosen.Connections,
-		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst, ProbesPerBackend: chosen.ProbesPerBackend, Log: slog.New(slog.NewTextHandler(os.Stderr, nil)),
+		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst, ProbesPerBackend: chosen.ProbesPerBackend, Log: slog.New(slog.NewTextHandler(os.Stdout, nil)),
 	})
 	dialect := platform.Dialect()
 	built.Store, built.Machines, built.Sources, built.Dialect = connected, connected, connected.Sources(), &dialect
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -71,7 +71,7 @@
 
 // New returns a logger that writes to w.
 func New(w io.Writer, options Options) *slog.Logger {
-	handlerOptions := &slog.HandlerOptions{Level: options.Level}
+	handlerOptions := &slog.HandlerOptions{Level: options.Level, ReplaceAttr: plainErrors}
 	var handler slog.Handler = slog.NewTextHandler(w, handlerOptions)
 	if options.JSON {
 		handler = slog.NewJSONHandler(w, handlerOptions)
@@ -79,6 +79,15 @@
 	return slog.New(handler).With("daemon", options.Daemon)
 }
 
+// plainErrors logs an error by its text. Handlers would print where it was made as
+// well, which takes several lines.
+func plainErrors(_ []string, attribute slog.Attr) slog.Attr {
+	if err, ok := attribute.Value.Any().(error); ok {
+		attribute.Value = slog.StringValue(err.Error())
+	}
+	return attribute
+}
+
 // Part returns a logger whose messages begin with the part's name.
 func Part(logger *slog.Logger, part string) *slog.Logger {
 	return slog.New(&prefixHandler{next: logger.Handler(), prefix: part + ": "})
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,40 @@
+package logging_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/logging"
+)
+
+// TestErrorsAreLoggedByTheirText keeps an error to its text, on one line.
+func TestErrorsAreLoggedByTheirText(t *testing.T) {
+	for _, json := range []bool{false, true} {
+		var written bytes.Buffer
+		logger := logging.New(&written, logging.Options{JSON: json, Daemon: "edge-1"})
+		logging.Part(logger, "store").Warn("call failed", "error", errors.Annotate(errors.New("refused"), "reading"))
+		require.Contains(t, written.String(), "reading: refused")
+		require.NotContains(t, written.String(), "logging_test.go")
+		require.Equal(t, 1, bytes.Count(written.Bytes(), []byte("\n")))
+	}
+}
+
+// TestStuckTargetHoldsNobodyUp logs to a pipe that nobody reads: lines are dropped,
+// and writing does not block.
+func TestStuckTargetHoldsNobodyUp(t *testing.T) {
+	reader, target := io.Pipe()
+	writer := logging.NewWriter(target)
+	logger := logging.New(writer, logging.Options{Daemon: "edge-1"})
+	begun := time.Now()
+	for range 20000 {
+		logger.Info("line")
+	}
+	require.Less(t, time.Since(begun), 5*time.Second)
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	writer.Close()
+}
