--- a/service/acquire_test.go
+++ b/service/acquire_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,7 +39,7 @@
 
 // attempt asks for a place and gives it back at once, and says whether there was one.
 func attempt(t require.TestingT, running *service.Service, as service.Giver, kind retry.Kind) bool {
-	grant, err := running.Acquire(nil, as, kind, dispatch.Request{Weight: 1, Deadline: time.Now().Add(time.Minute)})
+	grant, err := running.Acquire(context.Background(), as, kind, dispatch.Request{Weight: 1, Deadline: time.Now().Add(time.Minute)})
 	if errors.Is(err, service.ErrOverBudget) {
 		return false
 	}
