--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -23,7 +23,6 @@
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/service"
-	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Timing and bounds.
@@ -260,95 +259,6 @@
 	running.Wait()
 }
 
-// start reads the first configuration: from the sources, or, when one is down,
-// the newest that the peers have. It ends once requests can be served, also when
-// others brought what it takes.
-func (f *Follower) start(ctx context.Context) {
-	backoff := firstBackoff
-	if f.options.FirstStart {
-		f.awaitFirst(ctx)
-	}
-	for ctx.Err() == nil && !f.isServing() {
-		err := f.readSources(ctx)
-		if err == nil {
-			return
-		}
-		if errors.Is(err, errors.NotFound) {
-			f.log.Info("nothing declared yet")
-			f.awaitFirst(ctx)
-			continue
-		}
-		f.log.Warn("store not read at the start, asking peers", "error", err)
-		if f.askPeers(ctx) {
-			return
-		}
-		backoff = f.pause(ctx, backoff)
-	}
-}
-
-func (f *Follower) readSources(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
-	defer cancel()
-	for _, source := range f.options.Sources {
-		document, err := source.Read(ctx)
-		if err != nil {
-			return err
-		}
-		if err := f.Offer(document, fromPlatform); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// awaitFirst waits for the first declaration. Daemons that are chosen to watch the
-// store do so; the others wait to be told.
-func (f *Follower) awaitFirst(ctx context.Context) {
-	wait.Sleep(ctx, acquaintance)
-	end := time.Now().Add(firstDeclaration)
-	for !f.isServing() && ctx.Err() == nil && time.Now().Before(end) {
-		if !f.chosen() {
-			wait.Sleep(ctx, firstBackoff)
-			continue
-		}
-		// The first source is the one that operators declare by. An error comes
-		// again with the next reading.
-		document, err := f.options.Sources[0].Watch(ctx, config.Document{}, time.Until(end))
-		if err != nil || f.Offer(document, fromPlatform) != nil || f.Revision() > 0 {
-			return
-		}
-	}
-}
-
-// askPeers puts the newest document of a few peers in force and says whether
-// any had one.
-func (f *Follower) askPeers(ctx context.Context) bool {
-	seeds := f.options.Seeds(ctx)
-	f.randomMu.Lock()
-	f.options.Random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	f.randomMu.Unlock()
-	var newest config.Document
-	answered := 0
-	for _, address := range seeds {
-		document, err := f.peers.FetchDocument(ctx, address, config.Document{})
-		if err != nil {
-			continue
-		}
-		newest, _ = newest.Newest(document)
-		if answered++; answered >= startPeers {
-			break
-		}
-	}
-	if newest.Position() == (config.Position{}) {
-		return false
-	}
-	if err := f.Offer(newest, "peers"); err != nil {
-		f.log.Error("configuration of the peers not usable", "error", err)
-		return false
-	}
-	return true
-}
-
 // fetchLoop asks members that have a higher revision for what is lacking.
 func (f *Follower) fetchLoop(ctx context.Context) {
 	for {
--- /dev/null
+++ b/lab/objectstub/news_test.go
@@ -0,0 +1,131 @@
+package objectstub_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/lab/objectstub"
+)
+
+// awaitRoute returns how long it takes until every daemon serves a route.
+func (f *fleet) awaitRoute(path string) time.Duration {
+	begun := time.Now()
+	for number := range daemons {
+		for f.send(number, path).status != http.StatusOK {
+			if time.Since(begun) > time.Minute {
+				f.t.Fatalf("daemon %d never served %s", number, path)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// TestConfigurationInForce puts a new configuration in force everywhere, also when
+// every watch is deaf and the store drops its history.
+func TestConfigurationInForce(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.configure("/two/")
+		require.Less(t, f.awaitRoute("/two/safe/"), 200*time.Millisecond)
+		f.store.SetFaults(objectstub.Faults{Deaf: true})
+		f.configure("/three/")
+		f.store.Compact()
+		require.Less(t, f.awaitRoute("/three/safe/"), 2*time.Second)
+		f.store.SetFaults(objectstub.Faults{})
+		require.Equal(t, http.StatusNotFound, f.send(0, "/two/safe/").status)
+	})
+}
+
+// inForce returns how long it takes until every daemon has a revision of the
+// configuration or of the directory.
+func (f *fleet) inForce(revision uint64) time.Duration {
+	begun := time.Now()
+	for _, one := range f.daemons {
+		for {
+			position := one.Document().Position()
+			if uint64(max(position.Revision, position.Directory)) >= revision {
+				break
+			}
+			if time.Since(begun) > time.Minute {
+				f.t.Fatalf("revision %d never reached all", revision)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// TestNewsReachesAll changes configuration and directory at a fleet in which only a
+// few daemons watch the store: all others hear of each change soon, none is missed.
+func TestNewsReachesAll(t *testing.T) {
+	runFleet(t, 60, 3, func(f *fleet) {
+		for number := range 30 {
+			time.Sleep(2 * time.Second)
+			f.configure(fmt.Sprintf("/change-%d/", number))
+			require.Less(t, f.inForce(f.store.Revision()), 250*time.Millisecond)
+			time.Sleep(2 * time.Second)
+			f.announce(f.workers[0], []string{"draining", "ready"}[number%2])
+			require.Less(t, f.inForce(f.store.Revision()), 250*time.Millisecond)
+		}
+	})
+}
+
+// TestNewsWithoutTellers changes the configuration while daemons that watch the
+// store are dead and not yet known to be: the others make up for them.
+func TestNewsWithoutTellers(t *testing.T) {
+	runFleet(t, 40, 1, func(f *fleet) {
+		killed := 0
+		var alive []*daemon.Daemon
+		for _, one := range f.daemons {
+			if killed < watchers/2 && one.Status(f.t.Context()).Watching {
+				one.Kill()
+				killed++
+				continue
+			}
+			alive = append(alive, one)
+		}
+		require.Equal(t, watchers/2, killed)
+		f.daemons = alive
+		f.configure("/change/")
+		require.Less(t, f.inForce(f.store.Revision()), 2*time.Second)
+	})
+}
+
+// TestKnownSoonAfterAllStart loses all daemons at once: those that start in their
+// place soon know each other, so that they agree on who gives out places.
+func TestKnownSoonAfterAllStart(t *testing.T) {
+	const size = 60
+	runFleet(t, size, 1, func(f *fleet) {
+		for _, one := range f.daemons {
+			one.Kill()
+		}
+		f.daemons = nil
+		for number := range size {
+			f.start(size+number, f.storeAddress)
+		}
+		begun := time.Now()
+		for _, one := range f.daemons {
+			for one.KnownMembers() < size {
+				require.Less(f.t, time.Since(begun), time.Minute)
+				time.Sleep(time.Millisecond)
+			}
+		}
+		require.Less(f.t, time.Since(begun), 1200*time.Millisecond)
+	})
+}
+
+// TestStoreDownAtStart lets a daemon start while the store is down: it learns
+// routes and back ends from the others.
+func TestStoreDownAtStart(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.store.SetFaults(objectstub.Faults{Down: true})
+		f.start(daemons, "127.0.0.1:1")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, http.StatusOK, f.send(daemons, "/one/safe/").status)
+	})
+}
--- /dev/null
+++ b/lab/objectstub/worker_test.go
@@ -0,0 +1,97 @@
+package objectstub_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// worker is a stand-in for one of the users' workers.
+type worker struct {
+	id      string
+	address string
+
+	mutex    sync.Mutex
+	runs     map[string]int // by request id
+	work     time.Duration
+	refuse   bool          // says Not-Executed
+	instance string        // the id it goes by; another than its own: its address was reused
+	echo     string        // answers with this request id; empty: the request's
+	disturb  time.Duration // work takes disturbedTimes as long in every other span of this length
+	probes   []time.Time
+	silent   bool // health checks get no answer
+}
+
+// disturbedTimes is how much longer work takes that begins while a worker is disturbed.
+const disturbedTimes = 5
+
+// slowdown returns how much longer work takes now. The caller holds the mutex.
+func (w *worker) slowdown() int {
+	if w.disturb > 0 && (time.Now().UnixNano()/int64(w.disturb)+int64(w.id[len(w.id)-1]))%2 == 0 {
+		return disturbedTimes
+	}
+	return 1
+}
+
+// health answers a health check.
+func (w *worker) health(rw http.ResponseWriter) {
+	w.mutex.Lock()
+	w.probes = append(w.probes, time.Now())
+	silent, slowdown := w.silent, w.slowdown()
+	w.mutex.Unlock()
+	if silent {
+		time.Sleep(time.Minute)
+		return
+	}
+	rw.Header().Set("Instance-Id", w.id)
+	rw.Header().Set("Server-Load", fmt.Sprintf("0,0,3,%d", 100*slowdown))
+}
+
+func (w *worker) change(apply func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	apply()
+}
+
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.health(rw)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.mutex.Lock()
+	slowdown := w.slowdown()
+	work, refuse, echo := w.work*time.Duration(slowdown), w.refuse, w.echo
+	misdirected := r.Header.Get("Expected-Instance") != w.instance
+	if !refuse && !misdirected {
+		w.runs[id]++
+	}
+	w.mutex.Unlock()
+	if echo == "" {
+		echo = id
+	}
+	rw.Header().Set("Request-Id", echo)
+	rw.Header().Set("Server-Load", fmt.Sprintf("1,0,3,%d", 100*slowdown))
+	switch {
+	case misdirected:
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	case refuse:
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		time.Sleep(work)
+		rw.Header().Set("Server-Stamp", w.id)
+		fmt.Fprint(rw, r.RequestURI)
+	}
+}
+
+func (w *worker) total() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	total := 0
+	for _, count := range w.runs {
+		total += count
+	}
+	return total
+}
--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
+)
+
+// period is one heartbeat.
+func (n *Node) period(ctx context.Context) {
+	var target membership.Member
+	var found bool
+	var dead []membership.Member
+	n.change(func(now time.Time) {
+		dead = n.state.Tick(now)
+		target, found = n.state.Next()
+	})
+	for _, member := range dead {
+		n.log.Warn("member dead", "member", member.Name, "zone", member.Zone)
+	}
+	if !found {
+		n.join(ctx)
+		return
+	}
+	go n.exchangeOrSuspect(ctx, target)
+}
+
+func (n *Node) exchangeOrSuspect(ctx context.Context, target membership.Member) {
+	err := n.exchange(ctx, target)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	if n.reachedByOthers(ctx, target) {
+		return
+	}
+	n.log.Info("member suspected", "member", target.Name, "zone", target.Zone, "error", err)
+	n.Suspect(target.Name)
+}
+
+// tellSome exchanges news with fanout members at once.
+func (n *Node) tellSome(ctx context.Context) {
+	n.mutex.Lock()
+	targets := n.state.Sample(fanout, "")
+	n.mutex.Unlock()
+	var waiting sync.WaitGroup
+	for _, target := range targets {
+		waiting.Go(func() {
+			if err := n.exchange(ctx, target); err != nil {
+				n.log.Debug("news not delivered", "member", target.Name, "error", err)
+			}
+		})
+	}
+	waiting.Wait()
+}
+
+// reachedByOthers asks other members whether they reach the target.
+func (n *Node) reachedByOthers(ctx context.Context, target membership.Member) bool {
+	n.mutex.Lock()
+	helpers := n.state.Sample(relays, target.Name)
+	n.mutex.Unlock()
+	for _, helper := range helpers {
+		reached := false
+		err := n.call(ctx, purposeReach, helper.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+			reply, err := client.Ping(ctx, &peerpb.PingRequest{Name: target.Name, Address: target.PeerAddress})
+			reached = err == nil && reply.Reached
+			return err
+		})
+		if err == nil && reached {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange tells a member what is new and takes in what it tells.
+func (n *Node) exchange(ctx context.Context, target membership.Member) error {
+	position := n.options.Configuration.Position()
+	n.mutex.Lock()
+	request := &peerpb.ExchangeRequest{
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
+	}
+	n.mutex.Unlock()
+	return n.call(ctx, purposeExchange, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Exchange(ctx, request)
+		if err != nil {
+			return err
+		}
+		n.take(ctx, reply)
+		return nil
+	})
+}
+
+// told is what either side of an exchange tells.
+type told interface {
+	GetSender() *peerpb.Member
+	GetRevision() uint64
+	GetDirectory() uint64
+	GetUpdates() []*peerpb.Member
+	GetDrains() []*peerpb.Drain
+	GetDigest() uint64
+}
+
+// take takes in one side of an exchange.
+func (n *Node) take(ctx context.Context, message told) {
+	from := decodeMember(message.GetSender())
+	var news []Drain
+	sync := false
+	n.change(func(now time.Time) {
+		n.state.Merge(now, decodeMembers(message.GetUpdates()))
+		n.state.Heard(now, from)
+		news = n.drains.take(message.GetDrains())
+		sync = n.state.SyncDue(now, message.GetDigest())
+	})
+	for _, drain := range news {
+		n.options.OnDrain(drain)
+	}
+	if len(news) > 0 {
+		n.spreadSoon()
+	}
+	theirs := config.Position{Revision: config.Revision(message.GetRevision()), Directory: config.Revision(message.GetDirectory())}
+	if n.options.Configuration.Position().Behind(theirs) {
+		n.options.Configuration.Behind(from, theirs)
+	}
+	if sync {
+		n.syncs.Go(func() { n.sync(ctx, from) })
+	}
+}
