A hedge that is refused does not hide that the first attempt may have run

Cause: of two attempts beside each other that both fail, the caller was told of the one that ended last. Had the first been broken off after it ran and the second been refused, that was 'not run', which was false.

Test: TestHedgeThatIsRefusedDoesNotHideARun, failed before.

--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -25,8 +25,9 @@
 // answer counts, the other exchange is broken off. One goroutine owns it.
 type race struct {
 	attempter *attempter
-	results   chan result // room for both
-	running   int         // exchanges whose result is still to come
+	results   chan result         // room for both
+	running   int                 // exchanges whose result is still to come
+	failure   *resultcode.Failure // of those that have failed; nil: none has
 	cancels   []context.CancelFunc
 	places    chan *place // room for the one that was asked for; nil where there is none
 	asking    bool
@@ -56,8 +57,9 @@
 				a.deliver(one.got)
 				return nil
 			}
+			r.failure = worse(r.failure, one.failure)
 			if r.running == 0 {
-				return one.failure
+				return r.failure
 			}
 		}
 	}
--- /dev/null
+++ b/frontend/hedge_test.go
@@ -0,0 +1,53 @@
+package frontend
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/policy"
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// TestHedgeThatIsRefusedDoesNotHideARun breaks off the first attempt, which has run,
+// and refuses the one beside it a little later: the caller is not told "not run".
+func TestHedgeThatIsRefusedDoesNotHideARun(t *testing.T) {
+	var arrivals atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/break" {
+			return
+		}
+		if arrivals.Add(1) == 1 {
+			time.Sleep(60 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(80 * time.Millisecond)
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	services := registryOf(t, &config.Document{Revision: 1, Content: config.Content{
+		Policies: []config.Policy{{Name: "reads", Source: policy.Source{Retry: "true", Hedge: `duration("20ms")`}}},
+		Services: []config.Service{{Name: "prices", PathPrefix: "/", Policy: "reads", RefusalStatus: http.StatusTooManyRequests, RetryRatio: 1}},
+		Placements: []config.Placement{{Service: "prices", Backends: []config.Backend{
+			{ID: "b1", Address: address, Slots: 2, Warm: true}, {ID: "b2", Address: address, Slots: 2, Warm: true},
+		}}},
+	}})
+	handler := startHandler(t, services, fixedPeers{})
+	send := func(path string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		return recorder
+	}
+	for range 20 {
+		require.Equal(t, http.StatusOK, send("/earn").Code)
+	}
+	got := send("/break")
+	require.EqualValues(t, 2, arrivals.Load())
+	require.Equal(t, string(resultcode.Unknown), got.Header().Get(resultcode.HeaderRun), got.Body)
+}
