News is handed over once; a daemon that reads the store is not handed everything

Cause: 300 daemons and 3,000 workers, a site of our own, 60 in 100 daemons killed at once: 44 of 109 MB between daemons were whole directories that starting daemons asked of others beside reading the store.

Tests: TestOthersAreNotAskedWhileTheStoreIsRead, TestNewsIsHandedOverOnce.

--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -96,6 +96,7 @@
 	peers    Peers
 	behind   chan news // bounded; a full queue drops: heartbeats repeat it
 	watching atomic.Bool
+	reading  atomic.Bool   // the store is being read at the start
 	head     atomic.Uint64 // highest revision heard of
 
 	// toAnnounce and toPassOn have room for one each: news from the store, and from
@@ -157,6 +158,12 @@
 	return max(config.Revision(f.head.Load()), f.Revision())
 }
 
+// Reading says whether this daemon has just started and reads the store, so that
+// others need not hand it everything.
+func (f *Follower) Reading() bool {
+	return f.reading.Load()
+}
+
 // Watching says whether this daemon watches the store.
 func (f *Follower) Watching() bool {
 	return f.watching.Load()
@@ -168,8 +175,12 @@
 	position config.Position
 }
 
-// Behind implements peer.Configuration.
+// Behind implements peer.Configuration. While the store is being read at the start,
+// what others have is not asked for: heartbeats tell it again.
 func (f *Follower) Behind(member membership.Member, position config.Position) {
+	if f.Reading() {
+		return
+	}
 	select {
 	case f.behind <- news{member: member, position: position}:
 	default:
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/service"
 )
@@ -23,6 +24,7 @@
 // unless others are chosen to.
 type lonely struct {
 	announced    atomic.Int32
+	asked        atomic.Int32 // for a document
 	othersChosen bool
 }
 
@@ -30,7 +32,8 @@
 func (l *lonely) Announce(context.Context, int, int) {
 	l.announced.Add(1)
 }
-func (*lonely) FetchDocument(context.Context, string, config.Document) (config.Document, error) {
+func (l *lonely) FetchDocument(context.Context, string, config.Document) (config.Document, error) {
+	l.asked.Add(1)
 	return config.Document{}, errors.New("nobody there")
 }
 
@@ -127,6 +130,34 @@
 	})
 }
 
+// slowSource takes a while to be read.
+type slowSource struct {
+	scriptedSource
+}
+
+func (s *slowSource) Read(context.Context) (config.Document, error) {
+	time.Sleep(500 * time.Millisecond)
+	return config.Document{Revision: 5}, nil
+}
+
+// TestOthersAreNotAskedWhileTheStoreIsRead hears of news while it reads the store at
+// its start, and again later.
+func TestOthersAreNotAskedWhileTheStoreIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := &lonely{}
+		follower := startFollower(t, &slowSource{}, peers, 0)
+		time.Sleep(100 * time.Millisecond)
+		require.True(t, follower.Reading())
+		follower.Behind(membership.Member{Name: "edge-2"}, config.Position{Revision: 5})
+		time.Sleep(time.Second)
+		require.False(t, follower.Reading())
+		require.EqualValues(t, 0, peers.asked.Load())
+		follower.Behind(membership.Member{Name: "edge-2"}, config.Position{Revision: 6})
+		synctest.Wait()
+		require.EqualValues(t, 1, peers.asked.Load())
+	})
+}
+
 // TestQuickChangesAreTakenTogether hears of a change, and pauses: what comes within
 // the interval is heard with the next watch, together with those of other daemons.
 func TestQuickChangesAreTakenTogether(t *testing.T) {
--- a/dissemination/start.go
+++ b/dissemination/start.go
@@ -37,6 +37,8 @@
 }
 
 func (f *Follower) readSources(ctx context.Context) error {
+	f.reading.Store(true)
+	defer f.reading.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
 	for _, source := range f.options.Sources {
--- a/peer/announce.go
+++ b/peer/announce.go
@@ -105,12 +105,44 @@
 
 // deliveryGrace is how long a daemon that was told of news waits for it to be handed
 // over, before it asks for it.
-const deliveryGrace = callTimeout
+const deliveryGrace = 400 * time.Millisecond
+
+// delivery is what another daemon has said that it hands over.
+type delivery struct {
+	position config.Position
+	until    time.Time // after which it is not waited for any longer
+}
+
+// expect notes that a daemon is going to hand over what it has, and says whether that
+// is worth having: whether no other one is handing over as much.
+func (n *Node) expect(now time.Time, offered config.Position) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.expects(now, offered) {
+		return false
+	}
+	if n.options.Configuration.Position().Behind(offered) {
+		n.expected = delivery{position: offered, until: now.Add(deliveryGrace)}
+	}
+	return true
+}
+
+// expects says whether as much as a position is being handed over. The caller holds
+// the mutex.
+func (n *Node) expects(now time.Time, position config.Position) bool {
+	return now.Before(n.expected.until) && !n.expected.position.Behind(position) && n.options.Configuration.Position().Behind(position)
+}
 
 // Announce implements peerpb.DRPCPeerServer.
 func (s *server) Announce(_ context.Context, told *peerpb.Position) (*peerpb.Position, error) {
 	n := s.node
+	if n.options.Configuration.Reading() {
+		return told, nil // as if it had all: it is about to
+	}
 	theirs := decodePosition(told)
+	if !n.expect(time.Now(), theirs) {
+		return told, nil // another daemon hands it over just now
+	}
 	if n.options.Configuration.Position().Behind(theirs) {
 		// The sender hands it over; should it fail to, it is asked.
 		time.AfterFunc(deliveryGrace, func() {
--- a/peer/announce_test.go
+++ b/peer/announce_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
 // TestEveryMemberHasItsTellers lets every daemon that watches tell its members: each
@@ -33,3 +39,36 @@
 		}
 	}
 }
+
+// held is the configuration of a daemon that has one position.
+type held struct {
+	position config.Position
+}
+
+func (h *held) Position() config.Position               { return h.position }
+func (*held) Document() config.Document                 { return config.Document{} }
+func (*held) Reading() bool                             { return false }
+func (*held) Behind(membership.Member, config.Position) {}
+func (*held) Offer(config.Document, string) error       { return nil }
+
+// TestNewsIsHandedOverOnce is told of the same news by several daemons: one of them
+// hands it over, and another one should that one fail to.
+func TestNewsIsHandedOverOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		configuration := &held{position: config.Position{Revision: 1, Directory: 1}}
+		node := NewNode(Options{Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Configuration: configuration})
+		announced := func(directory uint64) config.Position {
+			reply, err := (&server{node: node}).Announce(t.Context(), &peerpb.Position{Revision: 1, Directory: directory})
+			require.NoError(t, err)
+			return decodePosition(reply)
+		}
+		require.EqualValues(t, 1, announced(5).Directory, "it lacks what is announced")
+		require.EqualValues(t, 5, announced(5).Directory, "another hands it over")
+		require.EqualValues(t, 1, announced(6).Directory, "this is newer")
+		time.Sleep(2 * deliveryGrace)
+		require.EqualValues(t, 1, announced(6).Directory, "it was not handed over")
+		configuration.position.Directory = 6
+		require.EqualValues(t, 6, announced(6).Directory)
+		time.Sleep(2 * deliveryGrace)
+	})
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -108,9 +108,11 @@
 // take takes in one side of an exchange.
 func (n *Node) take(ctx context.Context, message told) {
 	from := decodeMember(message.GetSender())
+	theirs := config.Position{Revision: config.Revision(message.GetRevision()), Directory: config.Revision(message.GetDirectory())}
 	var news []Drain
-	sync := false
+	sync, expected := false, false
 	n.change(func(now time.Time) {
+		expected = n.expects(now, theirs)
 		n.state.Merge(now, decodeMembers(message.GetUpdates()))
 		n.state.Heard(now, from)
 		news = n.drains.take(message.GetDrains())
@@ -122,8 +124,7 @@
 	if len(news) > 0 {
 		n.spreadSoon()
 	}
-	theirs := config.Position{Revision: config.Revision(message.GetRevision()), Directory: config.Revision(message.GetDirectory())}
-	if n.options.Configuration.Position().Behind(theirs) {
+	if !expected && n.options.Configuration.Position().Behind(theirs) {
 		n.options.Configuration.Behind(from, theirs)
 	}
 	if sync {
--- a/peer/node.go
+++ b/peer/node.go
@@ -60,6 +60,8 @@
 	Position() config.Position
 	// Document returns the document in force.
 	Document() config.Document
+	// Reading says whether the daemon has just started and reads the store itself.
+	Reading() bool
 	// Behind notes that a member has a higher position. It must not block.
 	Behind(member membership.Member, position config.Position)
 	// Offer puts what is newer in a document than in the present one in force.
@@ -104,6 +106,8 @@
 	mutex  sync.Mutex
 	state  *membership.State
 	drains drainTable
+	// expected is what another daemon is handing over.
+	expected delivery
 
 	view atomic.Pointer[View]
 }
