A soak of real processes that are harmed from outside

go run ./lab soak: a schedule of faults and planned work from a seed, in series and overlapping, struck at daemon processes, their links to the store and to back ends, the store and the back ends; checked from what callers and back ends see.

Not yet: links between daemons, clocks, full disks (there are none), shrinking a failing schedule. Tests: the checkers can fail, schedules repeat, a short run.

--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -53,6 +53,7 @@
 		name, short string
 		action      flags.Commander
 	}{
+		{"soak", "Harm a fleet of real processes and check the promises", &soakRun{out: out}},
 		{"demo", "Run a daemon with two example back ends", &demo{out: out}},
 		{"platform", "Serve a stand-in for the platform", &platformServe{}},
 		{"backend", "Serve a stand-in for a back end", &backendServe{}},
--- a/lab/rolling/rolling.go
+++ b/lab/rolling/rolling.go
@@ -169,7 +169,7 @@
 	}
 	defer log.Close()
 	one.command = exec.Command(f.options.Binary, "--settings", path)
-	one.command.Stderr = log
+	one.command.Stdout, one.command.Stderr = log, log
 	if err := one.command.Start(); err != nil {
 		return errors.Annotate(err, one.name)
 	}
--- /dev/null
+++ b/lab/soak/play.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/tuliphall/tuliphall/lab/objectstub"
+)
+
+// Times of planned work.
+const (
+	drainTime    = 2 * time.Second // a leaving back end goes on serving
+	drainMore    = time.Second
+	rollGap      = 300 * time.Millisecond
+	stormChanges = 5
+	stormGap     = 150 * time.Millisecond
+)
+
+// play plays one fault and returns at its end.
+func (f *fleet) play(fault Fault) {
+	daemon := f.daemons[fault.Target%len(f.daemons)]
+	switch fault.Kind {
+	case Stop:
+		f.restart(daemon, daemon.stop)
+	case Kill:
+		f.restart(daemon, daemon.kill)
+	case KillAll:
+		for _, one := range f.daemons {
+			f.faults.Go(func() { f.restart(one, one.kill) })
+		}
+		time.Sleep(startDelay)
+	case StopAll:
+		for _, one := range f.daemons {
+			f.faults.Go(func() { f.restart(one, one.stop) })
+			time.Sleep(rollGap)
+		}
+	case Pause:
+		daemon.signal(syscall.SIGSTOP, running)
+		time.Sleep(fault.Length)
+		daemon.signal(syscall.SIGCONT, running)
+	case StoreDown:
+		f.store.SetFaults(objectstub.Faults{Down: true})
+		time.Sleep(fault.Length)
+		f.store.SetFaults(objectstub.Faults{})
+	case StoreDeaf:
+		f.store.SetFaults(objectstub.Faults{Deaf: true})
+		f.configure()
+		time.Sleep(time.Second)
+		f.store.Compact()
+		f.store.SetFaults(objectstub.Faults{})
+	case StoreLink:
+		daemon.store.set(fault.Link)
+		time.Sleep(fault.Length)
+		daemon.store.set(Whole)
+	case WorkerLink:
+		one := f.worker(fault.Target)
+		one.proxy.set(fault.Link)
+		time.Sleep(fault.Length)
+		one.proxy.set(Whole)
+	case Change:
+		f.configure()
+	case Storm:
+		for range stormChanges {
+			f.configure()
+			time.Sleep(stormGap)
+		}
+	default:
+		f.playWorker(fault)
+	}
+}
+
+// playWorker plays what strikes one back end.
+func (f *fleet) playWorker(fault Fault) {
+	one := f.worker(fault.Target)
+	during := func(set func(on bool)) {
+		one.change(func() { set(true) })
+		time.Sleep(fault.Length)
+		one.change(func() { set(false) })
+	}
+	switch fault.Kind {
+	case WorkerSlow:
+		during(func(on bool) { one.slow = on })
+	case WorkerLoses:
+		during(func(on bool) { one.loses = on })
+	case WorkerFull:
+		during(func(on bool) { one.full = on })
+	case WorkerLies:
+		during(func(on bool) { one.lies = on })
+	case WorkerCrash:
+		if gone := f.removeWorker(fault.Target); gone != nil {
+			gone.end()
+			time.Sleep(fault.Length)
+			f.store.Remove("servers", gone.id)
+			f.replace()
+		}
+	case WorkerLeaves:
+		if leaving := f.removeWorker(fault.Target); leaving != nil {
+			f.replace()
+			f.list(leaving, "draining")
+			leaving.change(func() { leaving.left = time.Now() })
+			time.Sleep(drainTime + drainMore)
+			f.store.Remove("servers", leaving.id)
+			time.Sleep(drainMore)
+			leaving.end()
+		}
+	}
+}
+
+// restart ends a daemon and starts it again after the delay. A daemon that another
+// fault is restarting is only ended, which may be in the middle of a planned stop.
+func (f *fleet) restart(one *process, end func()) {
+	if !one.restarting.TryLock() {
+		end()
+		return
+	}
+	defer one.restarting.Unlock()
+	end()
+	time.Sleep(startDelay)
+	if err := one.start(); err != nil {
+		f.report.log("%s not started: %v", one.name, err)
+	}
+}
+
+func (f *fleet) replace() {
+	if _, err := f.addWorker(); err != nil {
+		f.report.log("no new back end: %v", err)
+	}
+}
--- /dev/null
+++ b/lab/soak/schedule.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// Kind is a kind of fault, or of planned work.
+type Kind string
+
+// The kinds.
+const (
+	Stop         Kind = "stop"          // SIGTERM; started again after its end
+	Kill         Kind = "kill"          // SIGKILL; started again
+	Pause        Kind = "pause"         // SIGSTOP, SIGCONT later
+	KillAll      Kind = "kill-all"      // every daemon at once
+	StopAll      Kind = "stop-all"      // one after the other
+	StoreDown    Kind = "store-down"    // 503 to all
+	StoreDeaf    Kind = "store-deaf"    // watches hear nothing, then the history goes
+	StoreLink    Kind = "store-link"    // one daemon's link to the store
+	WorkerLink   Kind = "worker-link"   // all daemons' link to one back end
+	WorkerSlow   Kind = "worker-slow"   //
+	WorkerLoses  Kind = "worker-loses"  // runs requests and resets the connection
+	WorkerFull   Kind = "worker-full"   // says that it did not run
+	WorkerLies   Kind = "worker-lies"   // answers with another request's id
+	WorkerCrash  Kind = "worker-crash"  // gone without a word; another comes at its address
+	WorkerLeaves Kind = "worker-leaves" // drains, and is replaced
+	Change       Kind = "change"        // a configuration
+	Storm        Kind = "storm"         // several in quick succession
+)
+
+// planned kinds are no faults: nothing may be lost by them.
+var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true}
+
+var kinds = []Kind{
+	Stop, Kill, Pause, KillAll, StopAll, StoreDown, StoreDeaf, StoreLink, WorkerLink, WorkerSlow, WorkerLoses, WorkerFull, WorkerLies,
+	WorkerCrash, WorkerLeaves, Change, Change, Change, Storm,
+}
+
+var links = []Link{Delayed, Reset, Silent, OneWay}
+
+// Fault is one entry of a schedule.
+type Fault struct {
+	At     time.Duration
+	Length time.Duration
+	Kind   Kind
+	Target int // which daemon or back end, modulo their number
+	Link   Link
+}
+
+// String names the fault for a log.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s %s target %d %s for %s", f.At.Round(time.Millisecond), f.Kind, f.Target, f.Link, f.Length.Round(time.Millisecond))
+}
+
+// Draw draws a schedule from a seed: so many entries between begin and end, some in
+// series at nearly the same time.
+func Draw(seed uint64, count int, begin, end time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 0))
+	faults := make([]Fault, 0, count)
+	at := begin
+	for range count {
+		if random.IntN(3) > 0 || at == begin {
+			at = begin + time.Duration(random.Int64N(int64(end-begin)))
+		}
+		faults = append(faults, Fault{
+			At: at, Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(1000), Link: links[random.IntN(len(links))],
+			Length: time.Duration(200+random.IntN(4000)) * time.Millisecond,
+		})
+		at = min(at+time.Duration(random.IntN(700))*time.Millisecond, end)
+	}
+	// Longer than every lease and suspicion.
+	for index := range faults {
+		if faults[index].Kind == Pause && random.IntN(3) == 0 {
+			faults[index].Length = 12 * time.Second
+		}
+	}
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
+	return faults
+}
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCheckersCanFail breaks each promise that callers' and back ends' views are
+// checked for, and expects the report to say so.
+func TestCheckersCanFail(t *testing.T) {
+	answer := func(status int, id string) *http.Response {
+		return &http.Response{StatusCode: status, Header: http.Header{"Request-Id": {id}}}
+	}
+	for name, one := range map[string]struct {
+		want   string
+		breaks func(r *report)
+	}{
+		"nobody sent it": {"UNASKED", func(r *report) { r.ran("r-9", "/safe/r-9") }},
+		"ran twice":      {"TWICE", func(r *report) { r.ran("u-1", "/unsafe/u-1"); r.ran("u-1", "/unsafe/u-1") }},
+		"told not run, had run": {"REFUSED", func(r *report) {
+			r.ran("u-1", "/unsafe/u-1")
+			r.answered("u-1", "/unsafe/u-1", answer(http.StatusServiceUnavailable, "u-1"), "")
+		}},
+		"told not run, runs later": {"REFUSED", func(r *report) {
+			r.answered("u-1", "/unsafe/u-1", answer(http.StatusServiceUnavailable, "u-1"), "")
+			r.ran("u-1", "/unsafe/u-1")
+		}},
+		"half an answer": {"MIXED", func(r *report) {
+			r.answered("s-1", "/safe/s-1", answer(http.StatusOK, "s-1"), body("s-1", "/safe/s-1")[:40])
+		}},
+		"another's answer": {"MIXED", func(r *report) {
+			r.answered("s-1", "/safe/s-1", answer(http.StatusOK, "s-2"), body("s-1", "/safe/s-1"))
+		}},
+		"sent to a leaving back end": {"DRAIN", func(r *report) { r.arrivedAtLeaving("i-1", "s-1", drainBound+time.Second) }},
+		"cut by a planned stop": {"LOST", func(r *report) {
+			r.ran("u-1", "/unsafe/u-1")
+			r.unanswered("u-1", "/unsafe/u-1", true, io.ErrUnexpectedEOF)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReport(io.Discard)
+			r.faultEnded = time.Now().Add(-time.Minute)
+			r.sent("u-1", true)
+			r.sent("s-1", false)
+			one.breaks(r)
+			require.Len(t, r.violations, 1)
+			require.Contains(t, r.violations[0], one.want)
+		})
+	}
+}
+
+// TestFaultsExcuseBounds holds promises with a bound only while there is no fault.
+func TestFaultsExcuseBounds(t *testing.T) {
+	r := newReport(io.Discard)
+	r.faultEnded = time.Now().Add(-time.Minute)
+	ended := r.fault()
+	r.arrivedAtLeaving("i-1", "s-1", drainBound+time.Second)
+	ended()
+	r.arrivedAtLeaving("i-1", "s-1", drainBound+time.Second)
+	require.Empty(t, r.violations)
+}
+
+// TestScheduleRepeats draws the same schedule for a seed, within its time, and uses
+// every kind.
+func TestScheduleRepeats(t *testing.T) {
+	drawn := make(map[Kind]bool)
+	for seed := range uint64(40) {
+		schedule := Draw(seed, 20, time.Second, time.Minute)
+		require.Equal(t, schedule, Draw(seed, 20, time.Second, time.Minute))
+		for index, fault := range schedule {
+			drawn[fault.Kind] = true
+			require.GreaterOrEqual(t, fault.At, time.Second)
+			require.LessOrEqual(t, fault.At, time.Minute)
+			require.True(t, index == 0 || schedule[index-1].At <= fault.At)
+		}
+	}
+	for _, kind := range kinds {
+		require.True(t, drawn[kind], kind)
+	}
+}
+
+// TestShortRun harms three processes for a few seconds.
+func TestShortRun(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "tuliphalld")
+	built, err := exec.Command("go", "build", "-o", binary, "github.com/tuliphall/tuliphall/cmd/tuliphalld").CombinedOutput()
+	require.NoError(t, err, string(built))
+	result, err := Run(t.Context(), Options{
+		Binary: binary, Folder: t.TempDir(), Seed: 7, Daemons: 3, Workers: 4, Faults: 6, Length: 6 * time.Second, Rate: 60,
+	}, t.Output())
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+	require.Positive(t, result.Counts["status 200"])
+}
