Lines of the log are written together

A line now waits 100 ms for others. A daemon that is killed loses the lines of that time. Test: TestLinesAreWrittenTogether.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -14,23 +14,35 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // queueLines is how many lines may wait to be written.
 const queueLines = 8192
 
+// Lines that come in quick succession are written at once: a write costs far more
+// than the making of a line.
+const (
+	// lingerTime is how long a line waits for others. A daemon that is killed loses
+	// the lines of that time.
+	lingerTime = 100 * time.Millisecond
+	// batchBytes is from how many bytes on nothing is added to a write.
+	batchBytes = 64 << 10
+)
+
 // Writer is an io.Writer that never blocks. Each Write is one line.
 type Writer struct {
 	target  io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{} // closed when no line may follow
 	done    chan struct{}
 	once    sync.Once
 }
 
 // NewWriter returns a writer in front of target and starts its goroutine.
 func NewWriter(target io.Writer) *Writer {
-	w := &Writer{target: target, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	w := &Writer{target: target, lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -47,18 +59,50 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
+	var batch []byte
 	for line := range w.lines {
 		if lost := w.dropped.Swap(0); lost > 0 {
-			fmt.Fprintf(w.target, "logging: %d lines dropped\n", lost)
+			batch = fmt.Appendf(batch, "logging: %d lines dropped\n", lost)
 		}
+		batch = append(batch, line...)
+		w.linger()
+		batch = w.gather(batch)
 		// There is no other place to report a log that cannot be written.
-		_, _ = w.target.Write(line)
+		_, _ = w.target.Write(batch)
+		batch = batch[:0]
+	}
+}
+
+// linger waits for further lines, unless the writer is being closed.
+func (w *Writer) linger() {
+	select {
+	case <-w.closing:
+	case <-time.After(lingerTime):
+	}
+}
+
+// gather adds the lines that wait to a batch, as far as it may grow.
+func (w *Writer) gather(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case line, open := <-w.lines:
+			if !open {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
 	}
+	return batch
 }
 
 // Close writes the lines that wait and ends the goroutine. No Write may follow.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() {
+		close(w.closing)
+		close(w.lines)
+	})
 	<-w.done
 }
 
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,3 +40,38 @@
 	go func() { _, _ = io.Copy(io.Discard, reader) }()
 	writer.Close()
 }
+
+// countedWrites counts what is written to it.
+type countedWrites struct {
+	mutex  sync.Mutex
+	writes int
+	text   bytes.Buffer
+}
+
+func (c *countedWrites) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.writes++
+	return c.text.Write(data)
+}
+
+// TestLinesAreWrittenTogether logs many lines in quick succession, and all of them
+// are there after the end.
+func TestLinesAreWrittenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &countedWrites{}
+		writer := logging.NewWriter(target)
+		logger := logging.New(writer, logging.Options{Daemon: "edge-1"})
+		for range 50 {
+			logger.Info("line")
+			time.Sleep(10 * time.Millisecond)
+		}
+		target.mutex.Lock()
+		require.LessOrEqual(t, target.writes, 6)
+		target.mutex.Unlock()
+		logger.Info("last")
+		writer.Close()
+		require.Equal(t, 51, bytes.Count(target.text.Bytes(), []byte("\n")))
+		require.Contains(t, target.text.String(), "last")
+	})
+}
