--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -21,12 +21,11 @@
 
 // worker is a stand-in for one back end, behind a proxy. It is safe for concurrent use.
 type worker struct {
-	id      string
-	service string
-	server  *http.Server
-	proxy   *proxy
-	report  *report
-	slots   chan struct{}
+	id     string
+	server *http.Server
+	proxy  *proxy
+	report *report
+	slots  chan struct{}
 
 	mutex   sync.Mutex
 	waiting int
