--- a/peer/announce_test.go
+++ b/peer/announce_test.go
@@ -67,6 +67,7 @@
 		require.EqualValues(t, 1, announced(6).Directory, "this is newer")
 		time.Sleep(2 * deliveryGrace)
 		require.EqualValues(t, 1, announced(6).Directory, "it was not handed over")
+		time.Sleep(2 * deliveryGrace) // nothing looks at the position any more
 		configuration.position.Directory = 6
 		require.EqualValues(t, 6, announced(6).Directory)
 		time.Sleep(2 * deliveryGrace)
