--- a/peer/announce_test.go
+++ b/peer/announce_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,10 +43,13 @@
 
 // held is the configuration of a daemon that has one position.
 type held struct {
-	position config.Position
+	directory atomic.Uint64
+}
+
+func (h *held) Position() config.Position {
+	return config.Position{Revision: 1, Directory: config.Revision(h.directory.Load())}
 }
 
-func (h *held) Position() config.Position               { return h.position }
 func (*held) Document() config.Document                 { return config.Document{} }
 func (*held) Reading() bool                             { return false }
 func (*held) Behind(membership.Member, config.Position) {}
@@ -55,7 +59,8 @@
 // hands it over, and another one should that one fail to.
 func TestNewsIsHandedOverOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		configuration := &held{position: config.Position{Revision: 1, Directory: 1}}
+		configuration := &held{}
+		configuration.directory.Store(1)
 		node := NewNode(Options{Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Configuration: configuration})
 		announced := func(directory uint64) config.Position {
 			reply, err := (&server{node: node}).Announce(t.Context(), &peerpb.Position{Revision: 1, Directory: directory})
@@ -67,8 +72,7 @@
 		require.EqualValues(t, 1, announced(6).Directory, "this is newer")
 		time.Sleep(2 * deliveryGrace)
 		require.EqualValues(t, 1, announced(6).Directory, "it was not handed over")
-		time.Sleep(2 * deliveryGrace) // nothing looks at the position any more
-		configuration.position.Directory = 6
+		configuration.directory.Store(6)
 		require.EqualValues(t, 6, announced(6).Directory)
 		time.Sleep(2 * deliveryGrace)
 	})
