--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -37,9 +37,9 @@
 	firstWatch = 3 * time.Second
 	// fromPlatform is the source of what the daemon read itself.
 	fromPlatform = "platform"
-	// acquaintance is how long a daemon that starts before anything was declared
+	// joinTime is how long a daemon that starts before anything was declared
 	// gets to know the others.
-	acquaintance = time.Second
+	joinTime = time.Second
 	// firstDeclaration is how long it then waits before it reads the store again.
 	firstDeclaration = 3 * time.Second
 	// startPeers is how many peers a starting daemon asks.
--- a/dissemination/start.go
+++ b/dissemination/start.go
@@ -56,7 +56,7 @@
 // awaitFirst waits for the first declaration. Daemons that are chosen to watch the
 // store do so; the others wait to be told.
 func (f *Follower) awaitFirst(ctx context.Context) {
-	wait.Sleep(ctx, acquaintance)
+	wait.Sleep(ctx, joinTime)
 	end := time.Now().Add(firstDeclaration)
 	for !f.isServing() && ctx.Err() == nil && time.Now().Before(end) {
 		if !f.chosen() {
--- a/service/acquire.go
+++ b/service/acquire.go
@@ -13,10 +13,10 @@
 // ErrOverBudget: the retry budget of the service does not allow the attempt.
 const ErrOverBudget = errors.ConstError("retry budget empty")
 
-// Giver says as what a daemon gives out places of a service, and so which part of
+// Grantor says as what a daemon gives out places of a service, and so which part of
 // the service's retry burst is its own. All parts together are never more than the
 // whole, whoever else gives out places.
-type Giver struct {
+type Grantor struct {
 	burstShare float64
 }
 
@@ -29,25 +29,25 @@
 const savedFor = 2 * time.Second
 
 // Dispatching is the daemon that dispatches the service.
-func Dispatching() Giver {
-	return Giver{burstShare: dispatcherShare}
+func Dispatching() Grantor {
+	return Grantor{burstShare: dispatcherShare}
 }
 
 // Substitute is one of so many daemons, for a request for which it did not reach the
 // dispatcher.
-func Substitute(daemons int) Giver {
-	return Giver{burstShare: (1 - dispatcherShare) / float64(max(daemons, 1))}
+func Substitute(daemons int) Grantor {
+	return Grantor{burstShare: (1 - dispatcherShare) / float64(max(daemons, 1))}
 }
 
 // Alone is one of so many daemons that each give out places by themselves.
-func Alone(daemons int) Giver {
-	return Giver{burstShare: 1 / float64(max(daemons, 1))}
+func Alone(daemons int) Grantor {
+	return Grantor{burstShare: 1 / float64(max(daemons, 1))}
 }
 
 // Acquire gives out a place for an attempt of a kind. A first attempt earns for the
 // retry budget, the others spend from it. It blocks while the request waits. The
 // error is ErrOverBudget, or a *resultcode.Failure that says "not run".
-func (s *Service) Acquire(ctx context.Context, as Giver, kind retry.Kind, request dispatch.Request) (*dispatch.Grant, error) {
+func (s *Service) Acquire(ctx context.Context, as Grantor, kind retry.Kind, request dispatch.Request) (*dispatch.Grant, error) {
 	if !s.charge(as, kind) {
 		return nil, ErrOverBudget
 	}
@@ -59,7 +59,7 @@
 }
 
 // charge earns or spends, and says whether the attempt may be made.
-func (s *Service) charge(as Giver, kind retry.Kind) bool {
+func (s *Service) charge(as Grantor, kind retry.Kind) bool {
 	declared := s.Target().Service
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/service/acquire_test.go
+++ b/service/acquire_test.go
@@ -38,7 +38,7 @@
 }
 
 // attempt asks for a place and gives it back at once, and says whether there was one.
-func attempt(t require.TestingT, running *service.Service, as service.Giver, kind retry.Kind) bool {
+func attempt(t require.TestingT, running *service.Service, as service.Grantor, kind retry.Kind) bool {
 	grant, err := running.Acquire(context.Background(), as, kind, dispatch.Request{Weight: 1, Deadline: time.Now().Add(time.Minute)})
 	if errors.Is(err, service.ErrOverBudget) {
 		return false
