--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -69,8 +69,9 @@
 	Services *service.Registry
 	Timeout  time.Duration // of one call to the store
 	Watchers int           // daemons of a region that watch; 0: all, from the start
-	// WatchInterval is the least time between the beginnings of two watches of a
-	// source: changes that come in quick succession cost one call.
+	// WatchInterval is the pause after news, and the least time between the
+	// beginnings of two watches of a source: changes that come in quick succession
+	// are heard together.
 	WatchInterval time.Duration
 	// WatchGap is the time between the renewals of two daemons' watches; 0: a
 	// watch waits as long as it may.
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -73,14 +73,7 @@
 // service or back ends that this one knows.
 func isBehind(response *http.Response) bool {
 	number, err := strconv.Atoi(response.Header.Get(resultcode.HeaderCode))
-	if err != nil {
-		return false
-	}
-	switch resultcode.Code(number) {
-	case resultcode.NoService, resultcode.NoBackend, resultcode.NotConfigured:
-		return true
-	}
-	return false
+	return err == nil && resultcode.Code(number).Lacks()
 }
 
 // forwardFailed says whether the call has been answered. A call that certainly
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -59,27 +60,32 @@
 // than this one.
 func (a *attempter) ask(ctx context.Context, dispatcher membership.Member, kind retry.Kind, request dispatch.Request) (*place, error) {
 	c := a.call
-	log := a.handler.log.With("request", c.id, "service", c.service.Name(), "dispatcher", dispatcher.Name)
 	granted, err := a.handler.options.Slots.Acquire(ctx, dispatcher.PeerAddress, c.service.Name(), kind, request)
 	switch {
 	case errors.Is(err, slots.ErrUnreachable):
 		a.handler.options.Peers.Suspect(dispatcher.Name)
-		log.Warn("dispatcher unreachable", "error", err)
+		a.logAsked(slog.LevelWarn, "dispatcher unreachable", dispatcher, slog.Any("error", err))
 		return nil, nil
 	case errors.Is(err, slots.ErrBehind):
-		log.Info("dispatcher behind", "error", err)
+		a.logAsked(slog.LevelInfo, "dispatcher behind", dispatcher, slog.Any("error", err))
 		return nil, nil
 	case err != nil:
 		return nil, err
 	case !c.service.Dispatcher.Takes(granted.Backend):
 		// This daemon has heard that the back end leaves, or is gone.
 		granted.Done(routing.Canceled, 0, nil)
-		log.Info("place not used", "backend", granted.Backend)
+		a.logAsked(slog.LevelInfo, "place not used", dispatcher, slog.String("backend", granted.Backend))
 		return nil, nil
 	}
 	return placeOf(granted), nil
 }
 
+// logAsked logs why what a dispatcher said was not followed.
+func (a *attempter) logAsked(level slog.Level, message string, dispatcher membership.Member, why slog.Attr) {
+	a.handler.log.LogAttrs(context.Background(), level, message, slog.String("request", a.call.id),
+		slog.String("service", a.call.service.Name()), slog.String("dispatcher", dispatcher.Name), why)
+}
+
 // ownPlace is a place that this daemon's own dispatcher gave.
 func (a *attempter) ownPlace(grant *dispatch.Grant) *place {
 	return &place{
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -126,6 +126,9 @@
 // plainErrors logs an error by its text. Handlers would print where it was made as
 // well, which takes several lines.
 func plainErrors(_ []string, attribute slog.Attr) slog.Attr {
+	if attribute.Value.Kind() != slog.KindAny {
+		return attribute // nothing is boxed on the way of most attributes
+	}
 	if err, ok := attribute.Value.Any().(error); ok {
 		attribute.Value = slog.StringValue(err.Error())
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -2,8 +2,9 @@
 //
 // Load is learned from answers first, which costs nothing. A probe takes slot
 // time from callers, so it is made only where it changes a decision: to find out
-// whether an ejected back end is well again, and to hear of one that has been
-// silent. The budget of a service is for all daemons together. It belongs to
+// whether an ejected back end is well again, to hear of one that has been silent,
+// and, where a service asks for it, for a fresh report of one that would get the next
+// request. The budget of a service is for all daemons together. It belongs to
 // whichever daemon holds the service's lease, wholly; a daemon that nobody
 // granted it has no share, and one that was paused past its lease's end finds that
 // out at the moment of use.
--- a/peer/announce.go
+++ b/peer/announce.go
@@ -99,7 +99,13 @@
 	}
 }
 
-func decodePosition(encoded *peerpb.Position) config.Position {
+// positioned is a message that tells what is in force at its sender.
+type positioned interface {
+	GetRevision() uint64
+	GetDirectory() uint64
+}
+
+func decodePosition(encoded positioned) config.Position {
 	return config.Position{Revision: config.Revision(encoded.GetRevision()), Directory: config.Revision(encoded.GetDirectory())}
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
@@ -97,9 +96,8 @@
 
 // told is what either side of an exchange tells.
 type told interface {
+	positioned
 	GetSender() *peerpb.Member
-	GetRevision() uint64
-	GetDirectory() uint64
 	GetUpdates() []*peerpb.Member
 	GetDrains() []*peerpb.Drain
 	GetDigest() uint64
@@ -108,7 +106,7 @@
 // take takes in one side of an exchange.
 func (n *Node) take(ctx context.Context, message told) {
 	from := decodeMember(message.GetSender())
-	theirs := config.Position{Revision: config.Revision(message.GetRevision()), Directory: config.Revision(message.GetDirectory())}
+	theirs := decodePosition(message)
 	var news []Drain
 	sync, expected := false, false
 	n.change(func(now time.Time) {
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -56,6 +56,16 @@
 	CallerGoneAfterSend Code = 3006
 )
 
+// Lacks says whether a daemon that answers so did not run the request for want of a
+// configuration, a service or back ends, which another daemon may know.
+func (c Code) Lacks() bool {
+	switch c {
+	case NoService, NoBackend, NotConfigured:
+		return true
+	}
+	return false
+}
+
 // Info describes a code for callers and for the documentation.
 type Info struct {
 	Code   Code
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -63,7 +63,7 @@
 
 // StaleTarget returns a back end that would get the next request of some zone, if its
 // report is older than freshness. It is not returned again before interval has
-// passed, nor before Probed or Unprobed was called for it.
+// passed, nor before Refreshed or Unprobed was called for it.
 func (g *Group) StaleTarget(now time.Time, freshness, interval time.Duration) (string, bool) {
 	if g.probeCredit < 1 {
 		return "", false
--- a/slots/session.go
+++ b/slots/session.go
@@ -254,7 +254,7 @@
 		return service.ErrOverBudget
 	}
 	code := resultcode.Code(refused.Code)
-	if code == resultcode.NoService || code == resultcode.NoBackend {
+	if code.Lacks() {
 		return errors.Annotate(ErrBehind, refused.Detail)
 	}
 	return &resultcode.Failure{Code: code, Detail: refused.Detail, RetryAfter: microseconds(refused.RetryAfterUs)}
