Rolling restart and soak start their daemons by one piece of code

Same behaviour: settings file, log file and process were started twice over. In the soak, waiting for the end of a life stood twice as well.

--- a/lab/rolling/rolling.go
+++ b/lab/rolling/rolling.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +19,7 @@
 	"github.com/tuliphall/tuliphall/admin"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/lab/backendstub"
+	"github.com/tuliphall/tuliphall/lab/launcher"
 	"github.com/tuliphall/tuliphall/lab/load"
 	"github.com/tuliphall/tuliphall/lab/site"
 )
@@ -159,20 +158,11 @@
 		}
 	}
 	text := fmt.Sprintf(settings, one.name, strings.Join(peers, ", "), one.at(portCaller), one.at(portPeer), one.at(portForward), one.at(portAdmin), f.site.PlatformURL(), notice)
-	path := filepath.Join(f.options.Folder, one.name+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return err
-	}
-	log, err := os.OpenFile(filepath.Join(f.options.Folder, one.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	command, err := launcher.Start(f.options.Binary, f.options.Folder, one.name, text)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	one.command = exec.Command(f.options.Binary, "--settings", path)
-	one.command.Stdout, one.command.Stderr = log, log
-	if err := one.command.Start(); err != nil {
-		return errors.Annotate(err, one.name)
-	}
+	one.command = command
 	if err := ready(ctx, "http://"+one.at(portAdmin)+admin.PathReady); err != nil {
 		return errors.Annotate(err, one.name)
 	}
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -4,15 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/tuliphall/tuliphall/lab/launcher"
 )
 
 // Ports of every daemon, on an address of its own.
@@ -102,20 +101,10 @@
 		peers = append(peers, fmt.Sprintf("%q", peer))
 	}
 	text := fmt.Sprintf(settingsText, p.name, strings.Join(peers, ", "), p.at(portCaller), p.at(portPeer), p.at(portForward), p.at(portAdmin), p.at(portStore))
-	path := filepath.Join(p.folder, p.name+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return err
-	}
-	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	command, err := launcher.Start(p.binary, p.folder, p.name, text)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	command := exec.Command(p.binary, "--settings", path)
-	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		return errors.Annotate(err, p.name)
-	}
 	p.command, p.state, p.exited, p.served = command, running, make(chan struct{}), 0
 	p.life++
 	go p.await(command, p.exited)
@@ -157,11 +146,8 @@
 	if !p.signal(syscall.SIGTERM, stopping) {
 		return
 	}
-	p.mutex.Lock()
-	exited := p.exited
-	p.mutex.Unlock()
 	select {
-	case <-exited:
+	case <-p.end():
 	case <-time.After(graceTime):
 		p.report.count("killed after the grace time")
 		p.kill()
@@ -173,10 +159,14 @@
 	if !p.signal(syscall.SIGKILL, ended) {
 		return
 	}
+	<-p.end()
+}
+
+// end returns what is closed when the present life is over.
+func (p *process) end() chan struct{} {
 	p.mutex.Lock()
-	exited := p.exited
-	p.mutex.Unlock()
-	<-exited
+	defer p.mutex.Unlock()
+	return p.exited
 }
 
 // isStopping says whether the daemon was told to stop.
