--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/juju/errors"
+
 	"github.com/tuliphall/tuliphall/lab/launcher"
 )
 
