--- a/peer/node.go
+++ b/peer/node.go
@@ -41,13 +41,14 @@
 	// after every few, up to the full period. Daemons that start together thus soon
 	// know each other, and choose the same dispatchers.
 	firstPeriod      = 100 * time.Millisecond
-	beatsPerDoubling = 3
+	beatsPerDoubling = 4
 	periodDoublings  = 4
 	// joinSeeds is how many seeds a starting daemon asks for the members at first.
 	joinSeeds = 1
-	// joinAgain is when a seed is asked once more: had all daemons started
-	// together, the seeds knew few of them at first.
-	joinAgain = 300 * time.Millisecond
+	// joinAgain is the time between further questions to a seed, of which there are
+	// joinRepeats: had all daemons started together, the seeds knew few at first.
+	joinAgain   = 350 * time.Millisecond
+	joinRepeats = 2
 	// joinPatience is after how long without an answer one more seed is asked.
 	joinPatience = 100 * time.Millisecond
 	// jitter is the share of the period by which each exchange is shifted.
@@ -185,8 +186,9 @@
 	n.join(ctx)
 	timer := time.NewTimer(n.nextPeriod())
 	defer timer.Stop()
-	again := time.NewTimer(joinAgain)
+	again := time.NewTicker(joinAgain)
 	defer again.Stop()
+	joins := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -196,6 +198,9 @@
 			wait.Sleep(ctx, spreadInterval)
 		case <-again.C:
 			n.join(ctx)
+			if joins++; joins == joinRepeats {
+				again.Stop()
+			}
 		case <-timer.C:
 			n.period(ctx)
 			n.periods++
