Logs are bounded in lines and bytes a second; metrics have an address of their own

Cause: volume was bounded by a queue only, 'N lines dropped' was no structured line, and platform/ wrote to standard output itself, which could block. Lines of requests that went well are left out first; what is left out is counted by kind, in a line each second and a metric. Sources are made with the daemon's logger.

--- a/admin/server.go
+++ b/admin/server.go
@@ -26,6 +26,13 @@
 	Services() []ServiceStatus
 }
 
+// MetricsHandler serves PathMetrics alone.
+func MetricsHandler(metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathMetrics, metrics)
+	return mux
+}
+
 // NewHandler returns the interface of a daemon. metrics serves PathMetrics.
 func NewHandler(backend Backend, metrics http.Handler) http.Handler {
 	s := &server{backend: backend}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,8 +45,9 @@
 	// Store and Machines are the platform; nil: the one in the settings.
 	Store    objectstore.Store
 	Machines objectstore.Machines
-	// Sources give the configuration; nil: the head object of the store.
-	Sources []dissemination.Source
+	// Sources makes what the configuration is read from, which logs to log; nil: the
+	// head object of the store.
+	Sources func(log *slog.Logger) []dissemination.Source
 	// Dialect is how callers and back ends spell headers; nil: the project's.
 	Dialect *backend.Dialect
 	LogTo   io.Writer
@@ -63,6 +64,8 @@
 	machines  objectstore.Machines
 	client    *objectstore.Client // nil when the platform was given
 	logWriter *logging.Writer
+	logBound  *logging.Bound
+	logLevel  slog.LevelVar
 	logger    *slog.Logger
 	log       *slog.Logger
 
@@ -90,6 +93,7 @@
 	Peer    string
 	Forward string
 	Admin   string
+	Metrics string // empty: Admin's alone
 }
 
 // Start builds a daemon and begins to serve. The caller ends it with Stop.
@@ -116,21 +120,24 @@
 }
 
 func (d *Daemon) startLogging(target io.Writer) {
-	var level slog.Level
+	chosen := d.settings.Log
 	// Validate has checked the level.
-	_ = level.UnmarshalText([]byte(d.settings.Log.Level))
+	_ = d.logLevel.UnmarshalText([]byte(chosen.Level))
 	d.logWriter = logging.NewWriter(target)
-	d.logger = logging.New(d.logWriter, logging.Options{Level: level, JSON: d.settings.Log.Format == "json", Daemon: d.settings.Name})
+	d.logBound = logging.NewBound(time.Now(), chosen.LinesPerSecond, chosen.BytesPerSecond)
+	d.logger = logging.New(d.logWriter, logging.Options{Level: &d.logLevel, JSON: chosen.Format == "json", Daemon: d.settings.Name, Bound: d.logBound})
 	d.log = logging.Part(d.logger, "daemon")
 }
 
 func (d *Daemon) connectPlatform(options Options) {
-	d.store, d.machines, d.sources = options.Store, options.Machines, options.Sources
+	d.store, d.machines = options.Store, options.Machines
 	if d.store == nil {
 		d.client = objectstore.NewClient(d.meter.For("store"), d.settings.Platform.Address, d.settings.Name)
 		d.store, d.machines = d.client, d.client
 	}
-	if d.sources == nil {
+	if options.Sources != nil {
+		d.sources = options.Sources(d.logger)
+	} else {
 		d.sources = []dissemination.Source{dissemination.NewHead(d.store, time.Duration(d.settings.Platform.Timeout))}
 	}
 	d.dialect = backend.DefaultDialect()
@@ -142,6 +149,7 @@
 // opened are a daemon's listeners.
 type opened struct {
 	caller, peer, forward, admin net.Listener
+	metrics                      net.Listener // nil: none of its own
 }
 
 func (d *Daemon) listen() (opened, error) {
@@ -157,7 +165,11 @@
 		{"listen.peer", d.settings.Listen.Peer, &listeners.peer, &d.listeners.Peer},
 		{"listen.forward", d.settings.Listen.Forward, &listeners.forward, &d.listeners.Forward},
 		{"listen.admin", d.settings.Listen.Admin, &listeners.admin, &d.listeners.Admin},
+		{"listen.metrics", d.settings.Listen.Metrics, &listeners.metrics, &d.listeners.Metrics},
 	} {
+		if one.address == "" {
+			continue // an address that may be left out
+		}
 		listener, err := d.network.Listen(one.address)
 		if err != nil {
 			for _, open := range made {
@@ -243,6 +255,9 @@
 	d.serveHTTP(listeners.caller, d.callerGate(d.handler))
 	d.serveHTTP(listeners.forward, d.handler.Forwarded())
 	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
+	if listeners.metrics != nil {
+		d.serveHTTP(listeners.metrics, admin.MetricsHandler(metrics))
+	}
 	d.running.Go(func() {
 		if err := d.node.Serve(ctx, listeners.peer); err != nil {
 			d.log.Error("peer server ended", "error", err)
@@ -255,6 +270,7 @@
 	d.running.Go(func() { d.watchMachines(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
 	d.running.Go(func() { d.reportTraffic(ctx, scope) })
+	d.running.Go(func() { d.reportLeftOut(ctx, scope) })
 }
 
 // Bounds of the HTTP servers.
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -58,6 +58,7 @@
 	options   Options
 	log       *slog.Logger
 	routing   *slog.Logger
+	outcomes  *slog.Logger // of requests that were answered
 	metrics   *metrics
 	sequence  atomic.Uint64
 	inFlight  atomic.Int64
@@ -70,7 +71,8 @@
 	h := &Handler{
 		options:   options,
 		log:       logging.Part(options.Log, "frontend"),
-		routing:   logging.Part(options.Log, "routing"),
+		routing:   logging.Routine(logging.Part(options.Log, "routing")),
+		outcomes:  logging.Routine(logging.Part(options.Log, "frontend")),
 		metrics:   newMetrics(options.Metrics),
 		forwarder: newForwarder(options.Network),
 	}
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -57,5 +57,5 @@
 			attributes = append(attributes, slog.Int("backend_in_flight", got.report.InFlight), slog.Float64("backend_slowdown", got.report.Slowdown))
 		}
 	}
-	a.handler.log.LogAttrs(context.Background(), slog.LevelInfo, "answered", attributes...)
+	a.handler.outcomes.LogAttrs(context.Background(), slog.LevelInfo, "answered", attributes...)
 }
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -118,7 +118,7 @@
 	dialect := platform.Dialect()
 	running, err := daemon.Start(daemon.Options{
 		Settings: chosen, Network: f.net.Network(name), LogTo: os.Stderr,
-		Store: connected, Machines: connected, Sources: connected.Sources(), Dialect: &dialect,
+		Store: connected, Machines: connected, Sources: connected.Sources, Dialect: &dialect,
 	})
 	require.NoError(f.t, err)
 	f.daemons = append(f.daemons, running)
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -116,10 +115,10 @@
 	chosen := built.Settings.Platform
 	connected := platform.Connect(platform.Options{
 		Address: chosen.Address, Direct: chosen.Direct, Connections: chosen.Connections,
-		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst, ProbesPerBackend: chosen.ProbesPerBackend, Log: slog.New(slog.NewTextHandler(os.Stdout, nil)),
+		RetryRatio: chosen.RetryRatio, RetryBurst: chosen.RetryBurst, ProbesPerBackend: chosen.ProbesPerBackend,
 	})
 	dialect := platform.Dialect()
-	built.Store, built.Machines, built.Sources, built.Dialect = connected, connected, connected.Sources(), &dialect
+	built.Store, built.Machines, built.Sources, built.Dialect = connected, connected, connected.Sources, &dialect
 }
 
 // serve runs the daemon until SIGTERM or SIGINT, and then stops it without
--- /dev/null
+++ b/logging/bound_test.go
@@ -0,0 +1,146 @@
+package logging_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tuliphall/tuliphall/logging"
+)
+
+// TestBoundNeverExceeded offers lines at random times: no second gets more than what
+// was saved and what came in during it, and each line is either admitted or counted.
+func TestBoundNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const perSecond, lineBytes = 20, 100
+		now := time.Unix(1000, 0)
+		bound := logging.NewBound(now, perSecond, perSecond*lineBytes/2)
+		var admitted []time.Time
+		leftOut, offered := 0, rapid.IntRange(1, 400).Draw(t, "lines")
+		for range offered {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond)
+			if bound.Admit(now, "kind", rapid.Bool().Draw(t, "routine")) {
+				bound.Spend(lineBytes)
+				admitted = append(admitted, now)
+			}
+		}
+		for first, begin := range admitted {
+			within := 0
+			for _, at := range admitted[first:] {
+				if at.Sub(begin) < time.Second {
+					within++
+				}
+			}
+			if most := 2*perSecond/2 + 1; within > most { // bytes bind: saved, and earned within the second
+				t.Fatalf("%d lines within a second, allowed: %d", within, most)
+			}
+		}
+		for _, lines := range bound.TakeLeftOut() {
+			leftOut += lines
+		}
+		if len(admitted)+leftOut != offered {
+			t.Fatalf("%d admitted and %d left out of %d", len(admitted), leftOut, offered)
+		}
+	})
+}
+
+// TestFailuresAreKept floods the log with lines of requests that went well: those are
+// left out, the few of failures are not.
+func TestFailuresAreKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	bound := logging.NewBound(now, 100, 1_000_000)
+	failures := 0
+	for step := range 5000 { // 1,000 lines a second for 5 s
+		now = now.Add(time.Millisecond)
+		bound.Admit(now, "answered", true)
+		if step%50 == 0 && bound.Admit(now, "failed", false) {
+			failures++
+		}
+	}
+	require.Equal(t, 100, failures)
+	require.NotContains(t, bound.TakeLeftOut(), "failed")
+}
+
+// lockedBuffer is written by the log's goroutine and read by the test.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(data)
+}
+
+// TestLeftOutIsTold logs ten times what is allowed: the log stays within its bound, and
+// a line each second, and the counter, tell what was left out, by kind.
+func TestLeftOutIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &lockedBuffer{}
+		writer := logging.NewWriter(target)
+		bound := logging.NewBound(time.Now(), 100, 1_000_000)
+		logger := logging.New(writer, logging.Options{JSON: true, Daemon: "edge-1", Bound: bound})
+		counted := 0
+		go logging.ReportLeftOut(t.Context(), logger, bound, func(kind string, lines int) {
+			require.Equal(t, "frontend: answered", kind)
+			counted += lines
+		})
+		outcomes := logging.Routine(logging.Part(logger, "frontend"))
+		const offered = 5000
+		for range offered {
+			outcomes.Info("answered", "request", "r-1")
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		writer.Close()
+
+		written, told := 0, 0
+		scanner := bufio.NewScanner(&target.text)
+		for scanner.Scan() {
+			var line struct {
+				Message string         `json:"msg"`
+				Daemon  string         `json:"daemon"`
+				Lines   int            `json:"lines"`
+				Kinds   map[string]int `json:"kinds"`
+			}
+			require.NoError(t, json.Unmarshal(scanner.Bytes(), &line), scanner.Text())
+			require.Equal(t, "edge-1", line.Daemon)
+			written++
+			if line.Message == "logging: lines left out" {
+				require.Equal(t, line.Lines, line.Kinds["frontend: answered"])
+				told += line.Lines
+				written--
+			}
+		}
+		require.LessOrEqual(t, written, 5*100+50+1)
+		require.Equal(t, offered, written+told)
+		require.Equal(t, told, counted)
+	})
+}
+
+// stuckWriter takes no line.
+type stuckWriter struct{}
+
+// Write implements io.Writer.
+func (stuckWriter) Write([]byte) (int, error) {
+	return 0, errors.New("stuck")
+}
+
+// TestLinesOfAFullQueueAreCounted counts a line that the queue had no room for.
+func TestLinesOfAFullQueueAreCounted(t *testing.T) {
+	bound := logging.NewBound(time.Now(), 100, 1_000_000)
+	logger := logging.New(stuckWriter{}, logging.Options{Level: slog.LevelInfo, Daemon: "edge-1", Bound: bound})
+	logging.Part(logger, "frontend").Info("failed")
+	require.Equal(t, map[string]int{"frontend: failed": 1}, bound.TakeLeftOut())
+}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -1,20 +1,19 @@
 // Package logging writes structured logs without ever holding up the request
 // path.
 //
-// Lines go through a bounded queue to one goroutine. When the queue is full the
-// line is dropped and counted, and the next line that gets through is preceded
-// by one that says how many were lost. Each part of the daemon logs with its own
-// prefix, such as "routing: ".
+// Lines go through a bounded queue to one goroutine. A Bound keeps them within so
+// many lines and bytes a second; what it or a full queue leaves out is counted by
+// kind, in a line each second and in a metric. Each part of the daemon logs with its
+// own prefix, such as "routing: ".
 package logging
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // queueLines is how many lines may wait to be written.
@@ -34,7 +33,6 @@
 type Writer struct {
 	target  io.Writer
 	lines   chan []byte
-	dropped atomic.Int64
 	closing chan struct{} // closed when no line may follow
 	done    chan struct{}
 	once    sync.Once
@@ -47,23 +45,24 @@
 	return w
 }
 
-// Write implements io.Writer. A full queue drops the line.
+// ErrQueueFull says that a line was dropped, as too many wait to be written.
+const ErrQueueFull = errors.ConstError("the queue of the log is full")
+
+// Write implements io.Writer. A full queue drops the line, and the error is
+// ErrQueueFull.
 func (w *Writer) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
+		return len(line), nil
 	default:
-		w.dropped.Add(1)
+		return 0, ErrQueueFull
 	}
-	return len(line), nil
 }
 
 func (w *Writer) run() {
 	defer close(w.done)
 	var batch []byte
 	for line := range w.lines {
-		if lost := w.dropped.Swap(0); lost > 0 {
-			batch = fmt.Appendf(batch, "logging: %d lines dropped\n", lost)
-		}
 		batch = append(batch, line...)
 		w.linger()
 		batch = w.gather(batch)
@@ -108,19 +107,27 @@
 
 // Options are a logger's settings.
 type Options struct {
-	Level  slog.Level
+	Level  slog.Leveler // nil: info
 	JSON   bool
 	Daemon string // name of the daemon, noted on each line
+	Bound  *Bound // nil: none
 }
 
 // New returns a logger that writes to w.
 func New(w io.Writer, options Options) *slog.Logger {
 	handlerOptions := &slog.HandlerOptions{Level: options.Level, ReplaceAttr: plainErrors}
+	if options.Bound != nil {
+		w = &spender{bound: options.Bound, next: w}
+	}
 	var handler slog.Handler = slog.NewTextHandler(w, handlerOptions)
 	if options.JSON {
 		handler = slog.NewJSONHandler(w, handlerOptions)
 	}
-	return slog.New(handler).With("daemon", options.Daemon)
+	handler = handler.WithAttrs([]slog.Attr{slog.String("daemon", options.Daemon)})
+	if options.Bound != nil {
+		handler = &boundHandler{next: handler, bound: options.Bound}
+	}
+	return slog.New(handler)
 }
 
 // plainErrors logs an error by its text. Handlers would print where it was made as
@@ -134,35 +141,3 @@
 	}
 	return attribute
 }
-
-// Part returns a logger whose messages begin with the part's name.
-func Part(logger *slog.Logger, part string) *slog.Logger {
-	return slog.New(&prefixHandler{next: logger.Handler(), prefix: part + ": "})
-}
-
-// prefixHandler puts a prefix before each message.
-type prefixHandler struct {
-	next   slog.Handler
-	prefix string
-}
-
-// Enabled implements slog.Handler.
-func (h *prefixHandler) Enabled(ctx context.Context, level slog.Level) bool {
-	return h.next.Enabled(ctx, level)
-}
-
-// Handle implements slog.Handler.
-func (h *prefixHandler) Handle(ctx context.Context, record slog.Record) error {
-	record.Message = h.prefix + record.Message
-	return h.next.Handle(ctx, record)
-}
-
-// WithAttrs implements slog.Handler.
-func (h *prefixHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &prefixHandler{next: h.next.WithAttrs(attrs), prefix: h.prefix}
-}
-
-// WithGroup implements slog.Handler.
-func (h *prefixHandler) WithGroup(name string) slog.Handler {
-	return &prefixHandler{next: h.next.WithGroup(name), prefix: h.prefix}
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,9 @@
 	Forward string `toml:"forward"`
 	// Admin takes operators' commands, health checks and metrics.
 	Admin string `toml:"admin"`
+	// Metrics serves the metrics alone, for those who may not command; empty: only
+	// Admin does.
+	Metrics string `toml:"metrics"`
 }
 
 // Platform says where the platform's services are.
@@ -109,6 +112,10 @@
 	Format string `toml:"format"`
 	// Decisions logs a line for each routing decision; false: only counted.
 	Decisions bool `toml:"decisions"`
+	// LinesPerSecond and BytesPerSecond bound the log; 0: 1000 lines, 300000 bytes.
+	// Lines of requests that went well may use half of that.
+	LinesPerSecond int `toml:"lines_per_second"`
+	BytesPerSecond int `toml:"bytes_per_second"`
 }
 
 // The protocols of a platform.
@@ -130,12 +137,17 @@
 	DefaultWatchers        = 3
 	DefaultWritesPerSecond = 20
 	DefaultNotice          = config.Duration(2 * time.Second)
+	DefaultLinesPerSecond  = 1000
+	DefaultBytesPerSecond  = 300_000
 
 	maxTimeout  = config.Duration(time.Minute)
 	maxWatchers = 20
 	maxWrites   = 100
 	maxNotice   = config.Duration(10 * time.Minute)
 	maxSessions = config.Duration(7 * 24 * time.Hour)
+
+	minLogLines, maxLogLines = 10, 1_000_000
+	minLogBytes, maxLogBytes = 10_000, 1_000_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
@@ -191,6 +203,12 @@
 	if s.Log.Format == "" {
 		s.Log.Format = "text"
 	}
+	if s.Log.LinesPerSecond == 0 {
+		s.Log.LinesPerSecond = DefaultLinesPerSecond
+	}
+	if s.Log.BytesPerSecond == 0 {
+		s.Log.BytesPerSecond = DefaultBytesPerSecond
+	}
 }
 
 // SettingError names a setting that is wrong, and what is allowed.
@@ -221,6 +239,7 @@
 	check(isAddress(s.Listen.Peer), "listen.peer", s.Listen.Peer, "IP:port")
 	check(isAddress(s.Listen.Forward), "listen.forward", s.Listen.Forward, "IP:port")
 	check(isAddress(s.Listen.Admin), "listen.admin", s.Listen.Admin, "IP:port")
+	check(s.Listen.Metrics == "" || isAddress(s.Listen.Metrics), "listen.metrics", s.Listen.Metrics, "IP:port, or empty")
 	for _, address := range s.Peers {
 		check(isAddress(address), "peers", address, "IP:port")
 	}
@@ -242,6 +261,9 @@
 	var level slog.Level
 	check(level.UnmarshalText([]byte(s.Log.Level)) == nil, "log.level", s.Log.Level, "debug, info, warn or error")
 	check(s.Log.Format == "text" || s.Log.Format == "json", "log.format", s.Log.Format, "text or json")
+	lines, bytes := s.Log.LinesPerSecond, s.Log.BytesPerSecond
+	check(lines >= minLogLines && lines <= maxLogLines, "log.lines_per_second", lines, fmt.Sprintf("%d to %d", minLogLines, maxLogLines))
+	check(bytes >= minLogBytes && bytes <= maxLogBytes, "log.bytes_per_second", bytes, fmt.Sprintf("%d to %d", minLogBytes, maxLogBytes))
 	return stderrors.Join(wrong...)
 }
 
