Logs tell each change of what a daemon believes; SIGHUP reads the settings again

Members, dispatchers, ejections, sources lost and regained, what a revision changed, all settings at the start. SIGHUP was ignored, and before it was, at the start, it ended the process. The soak's test is no longer cached when the daemon changes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,7 +55,8 @@
 
 // Daemon is one running load balancer process.
 type Daemon struct {
-	settings  settings.Settings
+	settings  settings.Settings // of the start
+	reloaded  atomic.Pointer[settings.Settings]
 	network   network.Network
 	meter     *network.Meter
 	store     objectstore.Store
@@ -66,8 +67,10 @@
 	logWriter *logging.Writer
 	logBound  *logging.Bound
 	logLevel  slog.LevelVar
-	logger    *slog.Logger
-	log       *slog.Logger
+	// logDecisions says whether each decision and answered request gets a line.
+	logDecisions atomic.Bool
+	logger       *slog.Logger
+	log          *slog.Logger
 
 	services   *service.Registry
 	node       *peer.Node
@@ -99,6 +102,7 @@
 // Start builds a daemon and begins to serve. The caller ends it with Stop.
 func Start(options Options) (*Daemon, error) {
 	d := &Daemon{settings: options.Settings, network: options.Network, started: time.Now()}
+	d.reloaded.Store(&options.Settings)
 	if d.network == nil {
 		d.network = network.TCP{}
 	}
@@ -115,18 +119,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.run(ctx, listeners, scope, reporter)
+	d.log.Info("started", "version", Version, "settings", d.settings)
 	d.log.Info("serving", "caller", d.listeners.Caller, "peer", d.listeners.Peer, "forward", d.listeners.Forward, "admin", d.listeners.Admin)
 	return d, nil
 }
 
 func (d *Daemon) startLogging(target io.Writer) {
 	chosen := d.settings.Log
-	// Validate has checked the level.
-	_ = d.logLevel.UnmarshalText([]byte(chosen.Level))
 	d.logWriter = logging.NewWriter(target)
 	d.logBound = logging.NewBound(time.Now(), chosen.LinesPerSecond, chosen.BytesPerSecond)
 	d.logger = logging.New(d.logWriter, logging.Options{Level: &d.logLevel, JSON: chosen.Format == "json", Daemon: d.settings.Name, Bound: d.logBound})
 	d.log = logging.Part(d.logger, "daemon")
+	d.applyLogSettings(chosen)
 }
 
 func (d *Daemon) connectPlatform(options Options) {
@@ -205,7 +209,7 @@
 // build makes the parts and joins them.
 func (d *Daemon) build(scope tally.Scope) {
 	seed := rand.Uint64()
-	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo()})
+	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
@@ -229,7 +233,7 @@
 	d.slots = slots.NewClient(d.meter.For("places"), d.logger)
 	d.handler = frontend.NewHandler(frontend.Options{
 		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
-		Log: d.logger, Metrics: scope, LogDecisions: d.settings.Log.Decisions, Dialect: d.dialect,
+		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
 		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.dispatches, Dialect: d.dialect, Log: d.logger, Metrics: scope,
@@ -316,9 +320,10 @@
 // is still running is cut and the error says so.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.stopping.Store(true)
-	d.log.Info("stopping", "notice", time.Duration(d.settings.Stop.Notice))
+	notice := time.Duration(d.reloaded.Load().Stop.Notice)
+	d.log.Info("stopping", "notice", notice, "in_flight", d.handler.InFlight())
 	d.node.Leave(ctx)
-	wait.Sleep(ctx, time.Duration(d.settings.Stop.Notice))
+	wait.Sleep(ctx, notice)
 	err := d.finishRequests(ctx)
 	d.operations.Close(ctx)
 	d.close()
@@ -327,7 +332,7 @@
 
 // finishRequests waits for every request and session.
 func (d *Daemon) finishRequests(ctx context.Context) error {
-	if limit := time.Duration(d.settings.Stop.Sessions); limit > 0 {
+	if limit := time.Duration(d.reloaded.Load().Stop.Sessions); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -28,7 +28,7 @@
 // seeds returns peer addresses of other daemons: those in the settings and those
 // on the machine list.
 func (d *Daemon) seeds(ctx context.Context) []string {
-	addresses := append([]string(nil), d.settings.Peers...)
+	addresses := append([]string(nil), d.reloaded.Load().Peers...)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Platform.Timeout))
 	defer cancel()
 	machines, err := d.machines.Machines(ctx)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 
 // Dispatcher serves one service. It is safe for concurrent use.
 type Dispatcher struct {
+	onEjection func(backend string, ejected bool)
+
 	mutex sync.Mutex
 	core  Core
 }
@@ -29,7 +32,30 @@
 	group := routing.NewGroup(routing.Options{
 		Picker: routing.LeastLoad{}, Random: random, Overcommit: routing.DefaultOvercommit, SlowStart: true,
 	})
-	return &Dispatcher{core: Core{Group: group, Queue: admission.NewQueue(queueLimit)}}
+	return &Dispatcher{
+		core:       Core{Group: group, Queue: admission.NewQueue(queueLimit)},
+		onEjection: func(string, bool) {},
+	}
+}
+
+// OnEjection sets what is told when a back end is left out for failing, and when it
+// is let back in. It must be called before the first request; told must not block.
+func (d *Dispatcher) OnEjection(told func(backend string, ejected bool)) {
+	d.onEjection = told
+}
+
+// changeHealth is change for what may eject a back end or let it back in.
+func (d *Dispatcher) changeHealth(state *routing.State, apply func(now time.Time)) {
+	var before, after bool
+	d.change(func() {
+		now := time.Now()
+		before = state.Ejected(now)
+		apply(now)
+		after = state.Ejected(now)
+	})
+	if before != after {
+		d.onEjection(state.ID, after)
+	}
 }
 
 // Configure sets the back ends and the bound of the queue.
@@ -88,7 +114,12 @@
 // Probed takes in the outcome of a probe; report is nil where the back end did
 // not report its load.
 func (d *Dispatcher) Probed(id string, well bool, report *routing.Report) {
-	d.change(func() { d.core.Group.Probed(time.Now(), id, well, report) })
+	d.mutex.Lock()
+	state := d.core.Group.State(id)
+	d.mutex.Unlock()
+	if state != nil {
+		d.changeHealth(state, func(now time.Time) { d.core.Group.Probed(now, id, well, report) })
+	}
 }
 
 // change runs a change under the mutex and gives out places it may have freed.
@@ -153,7 +184,7 @@
 // refusal tells the caller when to come back: when the requests that now wait
 // should have been served.
 func (d *Dispatcher) refusal(now time.Time, request Request, code resultcode.Code) *resultcode.Failure {
-	detail := "the service is overloaded"
+	detail := fmt.Sprintf("the service is overloaded: %d requests wait", d.core.Queue.Len())
 	if code == resultcode.NoBackend {
 		detail = "every back end is draining or none is placed"
 	}
@@ -207,7 +238,8 @@
 
 // Done gives the place back. latency counts only for a success.
 func (g *Grant) Done(outcome routing.Outcome, latency time.Duration) {
-	g.dispatcher.change(func() { g.dispatcher.core.Done(time.Now(), g.Place, outcome, latency) })
+	d := g.dispatcher
+	d.changeHealth(g.Backend, func(now time.Time) { d.core.Done(now, g.Place, outcome, latency) })
 }
 
 // BackendStatus is what operators see of a back end.
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -213,7 +213,7 @@
 	if f.isConfigured(document) {
 		f.once.Do(func() { close(f.configured) })
 	}
-	f.log.Info("in force", "revision", uint64(document.Revision), "directory", uint64(document.Directory.Revision), "source", source)
+	f.logInForce(present, document, source)
 	f.announce(source == fromPlatform)
 	return nil
 }
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -49,6 +49,10 @@
 	return config.Document{}, errors.NotFoundf("declaration")
 }
 
+func (s *scriptedSource) Name() string {
+	return "script"
+}
+
 func (s *scriptedSource) Watch(ctx context.Context, present config.Document, wait time.Duration) (config.Document, error) {
 	s.watches.Add(1)
 	select {
--- a/dissemination/source.go
+++ b/dissemination/source.go
@@ -13,6 +13,8 @@
 // Source is where a part of the document comes from. A Follower uses each source
 // from one goroutine at a time.
 type Source interface {
+	// Name says in logs what it is.
+	Name() string
 	// Read returns the newest there is; its other parts are empty. The error is
 	// errors.NotFound where nothing was declared yet.
 	Read(ctx context.Context) (config.Document, error)
@@ -55,6 +57,11 @@
 	return &Head{store: store, timeout: timeout}
 }
 
+// Name implements Source.
+func (h *Head) Name() string {
+	return "head object"
+}
+
 // Read implements Source.
 func (h *Head) Read(ctx context.Context) (config.Document, error) {
 	document, _, err := config.Load(ctx, h.store)
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -16,6 +16,7 @@
 		wait.Sleep(ctx, firstWatch)
 	}
 	fresh := true
+	var health sourceHealth
 	for ctx.Err() == nil {
 		place, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
 		f.watching.Store(chosen)
@@ -28,10 +29,11 @@
 		begun := time.Now()
 		before := f.Position()
 		if err := f.watch(ctx, source, watchLength(f.options.WatchGap, place, watchers, fresh)); err != nil {
-			f.log.Warn("watch failed", "error", err)
+			health.failed(f.log, source, begun, err)
 			backoff = f.pause(ctx, backoff)
 			continue
 		}
+		health.answered(f.log, source)
 		fresh = f.Position() != before
 		backoff = firstBackoff
 		if fresh {
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -33,7 +34,7 @@
 		if number > 1 {
 			kind = retry.Retry
 		}
-		chosen, err := a.acquire(ctx, kind, a.call.decision.Wait)
+		chosen, err := a.acquire(ctx, kind, a.call.wanted(a.call.decision.Wait, a.handler.options.Zone))
 		if errors.Is(err, service.ErrOverBudget) {
 			a.handler.log.Info("not retried", "request", a.call.id, "service", a.call.service.Name(), "error", err)
 			break
@@ -103,13 +104,17 @@
 
 func (a *attempter) logDecision(chosen *place) {
 	a.handler.metrics.waited.RecordDuration(chosen.waited)
-	if !a.handler.options.LogDecisions {
+	if !a.handler.options.LogDecisions() {
 		return
 	}
 	c := a.call
-	a.handler.routing.Info("chosen", "request", c.id, "service", c.service.Name(), "class", c.decision.Class,
-		"backend", chosen.backend, "reason", string(chosen.reason), "candidates", chosen.candidates,
-		"report_age", chosen.reportAge, "waited", chosen.waited)
+	a.handler.routing.LogAttrs(context.Background(), slog.LevelInfo, "chosen",
+		slog.String("request", c.id), slog.String("attempt_kind", chosen.kind.String()),
+		slog.String("service", c.service.Name()), slog.String("class", c.decision.Class),
+		slog.String("backend", chosen.backend), slog.String("dispatcher", chosen.dispatcher),
+		slog.String("reason", string(chosen.reason)), slog.Int("candidates", chosen.candidates),
+		slog.Duration("report_age", chosen.reportAge), slog.Duration("waited", chosen.waited),
+		slog.Duration("remaining", time.Until(c.deadline)))
 }
 
 // outbound is a request that is ready to be sent to the back end of a place.
@@ -247,7 +252,7 @@
 // abort breaks off an answer that has begun, so that the caller cannot take it
 // for whole.
 func (a *attempter) abort(err *passError) {
-	a.handler.log.Warn("answer broken off", "request", a.call.id, "service", a.call.service.Name(), "side", string(err.side), "error", err.cause)
+	a.logBrokenOff(err)
 	if a.record != nil && err.side == backendSide {
 		a.record.broken()
 	}
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -65,7 +65,8 @@
 	upgrade   bool
 	request   *http.Request
 	received  time.Time
-	tried     []string
+	tried     []string // ids of the back ends it was sent to, in order
+	refusedBy string   // daemon that refused a place; empty: none did
 }
 
 // headers are the numbers a caller may send.
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	a.handler.metrics.forwards.Inc(1)
-	if a.handler.options.LogDecisions {
+	if a.handler.options.LogDecisions() {
 		a.handler.routing.Info("forwarded", "request", c.id, "service", c.service.Name(), "class", c.decision.Class, "dispatcher", dispatcher.Name)
 	}
 	out := c.outgoing(c.request, a.handler.options.Dialect)
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -47,8 +47,9 @@
 	Operations *operation.Executor
 	Log        *slog.Logger
 	Metrics    tally.Scope
-	// LogDecisions logs a line for each routing decision.
-	LogDecisions bool
+	// LogDecisions says whether each routing decision and each answered request
+	// gets a line; nil: none does. It must not block.
+	LogDecisions func() bool
 	// Dialect is how callers and back ends spell headers.
 	Dialect backend.Dialect
 }
@@ -68,6 +69,9 @@
 
 // NewHandler returns a handler.
 func NewHandler(options Options) *Handler {
+	if options.LogDecisions == nil {
+		options.LogDecisions = func() bool { return false }
+	}
 	h := &Handler{
 		options:   options,
 		log:       logging.Part(options.Log, "frontend"),
--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -86,9 +86,10 @@
 		return
 	}
 	r.asking = true
+	request := c.wanted(hedgeWait, a.handler.options.Zone)
 	go func() {
 		// Where there is none, the first attempt goes on alone.
-		chosen, _ := a.acquire(ctx, retry.Hedge, hedgeWait)
+		chosen, _ := a.acquire(ctx, retry.Hedge, request)
 		r.places <- chosen
 	}()
 }
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -23,8 +24,8 @@
 // refuse answers with a failure, and logs how the call ended.
 func (a *attempter) refuse(failure *resultcode.Failure) {
 	c := a.call
-	a.handler.logRefused(c.id, failure, slog.String("service", c.service.Name()), slog.String("class", c.decision.Class),
-		slog.Int("sent", len(c.tried)), slog.Duration("total", time.Since(c.received)))
+	a.handler.logRefused(c.id, failure, append(a.described(), slog.String("refused_by", c.refusedBy),
+		slog.Uint64("revision", uint64(a.handler.options.Services.Snapshot().Revision)))...)
 	a.handler.writeFailure(a.writer, c.id, failure)
 }
 
@@ -37,19 +38,31 @@
 	h.log.LogAttrs(context.Background(), slog.LevelInfo, "failed", attributes...)
 }
 
+// described is what each line on how a call ended has.
+func (a *attempter) described() []slog.Attr {
+	c := a.call
+	return []slog.Attr{
+		slog.String("service", c.service.Name()), slog.String("class", c.decision.Class), slog.String("route", c.route.Name),
+		slog.Int("sent", len(c.tried)), slog.String("backends", strings.Join(c.tried, " ")), slog.Duration("total", time.Since(c.received)),
+	}
+}
+
+// logBrokenOff logs a call whose answer could not be passed on whole.
+func (a *attempter) logBrokenOff(err *passError) {
+	attributes := append([]slog.Attr{
+		slog.String("request", a.call.id), slog.String("side", string(err.side)), slog.String("cause", err.cause.Error()),
+	}, a.described()...)
+	a.handler.log.LogAttrs(context.Background(), slog.LevelWarn, "answer broken off", attributes...)
+}
+
 // answered counts and logs a call whose answer was passed on whole.
 func (a *attempter) answered(code resultcode.Code) {
-	total := time.Since(a.call.received)
 	a.handler.metrics.count(code)
-	a.handler.metrics.latency.RecordDuration(total)
-	if !a.handler.options.LogDecisions {
+	a.handler.metrics.latency.RecordDuration(time.Since(a.call.received))
+	if !a.handler.options.LogDecisions() {
 		return
 	}
-	c := a.call
-	attributes := []slog.Attr{
-		slog.String("request", c.id), slog.Int("code", int(code)), slog.String("service", c.service.Name()), slog.String("class", c.decision.Class),
-		slog.Int("sent", len(c.tried)), slog.Duration("total", total),
-	}
+	attributes := append([]slog.Attr{slog.String("request", a.call.id), slog.Int("code", int(code))}, a.described()...)
 	if got := a.got; got != nil {
 		attributes = append(attributes, slog.String("backend", got.chosen.backend), slog.Int("status", got.response.StatusCode),
 			slog.Duration("backend_latency", got.latency))
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -19,6 +19,8 @@
 // place is a place at a back end, from this daemon's dispatcher or another's.
 type place struct {
 	backend    string // id
+	dispatcher string // name of the daemon that gave it
+	kind       retry.Kind
 	reason     routing.Reason
 	candidates int
 	reportAge  time.Duration
@@ -27,16 +29,30 @@
 	done       func(outcome routing.Outcome, latency time.Duration, report *routing.Report)
 }
 
-// acquire gets a place for an attempt: from the daemon that dispatches the service,
-// or here if that is this one or it cannot be reached. It blocks for as long as wait
-// allows; 0: until the deadline. The error is service.ErrOverBudget, or a
-// *resultcode.Failure.
-func (a *attempter) acquire(ctx context.Context, kind retry.Kind, wait time.Duration) (*place, error) {
-	c := a.call
-	request := dispatch.Request{
+// wanted is the request for a place for the next attempt, which may wait so long for
+// it; 0: until the deadline.
+func (c *call) wanted(wait time.Duration, zone string) dispatch.Request {
+	return dispatch.Request{
 		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline,
-		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: a.handler.options.Zone},
+		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: zone},
+	}
+}
+
+// acquire gets a place for an attempt: from the daemon that dispatches the service,
+// or here if that is this one or it cannot be reached. It blocks for as long as the
+// request may wait. The error is service.ErrOverBudget, or a *resultcode.Failure. A
+// hedge calls it beside the attempt that is under way.
+func (a *attempter) acquire(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
+	chosen, err := a.find(ctx, kind, request)
+	if chosen != nil {
+		chosen.kind = kind
 	}
+	return chosen, err
+}
+
+// find is acquire, but for the kind of the place.
+func (a *attempter) find(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
+	c := a.call
 	peers := a.handler.options.Peers
 	as := service.Dispatching()
 	if c.service.Target().Service.Direct {
@@ -50,6 +66,7 @@
 	}
 	grant, err := c.service.Acquire(ctx, as, kind, request)
 	if err != nil {
+		a.noteRefusal(kind, a.handler.options.Name)
 		return nil, err
 	}
 	return a.ownPlace(grant), nil
@@ -70,6 +87,7 @@
 		a.logAsked(slog.LevelInfo, "dispatcher behind", dispatcher, slog.Any("error", err))
 		return nil, nil
 	case err != nil:
+		a.noteRefusal(kind, dispatcher.Name)
 		return nil, err
 	case !c.service.Dispatcher.Takes(granted.Backend):
 		// This daemon has heard that the back end leaves, or is gone.
@@ -77,7 +95,15 @@
 		a.logAsked(slog.LevelInfo, "place not used", dispatcher, slog.String("backend", granted.Backend))
 		return nil, nil
 	}
-	return placeOf(granted), nil
+	return placeOf(granted, dispatcher.Name), nil
+}
+
+// noteRefusal keeps who refused a place, to be logged when the call ends. For a hedge
+// that says nothing of how the call ends.
+func (a *attempter) noteRefusal(kind retry.Kind, dispatcher string) {
+	if kind != retry.Hedge {
+		a.call.refusedBy = dispatcher
+	}
 }
 
 // logAsked logs why what a dispatcher said was not followed.
@@ -89,7 +115,7 @@
 // ownPlace is a place that this daemon's own dispatcher gave.
 func (a *attempter) ownPlace(grant *dispatch.Grant) *place {
 	return &place{
-		backend: grant.Backend.ID, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
+		backend: grant.Backend.ID, dispatcher: a.handler.options.Name, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited(), sent: grant.Sent,
 		done: func(outcome routing.Outcome, latency time.Duration, report *routing.Report) {
 			if report != nil {
@@ -101,9 +127,9 @@
 }
 
 // placeOf is a place that another daemon gave.
-func placeOf(grant *slots.Grant) *place {
+func placeOf(grant *slots.Grant, dispatcher string) *place {
 	return &place{
-		backend: grant.Backend, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
+		backend: grant.Backend, dispatcher: dispatcher, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited, sent: time.Now(), done: grant.Done,
 	}
 }
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -43,6 +43,10 @@
 	servers      []*http.Server
 	client       *http.Client
 	last         atomic.Int64 // number of the last request
+	logs         logs
+
+	mutex   sync.Mutex
+	answers map[string]answer // by the request's id
 }
 
 const daemons = 4
@@ -55,8 +59,9 @@
 // runFleet is run with so many daemons.
 func runFleet(t *testing.T, daemons, workers int, check func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, net: fakenet.New(100 * time.Microsecond), store: objectstub.New()}
+		f := &fleet{t: t, net: fakenet.New(100 * time.Microsecond), store: objectstub.New(), answers: make(map[string]answer)}
 		defer time.Sleep(time.Minute) // what still writes ends
+		defer f.checkOutcomes()
 		defer f.close()
 		f.storeAddress = f.serve("store", f.store.Handler())
 		for number := range workers {
@@ -110,14 +115,14 @@
 			WatchInterval: config.Duration(500 * time.Millisecond), WatchGap: config.Duration(600 * time.Millisecond),
 			MaxBackoff: config.Duration(time.Second),
 		},
-		Log: settings.Log{Level: "error"},
+		Log: settings.Log{Level: "info", Format: "json", Decisions: true},
 	}
 	chosen.Provision()
 	require.NoError(f.t, chosen.Validate())
 	connected := platform.Connect(platform.Options{Network: f.net.Network(name), Address: "http://" + store, Connections: 8, ProbesPerBackend: probesPerBackend})
 	dialect := platform.Dialect()
 	running, err := daemon.Start(daemon.Options{
-		Settings: chosen, Network: f.net.Network(name), LogTo: os.Stderr,
+		Settings: chosen, Network: f.net.Network(name), LogTo: &f.logs,
 		Store: connected, Machines: connected, Sources: connected.Sources, Dialect: &dialect,
 	})
 	require.NoError(f.t, err)
@@ -175,17 +180,27 @@
 
 // send sends one request through a daemon.
 func (f *fleet) send(number int, path string) answer {
+	return f.sendWith(number, path, func(*http.Request) {})
+}
+
+// sendWith is send of a request that change has changed.
+func (f *fleet) sendWith(number int, path string, change func(*http.Request)) answer {
 	id := "request-" + strconv.FormatInt(f.last.Add(1), 10)
-	method := http.MethodGet
-	if strings.Contains(path, "unsafe") {
-		method = http.MethodPost
-	}
+	got := f.exchange(id, number, path, change)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.answers[id] = got
+	return got
+}
+
+func (f *fleet) exchange(id string, number int, path string, change func(*http.Request)) answer {
 	address := f.daemons[number].Addresses().Caller
-	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(f.t.Context(), methodOf(path), "http://"+address+path, nil)
 	require.NoError(f.t, err)
 	request.Host = "a.example"
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "1500")
+	change(request)
 	response, err := f.client.Do(request)
 	if err != nil {
 		return answer{err: err}
--- a/lab/scenarios/scenarios_test.go
+++ b/lab/scenarios/scenarios_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,10 +44,11 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports": ports,
-			"ready": ready,
-			"fetch": fetch,
-			"subst": substitute,
+			"ports":  ports,
+			"ready":  ready,
+			"fetch":  fetch,
+			"subst":  substitute,
+			"hangup": hangup,
 		},
 	})
 }
@@ -125,6 +128,16 @@
 	}
 }
 
+// hangup COMMAND sends SIGHUP, which kill does not know, to the script's background
+// processes of a command.
+func hangup(ts *testscript.TestScript, _ bool, args []string) {
+	for _, process := range ts.BackgroundCmds() {
+		if filepath.Base(process.Args[0]) == args[0] {
+			ts.Check(process.Process.Signal(syscall.SIGHUP))
+		}
+	}
+}
+
 // subst FILE... replaces $NAME in files by the environment's values.
 func substitute(ts *testscript.TestScript, _ bool, files []string) {
 	for _, file := range files {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	// The soak builds the daemon: a change of it must not leave this test's result cached.
+	_ "github.com/tuliphall/tuliphall/launch"
+
 	"io"
 	"net/http"
 	"os/exec"
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -59,7 +59,7 @@
 		fmt.Println("configuration is valid")
 		return exitOK
 	}
-	if err := serve(built); err != nil {
+	if err := serve(chosen, built); err != nil {
 		fmt.Fprintln(os.Stderr, "tuliphalld:", err)
 		return exitFailed
 	}
@@ -74,6 +74,11 @@
 	if (chosen.Settings == "") == (chosen.Standalone == "") {
 		return daemon.Options{}, errors.New("give either --settings FILE or --standalone FILE")
 	}
+	return load(chosen)
+}
+
+// load reads and checks the file that was named, and lets flags override it.
+func load(chosen options) (daemon.Options, error) {
 	var built daemon.Options
 	var err error
 	if chosen.Standalone != "" {
@@ -122,15 +127,16 @@
 }
 
 // serve runs the daemon until SIGTERM or SIGINT, and then stops it without
-// cutting a request. A second signal ends it at once.
-func serve(built daemon.Options) error {
+// cutting a request. A second signal ends it at once. SIGHUP reads the settings file
+// again; it never ends the daemon, whenever it comes.
+func serve(chosen options, built daemon.Options) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	running, err := daemon.Start(built)
 	if err != nil {
 		return err
 	}
-	// The settings file is read at the start only; a hangup must not end the
-	// daemon.
-	signal.Ignore(syscall.SIGHUP)
+	go reloadOn(hangups, chosen, running)
 	first, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	<-first.Done()
 	release()
@@ -138,3 +144,16 @@
 	defer stop()
 	return running.Stop(second)
 }
+
+// reloadOn reads the settings file again at each signal. It runs as long as the
+// process.
+func reloadOn(hangups <-chan os.Signal, chosen options, running *daemon.Daemon) {
+	for range hangups {
+		built, err := load(chosen)
+		if err != nil {
+			running.ReloadFailed(err)
+			continue
+		}
+		running.Reload(built.Settings)
+	}
+}
--- a/logging/bound.go
+++ b/logging/bound.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// SetLimits changes what is allowed in a second.
+func (b *Bound) SetLimits(now time.Time, linesPerSecond, bytesPerSecond int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.lines.set(now, linesPerSecond)
+	b.bytes.set(now, bytesPerSecond)
+}
+
 // Admit says whether a line may be written, and counts it by its kind if not.
 func (b *Bound) Admit(now time.Time, kind string, routine bool) bool {
 	b.mutex.Lock()
@@ -94,6 +102,13 @@
 	return allowance{perSecond: float64(perSecond), left: float64(perSecond), at: now}
 }
 
+// set changes what one second allows. What was saved stays, as far as it fits.
+func (a *allowance) set(now time.Time, perSecond int) {
+	a.has(now, 0)
+	a.perSecond = float64(perSecond)
+	a.left = min(a.left, a.perSecond)
+}
+
 // has says whether anything is left beyond a reserve, a part of the whole.
 func (a *allowance) has(now time.Time, reserve float64) bool {
 	if passed := now.Sub(a.at); passed > 0 {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -33,7 +33,7 @@
 type Writer struct {
 	target  io.Writer
 	lines   chan []byte
-	closing chan struct{} // closed when no line may follow
+	closing chan struct{} // closed when the lines that wait are the last
 	done    chan struct{}
 	once    sync.Once
 }
@@ -62,16 +62,27 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	var batch []byte
-	for line := range w.lines {
-		batch = append(batch, line...)
-		w.linger()
-		batch = w.gather(batch)
-		// There is no other place to report a log that cannot be written.
-		_, _ = w.target.Write(batch)
-		batch = batch[:0]
+	for {
+		select {
+		case line := <-w.lines:
+			batch = append(batch[:0], line...)
+			w.linger()
+			w.write(w.gather(batch))
+		case <-w.closing:
+			for batch = w.gather(batch[:0]); len(batch) > 0; batch = w.gather(batch[:0]) {
+				w.write(batch)
+			}
+			return
+		}
 	}
 }
 
+// write hands a batch to the target. There is no other place to report a log that
+// cannot be written.
+func (w *Writer) write(batch []byte) {
+	_, _ = w.target.Write(batch)
+}
+
 // linger waits for further lines, unless the writer is being closed.
 func (w *Writer) linger() {
 	select {
@@ -84,10 +95,7 @@
 func (w *Writer) gather(batch []byte) []byte {
 	for len(batch) < batchBytes {
 		select {
-		case line, open := <-w.lines:
-			if !open {
-				return batch
-			}
+		case line := <-w.lines:
 			batch = append(batch, line...)
 		default:
 			return batch
@@ -96,12 +104,10 @@
 	return batch
 }
 
-// Close writes the lines that wait and ends the goroutine. No Write may follow.
+// Close writes the lines that wait and ends the goroutine. Lines that come later are
+// lost.
 func (w *Writer) Close() {
-	w.once.Do(func() {
-		close(w.closing)
-		close(w.lines)
-	})
+	w.once.Do(func() { close(w.closing) })
 	<-w.done
 }
 
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -75,3 +75,18 @@
 		require.Contains(t, target.text.String(), "last")
 	})
 }
+
+// TestLinesAfterTheEndAreLost logs while and after the writer is closed, as a signal
+// that comes late does.
+func TestLinesAfterTheEndAreLost(t *testing.T) {
+	target := &countedWrites{}
+	writer := logging.NewWriter(target)
+	logger := logging.New(writer, logging.Options{Daemon: "edge-1"})
+	logger.Info("before")
+	writer.Close()
+	for range 10000 {
+		logger.Info("after")
+	}
+	require.Contains(t, target.text.String(), "before")
+	require.NotContains(t, target.text.String(), "after")
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -100,6 +100,8 @@
 	syncs   int // so far
 	digest  uint64
 	stale   bool // digest must be reckoned again
+	// transitions are those that TakeTransitions has not returned yet.
+	transitions []Transition
 }
 
 // NewState returns a view that holds only the daemon itself.
@@ -245,6 +247,11 @@
 	if !known || present.Status != update.Status || present.ForwardAddress != update.ForwardAddress {
 		s.version++
 	}
+	before := update.Status
+	if known {
+		before = present.Status
+	}
+	s.note(update, before, !known)
 	s.members[update.Name] = &entry{Member: update, changed: now}
 	s.stale = true
 	if !known {
@@ -336,13 +343,12 @@
 		return
 	}
 	present.Status, present.changed, present.sent = Suspect, now, 0
+	s.note(present.Member, Alive, false)
 	s.version++
 }
 
-// Tick declares suspects dead whose time is over, forgets what is long dead, and
-// returns the members declared dead.
-func (s *State) Tick(now time.Time) []Member {
-	var declared []Member
+// Tick declares suspects dead whose time is over, and forgets what is long dead.
+func (s *State) Tick(now time.Time) {
 	timeout := s.suspicionTimeout()
 	for name, one := range s.members {
 		age := now.Sub(one.changed)
@@ -351,12 +357,11 @@
 			one.Status, one.changed, one.sent = Dead, now, 0
 			s.version++
 			s.stale = true
-			declared = append(declared, one.Member)
+			s.note(one.Member, Suspect, false)
 		case !one.Serving() && age >= deadKept:
 			delete(s.members, name)
 		}
 	}
-	return declared
 }
 
 func (s *State) suspicionTimeout() time.Duration {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -13,14 +13,10 @@
 func (n *Node) period(ctx context.Context) {
 	var target membership.Member
 	var found bool
-	var dead []membership.Member
-	n.change(func(now time.Time) {
-		dead = n.state.Tick(now)
+	n.change(byTime, func(now time.Time) {
+		n.state.Tick(now)
 		target, found = n.state.Next()
 	})
-	for _, member := range dead {
-		n.log.Warn("member dead", "member", member.Name, "zone", member.Zone)
-	}
 	if !found {
 		n.join(ctx)
 		return
@@ -36,7 +32,7 @@
 	if n.reachedByOthers(ctx, target) {
 		return
 	}
-	n.log.Info("member suspected", "member", target.Name, "zone", target.Zone, "error", err)
+	n.log.Info("member does not answer", "member", target.Name, "zone", target.Zone, "error", err)
 	n.Suspect(target.Name)
 }
 
@@ -109,7 +105,7 @@
 	theirs := decodePosition(message)
 	var news []Drain
 	sync, expected := false, false
-	n.change(func(now time.Time) {
+	n.change(from.Name, func(now time.Time) {
 		expected = n.expects(now, theirs)
 		n.state.Merge(now, decodeMembers(message.GetUpdates()))
 		n.state.Heard(now, from)
--- a/peer/join.go
+++ b/peer/join.go
@@ -67,7 +67,7 @@
 			return err
 		}
 		var news []Drain
-		n.change(func(now time.Time) {
+		n.change(address, func(now time.Time) {
 			n.state.MergeList(now, members)
 			news = n.drains.take(drains)
 		})
--- a/peer/node.go
+++ b/peer/node.go
@@ -110,7 +110,8 @@
 	// expected is what another daemon is handing over.
 	expected delivery
 
-	view atomic.Pointer[View]
+	view        atomic.Pointer[View]
+	dispatchers sync.Map // service name to the name of the daemon last chosen
 }
 
 // NewNode returns a node that knows only itself.
@@ -123,15 +124,18 @@
 	return n
 }
 
-// change runs a change of the members under the mutex and refreshes the view.
-func (n *Node) change(apply func(now time.Time)) {
+// change runs a change of the members, which source told, under the mutex,
+// refreshes the view, and logs what is new.
+func (n *Node) change(source string, apply func(now time.Time)) {
 	n.mutex.Lock()
-	defer n.mutex.Unlock()
 	before := n.state.Version()
 	apply(time.Now())
 	if n.state.Version() != before {
 		n.refreshView()
 	}
+	changed := n.state.TakeTransitions()
+	n.mutex.Unlock()
+	n.logTransitions(changed, source)
 }
 
 // Members returns every member known, this daemon included.
@@ -143,7 +147,7 @@
 
 // Suspect notes that a member could not be reached.
 func (n *Node) Suspect(name string) {
-	n.change(func(now time.Time) { n.state.Unreachable(now, name) })
+	n.change(byNoAnswer, func(now time.Time) { n.state.Unreachable(now, name) })
 }
 
 // spreadSoon lets a few members be told at once, as there is news.
@@ -228,6 +232,6 @@
 
 // Leave tells a few members that this daemon leaves.
 func (n *Node) Leave(ctx context.Context) {
-	n.change(func(time.Time) { n.state.Leave() })
+	n.change(bySelf, func(time.Time) { n.state.Leave() })
 	n.tellSome(ctx)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -58,7 +58,8 @@
 // Members implements peerpb.DRPCPeerServer.
 func (s *server) Members(_ context.Context, request *peerpb.MembersRequest) (*peerpb.MembersReply, error) {
 	n := s.node
-	n.change(func(now time.Time) { n.state.Heard(now, decodeMember(request.Sender)) })
+	sender := decodeMember(request.Sender)
+	n.change(sender.Name, func(now time.Time) { n.state.Heard(now, sender) })
 	return encodeList(n.Members(), encodeDrains(n.Draining()))
 }
 
--- a/peer/view.go
+++ b/peer/view.go
@@ -47,6 +47,7 @@
 		return membership.Member{}, false
 	}
 	view.cache.Store(name, chosen[0])
+	n.noteDispatcher(name, chosen[0])
 	return chosen[0], chosen[0].Name != view.self
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -53,6 +53,17 @@
 // Kind is what an attempt is for.
 type Kind int
 
+// String returns the kind's name, as logs have it.
+func (k Kind) String() string {
+	switch k {
+	case First:
+		return "first"
+	case Retry:
+		return "retry"
+	}
+	return "hedge"
+}
+
 // The kinds of attempt.
 const (
 	First Kind = iota // it costs nothing and earns
--- a/routing/group.go
+++ b/routing/group.go
@@ -76,6 +76,11 @@
 	return g.states
 }
 
+// State returns a back end's state, or nil where it is not known.
+func (g *Group) State(id string) *State {
+	return g.byID[id]
+}
+
 // Pace returns how long the back ends take for one request, all together, as far
 // as their latencies tell. It is 0 when no back end takes requests.
 func (g *Group) Pace() time.Duration {
--- a/service/service.go
+++ b/service/service.go
@@ -5,6 +5,7 @@
 package service
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
@@ -34,13 +36,20 @@
 	declared map[string]config.Backend
 }
 
-func newService(options Options, seed uint64) *Service {
+func newService(options Options, name string, seed uint64) *Service {
 	service := &Service{
 		network:    options.Network,
 		echo:       options.Echo,
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
 		drained:    make(map[drainKey]bool),
 	}
+	service.Dispatcher.OnEjection(func(backend string, ejected bool) {
+		message := "back end let back in"
+		if ejected {
+			message = "back end ejected"
+		}
+		options.Log.Info(message, "service", name, "backend", backend)
+	})
 	service.clients.Store(&clients{})
 	return service
 }
@@ -198,10 +207,15 @@
 	// Echo is a header of which each answer carries the request's value;
 	// empty: none.
 	Echo string
+	Log  *slog.Logger // nil: nothing is logged
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(options Options) *Registry {
+	if options.Log == nil {
+		options.Log = slog.New(slog.DiscardHandler)
+	}
+	options.Log = logging.Part(options.Log, "outlier")
 	return &Registry{options: options, seed: options.Seed}
 }
 
@@ -231,7 +245,7 @@
 		}
 	}
 	r.seed++
-	return newService(r.options, r.seed)
+	return newService(r.options, name, r.seed)
 }
 
 // Snapshot returns the snapshot in force, or nil when there is none yet.
--- /dev/null
+++ b/settings/changes_test.go
@@ -0,0 +1,68 @@
+package settings_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/settings"
+)
+
+func TestCompare(t *testing.T) {
+	present := settings.Settings{Name: "edge-1", Peers: []string{"10.0.0.1:7000"}}
+	present.Provision()
+	require.Equal(t, settings.Changes{}, settings.Compare(present, present))
+
+	next := present
+	next.Peers = []string{"10.0.0.2:7000"}
+	next.Log.Level = "debug"
+	next.Stop.Notice = config.Duration(5 * time.Second)
+	next.Listen.Caller = "10.0.0.1:81"
+	next.Platform.Watchers = 7
+	require.Equal(t, settings.Changes{
+		Applicable: []string{"peers", "stop.notice", "log.level"}, NeedRestart: []string{"listen.caller", "platform.watchers"},
+	}, settings.Compare(present, next))
+}
+
+// TestReloadedTakesAllThatIsApplicable changes each setting in turn: either it is
+// taken over, or it is said to need a restart.
+func TestReloadedTakesAllThatIsApplicable(t *testing.T) {
+	var present settings.Settings
+	present.Provision()
+	eachSetting(reflect.TypeFor[settings.Settings](), nil, func(path []int) {
+		next := present
+		field := reflect.ValueOf(&next).Elem().FieldByIndex(path)
+		switch field.Kind() {
+		case reflect.String:
+			field.SetString("other")
+		case reflect.Bool:
+			field.SetBool(!field.Bool())
+		case reflect.Int, reflect.Int64:
+			field.SetInt(field.Int() + 1)
+		case reflect.Float64:
+			field.SetFloat(field.Float() + 1)
+		case reflect.Slice:
+			field.Set(reflect.ValueOf([]string{"10.0.0.9:1"}))
+		default:
+			t.Fatalf("setting of kind %s", field.Kind())
+		}
+		changes := settings.Compare(present, next)
+		require.Equal(t, 1, len(changes.Applicable)+len(changes.NeedRestart))
+		require.Equal(t, len(changes.NeedRestart) == 0, reflect.DeepEqual(present.Reloaded(next), next), "%v", changes)
+	})
+}
+
+// eachSetting calls visit with the index path of each setting that is no table.
+func eachSetting(of reflect.Type, path []int, visit func(path []int)) {
+	for index := range of.NumField() {
+		here := append(append([]int(nil), path...), index)
+		if of.Field(index).Type.Kind() == reflect.Struct {
+			eachSetting(of.Field(index).Type, here, visit)
+			continue
+		}
+		visit(here)
+	}
+}
