--- a/command/change.go
+++ b/command/change.go
@@ -108,7 +108,7 @@
 }
 
 func (g *global) printChange(response admin.ApplyResponse, dryRun bool) error {
-	if g.Output == "json" {
+	if g.Output == outputJSON {
 		return g.printJSON(response)
 	}
 	note := ""
--- a/command/command.go
+++ b/command/command.go
@@ -49,6 +49,9 @@
 // errDifferences and errLagging carry an exit code and nothing to print.
 var errDifferences = &exit{code: ExitDifferences, cause: errors.New("there are differences")}
 
+// outputJSON is the output format for programs.
+const outputJSON = "json"
+
 // global are the options of every command.
 type global struct {
 	Admin   string        `long:"admin" env:"TULIPHALL_ADMIN" value-name:"URL" default:"http://127.0.0.1:9090" description:"operators' interface of a daemon"`
@@ -157,6 +160,7 @@
 		{"rollback", "Take back to an earlier revision", "Makes a new revision with the content of an earlier one.\n\nExample: tuliphall rollback 12", &rollbackCommand{global: g}},
 		{"status", "Show who has which revision in force", "Example: tuliphall status", &statusCommand{global: g}},
 		{"wait", "Wait until a revision is in force everywhere", "Exits with 5 and names the daemons that lag when time runs out.\n\nExample: tuliphall wait 12", &waitCommand{global: g}},
+		{"explain", "Tell from logs why a request ended as it did", "Reads the logs of any number of daemons, from files or the standard input, and asks no daemon.\n\nExamples: tuliphall explain 473cecd9ab6907cc *.log; tuliphall explain --summary *.log", &explainCommand{global: g}},
 		{"drain", "Send no new requests to a back end", "Example: tuliphall drain price-query p3", &drainCommand{global: g, drained: true}},
 		{"undrain", "Send requests to a back end again", "Example: tuliphall undrain price-query p3", &drainCommand{global: g, drained: false}},
 		{"version", "Print the version", "", &versionCommand{global: g}},
--- a/command/show.go
+++ b/command/show.go
@@ -120,7 +120,7 @@
 }
 
 func (g *global) print(value any, rows [][]string) error {
-	if g.Output == "json" {
+	if g.Output == outputJSON {
 		return g.printJSON(value)
 	}
 	return g.printTable(rows)
@@ -165,7 +165,7 @@
 		if s.Name != c.Arguments.Name {
 			continue
 		}
-		if c.global.Output == "json" {
+		if c.global.Output == outputJSON {
 			return c.global.printJSON(s)
 		}
 		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "DRAINING", "EJECTED", "LATENCY"}}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,159 @@
+package explain_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/explain"
+)
+
+// text makes a log of lines in JSON. A line is the second at which it was written, its
+// daemon, its message, and further fields as JSON.
+func text(lines ...string) string {
+	var log strings.Builder
+	for _, line := range lines {
+		parts := strings.SplitN(line, "|", 4)
+		for len(parts) < 4 {
+			parts = append(parts, "")
+		}
+		fields := ""
+		if parts[3] != "" {
+			fields = "," + parts[3]
+		}
+		seconds, _ := time.ParseDuration(parts[0])
+		at := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC).Add(seconds)
+		fmt.Fprintf(&log, "{\"time\":%q,\"level\":\"INFO\",\"msg\":%q,\"daemon\":%q%s}\n", at.Format(time.RFC3339Nano), parts[2], parts[1], fields)
+	}
+	return log.String()
+}
+
+func read(t *testing.T, texts ...string) *explain.Log {
+	log := explain.NewLog()
+	for _, one := range texts {
+		require.NoError(t, explain.Read(strings.NewReader(one), log))
+	}
+	return log
+}
+
+const (
+	chosen = `"request":"r1","attempt_kind":"first","service":"s","backend":"b1","dispatcher":"d2","reason":"least-load","candidates":3,"report_age":5000000,"waited":0,"remaining":900000000`
+	failed = `"request":"r1","service":"s","class":"c","refused_by":"d2","revision":5,`
+)
+
+// TestCauses names the cause of each way in which a request ends.
+func TestCauses(t *testing.T) {
+	for _, one := range []struct {
+		name     string
+		lines    []string
+		kind, at string
+		sentence string
+		belief   string
+	}{
+		{"answered", []string{"1s|d1|routing: chosen|" + chosen, `1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200,"backend_latency":150000000,"total":200000000`},
+			"answered", "b1", "b1 answered after 150ms; 50ms were spent", ""},
+		{"own failure", []string{`1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":500`},
+			"back end's own failure", "b1", "status 500 of its own", ""},
+		{"unknown everywhere", []string{`0s|d1|configuration: in force|"revision":5,"before":0`, `1s|d1|frontend: failed|"request":"r1","code":2001,"run":"not-run","cause":"host a, path /x"`},
+			"route unknown", "d1", "d1 had revision 5, as all others", ""},
+		{"not known yet", []string{`0s|d1|configuration: in force|"revision":5`, `0.5s|d2|configuration: in force|"revision":7,"source":"platform"`, `1s|d1|frontend: failed|"request":"r1","code":2001`},
+			"route not known yet", "d1", "revision 5, which d1 had in force since 12:00:00.000", "Revision 7 was in force at d2 since 12:00:00.500 (from platform)."},
+		{"not configured", []string{"0s|d1|daemon: started|", `0.1s|d1|configuration: source lost|"error":"refused"`, `0.5s|d1|frontend: failed|"request":"r1","code":2014`},
+			"daemon had no configuration yet", "d1", "started 500ms before", "refused"},
+		{"overloaded", []string{`1s|d1|frontend: answered|"request":"r0","service":"s","backend":"b1"`, "1.1s|d1|frontend: failed|" + failed + `"code":2005,"name":"wait-expired","run":"not-run","cause":"waited 31ms","retry_after":100000000`},
+			"service overloaded", "s", "to come back after 100ms. Within 2s, 1 requests of the service were refused and 1 answered", ""},
+		{"overloaded, new dispatcher", []string{`0.5s|d2|membership: dispatcher chosen|"service":"s","dispatcher":"d2","before":"d9"`, "1.1s|d1|frontend: failed|" + failed + `"code":2003,"name":"queue-full","run":"not-run"`},
+			"service overloaded as its dispatcher changed", "s", "queue-full", `and "d9" before`},
+		{"overloaded, ejected", []string{`0.5s|d2|outlier: back end ejected|"service":"s","backend":"b7"`, "1.1s|d1|frontend: failed|" + failed + `"code":2005,"run":"not-run"`},
+			"service overloaded", "s", "", "left out 1 back ends for failing around then, b7 first"},
+		{"no back end", []string{`0s|d1|configuration: in force|"revision":5,"backends":12`, "1s|d1|frontend: failed|" + failed + `"code":2006`},
+			"no back end takes requests", "s", "No back end of s", "revision 5 and 12 back ends"},
+		{"broken", []string{"1s|d1|frontend: failed|" + failed + `"code":3001,"run":"unknown","cause":"back end b2: reset","sent":2,"backends":"b1 b2"`, `1s|d3|frontend: answered|"request":"r0","service":"s","backend":"b2"`},
+			"back end broke the connection", "b2", "to b1 b2; whether it ran is not known. Within 2s, b2 answered 1 others and failed 0", ""},
+		{"refused", []string{"1s|d1|frontend: failed|" + failed + `"code":2008,"run":"not-run","sent":1,"backends":"b1"`},
+			"back ends refused", "b1", "it has not run", ""},
+		{"slow", []string{"1s|d1|routing: chosen|" + chosen, `1.8s|d3|frontend: answered|"request":"r0","service":"s","backend":"b1","backend_latency":400000000,"backend_slowdown":5`, "2s|d1|frontend: failed|" + failed + `"code":3002,"sent":1,"backends":"b1","total":1000000000`},
+			"back end too slow", "b1", "time ran out after 1s; b1 answered others meanwhile, the slowest after 400ms with a slowdown of 5", "d2 chose b1 among 3 by a report 5ms old, with 900ms left"},
+		{"out of time at the back end", []string{"1s|d1|routing: chosen|" + chosen, `1.9s|d3|frontend: answered|"request":"r0","service":"s","backend":"b1","backend_latency":400000000,"backend_slowdown":1`, `2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","backends":"b1","status":504,"total":1000000000`},
+			"back end too slow", "b1", "before b1 gave up with status 504 of its own after 1s; b1 answered others meanwhile", "d2 chose b1"},
+		{"silent", []string{`0.9s|d3|frontend: answered|"request":"r0","service":"s","backend":"b1"`, "1s|d1|routing: chosen|" + chosen, "2s|d1|frontend: failed|" + failed + `"code":3006,"sent":1,"backends":"b1","total":1000000000`},
+			"back end silent", "b1", "the caller left after 1s; b1 answered nobody after 12:00:00.900", "by a report 5ms old"},
+		{"caller gone", []string{"1s|d1|frontend: failed|" + failed + `"code":2015,"total":30000000`}, "caller left while it waited", "s", "30ms", ""},
+		{"broken off by the caller", []string{`1s|d1|frontend: answer broken off|"request":"r1","service":"s","side":"caller","cause":"write: broken pipe","backends":"b1"`},
+			"caller left during the answer", "s", "broken pipe", ""},
+		{"broken off by the back end", []string{`1s|d1|frontend: answer broken off|"request":"r1","service":"s","side":"backend","cause":"unexpected EOF","backends":"b1"`},
+			"back end broke its answer off", "b1", "unexpected EOF", ""},
+		{"killed", []string{"1s|d1|routing: chosen|" + chosen, "3s|d1|daemon: started|"}, "daemon ended", "d1", "started again at 12:00:03.000", ""},
+		{"no end", []string{"1s|d1|routing: chosen|" + chosen}, "no outcome logged", "d1", "No line tells", ""},
+		{"any other", []string{"1s|d1|frontend: failed|" + failed + `"code":2011,"cause":"store down"`}, "store-unavailable", "d1", "store down", ""},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			explained, err := read(t, text(one.lines...)).Explain("r1")
+			require.NoError(t, err)
+			require.Equal(t, one.kind, explained.Cause.Kind)
+			require.Equal(t, one.at, explained.Cause.At)
+			require.Contains(t, explained.Cause.Sentence, one.sentence)
+			require.Contains(t, explained.Cause.Belief, one.belief)
+			if one.belief == "" {
+				require.NotContains(t, explained.Cause.Belief, "around then")
+			}
+			var printed bytes.Buffer
+			require.NoError(t, explained.Print(&printed))
+			require.Contains(t, printed.String(), "Cause: "+one.kind)
+		})
+	}
+}
+
+// TestStoryOfSeveralDaemons keeps the order of each daemon, whatever its clock says of
+// the others', and takes lines behind what a collector puts before them.
+func TestStoryOfSeveralDaemons(t *testing.T) {
+	entry := "2.5 node-a " + strings.ReplaceAll(text(
+		`1s|d1|routing: forwarded|"request":"r1","service":"s","dispatcher":"d2"`,
+		`1.3s|d1|frontend: answered|"request":"r1","service":"s","backend":"b1","status":200`), "\n{", "\n2.5 node-a {")
+	dispatcher := text("1.2s|d2|routing: chosen|"+chosen, `1.1s|d2|frontend: answered|"request":"r1","service":"s","backend":"b1","status":200`)
+	log := read(t, dispatcher, entry, "no line\n{\"a\": 1}\n")
+	require.Equal(t, 4, log.Lines())
+	explained, err := log.Explain("r1")
+	require.NoError(t, err)
+	var order []string
+	for _, line := range explained.Story {
+		order = append(order, line.Daemon+" "+line.Message)
+	}
+	require.Equal(t, []string{
+		"d1 routing: forwarded", "d1 frontend: answered", "d2 routing: chosen", "d2 frontend: answered",
+	}, order)
+	_, err = log.Explain("r2")
+	require.ErrorIs(t, err, errors.NotFound)
+}
+
+// TestTextForm reads lines as a person is shown them.
+func TestTextForm(t *testing.T) {
+	explained, err := read(t, `x time=2026-01-01T12:00:01Z level=INFO msg="frontend: failed" daemon=d1 request=12e4 code=2005 name=wait-expired run=not-run cause="waited 31ms" retry_after=100ms service=s sent=0 backends="" total=34.939697ms refused_by=d2 revision=5
+`).Explain("12e4")
+	require.NoError(t, err)
+	require.Equal(t, "service overloaded", explained.Cause.Kind)
+	require.Equal(t, 34939697*time.Nanosecond, time.Duration(explained.Story[0].Total))
+	require.Equal(t, uint64(5), explained.Story[0].Revision)
+}
+
+// TestSummary groups failed requests by cause.
+func TestSummary(t *testing.T) {
+	var lines []string
+	for number, backend := range []string{"b1", "b2", "b1"} {
+		lines = append(lines, fmt.Sprintf(`%ds|d1|frontend: failed|"request":"r%d","service":"s","code":3001,"sent":1,"backends":"%s"`, number, number, backend))
+	}
+	lines = append(lines, `9s|d1|frontend: failed|"request":"r9","service":"s","code":2015`, `9s|d1|frontend: answered|"request":"r10","service":"s","backend":"b1","status":200`)
+	groups := read(t, text(lines...)).Summarize()
+	require.Len(t, groups, 2)
+	require.Equal(t, 3, groups[0].Requests)
+	require.Equal(t, "b1", groups[0].Most)
+	require.Equal(t, 2, groups[0].MostCount)
+	require.Equal(t, "r0", groups[0].Example.Request)
+	require.Equal(t, 2*time.Second, groups[0].Last.Time.Sub(groups[0].First.Time))
+	require.Equal(t, "caller left while it waited", groups[1].Kind)
+}
--- a/lab/objectstub/outcome_test.go
+++ b/lab/objectstub/outcome_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tuliphall/tuliphall/explain"
 	"github.com/tuliphall/tuliphall/lab/objectstub"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
@@ -109,6 +110,7 @@
 				reached[line.Code] = true
 			}
 		}
+		f.logs.checkCauses(t)
 	})
 	for _, code := range []resultcode.Code{
 		resultcode.Answered, resultcode.NoService, resultcode.BadRequest, resultcode.WaitExpired, resultcode.NoBackend,
@@ -119,6 +121,25 @@
 	}
 }
 
+// checkCauses requires that the requests which these daemons failed are explained.
+func (l *logs) checkCauses(t *testing.T) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	log := explain.NewLog()
+	require.NoError(t, explain.Read(bytes.NewReader(l.text.Bytes()), log))
+	causes := make(map[string]int)
+	for _, group := range log.Summarize() {
+		causes[group.Kind] = group.Requests
+	}
+	for _, kind := range []string{
+		"route unknown", "bad-request", "back ends refused", "back end's answer not whole or not its own", "back end silent",
+		"service overloaded", "no back end takes requests", "daemon had no configuration yet",
+	} {
+		require.Contains(t, causes, kind)
+	}
+	require.NotContains(t, causes, "no outcome logged")
+}
+
 // leave sends a request and leaves before its answer.
 func (f *fleet) leave(number int, path string, after time.Duration) {
 	ctx, cancel := context.WithTimeout(f.t.Context(), after)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -1,9 +1,6 @@
 package soak
 
 import (
-	// The soak builds the daemon: a change of it must not leave this test's result cached.
-	_ "github.com/tuliphall/tuliphall/launch"
-
 	"io"
 	"net/http"
 	"os/exec"
@@ -12,6 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	// The soak builds the daemon: a change of it must not leave a result cached.
+	_ "github.com/tuliphall/tuliphall/launch"
 )
 
 // TestCheckersCanFail breaks each promise that callers' and back ends' views are
