Back ends that have told nothing are expected to be as the others

Cause: an unknown back end scored a hundredth of one that had just said that it was undisturbed, so that a new dispatcher sent a request to each of them blind; an old report was taken for what is usual there. Ruled out: age of reports of the others (the same before and after).

--- a/routing/group.go
+++ b/routing/group.go
@@ -37,10 +37,12 @@
 	byID    map[string]*State
 	scratch []*State
 	knee    knee
+	common  common
 	// probeCredit is how many probes for fresher reports the last requests earned,
 	// and zones are those that requests came from.
 	probeCredit float64
 	zones       []string
+	introduce   bool // the last probe was for a first report, if any was wanted
 }
 
 // NewGroup returns a group without back ends.
@@ -57,6 +59,7 @@
 		state, known := g.byID[backend.ID]
 		if !known {
 			state = &State{root: math.Sqrt(initialLatency.Seconds())}
+			state.slowdown.assume(g.common.value)
 			if backend.Warm {
 				state.warmth = backend.Slots * windowFactor
 			}
@@ -282,7 +285,7 @@
 		return
 	}
 	if report.Slowdown > 0 {
-		state.slowdown.report(at, report.Slowdown)
+		g.learnSlowdown(state, report.Slowdown, at)
 	}
 	inFlight := report.InFlight
 	state.learnWindow(inFlight, waiting, g.leastWindow(state.Slots))
@@ -290,6 +293,20 @@
 	state.reportAt = at
 }
 
+// learnSlowdown takes in the slowdown that a back end told. With the first one it is
+// known that the service's back ends tell it, and what to assume of the others.
+func (g *Group) learnSlowdown(state *State, value float64, at time.Time) {
+	first := g.common.reports == 0
+	g.common.report(value)
+	if first {
+		for _, other := range g.states {
+			other.slowdown.assume(g.common.value)
+		}
+	}
+	state.slowdown.assume(g.common.value)
+	state.slowdown.report(at, value)
+}
+
 // SetPeers notes what other daemons together have in flight at a back end.
 func (g *Group) SetPeers(id string, inFlight int, at time.Time) {
 	if state, ok := g.byID[id]; ok && at.After(state.peersAt) {
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -135,3 +135,35 @@
 	}
 	require.Less(t, toSilent, 20)
 }
+
+// TestUnknownIsNotPreferred sends a request to a back end that has just said that it is
+// undisturbed, and not to one that has told nothing yet; among back ends that have told
+// nothing for long, a new one has its turn.
+func TestUnknownIsNotPreferred(t *testing.T) {
+	group := newTestGroup(Backend{ID: "well", Slots: 3, Window: 3}, Backend{ID: "new", Slots: 3, Window: 3})
+	group.Report(group.byID["well"], Report{Slowdown: 1}, false, start)
+	first := pick(t, group, start.Add(5*time.Millisecond), "")
+	require.Equal(t, "well", first.Backend.ID)
+	later := start.Add(2 * time.Second)
+	require.Equal(t, "new", pick(t, group, later, "").Backend.ID, "well holds a request, and what it told is old")
+}
+
+// TestUsualIsThatOfAll expects of a back end whose single report is old what back ends
+// of the service usually tell.
+func TestUsualIsThatOfAll(t *testing.T) {
+	var backends []Backend
+	for number := range 20 {
+		backends = append(backends, Backend{ID: string(rune('a' + number)), Slots: 3, Window: 3})
+	}
+	group := newTestGroup(backends...)
+	for number, state := range group.states {
+		slowdown := 1.0
+		if number%4 == 0 {
+			slowdown = 5
+		}
+		group.Report(state, Report{Slowdown: slowdown}, false, start)
+	}
+	for _, state := range group.states[10:] {
+		require.InDelta(t, 2, state.slowdown.expected(start.Add(time.Second)), 0.6)
+	}
+}
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -61,13 +61,25 @@
 	}
 }
 
+// introductions is how often a back end is asked for its first report. A service
+// may have back ends that tell none.
+const introductions = 3
+
 // StaleTarget returns a back end that would get the next request of some zone, if its
-// report is older than freshness. It is not returned again before interval has
-// passed, nor before Refreshed or Unprobed was called for it.
+// report is older than freshness; every other time one that has told nothing yet, if
+// there is any. It is not returned again before interval has passed, nor before
+// Refreshed or Unprobed was called for it.
 func (g *Group) StaleTarget(now time.Time, freshness, interval time.Duration) (string, bool) {
 	if g.probeCredit < 1 {
 		return "", false
 	}
+	if g.introduce = !g.introduce; g.introduce {
+		if state := g.unintroduced(now, interval); state != nil {
+			state.introduced++
+			g.probe(state, now)
+			return state.ID, true
+		}
+	}
 	for range g.zones {
 		// Zones take turns.
 		zone := g.zones[0]
@@ -76,13 +88,29 @@
 		if best == nil || best.probing || now.Sub(best.probedAt) < interval || (!best.reportAt.IsZero() && now.Sub(best.reportAt) < freshness) {
 			continue
 		}
-		g.probeCredit--
-		best.probing, best.probedAt = true, now
+		g.probe(best, now)
 		return best.ID, true
 	}
 	return "", false
 }
 
+// unintroduced returns a back end that has told nothing yet and may be asked, or nil.
+func (g *Group) unintroduced(now time.Time, interval time.Duration) *State {
+	for _, state := range g.states {
+		if state.reportAt.IsZero() && state.introduced < introductions && !state.Draining && !state.Ejected(now) &&
+			!state.probing && now.Sub(state.probedAt) >= interval {
+			return state
+		}
+	}
+	return nil
+}
+
+// probe notes that a back end is being probed.
+func (g *Group) probe(state *State, now time.Time) {
+	g.probeCredit--
+	state.probing, state.probedAt = true, now
+}
+
 // best returns the back end that a request of a zone would get now, nil where all
 // are full.
 func (g *Group) best(now time.Time, zone string) *State {
--- a/routing/probe_test.go
+++ b/routing/probe_test.go
@@ -91,3 +91,33 @@
 		})
 	})
 }
+
+// TestNewBackendsAreIntroduced asks back ends that have told nothing for a first report,
+// every other time, and not for ever.
+func TestNewBackendsAreIntroduced(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 3}, Backend{ID: "b", Slots: 3, Window: 3}, Backend{ID: "c", Slots: 3, Window: 3})
+	group.Report(group.byID["a"], Report{Slowdown: 1}, false, start)
+	now, asked := start, make(map[string]int)
+	for range 60 {
+		now = now.Add(time.Second)
+		picked := pick(t, group, now, "")
+		group.Finished(picked, now, Canceled, 0)
+		for range 2 {
+			target, wanted := group.StaleTarget(now, freshness, spacing)
+			if !wanted {
+				continue
+			}
+			asked[target]++
+			if target == "c" {
+				group.Unprobed(target)
+				continue
+			}
+			group.Refreshed(now, target, Report{Slowdown: 1})
+		}
+		now = now.Add(spacing)
+	}
+	require.Positive(t, asked["b"])
+	require.GreaterOrEqual(t, asked["c"], introductions)
+	require.Equal(t, introductions, group.byID["c"].introduced)
+	require.False(t, group.byID["b"].reportAt.IsZero())
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -52,6 +52,8 @@
 	slowdown slowdown
 	probing  bool // a probe for a fresher report is under way
 	probedAt time.Time
+	// introduced is how often it was asked for its first report.
+	introduced int
 	// quietSince is since when the back end holds requests and has answered
 	// none; zero: it holds none.
 	quietSince time.Time
