What may run once only goes farther for a fresh report; what is usual is learned slowly

Cause: reports of 10 to 40 ms decided in the own zone where a fresh one was to be had elsewhere; a swap that meets a disturbed back end cannot be hedged. And after a few good reports a back end passed for one that is hardly disturbed.

--- a/routing/group.go
+++ b/routing/group.go
@@ -39,9 +39,9 @@
 	knee    knee
 	common  common
 	// probeCredit is how many probes for fresher reports the last requests earned,
-	// and zones are those that requests came from.
+	// and origins are those that requests had.
 	probeCredit float64
-	zones       []string
+	origins     []origin
 	introduce   bool // the last probe was for a first report, if any was wanted
 }
 
@@ -161,8 +161,9 @@
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
-	g.earnProbes(request.Zone)
-	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Zone: request.Zone, Candidates: free})]
+	from := origin{zone: request.Zone, repeatable: request.Repeatable}
+	g.earnProbes(from)
+	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Origin: from, Candidates: free})]
 	g.sent(chosen, now)
 	return g.result(chosen, ReasonLoad, len(free), now), true
 }
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -167,3 +167,22 @@
 		require.InDelta(t, 2, state.slowdown.expected(start.Add(time.Second)), 0.6)
 	}
 }
+
+// TestOnceOnlyGoesFarther sends what may run once only to another zone where a back end
+// is surely undisturbed, and what can be hedged to one in its own that probably is.
+func TestOnceOnlyGoesFarther(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		group := newTestGroup(Backend{ID: "near", Zone: "here", Slots: 3, Window: 3}, Backend{ID: "far", Zone: "there", Slots: 3, Window: 3})
+		for _, state := range group.states {
+			for range 200 {
+				group.Report(state, Report{Slowdown: 2.4}, false, start)
+			}
+		}
+		group.Report(group.byID["near"], Report{Slowdown: 1}, false, start)
+		now := start.Add(40 * time.Millisecond)
+		group.Report(group.byID["far"], Report{Slowdown: 1}, false, now)
+		picked, ok := group.Pick(now, Request{Zone: "here", Repeatable: repeatable})
+		require.True(t, ok)
+		require.Equal(t, map[bool]string{true: "near", false: "far"}[repeatable], picked.Backend.ID)
+	}
+}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -9,7 +9,7 @@
 type PickInfo struct {
 	Now    time.Time
 	Random *rand.Rand
-	Zone   string // of the daemon that sends the request
+	Origin origin // of the request
 	// Candidates may all take the request now; there is at least one.
 	Candidates []*State
 }
@@ -52,7 +52,7 @@
 
 // Pick implements Picker.
 func (LeastLoad) Pick(info PickInfo) int {
-	return Least(info, func(candidate *State) float64 { return candidate.score(info.Now, info.Zone) })
+	return Least(info, func(candidate *State) float64 { return candidate.score(info.Now, info.Origin) })
 }
 
 // Least returns the index of the candidate with the smallest score, at random
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ProbeTarget returns the back end whose state is most worth asking for: an
 // ejected one whose trial is due, else the one unheard of for longest, if that is
@@ -54,10 +57,10 @@
 const probeCredit = 10
 
 // earnProbes notes a request that a back end was chosen for.
-func (g *Group) earnProbes(zone string) {
+func (g *Group) earnProbes(from origin) {
 	g.probeCredit = min(g.probeCredit+probesPerPick, probeCredit)
-	if !contains(g.zones, zone) {
-		g.zones = append(g.zones, zone)
+	if !slices.Contains(g.origins, from) {
+		g.origins = append(g.origins, from)
 	}
 }
 
@@ -65,7 +68,7 @@
 // may have back ends that tell none.
 const introductions = 3
 
-// StaleTarget returns a back end that would get the next request of some zone, if its
+// StaleTarget returns a back end that would get the next request of some origin, if its
 // report is older than freshness; every other time one that has told nothing yet, if
 // there is any. It is not returned again before interval has passed, nor before
 // Refreshed or Unprobed was called for it.
@@ -80,11 +83,11 @@
 			return state.ID, true
 		}
 	}
-	for range g.zones {
-		// Zones take turns.
-		zone := g.zones[0]
-		g.zones = append(g.zones[1:], zone)
-		best := g.best(now, zone)
+	for range g.origins {
+		// They take turns.
+		next := g.origins[0]
+		g.origins = append(g.origins[1:], next)
+		best := g.best(now, next)
 		if best == nil || best.probing || now.Sub(best.probedAt) < interval || (!best.reportAt.IsZero() && now.Sub(best.reportAt) < freshness) {
 			continue
 		}
@@ -111,16 +114,16 @@
 	state.probing, state.probedAt = true, now
 }
 
-// best returns the back end that a request of a zone would get now, nil where all
+// best returns the back end that a request of an origin would get now, nil where all
 // are full.
-func (g *Group) best(now time.Time, zone string) *State {
+func (g *Group) best(now time.Time, from origin) *State {
 	var best *State
 	var least float64
 	for _, state := range g.states {
 		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state, false) {
 			continue
 		}
-		if score := state.score(now, zone); best == nil || score < least {
+		if score := state.score(now, from); best == nil || score < least {
 			best, least = state, score
 		}
 	}
--- a/routing/slowdown.go
+++ b/routing/slowdown.go
@@ -12,7 +12,7 @@
 	slowdownMemory = 150 * time.Millisecond
 	// usualWeight is the weight of a new report in the usual slowdown of its back
 	// end.
-	usualWeight = 0.05
+	usualWeight = 0.02
 	// commonWeight is the weight of a new report in what is usual at all back ends.
 	commonWeight = 0.01
 	// commonStart is what is taken for usual at first, and commonSamples is for how
--- a/routing/state.go
+++ b/routing/state.go
@@ -90,18 +90,32 @@
 
 // score is the load with one more request, weighed by the latency and, where the
 // back end tells it, by how much longer work takes there now.
-func (s *State) score(now time.Time, zone string) float64 {
+func (s *State) score(now time.Time, from origin) float64 {
 	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
 	if !s.slowdown.known() {
 		return load * s.root
 	}
 	score := (slotWeight*min(load, 1) + max(load, 1)) * max(s.slowdown.expected(now), s.stall(now))
-	if zone != s.Zone {
-		score *= otherZone
+	if from.zone != s.Zone {
+		score *= from.otherZone()
 	}
 	return score
 }
 
+// origin is what of a request its score at a back end depends on.
+type origin struct {
+	zone       string // of the daemon that sends it
+	repeatable bool
+}
+
+// otherZone is how much a back end in another zone counts more for the request.
+func (o origin) otherZone() float64 {
+	if o.repeatable {
+		return otherZone
+	}
+	return otherZoneOnce
+}
+
 // stall is the slowdown that the back end's silence tells: it holds requests and
 // has not answered any for so many times its usual latency.
 func (s *State) stall(now time.Time) float64 {
@@ -119,6 +133,10 @@
 // and its bytes cost, but a free or undisturbed one is worth more than a near one.
 const otherZone = 1.6
 
+// otherZoneOnce is the same for a request that may run once only: it cannot be sent to
+// a second back end when the first turns out to be slow.
+const otherZoneOnce = 1.2
+
 // slotWeight is how much a slot's load counts while slots are free, against the
 // time that work takes.
 const slotWeight = 0.5
