A back end that holds a request is not slow before it could have answered

Cause: silence was measured against the mean latency times what is usual, which is twice too early where mostly undisturbed back ends are chosen.

--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -35,7 +35,7 @@
 	case Success:
 		state.health.Success()
 		state.warmth++
-		state.observe(latency)
+		state.observe(latency, picked.slowdown)
 		g.knee.observe(picked.tookLast, latency, picked.slowdown)
 	case Failed:
 		state.health.Failure(now)
@@ -54,16 +54,23 @@
 	if stall > s.slowdown.expected(now) {
 		s.slowdown.last, s.slowdown.at = stall, now
 	}
-	if stall > stallLimit*s.slowdown.usual {
+	if s.latency > 0 && s.quiet(now) > stallLimit*s.latency {
 		s.health.Failure(now)
 	}
 }
 
-func (s *State) observe(latency time.Duration) {
-	if s.latency == 0 {
-		s.latency = latency
-	} else {
-		s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
-	}
+// observe takes in the latency of an answer, and the slowdown that was expected when
+// its request was sent.
+func (s *State) observe(latency time.Duration, slowdown float64) {
+	s.latency = averaged(s.latency, latency)
+	s.work = averaged(s.work, time.Duration(float64(latency)/max(slowdown, 1)))
 	s.root = math.Sqrt(s.latency.Seconds())
 }
+
+// averaged moves an average, 0 before the first value, towards a value.
+func averaged(average, value time.Duration) time.Duration {
+	if average == 0 {
+		return value
+	}
+	return average + time.Duration(latencyWeight*float64(value-average))
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -40,6 +40,7 @@
 	Draining bool
 
 	latency  time.Duration // moving average over answers; 0: none yet
+	work     time.Duration // the same without the slowdown that was expected
 	root     float64       // square root of the latency, in seconds
 	reported int           // requests of other daemons, from the last report
 	reportAt time.Time
@@ -117,16 +118,24 @@
 }
 
 // stall is the slowdown that the back end's silence tells: it holds requests and
-// has not answered any for so many times its usual latency.
+// has not answered any for so many times the time that they take undisturbed.
 func (s *State) stall(now time.Time) float64 {
-	if s.quietSince.IsZero() || s.latency == 0 {
+	if s.work == 0 {
 		return 0
 	}
-	return s.slowdown.usual * float64(now.Sub(s.quietSince)) / float64(s.latency)
+	return float64(s.quiet(now)) / float64(s.work)
 }
 
-// stallLimit is how many times its usual slowdown a back end may seem slow by its
-// silence, before a request that was given up on counts as failed.
+// quiet returns for how long the back end has held requests and answered none.
+func (s *State) quiet(now time.Time) time.Duration {
+	if s.quietSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.quietSince)
+}
+
+// stallLimit is for how many times its latency a back end may be quiet, before a
+// request that was given up on counts as failed.
 const stallLimit = 4
 
 // otherZone is how much a back end in another zone counts more: its wire is longer
