--- a/routing/state.go
+++ b/routing/state.go
@@ -140,7 +140,7 @@
 
 // otherZone is how much a back end in another zone counts more: its wire is longer
 // and its bytes cost, but a free or undisturbed one is worth more than a near one.
-const otherZone = 1.6
+const otherZone = 1.9
 
 // otherZoneOnce is the same for a request that may run once only: it cannot be sent to
 // a second back end when the first turns out to be slow.
