--- a/routing/group.go
+++ b/routing/group.go
@@ -59,7 +59,7 @@
 		state, known := g.byID[backend.ID]
 		if !known {
 			state = &State{root: math.Sqrt(initialLatency.Seconds())}
-			state.slowdown.assume(g.common.value)
+			state.slowdown.common = &g.common
 			if backend.Warm {
 				state.warmth = backend.Slots * windowFactor
 			}
@@ -163,6 +163,10 @@
 	}
 	from := origin{zone: request.Zone, repeatable: request.Repeatable}
 	g.earnProbes(from)
+	if newcomer := g.newcomer(now, request, free); newcomer != nil {
+		g.sent(newcomer, now)
+		return g.result(newcomer, ReasonNewcomer, len(free), now), true
+	}
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Origin: from, Candidates: free})]
 	g.sent(chosen, now)
 	return g.result(chosen, ReasonLoad, len(free), now), true
@@ -257,6 +261,7 @@
 		state.quietSince = now
 	}
 	state.InFlight++
+	state.metAt = now
 }
 
 // firstWindow is the bound before any report.
@@ -286,7 +291,8 @@
 		return
 	}
 	if report.Slowdown > 0 {
-		g.learnSlowdown(state, report.Slowdown, at)
+		g.common.report(report.Slowdown)
+		state.slowdown.report(at, report.Slowdown)
 	}
 	inFlight := report.InFlight
 	state.learnWindow(inFlight, waiting, g.leastWindow(state.Slots))
@@ -294,20 +300,6 @@
 	state.reportAt = at
 }
 
-// learnSlowdown takes in the slowdown that a back end told. With the first one it is
-// known that the service's back ends tell it, and what to assume of the others.
-func (g *Group) learnSlowdown(state *State, value float64, at time.Time) {
-	first := g.common.reports == 0
-	g.common.report(value)
-	if first {
-		for _, other := range g.states {
-			other.slowdown.assume(g.common.value)
-		}
-	}
-	state.slowdown.assume(g.common.value)
-	state.slowdown.report(at, value)
-}
-
 // SetPeers notes what other daemons together have in flight at a back end.
 func (g *Group) SetPeers(id string, inFlight int, at time.Time) {
 	if state, ok := g.byID[id]; ok && at.After(state.peersAt) {
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -203,3 +203,41 @@
 	require.LessOrEqual(t, busy.stall(start.Add(work)), 1.0)
 	require.Greater(t, busy.stall(start.Add(2*work)), 1.5)
 }
+
+// TestNewcomersGetRequests lets requests come that others could serve by themselves: a
+// new back end gets its first one within a second if it is known to be well, within two
+// if not, and if none can be hedged within three.
+func TestNewcomersGetRequests(t *testing.T) {
+	for _, one := range []struct {
+		name       string
+		repeatable bool
+		told       float64 // slowdown that a probe brings before newcomerWait; 0: none
+		within     time.Duration
+	}{
+		{"known to be well", false, 1, newcomerWait + 10*time.Millisecond},
+		{"known to be disturbed", true, 5, newcomerBlind + 10*time.Millisecond},
+		{"unknown", true, 0, newcomerBlind + 10*time.Millisecond},
+		{"unknown, no request can be hedged", false, 0, newcomerLimit + 10*time.Millisecond},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 3})
+			group.Report(group.byID["a"], Report{Slowdown: 1}, false, start)
+			picked := pick(t, group, start, "")
+			group.Finished(picked, start, Success, work)
+			group.SetBackends([]Backend{{ID: "a", Slots: 3, Window: 3}, {ID: "new", Slots: 3, Window: 3, Warm: true}})
+			for now := start; now.Sub(start) <= one.within; now = now.Add(10 * time.Millisecond) {
+				if one.told > 0 && now.Sub(start) == newcomerWait-50*time.Millisecond {
+					group.Report(group.byID["new"], Report{Slowdown: one.told}, false, now)
+				}
+				picked, ok := group.Pick(now, Request{Repeatable: one.repeatable})
+				require.True(t, ok)
+				if picked.Backend.ID == "new" {
+					return
+				}
+				group.Finished(picked, now, Success, work)
+				group.Report(picked.Backend, Report{Slowdown: 1}, false, now)
+			}
+			t.Fatal("it got no request")
+		})
+	}
+}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -29,6 +29,8 @@
 	ReasonLoad    Reason = "least-load"
 	ReasonSession Reason = "session"
 	ReasonTrial   Reason = "trial" // an ejected back end gets one request to show itself
+	// ReasonNewcomer: a back end gets its first request.
+	ReasonNewcomer Reason = "newcomer"
 )
 
 // PickResult is a choice with what is logged about it.
--- a/routing/slowdown.go
+++ b/routing/slowdown.go
@@ -10,15 +10,16 @@
 	// slowdownMemory is the age at which a report of it counts 1/e; the
 	// neighbours that cause it come and go within a fraction of a second.
 	slowdownMemory = 150 * time.Millisecond
-	// usualWeight is the weight of a new report in the usual slowdown of its back
-	// end.
+	// usualWeight is the weight of a new report in what is usual at its back end.
 	usualWeight = 0.02
 	// commonWeight is the weight of a new report in what is usual at all back ends.
 	commonWeight = 0.01
-	// commonStart is what is taken for usual at first, and commonSamples is for how
-	// many reports that counts.
-	commonStart   = 1.5
+	// commonStart is what is taken for usual at first.
+	commonStart = 1.5
+	// commonSamples is for how many reports commonStart counts among those of all.
 	commonSamples = 5
+	// ownSamples is for how many reports of a back end what is usual at all counts.
+	ownSamples = 50
 )
 
 // common is the slowdown that the back ends of a service usually tell. It is expected
@@ -39,28 +40,36 @@
 }
 
 // slowdown is what is known of how much longer work takes at a back end than
-// usually. The zero value is a back end of a service that has told nothing.
+// usually. The zero value is a back end that has told nothing.
 type slowdown struct {
-	last  float64
-	at    time.Time
-	usual float64 // moving average; what is expected once the last report is old
-}
-
-// assume sets what is expected before the back end tells anything itself.
-func (s *slowdown) assume(usual float64) {
-	if s.usual == 0 {
-		s.usual = usual
-	}
+	last    float64
+	at      time.Time
+	own     float64 // moving average of what it told
+	reports int
+	common  *common // of all back ends of the service; nil: there are no others
 }
 
 // report takes in what the back end told.
 func (s *slowdown) report(now time.Time, value float64) {
-	s.usual += usualWeight * (value - s.usual)
+	s.reports++
+	weight := max(usualWeight, 1/float64(s.reports))
+	s.own += weight * (value - s.own)
 	s.last, s.at = value, now
 }
 
+// known says whether any back end of the service has told its slowdown.
 func (s *slowdown) known() bool {
-	return s.usual > 0
+	return s.reports > 0 || s.common != nil && s.common.reports > 0
+}
+
+// usual is the slowdown to be expected without a recent report: what is usual at all
+// back ends, which gives way to what is usual here with the number of reports.
+func (s *slowdown) usual() float64 {
+	if s.common == nil || s.common.reports == 0 {
+		return s.own
+	}
+	weight := float64(s.reports) / float64(s.reports+ownSamples)
+	return s.common.value + weight*(s.own-s.common.value)
 }
 
 // expected returns the slowdown to be expected now: the last report, which
@@ -69,6 +78,10 @@
 	if !s.known() {
 		return 1
 	}
+	usual := s.usual()
+	if s.at.IsZero() {
+		return usual
+	}
 	weight := math.Exp(-now.Sub(s.at).Seconds() / slowdownMemory.Seconds())
-	return s.usual + weight*(s.last-s.usual)
+	return usual + weight*(s.last-usual)
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -55,6 +55,8 @@
 	probedAt time.Time
 	// introduced is how often it was asked for its first report.
 	introduced int
+	seenAt     time.Time // when it could first have got a request; zero: never yet
+	metAt      time.Time // when it last got one; zero: never yet
 	// quietSince is since when the back end holds requests and has answered
 	// none; zero: it holds none.
 	quietSince time.Time
