--- a/config/objects.go
+++ b/config/objects.go
@@ -91,6 +91,9 @@
 	// 0: 30 s. It stays below what the back ends use: a request on a connection
 	// that its back end closes at the same moment may or may not have run.
 	IdleTimeout Duration `toml:"idle_timeout" json:"idle_timeout,omitempty"`
+	// ConnectTimeout is how long the opening of a connection to a back end may take;
+	// 0: 1 s. Nothing has left until then, so that the request is sent elsewhere.
+	ConnectTimeout Duration `toml:"connect_timeout" json:"connect_timeout,omitempty"`
 	// AllowUnframed passes on answers that only the end of the connection
 	// delimits, which cannot be shown to be whole.
 	AllowUnframed bool `toml:"allow_unframed" json:"allow_unframed,omitempty"`
--- a/config/validate.go
+++ b/config/validate.go
@@ -20,6 +20,7 @@
 	MaxMaxLoad           = 100.0
 	MaxRetryRatio        = 1.0
 	MaxRetryBurst        = 100000.0
+	MaxConnectTimeout    = Duration(time.Minute)
 	MaxDeadline          = Duration(24 * time.Hour)
 	MaxProbeCost         = Duration(10 * time.Second)
 	MinDuration          = Duration(10 * time.Microsecond)
@@ -199,6 +200,7 @@
 	checkRange(v, object, "queue_limit", s.QueueLimit, 0, MaxQueueLimit)
 	v.checkDuration(object, "deadline", s.Deadline, MaxDeadline)
 	v.checkDuration(object, "idle_timeout", s.IdleTimeout, MaxDeadline)
+	v.checkDuration(object, "connect_timeout", s.ConnectTimeout, MaxConnectTimeout)
 	v.check(s.RefusalStatus == 0 || (s.RefusalStatus >= minStatus && s.RefusalStatus <= maxStatus), object, "refusal_status", s.RefusalStatus, "0 or 400 to 599")
 	v.check(s.ProbePath == "" || strings.HasPrefix(s.ProbePath, "/"), object, "probe_path", s.ProbePath, "a path that begins with /")
 	checkRange(v, object, "probes_per_second", s.ProbesPerSecond, 0, MaxProbesPerSecond)
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -51,6 +51,9 @@
 	case resultcode.DeadlineExceeded, resultcode.CallerGoneAfterSend:
 		return l.slowBackend(outcome, story[:end])
 	case resultcode.CallerGone:
+		if outcome.Sent > 0 {
+			return l.notOpened(outcome)
+		}
 		return Cause{Kind: "caller left while it waited", At: outcome.Service, Sentence: fmt.Sprintf("The caller left after %s, before a place at a back end was free.", outcome.Total)}
 	default:
 		return Cause{Kind: code.Info().Name, At: outcome.Daemon, Sentence: code.Info().Title + " " + outcome.Cause}
@@ -164,6 +167,15 @@
 	}
 }
 
+// notOpened is a request whose caller left while a connection was being opened.
+func (l *Log) notOpened(outcome Line) Cause {
+	last := lastOf(outcome)
+	return Cause{
+		Kind: "back end not reached", At: last,
+		Sentence: fmt.Sprintf("No connection to back end %s was opened before the caller left after %s; it has not run.%s", last, outcome.Total, l.othersAt(outcome)),
+	}
+}
+
 // lastOf returns the last back end that a request was sent to.
 func lastOf(outcome Line) string {
 	tried := outcome.tried()
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -84,6 +84,7 @@
 		{"silent", []string{`0.9s|d3|frontend: answered|"request":"r0","service":"s","backend":"b1"`, "1s|d1|routing: chosen|" + chosen, "2s|d1|frontend: failed|" + failed + `"code":3006,"sent":1,"backends":"b1","total":1000000000`},
 			"back end silent", "b1", "the caller left after 1s; b1 answered nobody after 12:00:00.900", "by a report 5ms old"},
 		{"caller gone", []string{"1s|d1|frontend: failed|" + failed + `"code":2015,"total":30000000`}, "caller left while it waited", "s", "30ms", ""},
+		{"caller gone before a connection", []string{"1s|d1|frontend: failed|" + failed + `"code":2015,"sent":1,"backends":"b1","total":1000000000`}, "back end not reached", "b1", "before the caller left after 1s; it has not run", ""},
 		{"broken off by the caller", []string{`1s|d1|frontend: answer broken off|"request":"r1","service":"s","side":"caller","cause":"write: broken pipe","backends":"b1"`},
 			"caller left during the answer", "s", "broken pipe", ""},
 		{"broken off by the back end", []string{`1s|d1|frontend: answer broken off|"request":"r1","service":"s","side":"backend","cause":"unexpected EOF","backends":"b1"`},
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -1,6 +1,7 @@
 package objectstub_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/tuliphall/tuliphall/lab/fakenet"
 	"github.com/tuliphall/tuliphall/lab/objectstub"
 	"github.com/tuliphall/tuliphall/platform"
+	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/settings"
 )
 
@@ -314,3 +316,34 @@
 		require.Equal(t, before+8, f.workers[0].total()+f.workers[1].total())
 	})
 }
+
+// TestDarkWorker sends what may run once only to a worker whose machine has lost its
+// power, so that connections to it are neither opened nor refused: nothing has left, and
+// it is soon sent elsewhere.
+func TestDarkWorker(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.earnRetries()
+		dark, err := f.net.Network("dark").Listen(f.net.Address("dark")) // accepts nothing
+		require.NoError(t, err)
+		f.workers[0].address = dark.Addr().String()
+		f.announce(f.workers[0], "ready")
+		time.Sleep(time.Second)
+		before := f.workers[1].total()
+		const requests = 5 // more than the other one takes at once
+		answers := make(chan answer, requests)
+		begun := time.Now()
+		for number := range requests {
+			go func() { answers <- f.send(number%daemons, "/one/unsafe/") }()
+		}
+		for range requests {
+			require.Equal(t, http.StatusOK, (<-answers).status)
+		}
+		require.Less(t, time.Since(begun), 500*time.Millisecond)
+		require.Equal(t, before+requests, f.workers[1].total())
+		time.Sleep(time.Second) // lines are written together
+		f.logs.mutex.Lock()
+		defer f.logs.mutex.Unlock()
+		tried := bytes.Contains(f.logs.text.Bytes(), fmt.Appendf(nil, `"code":%d`, resultcode.ConnectFailed))
+		require.True(t, tried, "the dark worker was not tried")
+	})
+}
--- a/service/service.go
+++ b/service/service.go
@@ -96,7 +96,7 @@
 	places := make([]routing.Backend, 0, len(target.Backends))
 	for _, one := range target.Backends {
 		declared[one.ID] = one
-		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo, IdleTimeout: time.Duration(target.Service.IdleTimeout)}
+		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo, IdleTimeout: time.Duration(target.Service.IdleTimeout), ConnectTimeout: time.Duration(target.Service.ConnectTimeout)}
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
 		options.NoReuse, options.Echo = target.Service.ProbeFreshness == 0, ""
 		options.Connections = probeConnections
