Daemons that all start at once ask seeds anew and choose dispatchers among them

Cause: calls to seeds without power hung for 0.7 s, during which each of 142 daemons chose by itself; then lists of members differed until 1.1 s. Two tests failed before.

--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -102,16 +102,27 @@
 	seedsTold        = 3
 )
 
+// start starts a daemon that is told the first others as seeds.
 func (f *fleet) start(number int, store string) {
-	name := fmt.Sprintf("edge-%d", number)
-	address := f.net.Address(name)
 	var seeds []string
 	for _, other := range f.daemons[:min(len(f.daemons), seedsTold)] {
 		seeds = append(seeds, other.Addresses().Peer)
 	}
+	f.startAt(number, store, f.net.Address(hostOf(number)), seeds)
+}
+
+// hostOf is the name of a daemon and its host.
+func hostOf(number int) string {
+	return fmt.Sprintf("edge-%d", number)
+}
+
+// startAt starts a daemon with an address for its peers, and seeds.
+func (f *fleet) startAt(number int, store, peer string, seeds []string) {
+	name := hostOf(number)
+	address := f.net.Address(name)
 	chosen := settings.Settings{
 		Name: name, Region: "region", Zone: "zone", Peers: seeds,
-		Listen: settings.Listen{Caller: address, Peer: address, Forward: address, Admin: address},
+		Listen: settings.Listen{Caller: address, Peer: peer, Forward: address, Admin: address},
 		Platform: settings.Platform{
 			Address: "http://" + store, Protocol: settings.ProtocolObjects, Watchers: watchers,
 			WatchInterval: config.Duration(500 * time.Millisecond), WatchGap: config.Duration(600 * time.Millisecond),
--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -119,6 +119,65 @@
 	})
 }
 
+// dispatchersOf returns the daemons that are taken for the dispatcher of the workers'
+// service.
+func (f *fleet) dispatchersOf() map[string]int {
+	chosen := make(map[string]int)
+	for _, one := range f.daemons {
+		member, _ := one.DispatcherOf("board")
+		chosen[member.Name]++
+	}
+	return chosen
+}
+
+// TestOneDispatcherAfterAllStart loses all daemons at once: those that start in their
+// place agree on who gives out places long before they know each other, except for the
+// first three, which are not told all seeds here.
+func TestOneDispatcherAfterAllStart(t *testing.T) {
+	const size = 60
+	runFleet(t, size, 1, func(f *fleet) {
+		for _, one := range f.daemons {
+			one.Kill()
+		}
+		f.daemons = nil
+		for number := range size {
+			f.start(size+number, f.storeAddress)
+		}
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			require.LessOrEqual(t, len(f.dispatchersOf()), seedsTold)
+		}
+		time.Sleep(time.Second)
+		require.Len(t, f.dispatchersOf(), 1)
+	})
+}
+
+// TestSeedsThatStartLater starts daemons before their seeds, to which connections are
+// neither opened nor refused meanwhile: they join as soon as the seeds are there.
+func TestSeedsThatStartLater(t *testing.T) {
+	const size, late = 30, 400 * time.Millisecond
+	runFleet(t, 1, 1, func(f *fleet) {
+		f.daemons[0].Kill()
+		f.daemons = nil
+		var seeds []string
+		for number := range seedsTold {
+			listener, err := f.net.Network(hostOf(100 + number)).Listen(f.net.Address(hostOf(100 + number)))
+			require.NoError(t, err)
+			seeds = append(seeds, listener.Addr().String())
+			defer listener.Close() // until then what was dialed before stays unanswered
+		}
+		for number := range size {
+			f.startAt(200+number, f.storeAddress, f.net.Address(hostOf(200+number)), seeds)
+		}
+		time.Sleep(late)
+		for number, address := range seeds {
+			f.startAt(100+number, f.storeAddress, address, seeds)
+		}
+		time.Sleep(250 * time.Millisecond)
+		require.Len(t, f.dispatchersOf(), 1)
+	})
+}
+
 // TestStoreDownAtStart lets a daemon start while the store is down: it learns
 // routes and back ends from the others.
 func TestStoreDownAtStart(t *testing.T) {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -18,7 +18,7 @@
 		target, found = n.state.Next()
 	})
 	if !found {
-		n.join(ctx)
+		n.join(ctx, firstSeeds, 0)
 		return
 	}
 	go n.exchangeOrSuspect(ctx, target)
--- /dev/null
+++ b/peer/forming.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tuliphall/tuliphall/membership"
+)
+
+// formingFleet is how many members must be known before dispatchers are chosen among the
+// seeds: fewer know each other as soon as they have asked one.
+const formingFleet = 7
+
+// formingTime is for how long after its start a daemon counts as having just started.
+// Daemons that start together know each other by then.
+const formingTime = 1200 * time.Millisecond
+
+// forming is what a daemon that has just started knows of the others' start. Daemons
+// that all start at once know few others at first, and each other ones, so that each
+// would choose other dispatchers. Until they know each other they choose among the
+// seeds, which all of them were told. The zero value knows nothing. The node's mutex
+// guards it.
+type forming struct {
+	started time.Time
+	// seeds are the peer addresses that this daemon was told at its start.
+	seeds []string
+	// met: a seed answered that has just started, too, or this daemon is one.
+	met bool
+	// joined: a seed answered that has run for longer. It knows the members.
+	joined bool
+}
+
+// lasts says whether the daemon has just started.
+func (f *forming) lasts(now time.Time) bool {
+	return now.Sub(f.started) < formingTime
+}
+
+// heard notes what a seed that answered said of its own start.
+func (f *forming) heard(itsForming bool) {
+	f.met = f.met || itsForming
+	f.joined = f.joined || !itsForming
+}
+
+// told notes the seeds. Where there are many, each daemon asks other ones, and nothing
+// is agreed by choosing among them.
+func (f *forming) told(seeds []string, own string) {
+	if len(seeds) <= firstSeeds {
+		f.seeds = seeds
+	}
+	f.met = f.met || slices.Contains(f.seeds, own)
+}
+
+// choose returns those of the members of the region that dispatchers are chosen among.
+func (f *forming) choose(now time.Time, region []membership.Member) []membership.Member {
+	if !f.met || f.joined || !f.lasts(now) || len(region) < formingFleet {
+		return region
+	}
+	var seeds []membership.Member
+	for _, member := range region {
+		if slices.Contains(f.seeds, member.PeerAddress) {
+			seeds = append(seeds, member)
+		}
+	}
+	if len(seeds) == 0 {
+		return region
+	}
+	return seeds
+}
--- a/peer/log.go
+++ b/peer/log.go
@@ -63,5 +63,5 @@
 		before = ""
 	}
 	n.log.LogAttrs(context.Background(), slog.LevelInfo, "dispatcher chosen", slog.String("service", service), slog.String("dispatcher", chosen.Name),
-		slog.String("before", before.(string)), slog.Bool("self", chosen.Name == n.options.Self.Name), slog.Int("among", len(n.View().region)))
+		slog.String("before", before.(string)), slog.Bool("self", chosen.Name == n.options.Self.Name), slog.Int("among", len(n.View().dispatchers)))
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -43,14 +43,20 @@
 	firstPeriod      = 100 * time.Millisecond
 	beatsPerDoubling = 4
 	periodDoublings  = 4
-	// joinSeeds is how many seeds a starting daemon asks for the members at first.
-	joinSeeds = 1
+	// firstSeeds and laterSeeds are how many seeds a daemon asks for the members at
+	// once, when it starts and later.
+	firstSeeds = 3
+	laterSeeds = 1
 	// joinAgain is the time between further questions to a seed, of which there are
 	// joinRepeats: had all daemons started together, the seeds knew few at first.
 	joinAgain   = 350 * time.Millisecond
 	joinRepeats = 2
-	// joinPatience is after how long without an answer one more seed is asked.
-	joinPatience = 100 * time.Millisecond
+	// joinPatience is after how long without an answer seeds are asked anew, and
+	// joinPause is when they are after they have refused.
+	joinPatience = 150 * time.Millisecond
+	joinPause    = 50 * time.Millisecond
+	// firstJoin is for how long a daemon that starts asks seeds before all else.
+	firstJoin = 2 * time.Second
 	// jitter is the share of the period by which each exchange is shifted.
 	jitter = 0.2
 )
@@ -107,6 +113,8 @@
 	mutex  sync.Mutex
 	state  *membership.State
 	drains drainTable
+	// forming is what is known of the others' start.
+	forming forming
 	// expected is what another daemon is handing over.
 	expected delivery
 
@@ -120,6 +128,7 @@
 		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
 		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(),
 	}
+	n.forming.started = time.Now()
 	n.refreshView()
 	return n
 }
@@ -187,7 +196,9 @@
 // Run joins the other daemons and exchanges news until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer n.syncs.Wait()
-	n.join(ctx)
+	n.join(ctx, firstSeeds, firstJoin)
+	formed := time.NewTimer(formingTime)
+	defer formed.Stop()
 	timer := time.NewTimer(n.nextPeriod())
 	defer timer.Stop()
 	again := time.NewTicker(joinAgain)
@@ -200,8 +211,10 @@
 		case <-n.spread:
 			n.tellSome(ctx)
 			wait.Sleep(ctx, spreadInterval)
+		case <-formed.C:
+			n.refreshDispatchers()
 		case <-again.C:
-			n.join(ctx)
+			n.join(ctx, laterSeeds, 0)
 			if joins++; joins == joinRepeats {
 				again.Stop()
 			}
--- a/peer/server.go
+++ b/peer/server.go
@@ -60,7 +60,14 @@
 	n := s.node
 	sender := decodeMember(request.Sender)
 	n.change(sender.Name, func(now time.Time) { n.state.Heard(now, sender) })
-	return encodeList(n.Members(), encodeDrains(n.Draining()))
+	reply, err := encodeList(n.Members(), encodeDrains(n.Draining()))
+	if err != nil {
+		return nil, err
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	reply.Forming = n.forming.lasts(time.Now())
+	return reply, nil
 }
 
 // Changes implements peerpb.DRPCPeerServer.
--- a/peer/view.go
+++ b/peer/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/tuliphall/tuliphall/membership"
 )
@@ -11,7 +12,9 @@
 	Serving []membership.Member // alive ones of every region, this daemon included
 	self    string
 	region  []membership.Member
-	cache   sync.Map // service name to membership.Member
+	// dispatchers are those of the region that dispatchers are chosen among.
+	dispatchers []membership.Member
+	cache       sync.Map // service name to membership.Member
 }
 
 // refreshView makes a new View. The caller holds the mutex or is alone.
@@ -26,9 +29,17 @@
 			view.region = append(view.region, member)
 		}
 	}
+	view.dispatchers = n.forming.choose(time.Now(), view.region)
 	n.view.Store(view)
 }
 
+// refreshDispatchers makes a new View, as time has passed.
+func (n *Node) refreshDispatchers() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.refreshView()
+}
+
 // View returns the present picture of the members.
 func (n *Node) View() *View {
 	return n.view.Load()
@@ -42,7 +53,7 @@
 		member = cached.(membership.Member)
 		return member, member.Name != view.self
 	}
-	chosen := membership.Choose(view.region, "dispatch/"+name, 1)
+	chosen := membership.Choose(view.dispatchers, "dispatch/"+name, 1)
 	if len(chosen) == 0 {
 		return membership.Member{}, false
 	}
