No request begins at a back end that has just told that it is disturbed

Cause: under overload most requests got the last free place, at a disturbed back end, and kept its slot five times as long. Ruled out: dispatcher, retries. Daemons that dispatch for a moment take no lease for probes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -236,7 +236,7 @@
 		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
-		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.dispatches, Dialect: d.dialect, Log: d.logger, Metrics: scope,
+		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.probes, Dialect: d.dialect, Log: d.logger, Metrics: scope,
 	})
 }
 
@@ -248,10 +248,11 @@
 	return ""
 }
 
-// dispatches says whether this daemon dispatches a service.
-func (d *Daemon) dispatches(name string) bool {
+// probes says whether this daemon dispatches a service and is to probe its back ends. A
+// daemon that dispatches for a moment only would take the lease for that from the next.
+func (d *Daemon) probes(name string) bool {
 	_, other := d.node.DispatcherOf(name)
-	return !other
+	return !other && !d.node.Forming()
 }
 
 // run starts a goroutine for each duty.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -192,19 +192,31 @@
 	return &resultcode.Failure{Code: code, Detail: detail, RetryAfter: advice}
 }
 
+// recheckInterval is how often it is looked, while a request waits, whether time alone
+// has brought a place: a back end may be held back for a moment only.
+const recheckInterval = 20 * time.Millisecond
+
 // await blocks until the ticket is granted, refused, or given up.
 func (d *Dispatcher) await(ctx context.Context, ticket *admission.Ticket, told answers) (*Grant, error) {
 	begun := time.Now()
 	timer := time.NewTimer(ticket.Expiry.Sub(begun))
 	defer timer.Stop()
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
 	code := resultcode.WaitExpired
-	select {
-	case got := <-told:
-		return got.unpack()
-	case <-timer.C:
-	case <-ctx.Done():
-		if context.Cause(ctx) != context.DeadlineExceeded {
-			code = resultcode.CallerGone
+	for waiting := true; waiting; {
+		select {
+		case got := <-told:
+			return got.unpack()
+		case <-recheck.C:
+			d.change(func() {})
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+			if context.Cause(ctx) != context.DeadlineExceeded {
+				code = resultcode.CallerGone
+			}
 		}
 	}
 	d.mutex.Lock()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -208,3 +208,24 @@
 			"reason", "least-load", "candidates", 10, "report_age", time.Millisecond, "waited", time.Duration(0))
 	}
 }
+
+// TestHeldBackEndsByItself lets a request wait for the only back end with a free place,
+// which has just told that it is disturbed: it gets the place when that is old, although
+// nothing else happens.
+func TestHeldBackEndsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(2, 10)
+		busy, disturbed := fill(t, d), fill(t, d)
+		for range 50 {
+			d.Report(busy.Backend, routing.Report{Slowdown: 1})
+		}
+		disturbed.Done(routing.Canceled, 0)
+		d.Report(disturbed.Backend, routing.Report{Slowdown: 5})
+		begun := time.Now()
+		grant, err := d.Acquire(t.Context(), request(1, time.Second))
+		require.NoError(t, err)
+		require.Equal(t, disturbed.Backend.ID, grant.Backend.ID)
+		require.Greater(t, time.Since(begun), 50*time.Millisecond)
+		require.Less(t, time.Since(begun), 600*time.Millisecond)
+	})
+}
--- a/peer/view.go
+++ b/peer/view.go
@@ -62,6 +62,13 @@
 	return chosen[0], chosen[0].Name != view.self
 }
 
+// Forming says whether dispatchers are chosen among the seeds for a moment, as all
+// daemons have just started.
+func (n *Node) Forming() bool {
+	view := n.View()
+	return len(view.dispatchers) < len(view.region)
+}
+
 // Holds says whether this daemon is among the count daemons of its region that
 // are chosen for a duty.
 func (n *Node) Holds(duty string, count int) bool {
--- a/routing/group.go
+++ b/routing/group.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -157,7 +158,7 @@
 	if request.Session != "" {
 		return g.pickSession(now, request.Session, candidates)
 	}
-	free := g.free(candidates)
+	free := g.free(now, candidates)
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
@@ -219,18 +220,25 @@
 	return list
 }
 
-// free keeps the candidates that hold fewer requests than their limit.
-func (g *Group) free(candidates []*State) []*State {
+// free keeps the candidates that hold fewer requests than their limit and are not held
+// back, unless all are and have nothing else to do.
+func (g *Group) free(now time.Time, candidates []*State) []*State {
 	kept := candidates[:0]
 	explore := g.options.Random.Float64() < kneeExplore
+	idle := !g.busy()
 	for _, state := range candidates {
-		if state.InFlight < g.limit(state, explore) {
+		if state.InFlight < g.limit(state, explore) && (idle || !state.held(now)) {
 			kept = append(kept, state)
 		}
 	}
 	return kept
 }
 
+// busy says whether any back end has a request, whose end will bring a place.
+func (g *Group) busy() bool {
+	return slices.ContainsFunc(g.states, func(state *State) bool { return state.InFlight > 0 })
+}
+
 // limit bounds this daemon's requests at a back end. explore lets it fill one
 // whose last slot is better left free.
 func (g *Group) limit(state *State, explore bool) int {
--- /dev/null
+++ b/routing/hold.go
@@ -0,0 +1,15 @@
+package routing
+
+import "time"
+
+// holdFactor is how many times what is usual the slowdown of a back end may be before
+// requests rather wait than begin there. A disturbance at the beginning of a request
+// lasts for all of it, and takes the slot for as long; most disturbances are over sooner
+// than a request may wait.
+const holdFactor = 1.6
+
+// held says whether no request should begin at a back end now. That ends by itself, as
+// the report that says so gets old.
+func (s *State) held(now time.Time) bool {
+	return s.slowdown.reports > 0 && s.slowdown.expected(now) > holdFactor*s.slowdown.usual()
+}
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -241,3 +241,27 @@
 		})
 	}
 }
+
+// TestDisturbedIsHeldBack begins no request at a back end that has just told that it is
+// disturbed while others have something to finish, begins one once that is old, and
+// begins one at once where nothing else will bring a place.
+func TestDisturbedIsHeldBack(t *testing.T) {
+	group := newTestGroup(Backend{ID: "well", Slots: 1, Window: 1}, Backend{ID: "disturbed", Slots: 1, Window: 1})
+	for range 50 {
+		for _, state := range group.states {
+			group.Report(state, Report{Slowdown: 2}, false, start)
+		}
+	}
+	group.Report(group.byID["well"], Report{Slowdown: 1}, false, start)
+	group.Report(group.byID["disturbed"], Report{Slowdown: 5}, false, start)
+	require.Equal(t, "well", pick(t, group, start, "").Backend.ID)
+	_, ok := group.Pick(start.Add(20*time.Millisecond), Request{})
+	require.False(t, ok)
+	picked := pick(t, group, start.Add(300*time.Millisecond), "")
+	require.Equal(t, "disturbed", picked.Backend.ID)
+
+	alone := newTestGroup(Backend{ID: "disturbed", Slots: 3, Window: 3})
+	alone.Report(alone.byID["disturbed"], Report{Slowdown: 1}, false, start)
+	alone.Report(alone.byID["disturbed"], Report{Slowdown: 9}, false, start)
+	require.Equal(t, "disturbed", pick(t, alone, start, "").Backend.ID)
+}
