A daemon that restarts goes on with its lease for probes

Cause: after a loss of all power nothing was probed for ten seconds, as the lease was still that of the same daemon's process before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -236,7 +236,7 @@
 		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
 	})
 	d.prober = measure.NewProber(measure.Options{
-		Name: d.settings.Name, Store: d.store, Services: d.services, Dispatches: d.probes, Dialect: d.dialect, Log: d.logger, Metrics: scope,
+		Holder: d.settings.Name + "@" + d.listeners.Peer, Store: d.store, Services: d.services, Dispatches: d.probes, Dialect: d.dialect, Log: d.logger, Metrics: scope,
 	})
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -6,7 +6,8 @@
 // for the whole lifetime by its own clock, so that clocks need not agree. The
 // holder may act while less than the lifetime, shortened by a margin, has passed
 // since it began its last renewal. That is asked at the moment of use, so that a
-// holder that was paused past the end does nothing. The object's version is the
+// holder that was paused past the end does nothing. A daemon that restarts goes on with
+// the lease that it held, as nobody else can listen at its address. The object's version is the
 // fence: it grows with each holder.
 package lease
 
@@ -37,24 +38,32 @@
 	version objectstore.Version // last seen
 	seen    time.Time           // when this version was first seen
 	until   time.Time           // end of the daemon's own right; zero: none
+	// inherited: the holder of the version seen is this daemon before it restarted.
+	inherited bool
 }
 
 // Observe notes the version read from the store; 0 means that there is no object.
 func (s *State) Observe(now time.Time, version objectstore.Version) {
 	if s.seen.IsZero() || version != s.version {
-		s.version, s.seen = version, now
+		s.version, s.seen, s.inherited = version, now, false
 	}
 }
 
-// MayTake says whether the lease is free: it never existed, or it was seen
-// unchanged for a whole lifetime.
+// Inherit notes that the holder of the version seen is a daemon at this daemon's own
+// address, which has ended, as this one could not listen there otherwise.
+func (s *State) Inherit() {
+	s.inherited = true
+}
+
+// MayTake says whether the lease is free: it never existed, was seen unchanged for a
+// whole lifetime, or is this daemon's from before it restarted.
 func (s *State) MayTake(now time.Time) bool {
-	return !s.seen.IsZero() && (s.version == 0 || now.Sub(s.seen) >= Lifetime)
+	return !s.seen.IsZero() && (s.version == 0 || s.inherited || now.Sub(s.seen) >= Lifetime)
 }
 
 // Written notes that the daemon's own write, begun at the given time, took effect.
 func (s *State) Written(begun time.Time, version objectstore.Version) {
-	s.version, s.seen = version, begun
+	s.version, s.seen, s.inherited = version, begun, false
 	s.until = begun.Add(Lifetime - margin)
 }
 
@@ -88,7 +97,8 @@
 	state State
 }
 
-// New returns a lease that is not held.
+// New returns a lease that is not held. holder names the daemon and the address at
+// which it listens, so that no other process that runs has the same.
 func New(store objectstore.Store, name, holder string) *Lease {
 	return &Lease{store: store, key: objectstore.Key{Kind: "lease", Name: name}, holder: holder}
 }
@@ -136,6 +146,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.state.Observe(time.Now(), object.Version)
+	var present record
+	// A record that cannot be read is another's.
+	if json.Unmarshal(object.Value, &present) == nil && present.Holder == l.holder {
+		l.state.Inherit()
+	}
 	return nil
 }
 
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -54,7 +54,7 @@
 
 // Options are a Prober's collaborators.
 type Options struct {
-	Name     string // the daemon's
+	Holder   string // the daemon's name and address, as of a lease
 	Store    objectstore.Store
 	Services *service.Registry
 	// Dispatches says whether this daemon dispatches a service.
@@ -208,7 +208,7 @@
 func (p *Prober) duty(name string) *duty {
 	d, known := p.duties[name]
 	if !known {
-		d = &duty{lease: lease.New(p.options.Store, "measure-"+name, p.options.Name)}
+		d = &duty{lease: lease.New(p.options.Store, "measure-"+name, p.options.Holder)}
 		p.duties[name] = d
 	}
 	return d
