--- a/config/route.go
+++ b/config/route.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"math"
 	"net"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/tuliphall/tuliphall/policy"
@@ -52,12 +54,13 @@
 	Weight int
 }
 
-// RunningRoute is a route as a daemon serves it. It is immutable.
+// RunningRoute is a route as a daemon serves it. It is immutable, but for the turns.
 type RunningRoute struct {
 	Route
 	Policy    *policy.Program
 	Divisions []Division // of weight above 0; at least one
 	total     int
+	turns     atomic.Uint64 // requests that were divided
 }
 
 // Deadline returns how long a request of the route may take when its caller says
@@ -69,13 +72,19 @@
 	return target.Deadline()
 }
 
-// Choose returns the service of one request. random gives a number from 0 to
-// below its argument.
-func (r *RunningRoute) Choose(random func(int) int) *Target {
+// goldenRatio divides any number of turns evenly: multiples of it, taken modulo 1, never
+// bunch.
+const goldenRatio = 0.6180339887498949
+
+// Choose returns the service of the next request. Requests are divided evenly, not at
+// random, so that each service's part is right within few of them. phase, from 0 to below
+// 1, is the daemon's own, so that daemons do not take the same turn together.
+func (r *RunningRoute) Choose(phase float64) *Target {
 	if len(r.Divisions) == 1 {
 		return r.Divisions[0].Target
 	}
-	point := random(r.total)
+	_, turn := math.Modf(phase + goldenRatio*float64(r.turns.Add(1)%turnCycle))
+	point := int(turn * float64(r.total))
 	for _, division := range r.Divisions {
 		if point -= division.Weight; point < 0 {
 			return division.Target
@@ -84,6 +93,9 @@
 	return r.Divisions[len(r.Divisions)-1].Target
 }
 
+// turnCycle keeps the product within what a float64 holds exactly enough.
+const turnCycle = 1 << 30
+
 // running compiles the route. The names were checked before.
 func (r Route) running(targets map[string]*Target, programs map[string]*policy.Program) *RunningRoute {
 	made := &RunningRoute{Route: r}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -63,6 +63,7 @@
 	metrics   *metrics
 	sequence  atomic.Uint64
 	inFlight  atomic.Int64
+	phase     float64 // of the turns by which routes divide requests
 	upgraded  sync.WaitGroup
 	forwarder *forwarder
 }
@@ -79,6 +80,7 @@
 		outcomes:  logging.Routine(logging.Part(options.Log, "frontend")),
 		metrics:   newMetrics(options.Metrics),
 		forwarder: newForwarder(options.Network),
+		phase:     rand.Float64(),
 	}
 	// Ids stay unique when a daemon is restarted under the same name.
 	h.sequence.Store(uint64(time.Now().UnixNano()))
@@ -148,7 +150,7 @@
 	if !ok {
 		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "host " + r.Host + ", path " + r.URL.Path}
 	}
-	name := route.Choose(rand.IntN).Service.Name
+	name := route.Choose(h.phase).Service.Name
 	running, ok := h.options.Services.Find(name)
 	if !ok {
 		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "service " + name}
