--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -1,7 +1,6 @@
 package objectstub_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -352,9 +352,7 @@
 		require.Less(t, time.Since(begun), 500*time.Millisecond)
 		require.Equal(t, before+requests, f.workers[1].total())
 		time.Sleep(time.Second) // lines are written together
-		f.logs.mutex.Lock()
-		defer f.logs.mutex.Unlock()
-		tried := bytes.Contains(f.logs.text.Bytes(), fmt.Appendf(nil, `"code":%d`, resultcode.ConnectFailed))
+		tried := strings.Contains(f.logs.String(), fmt.Sprintf(`"code":%d`, resultcode.ConnectFailed))
 		require.True(t, tried, "the dark worker was not tried")
 	})
 }
--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -96,18 +96,24 @@
 	})
 }
 
+// startAnew kills all daemons and starts as many others at once.
+func (f *fleet) startAnew() {
+	size := len(f.daemons)
+	for _, one := range f.daemons {
+		one.Kill()
+	}
+	f.daemons = nil
+	for number := range size {
+		f.start(size+number, f.storeAddress)
+	}
+}
+
 // TestKnownSoonAfterAllStart loses all daemons at once: those that start in their
 // place soon know each other, so that they agree on who gives out places.
 func TestKnownSoonAfterAllStart(t *testing.T) {
 	const size = 60
 	runFleet(t, size, 1, func(f *fleet) {
-		for _, one := range f.daemons {
-			one.Kill()
-		}
-		f.daemons = nil
-		for number := range size {
-			f.start(size+number, f.storeAddress)
-		}
+		f.startAnew()
 		begun := time.Now()
 		for _, one := range f.daemons {
 			for one.KnownMembers() < size {
@@ -136,13 +142,7 @@
 func TestOneDispatcherAfterAllStart(t *testing.T) {
 	const size = 60
 	runFleet(t, size, 1, func(f *fleet) {
-		for _, one := range f.daemons {
-			one.Kill()
-		}
-		f.daemons = nil
-		for number := range size {
-			f.start(size+number, f.storeAddress)
-		}
+		f.startAnew()
 		for range 10 {
 			time.Sleep(100 * time.Millisecond)
 			require.LessOrEqual(t, len(f.dispatchersOf()), seedsTold)
--- a/lab/objectstub/outcome_test.go
+++ b/lab/objectstub/outcome_test.go
@@ -1,7 +1,6 @@
 package objectstub_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -15,20 +14,13 @@
 
 	"github.com/tuliphall/tuliphall/explain"
 	"github.com/tuliphall/tuliphall/lab/objectstub"
+	"github.com/tuliphall/tuliphall/lab/site"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
 // logs takes the lines of all daemons of a fleet.
 type logs struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *logs) Write(lines []byte) (int, error) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.text.Write(lines)
+	site.SyncBuffer
 }
 
 // outcome is a line that says how a request ended.
@@ -42,12 +34,10 @@
 
 // outcomes returns the outcome lines of each request.
 func (l *logs) outcomes(t *testing.T) map[string][]outcome {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	found := make(map[string][]outcome)
-	for line := range bytes.Lines(l.text.Bytes()) {
+	for line := range strings.Lines(l.String()) {
 		var one outcome
-		require.NoError(t, json.Unmarshal(line, &one), string(line))
+		require.NoError(t, json.Unmarshal([]byte(line), &one), line)
 		switch one.Message {
 		case "frontend: answered", "frontend: failed", "frontend: answer broken off":
 			found[one.Request] = append(found[one.Request], one)
@@ -123,10 +113,8 @@
 
 // checkCauses requires that the requests which these daemons failed are explained.
 func (l *logs) checkCauses(t *testing.T) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	log := explain.NewLog()
-	require.NoError(t, explain.Read(bytes.NewReader(l.text.Bytes()), log))
+	require.NoError(t, explain.Read(strings.NewReader(l.String()), log))
 	causes := make(map[string]int)
 	for _, group := range log.Summarize() {
 		causes[group.Kind] = group.Requests
--- a/logging/bound_test.go
+++ b/logging/bound_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,24 +68,11 @@
 	require.NotContains(t, bound.TakeLeftOut(), "failed")
 }
 
-// lockedBuffer is written by the log's goroutine and read by the test.
-type lockedBuffer struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(data []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.Write(data)
-}
-
 // TestLeftOutIsTold logs ten times what is allowed: the log stays within its bound, and
 // a line each second, and the counter, tell what was left out, by kind.
 func TestLeftOutIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		target := &lockedBuffer{}
+		target := &countedWrites{}
 		writer := logging.NewWriter(target)
 		bound := logging.NewBound(time.Now(), 100, 1_000_000)
 		logger := logging.New(writer, logging.Options{JSON: true, Daemon: "edge-1", Bound: bound})
