--- a/logging/logging.go
+++ b/logging/logging.go
@@ -25,14 +25,16 @@
 	// lingerTime is how long a line waits for others. A daemon that is killed loses
 	// the lines of that time.
 	lingerTime = 100 * time.Millisecond
-	// batchBytes is from how many bytes on nothing is added to a write.
-	batchBytes = 64 << 10
+	// batchBytes is the most that is written at once, but for a longer line: what reads
+	// the lines may cut what is longer.
+	batchBytes = 8 << 10
 )
 
 // Writer is an io.Writer that never blocks. Each Write is one line.
 type Writer struct {
 	target  io.Writer
 	lines   chan []byte
+	batch   []byte        // of the goroutine, kept from write to write
 	closing chan struct{} // closed when the lines that wait are the last
 	done    chan struct{}
 	once    sync.Once
@@ -61,28 +63,18 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	var batch []byte
 	for {
 		select {
-		case line := <-w.lines:
-			batch = append(batch[:0], line...)
+		case first := <-w.lines:
 			w.linger()
-			w.write(w.gather(batch))
+			w.write(first)
 		case <-w.closing:
-			for batch = w.gather(batch[:0]); len(batch) > 0; batch = w.gather(batch[:0]) {
-				w.write(batch)
-			}
+			w.write(nil)
 			return
 		}
 	}
 }
 
-// write hands a batch to the target. There is no other place to report a log that
-// cannot be written.
-func (w *Writer) write(batch []byte) {
-	_, _ = w.target.Write(batch)
-}
-
 // linger waits for further lines, unless the writer is being closed.
 func (w *Writer) linger() {
 	select {
@@ -91,17 +83,27 @@
 	}
 }
 
-// gather adds the lines that wait to a batch, as far as it may grow.
-func (w *Writer) gather(batch []byte) []byte {
-	for len(batch) < batchBytes {
+// write hands a line, if there is one, and all that wait to the target, in batches of
+// whole lines. There is no other place to report a log that cannot be written.
+func (w *Writer) write(first []byte) {
+	batch := append(w.batch[:0], first...)
+	for {
 		select {
 		case line := <-w.lines:
+			if len(batch)+len(line) > batchBytes && len(batch) > 0 {
+				_, _ = w.target.Write(batch)
+				batch = batch[:0]
+			}
 			batch = append(batch, line...)
+			continue
 		default:
-			return batch
 		}
+		if len(batch) > 0 {
+			_, _ = w.target.Write(batch)
+		}
+		w.batch = batch
+		return
 	}
-	return batch
 }
 
 // Close writes the lines that wait and ends the goroutine. Lines that come later are
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -76,6 +77,35 @@
 	})
 }
 
+// wholeLines is a target that wants whole lines, few enough in each write.
+type wholeLines struct {
+	countedWrites
+	broken []int // lengths of writes that are too long or end within a line
+}
+
+// Write implements io.Writer.
+func (w *wholeLines) Write(data []byte) (int, error) {
+	if len(data) > 8<<10 || data[len(data)-1] != '\n' {
+		w.broken = append(w.broken, len(data))
+	}
+	return w.countedWrites.Write(data)
+}
+
+// TestWritesAreBounded logs much at once: each write is of whole lines and at most 8 KiB.
+func TestWritesAreBounded(t *testing.T) {
+	target := &wholeLines{}
+	writer := logging.NewWriter(target)
+	logger := logging.New(writer, logging.Options{Daemon: "edge-1"})
+	const lines = 2000
+	for number := range lines {
+		logger.Info("line", "number", number, "text", strings.Repeat("x", number%300))
+	}
+	writer.Close()
+	require.Empty(t, target.broken)
+	require.Equal(t, lines, bytes.Count(target.text.Bytes(), []byte("\n")))
+	require.Greater(t, target.writes, 10)
+}
+
 // TestLinesAfterTheEndAreLost logs while and after the writer is closed, as a signal
 // that comes late does.
 func TestLinesAfterTheEndAreLost(t *testing.T) {
