--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -234,6 +234,7 @@
 	d.handler = frontend.NewHandler(frontend.Options{
 		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
 		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
+		Configured: d.follower.Serving,
 	})
 	d.prober = measure.NewProber(measure.Options{
 		Holder: d.settings.Name + "@" + d.listeners.Peer, Store: d.store, Services: d.services, Dispatches: d.probes, Dialect: d.dialect, Log: d.logger, Metrics: scope,
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -236,7 +236,8 @@
 	return document.Revision > 0 && document.Directory.Revision > 0
 }
 
-func (f *Follower) isServing() bool {
+// Serving says whether requests can be served with what has been read.
+func (f *Follower) Serving() bool {
 	select {
 	case <-f.configured:
 		return true
--- a/dissemination/start.go
+++ b/dissemination/start.go
@@ -18,7 +18,7 @@
 	if f.options.FirstStart {
 		f.awaitFirst(ctx)
 	}
-	for ctx.Err() == nil && !f.isServing() {
+	for ctx.Err() == nil && !f.Serving() {
 		err := f.readSources(ctx)
 		if err == nil {
 			return
@@ -58,7 +58,7 @@
 func (f *Follower) awaitFirst(ctx context.Context) {
 	wait.Sleep(ctx, joinTime)
 	end := time.Now().Add(firstDeclaration)
-	for !f.isServing() && ctx.Err() == nil && time.Now().Before(end) {
+	for !f.Serving() && ctx.Err() == nil && time.Now().Before(end) {
 		if !f.chosen() {
 			wait.Sleep(ctx, firstBackoff)
 			continue
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -38,11 +38,14 @@
 
 // Options are the frontend's collaborators.
 type Options struct {
-	Name       string // the daemon's
-	Zone       string // the daemon's
-	Network    network.Network
-	Services   *service.Registry
-	Peers      Peers
+	Name     string // the daemon's
+	Zone     string // the daemon's
+	Network  network.Network
+	Services *service.Registry
+	Peers    Peers
+	// Configured says whether what it takes to serve has been read: the configuration,
+	// and the back ends where they are listed elsewhere. It must not block. nil: yes.
+	Configured func() bool
 	Slots      *slots.Client // asks other daemons for places
 	Operations *operation.Executor
 	Log        *slog.Logger
@@ -70,6 +73,9 @@
 
 // NewHandler returns a handler.
 func NewHandler(options Options) *Handler {
+	if options.Configured == nil {
+		options.Configured = func() bool { return true }
+	}
 	if options.LogDecisions == nil {
 		options.LogDecisions = func() bool { return false }
 	}
@@ -143,8 +149,8 @@
 
 // admit finds the request's service and reads what it asks for.
 func (h *Handler) admit(r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
-	if h.options.Services.Snapshot() == nil {
-		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "no configuration has been read yet", RetryAfter: notConfiguredRetryAfter}
+	if h.options.Services.Snapshot() == nil || !h.options.Configured() {
+		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "configuration and back ends have not all been read yet", RetryAfter: notConfiguredRetryAfter}
 	}
 	route, ok := h.options.Services.Match(r.Host, r.URL.Path)
 	if !ok {
--- a/frontend/place_test.go
+++ b/frontend/place_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
+	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/slots"
 )
@@ -133,3 +135,18 @@
 		})
 	}
 }
+
+// TestNotAllReadYet refuses, as a daemon that has just started does, what it could only
+// answer wrongly: a route that it may not have read, a service without its back ends.
+func TestNotAllReadYet(t *testing.T) {
+	document := &config.Document{Revision: 1, Content: config.Content{Services: []config.Service{{Name: "prices", PathPrefix: "/prices/"}}}}
+	handler := startHandler(t, registryOf(t, document), fixedPeers{})
+	handler.options.Configured = func() bool { return false }
+	for _, path := range []string{"/prices/now", "/elsewhere"} {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+		require.Equal(t, strconv.Itoa(int(resultcode.NotConfigured)), recorder.Header().Get(resultcode.HeaderCode))
+		require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+	}
+}
