TestPlaceGoesOn waits until its second request does

It failed once with the race detector beside load (97.8 ms, at least 100 wanted): the 100 ms began when the request was asked, not when it had reached the dispatcher. As strict as before: the place is not given for 100 ms, and the wait that is told is at least that.

--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -92,6 +92,11 @@
 		}
 		second <- grant
 	}()
+	// Its wait begins when it has reached the dispatcher, not when it was asked.
+	require.Eventually(t, func() bool {
+		_, waiting := d.service.Dispatcher.Status()
+		return waiting == 1
+	}, 5*time.Second, time.Millisecond)
 	select {
 	case <-second:
 		t.Fatal("two requests hold one place")
