Read again: one table printer, one list of reloadable settings, a place made with its kind

explain printed its table by itself beside printTable. The settings that a running daemon takes over stood twice, in a map and in Reloaded: Compare asks Reloaded now. What a place is for was set by a wrapper and passed beside it. Constants and fields of explain that nothing reads are gone; a back end that has had a request keeps that, not when.

--- a/command/explain.go
+++ b/command/explain.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"os"
-	"text/tabwriter"
+	"strconv"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -122,16 +122,12 @@
 	if c.global.Output == outputJSON {
 		return c.printGroups(groups)
 	}
-	table := tabwriter.NewWriter(c.global.out, 0, 4, 2, ' ', 0)
-	if _, err := fmt.Fprintln(table, "REQUESTS\tCAUSE\tMOST AT\tFROM\tTO\tFOR EXAMPLE"); err != nil {
-		return err
-	}
-	for _, group := range groups {
-		_, err := fmt.Fprintf(table, "%d\t%s\t%s (%d)\t%s\t%s\t%s\n", group.Requests, group.Kind, group.Most, group.MostCount,
-			group.First.Time.Format(time.TimeOnly), group.Last.Time.Format(time.TimeOnly), group.Example.Request)
-		if err != nil {
-			return err
-		}
+	rows := [][]string{{"REQUESTS", "CAUSE", "MOST AT", "FROM", "TO", "FOR EXAMPLE"}}
+	for _, one := range groups {
+		rows = append(rows, []string{
+			strconv.Itoa(one.Requests), one.Kind, fmt.Sprintf("%s (%d)", one.Most, one.MostCount),
+			one.First.Time.Format(time.TimeOnly), one.Last.Time.Format(time.TimeOnly), one.Example.Request,
+		})
 	}
-	return table.Flush()
+	return c.global.printTable(rows)
 }
--- a/explain/line.go
+++ b/explain/line.go
@@ -22,7 +22,6 @@
 
 	Request string `json:"request"`
 	Service string `json:"service"`
-	Route   string `json:"route"`
 
 	// Of a choice.
 	Kind       string   `json:"attempt_kind"`
@@ -53,7 +52,6 @@
 	// Of what a daemon believes.
 	Revision       uint64 `json:"revision"`
 	BeforeRevision Text   `json:"before"`
-	Member         string `json:"member"`
 	Source         Text   `json:"source"`
 	Error          string `json:"error"`
 
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -41,7 +41,7 @@
 		}
 		failure := resultcode.AsFailure(err, resultcode.NoBackend)
 		if chosen != nil {
-			failure = a.once(ctx, kind, chosen)
+			failure = a.once(ctx, chosen)
 		}
 		if failure == nil {
 			return resultcode.Answered
@@ -83,8 +83,8 @@
 
 // once makes one attempt at a place. It returns nil once an answer, or a part of one,
 // has been passed on.
-func (a *attempter) once(ctx context.Context, kind retry.Kind, chosen *place) *resultcode.Failure {
-	if kind == retry.Retry {
+func (a *attempter) once(ctx context.Context, chosen *place) *resultcode.Failure {
+	if chosen.kind == retry.Retry {
 		a.handler.metrics.retries.Inc(1)
 	}
 	first, failure := a.prepare(chosen)
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -43,15 +43,6 @@
 // request may wait. The error is service.ErrOverBudget, or a *resultcode.Failure. A
 // hedge calls it beside the attempt that is under way.
 func (a *attempter) acquire(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
-	chosen, err := a.find(ctx, kind, request)
-	if chosen != nil {
-		chosen.kind = kind
-	}
-	return chosen, err
-}
-
-// find is acquire, but for the kind of the place.
-func (a *attempter) find(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
 	c := a.call
 	peers := a.handler.options.Peers
 	as := service.Dispatching()
@@ -69,7 +60,7 @@
 		a.noteRefusal(kind, a.handler.options.Name)
 		return nil, err
 	}
-	return a.ownPlace(grant), nil
+	return a.ownPlace(grant, kind), nil
 }
 
 // ask asks another daemon for a place. It returns neither a place nor an error where
@@ -95,7 +86,7 @@
 		a.logAsked(slog.LevelInfo, "place not used", dispatcher, slog.String("backend", granted.Backend))
 		return nil, nil
 	}
-	return placeOf(granted, dispatcher.Name), nil
+	return placeOf(granted, kind, dispatcher.Name), nil
 }
 
 // noteRefusal keeps who refused a place, to be logged when the call ends. For a hedge
@@ -113,9 +104,9 @@
 }
 
 // ownPlace is a place that this daemon's own dispatcher gave.
-func (a *attempter) ownPlace(grant *dispatch.Grant) *place {
+func (a *attempter) ownPlace(grant *dispatch.Grant, kind retry.Kind) *place {
 	return &place{
-		backend: grant.Backend.ID, dispatcher: a.handler.options.Name, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
+		backend: grant.Backend.ID, dispatcher: a.handler.options.Name, kind: kind, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited(), sent: grant.Sent,
 		done: func(outcome routing.Outcome, latency time.Duration, report *routing.Report) {
 			if report != nil {
@@ -127,9 +118,9 @@
 }
 
 // placeOf is a place that another daemon gave.
-func placeOf(grant *slots.Grant, dispatcher string) *place {
+func placeOf(grant *slots.Grant, kind retry.Kind, dispatcher string) *place {
 	return &place{
-		backend: grant.Backend, dispatcher: dispatcher, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
+		backend: grant.Backend, dispatcher: dispatcher, kind: kind, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited, sent: time.Now(), done: grant.Done,
 	}
 }
--- a/routing/group.go
+++ b/routing/group.go
@@ -269,7 +269,7 @@
 		state.quietSince = now
 	}
 	state.InFlight++
-	state.metAt = now
+	state.met = true
 }
 
 // firstWindow is the bound before any report.
--- a/routing/newcomer.go
+++ b/routing/newcomer.go
@@ -19,7 +19,7 @@
 // nil.
 func (g *Group) newcomer(now time.Time, request Request, candidates []*State) *State {
 	for _, state := range candidates {
-		if !state.metAt.IsZero() {
+		if state.met {
 			continue
 		}
 		if state.seenAt.IsZero() {
--- a/routing/state.go
+++ b/routing/state.go
@@ -56,7 +56,7 @@
 	// introduced is how often it was asked for its first report.
 	introduced int
 	seenAt     time.Time // when it could first have got a request; zero: never yet
-	metAt      time.Time // when it last got one; zero: never yet
+	met        bool      // it has got one
 	// quietSince is since when the back end holds requests and has answered
 	// none; zero: it holds none.
 	quietSince time.Time
--- a/settings/changes.go
+++ b/settings/changes.go
@@ -2,13 +2,6 @@
 
 import "reflect"
 
-// reloadable are the settings that a running daemon takes over from its file when
-// told to, as tables or single keys. Others need a restart.
-var reloadable = map[string]bool{
-	"peers": true, "stop.notice": true, "stop.sessions": true,
-	"log.level": true, "log.decisions": true, "log.lines_per_second": true, "log.bytes_per_second": true,
-}
-
 // Changes are the settings that differ between two, by their keys in the file.
 type Changes struct {
 	Applicable  []string // a running daemon takes them over
@@ -18,19 +11,21 @@
 // Compare returns what differs between the settings in force and new ones.
 func Compare(present, next Settings) Changes {
 	var changes Changes
-	compare(reflect.ValueOf(present), reflect.ValueOf(next), "", &changes)
+	taken := present.Reloaded(next)
+	compare(reflect.ValueOf(present), reflect.ValueOf(next), reflect.ValueOf(taken), "", &changes)
 	return changes
 }
 
-func compare(present, next reflect.Value, table string, changes *Changes) {
+// compare adds the changes of a table; taken is what a running daemon has afterwards.
+func compare(present, next, taken reflect.Value, table string, changes *Changes) {
 	for index := range present.NumField() {
 		key := table + present.Type().Field(index).Tag.Get("toml")
-		before, after := present.Field(index), next.Field(index)
+		before, after, kept := present.Field(index), next.Field(index), taken.Field(index)
 		switch {
 		case before.Kind() == reflect.Struct:
-			compare(before, after, key+".", changes)
+			compare(before, after, kept, key+".", changes)
 		case reflect.DeepEqual(before.Interface(), after.Interface()):
-		case reloadable[key]:
+		case reflect.DeepEqual(kept.Interface(), after.Interface()):
 			changes.Applicable = append(changes.Applicable, key)
 		default:
 			changes.NeedRestart = append(changes.NeedRestart, key)
@@ -39,7 +34,7 @@
 }
 
 // Reloaded returns the present settings with what a running daemon can take over of
-// new ones.
+// new ones. Others need a restart.
 func (s Settings) Reloaded(next Settings) Settings {
 	s.Peers, s.Stop = next.Peers, next.Stop
 	s.Log.Level, s.Log.Decisions = next.Log.Level, next.Log.Decisions
