--- a/lab/scenarios/scenarios_test.go
+++ b/lab/scenarios/scenarios_test.go
@@ -64,8 +64,12 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+(process>>8)%254, process%256, 1+lastHost.Add(1)%254)
 }
 
-// ports NAME... asks the kernel for free ports and sets $NAME to IP:port.
+// ports NAME... asks the kernel for free ports and sets $NAME to IP:port. No process is
+// started meanwhile: one that another script starts would hold the listeners, and so the
+// ports, for a moment after they are closed here.
 func ports(ts *testscript.TestScript, _ bool, names []string) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	var held []net.Listener
 	host := loopback()
 	for _, name := range names {
