Daemons that start together watch the store as soon as they know each other

Cause: a daemon slept 3 s after it had read the store before it might watch it. Ruled out: deaf watches (none was open), the telling among daemons (10 ms). Change: watching may begin 1.2 s after the start, when daemons know each other.

--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -23,6 +23,7 @@
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Timing and bounds.
@@ -33,8 +34,10 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = 15 * time.Second
-	// firstWatch is how long a daemon gets to know the others before it may watch.
-	firstWatch = 3 * time.Second
+	// firstWatch is how long after its start a daemon may watch. It knows the others
+	// by then; and where all daemons started at once, a change that is made right after
+	// they have read the store is heard no later than this.
+	firstWatch = 1200 * time.Millisecond
 	// fromPlatform is the source of what the daemon read itself.
 	fromPlatform = "platform"
 	// joinTime is how long a daemon that starts before anything was declared
@@ -265,7 +268,13 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.fetchLoop(ctx) })
 	running.Go(func() { f.announceLoop(ctx) })
+	mayWatch := time.Now().Add(firstWatch)
 	f.start(ctx)
+	if f.options.Watchers > 0 {
+		// A daemon that has just started knows hardly anybody and would choose
+		// itself. Had all started at once, each would hold a watch.
+		wait.Sleep(ctx, time.Until(mayWatch))
+	}
 	for _, source := range f.options.Sources {
 		running.Go(func() { f.watchLoop(ctx, source) })
 	}
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -10,11 +10,6 @@
 // watchLoop watches a source while this daemon is chosen to.
 func (f *Follower) watchLoop(ctx context.Context, source Source) {
 	backoff := firstBackoff
-	if f.options.Watchers > 0 {
-		// A daemon that has just started knows hardly anybody and would choose
-		// itself. Had all started at once, each would hold a watch.
-		wait.Sleep(ctx, firstWatch)
-	}
 	fresh := true
 	var health sourceHealth
 	for ctx.Err() == nil {
--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -152,6 +152,20 @@
 	})
 }
 
+// TestChangeAfterAllStart loses all daemons at once and changes the configuration while
+// those that start in their place have just read it: the change is in force everywhere
+// as soon as they know each other.
+func TestChangeAfterAllStart(t *testing.T) {
+	for _, size := range []int{13, 60} {
+		runFleet(t, size, 1, func(f *fleet) {
+			f.startAnew()
+			time.Sleep(300 * time.Millisecond)
+			f.configure("/change/")
+			require.Less(t, f.inForce(f.store.Revision()), 1200*time.Millisecond)
+		})
+	}
+}
+
 // TestSeedsThatStartLater starts daemons before their seeds, to which connections are
 // neither opened nor refused meanwhile: they join as soon as the seeds are there.
 func TestSeedsThatStartLater(t *testing.T) {
