Daemons that would not hear of news watch the store themselves

Cause: only 8 daemons of a region watch the store. Ruled out: the telling among those left, who had nothing to tell. Change: each daemon asks its two tellers, about every 0.7 s and once any member has not answered, whether they would tell it, and watches the store while neither says so. TestNewsWithoutAnyTeller: bound 1.5 s, failed before. The stand-in network no longer holds a reader of a closed connection back while the other host is frozen.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -225,6 +225,7 @@
 		},
 		Meter: d.meter, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
 		Configuration: d.follower, Slots: slots.NewServer(d.services), Seeds: d.seeds, OnDrain: d.onDrain,
+		OnNoAnswer: d.follower.Doubt,
 	})
 	d.follower.SetPeers(d.node)
 	d.operations = operation.NewExecutor(operation.Options{
--- a/dissemination/announce.go
+++ b/dissemination/announce.go
@@ -33,6 +33,8 @@
 		case <-f.toAnnounce:
 			if place, of, chosen := f.peers.Place(WatchDuty, f.options.Watchers); chosen {
 				f.peers.Announce(ctx, place, of)
+			} else if f.standIn.active.Load() {
+				f.peers.Announce(ctx, 0, 0)
 			}
 		case <-f.toPassOn:
 			f.peers.Announce(ctx, 0, 0)
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -57,6 +57,11 @@
 	// a duty, and their number; chosen is false when it is none of them. With a
 	// count of 0 all are chosen.
 	Place(duty string, count int) (place, of int, chosen bool)
+	// HearsOfNews says whether any of the members that would tell this one of news
+	// answers, of the count that are chosen for a duty. It may block for a moment.
+	HearsOfNews(ctx context.Context, duty string, count int) bool
+	// RegionSize returns how many daemons of the region are alive.
+	RegionSize() int
 	// FetchDocument returns the document of the daemon at an address.
 	FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error)
 	// Announce tells members of the region what is in force here: of the daemons
@@ -107,6 +112,8 @@
 	// other daemons, that members are still to be told of.
 	toAnnounce, toPassOn chan struct{}
 
+	standIn standIn
+
 	configured chan struct{} // closed once a document is in force
 
 	once sync.Once // closes it
@@ -128,6 +135,7 @@
 	return &Follower{
 		options: options, log: logging.Part(options.Log, "configuration"), behind: make(chan news, behindQueue),
 		toAnnounce: make(chan struct{}, 1), toPassOn: make(chan struct{}, 1), configured: make(chan struct{}),
+		standIn: newStandIn(len(options.Sources)),
 	}
 }
 
@@ -275,6 +283,7 @@
 		// itself. Had all started at once, each would hold a watch.
 		wait.Sleep(ctx, time.Until(mayWatch))
 	}
+	running.Go(func() { f.standInLoop(ctx) })
 	for _, source := range f.options.Sources {
 		running.Go(func() { f.watchLoop(ctx, source) })
 	}
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -29,6 +29,10 @@
 }
 
 func (l *lonely) Place(string, int) (int, int, bool) { return 0, 1, !l.othersChosen }
+func (l *lonely) HearsOfNews(context.Context, string, int) bool {
+	return l.othersChosen
+}
+func (l *lonely) RegionSize() int { return 1 }
 func (l *lonely) Announce(context.Context, int, int) {
 	l.announced.Add(1)
 }
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -13,14 +13,13 @@
 	fresh := true
 	var health sourceHealth
 	for ctx.Err() == nil {
-		place, watchers, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
+		chosen := f.chosen()
 		f.watching.Store(chosen)
 		if !chosen {
-			if !wait.Sleep(ctx, pollInterval) {
-				return
-			}
+			f.awaitChosen(ctx)
 			continue
 		}
+		place, watchers := f.turn()
 		begun := time.Now()
 		before := f.Position()
 		if err := f.watch(ctx, source, watchLength(f.options.WatchGap, place, watchers, fresh)); err != nil {
@@ -41,11 +40,6 @@
 	}
 }
 
-func (f *Follower) chosen() bool {
-	_, _, chosen := f.peers.Place(WatchDuty, f.options.Watchers)
-	return chosen
-}
-
 // cancelWhenNotChosen ends a watch once others are chosen to watch.
 func (f *Follower) cancelWhenNotChosen(ctx context.Context, cancel context.CancelFunc) {
 	for wait.Sleep(ctx, pollInterval) {
--- a/lab/fakenet/conn.go
+++ b/lab/fakenet/conn.go
@@ -122,36 +122,59 @@
 	return near, far
 }
 
-// Read implements net.Conn. Nothing arrives while either host is frozen.
+// Read implements net.Conn. Nothing arrives while either host is frozen; a host that is
+// not can still give the connection up.
 func (c *conn) Read(data []byte) (int, error) {
 	for {
-		frozen := c.local.thaw()
-		if frozen == nil {
-			frozen = c.remote.thaw()
+		if thaw := c.local.thaw(); thaw != nil {
+			<-thaw
+			continue
 		}
-		if frozen != nil {
-			<-frozen
+		if thaw := c.remote.thaw(); thaw != nil {
+			wait, err := c.in.tryNothing()
+			if err != nil {
+				return 0, err
+			}
+			c.in.await(wait, thaw)
 			continue
 		}
 		n, wait, err := c.in.tryRead(data)
 		if n > 0 || err != nil {
 			return n, err
 		}
-		c.in.await(wait)
+		c.in.await(wait, nil)
 	}
 }
 
-// await waits for a change, or at most for the given time if it is above 0.
-func (s *stream) await(wait time.Duration) {
+// tryNothing is tryRead while nothing can arrive: only the reader's own side can end it.
+func (s *stream) tryNothing() (wait time.Duration, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ended == net.ErrClosed {
+		return 0, s.ended
+	}
+	if s.deadline.IsZero() {
+		return 0, nil
+	}
+	wait = time.Until(s.deadline)
 	if wait <= 0 {
-		<-s.changed
-		return
+		return 0, os.ErrDeadlineExceeded
+	}
+	return wait, nil
+}
+
+// await waits for a change or a thaw, or at most for the given time if it is above 0.
+func (s *stream) await(wait time.Duration, thaw <-chan struct{}) {
+	var over <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		over = timer.C
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	select {
 	case <-s.changed:
-	case <-timer.C:
+	case <-thaw:
+	case <-over:
 	}
 }
 
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -41,6 +41,7 @@
 	// storeAddress is where the daemons find the store.
 	storeAddress string
 	daemons      []*daemon.Daemon
+	dark         []darkened
 	workers      []*worker
 	servers      []*http.Server
 	client       *http.Client
@@ -144,6 +145,12 @@
 
 func (f *fleet) close() {
 	f.client.CloseIdleConnections()
+	for _, one := range f.dark {
+		f.net.SetFrozen(one.host, false)
+	}
+	for _, one := range f.dark {
+		one.Kill()
+	}
 	for _, one := range f.daemons {
 		one.Kill()
 	}
--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,6 +97,73 @@
 	})
 }
 
+// TestNewsWithoutAnyTeller changes the configuration right after all daemons that watch
+// the store have lost their power, and most others with them: those that are left watch
+// it in their place.
+func TestNewsWithoutAnyTeller(t *testing.T) {
+	for _, size := range []int{13, 18, 60} {
+		for _, pause := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+			runFleet(t, size, 1, func(f *fleet) {
+				f.powerOff(func(one *daemon.Daemon, number int) bool {
+					return one.Status(f.t.Context()).Watching || number%5 != 0
+				})
+				defer f.light(20 * time.Millisecond)()
+				time.Sleep(pause)
+				f.configure("/change/")
+				took := f.inForce(f.store.Revision())
+				require.Less(t, took, 1500*time.Millisecond, "%d daemons, %v later", size, pause)
+			})
+		}
+	}
+}
+
+// powerOff silences the daemons that strike chooses, as machines without power are.
+// They are not among the fleet's daemons any more.
+func (f *fleet) powerOff(strike func(one *daemon.Daemon, number int) bool) {
+	var alive []*daemon.Daemon
+	for number, one := range f.daemons {
+		if strike(one, number) {
+			f.dark = append(f.dark, darkened{Daemon: one, host: hostOf(number)})
+			continue
+		}
+		alive = append(alive, one)
+	}
+	f.daemons = alive
+	for _, one := range f.dark {
+		f.net.SetFrozen(one.host, true)
+	}
+}
+
+// darkened is a daemon whose machine has no power.
+type darkened struct {
+	*daemon.Daemon
+	host string
+}
+
+// light sends a request through each daemon in turn until the returned function is
+// called, one each interval.
+func (f *fleet) light(interval time.Duration) (stop func()) {
+	over := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var sending sync.WaitGroup
+		defer sending.Wait()
+		for number := 0; ; number++ {
+			select {
+			case <-over:
+				return
+			case <-time.After(interval):
+				sending.Go(func() { f.send(number%len(f.daemons), "/one/safe/") })
+			}
+		}
+	}()
+	return func() {
+		close(over)
+		<-done
+	}
+}
+
 // startAnew kills all daemons and starts as many others at once.
 func (f *fleet) startAnew() {
 	size := len(f.daemons)
--- a/peer/announce.go
+++ b/peer/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	// tell each member of their region.
 	tellers = 2
 	// announceParallel is how many members are told at the same time.
-	announceParallel = 16
+	announceParallel = 64
 	// passOn is how many members are told by a daemon that heard of a change from
 	// another one. Nearly all have been told then; this reaches those whose
 	// tellers failed.
@@ -56,6 +57,60 @@
 	return n.state.Sample(passOn, "")
 }
 
+// tellerTimeout bounds the question whether a teller is there. It is short, as others
+// are asked at the same time and a wrong no costs a few calls to the store.
+const tellerTimeout = 250 * time.Millisecond
+
+// HearsOfNews says whether any of the members that should tell this one of a change,
+// of the count that are chosen for the duty of watching the store, answers that it would.
+// It blocks until one has, or all were given up on.
+func (n *Node) HearsOfNews(ctx context.Context, duty string, count int) bool {
+	view := n.View()
+	ctx, cancel := context.WithTimeout(ctx, tellerTimeout)
+	defer cancel()
+	tellers := tellersOf(view.region, view.self, membership.Choose(view.region, duty, count))
+	answers := make(chan bool, len(tellers))
+	for _, teller := range tellers {
+		go func() { answers <- n.toldBy(ctx, teller, duty, count) }()
+	}
+	for range tellers {
+		select {
+		case tells := <-answers:
+			if tells {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// toldBy says whether a member answers that it would tell this one of news.
+func (n *Node) toldBy(ctx context.Context, member membership.Member, duty string, count int) bool {
+	tells := false
+	request := &peerpb.TellsRequest{Name: n.options.Self.Name, Duty: duty, Count: int64(count)}
+	err := n.call(ctx, purposeTells, member.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := client.Tells(ctx, request)
+		tells = err == nil && reply.GetTells()
+		return err
+	})
+	return err == nil && tells
+}
+
+// tellersOf returns those of the watchers that tell a member of news; see assigned.
+func tellersOf(members []membership.Member, name string, watchers []membership.Member) []membership.Member {
+	index := slices.IndexFunc(members, func(member membership.Member) bool { return member.Name == name })
+	if index < 0 || len(watchers) == 0 {
+		return nil
+	}
+	var found []membership.Member
+	for offset := range min(tellers, len(watchers)) {
+		found = append(found, watchers[(index+offset)%len(watchers)])
+	}
+	return found
+}
+
 // assigned returns the members that the teller at a place among so many tells. The
 // members come in the same order at every daemon that has the same view.
 func assigned(members []membership.Member, self string, place, of int) []membership.Member {
@@ -160,6 +215,16 @@
 	return n.position(), nil
 }
 
+// Tells implements peerpb.DRPCPeerServer.
+func (s *server) Tells(_ context.Context, request *peerpb.TellsRequest) (*peerpb.TellsReply, error) {
+	n := s.node
+	view := n.View()
+	watchers := membership.Choose(view.region, request.Duty, int(request.Count))
+	isSelf := func(member membership.Member) bool { return member.Name == view.self }
+	tells := n.options.Configuration.Watching() && slices.ContainsFunc(tellersOf(view.region, request.Name, watchers), isSelf)
+	return &peerpb.TellsReply{Tells: tells}, nil
+}
+
 // Deliver implements peerpb.DRPCPeerServer.
 func (s *server) Deliver(_ context.Context, delivery *peerpb.Delivery) (*peerpb.Position, error) {
 	n := s.node
--- a/peer/announce_test.go
+++ b/peer/announce_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -52,9 +53,31 @@
 
 func (*held) Document() config.Document                 { return config.Document{} }
 func (*held) Reading() bool                             { return false }
+func (*held) Watching() bool                            { return false }
 func (*held) Behind(membership.Member, config.Position) {}
 func (*held) Offer(config.Document, string) error       { return nil }
 
+// TestTellersOfAMember are just those that would tell it.
+func TestTellersOfAMember(t *testing.T) {
+	members := make([]membership.Member, 30)
+	for number := range members {
+		members[number].Name = fmt.Sprintf("edge-%03d", number)
+	}
+	for _, count := range []int{1, 2, 3, 8} {
+		watchers := membership.Choose(members, "watch", count)
+		for _, member := range members {
+			var expected []membership.Member
+			for place, watcher := range watchers {
+				if slices.Contains(assigned(members, watcher.Name, place, count), member) || watcher == member && slices.Contains(assigned(members, "", place, count), member) {
+					expected = append(expected, watcher)
+				}
+			}
+			require.ElementsMatch(t, expected, tellersOf(members, member.Name, watchers))
+		}
+	}
+	require.Empty(t, tellersOf(members, "unknown", members[:2]))
+}
+
 // TestNewsIsHandedOverOnce is told of the same news by several daemons: one of them
 // hands it over, and another one should that one fail to.
 func TestNewsIsHandedOverOnce(t *testing.T) {
--- a/peer/call.go
+++ b/peer/call.go
@@ -17,6 +17,7 @@
 	purposeMembers  = "members"
 	purposeChanges  = "changes"
 	purposeReach    = "reach"
+	purposeTells    = "tells"
 )
 
 // call opens a connection to a daemon, makes one call and closes it.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -24,11 +24,18 @@
 	go n.exchangeOrSuspect(ctx, target)
 }
 
+// soonAnswered is within what time members answer heartbeats, unless something is wrong
+// with them or the way to them.
+const soonAnswered = 250 * time.Millisecond
+
 func (n *Node) exchangeOrSuspect(ctx context.Context, target membership.Member) {
+	doubt := time.AfterFunc(soonAnswered, n.options.OnNoAnswer)
 	err := n.exchange(ctx, target)
+	doubt.Stop()
 	if err == nil || ctx.Err() != nil {
 		return
 	}
+	n.options.OnNoAnswer()
 	if n.reachedByOthers(ctx, target) {
 		return
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -67,6 +67,8 @@
 	Position() config.Position
 	// Document returns the document in force.
 	Document() config.Document
+	// Watching says whether the daemon watches the store.
+	Watching() bool
 	// Reading says whether the daemon has just started and reads the store itself.
 	Reading() bool
 	// Behind notes that a member has a higher position. It must not block.
@@ -96,6 +98,9 @@
 	Slots peerpb.DRPCSlotsServer
 	// Seeds returns peer addresses of daemons that may be alive. It may block.
 	Seeds func(ctx context.Context) []string
+	// OnNoAnswer is told when a member has not answered, before others are asked whether
+	// they reach it. It must not block.
+	OnNoAnswer func()
 	// OnDrain is told of each drain that is news. It must not block.
 	OnDrain func(Drain)
 }
@@ -124,6 +129,9 @@
 
 // NewNode returns a node that knows only itself.
 func NewNode(options Options) *Node {
+	if options.OnNoAnswer == nil {
+		options.OnNoAnswer = func() {}
+	}
 	n := &Node{
 		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
 		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(),
@@ -156,6 +164,7 @@
 
 // Suspect notes that a member could not be reached.
 func (n *Node) Suspect(name string) {
+	n.options.OnNoAnswer()
 	n.change(byNoAnswer, func(now time.Time) { n.state.Unreachable(now, name) })
 }
 
--- a/peer/view.go
+++ b/peer/view.go
@@ -69,6 +69,11 @@
 	return len(view.dispatchers) < len(view.region)
 }
 
+// RegionSize returns how many daemons of the region are alive, this one included.
+func (n *Node) RegionSize() int {
+	return len(n.View().region)
+}
+
 // Holds says whether this daemon is among the count daemons of its region that
 // are chosen for a duty.
 func (n *Node) Holds(duty string, count int) bool {
