--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,9 @@
 	// Sessions is how long upgraded connections and streams may go on;
 	// 0: until they end.
 	Sessions config.Duration `toml:"sessions"`
+	// Within is how long after the signal the platform ends the process; Notice and
+	// Sessions are shortened to fit in. 0: they are not.
+	Within config.Duration `toml:"within"`
 }
 
 // Log says what is logged and how.
@@ -144,8 +147,12 @@
 	maxWatchers = 20
 	maxWrites   = 100
 	maxNotice   = config.Duration(10 * time.Minute)
+	minWithin   = config.Duration(time.Second)
 	maxSessions = config.Duration(7 * 24 * time.Hour)
 
+	// stopMargin is for what comes after the last request of a planned stop.
+	stopMargin = config.Duration(300 * time.Millisecond)
+
 	minLogLines, maxLogLines = 10, 1_000_000
 	minLogBytes, maxLogBytes = 10_000, 1_000_000_000
 )
@@ -197,6 +204,7 @@
 	if s.Stop.Notice == 0 {
 		s.Stop.Notice = DefaultNotice
 	}
+	s.Stop.fit()
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
@@ -211,6 +219,18 @@
 	}
 }
 
+// fit shortens a planned stop to the time that the platform gives it.
+func (s *Stop) fit() {
+	if s.Within <= stopMargin {
+		return
+	}
+	s.Notice = min(s.Notice, s.Within/2)
+	left := s.Within - s.Notice - stopMargin
+	if s.Sessions == 0 || s.Sessions > left {
+		s.Sessions = left
+	}
+}
+
 // SettingError names a setting that is wrong, and what is allowed.
 type SettingError struct {
 	Key     string
@@ -258,6 +278,7 @@
 	check(s.Platform.WritesPerSecond > 0 && s.Platform.WritesPerSecond <= maxWrites, "platform.writes_per_second", s.Platform.WritesPerSecond, "above 0 to 100")
 	check(within(s.Stop.Notice, maxNotice), "stop.notice", time.Duration(s.Stop.Notice), "10µs to 10m, with a unit")
 	check(s.Stop.Sessions == 0 || within(s.Stop.Sessions, maxSessions), "stop.sessions", time.Duration(s.Stop.Sessions), "0 or 10µs to 168h, with a unit")
+	check(s.Stop.Within == 0 || (s.Stop.Within >= minWithin && s.Stop.Within <= maxSessions), "stop.within", time.Duration(s.Stop.Within), "0 or 1s to 168h, with a unit")
 	var level slog.Level
 	check(level.UnmarshalText([]byte(s.Log.Level)) == nil, "log.level", s.Log.Level, "debug, info, warn or error")
 	check(s.Log.Format == "text" || s.Log.Format == "json", "log.format", s.Log.Format, "text or json")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -57,6 +58,7 @@
 		{`writes_per_second = 20.0`, `writes_per_second = 101.0`, "setting platform.writes_per_second"},
 		{`notice = "2s"`, `notice = "11m"`, "setting stop.notice"},
 		{`sessions = "1h"`, `sessions = "-1h"`, "setting stop.sessions"},
+		{`sessions = "1h"`, `within = "900ms"`, "setting stop.within"},
 		{`level = "info"`, `level = "loud"`, "setting log.level"},
 		{`format = "text"`, `format = "xml"`, "setting log.format"},
 		{`[log]`, `[log`, "bad.toml:"},
@@ -68,6 +70,24 @@
 	}
 }
 
+// TestStopFitsIn shortens what a planned stop takes to what the platform gives it.
+func TestStopFitsIn(t *testing.T) {
+	for _, one := range []struct{ written, notice, sessions string }{
+		{`notice = "2.1s"`, "2.1s", "0s"},
+		{`notice = "2.1s"` + "\n" + `within = "6s"`, "2.1s", "3.6s"},
+		{`notice = "2.1s"` + "\n" + `within = "3s"`, "1.5s", "1.2s"},
+		{`notice = "2.1s"` + "\n" + `sessions = "1s"` + "\n" + `within = "6s"`, "2.1s", "1s"},
+		{`notice = "2.1s"` + "\n" + `sessions = "1h"` + "\n" + `within = "10s"`, "2.1s", "7.6s"},
+	} {
+		text := strings.Replace(good, `notice = "2s"`+"\n"+`sessions = "1h"`, one.written, 1)
+		require.NotEqual(t, good, text)
+		read, err := settings.Decode("good.toml", []byte(text))
+		require.NoError(t, err, one.written)
+		require.Equal(t, one.notice, time.Duration(read.Stop.Notice).String(), one.written)
+		require.Equal(t, one.sessions, time.Duration(read.Stop.Sessions).String(), one.written)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(good))
 	f.Fuzz(func(_ *testing.T, text []byte) {
