--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -99,7 +99,7 @@
 // What is as on the users' platform.
 const (
 	probesPerBackend = 60
-	watchers         = 8
+	watchers         = 4
 	seedsTold        = 3
 )
 
