Who tells a member of news does not depend on other members

Ruled out: watchers that do not answer; all were there. Change: rendezvous hashing among those that watch. TestTellersDoNotDependOnOthers.

--- a/dissemination/announce.go
+++ b/dissemination/announce.go
@@ -31,13 +31,14 @@
 		case <-ctx.Done():
 			return
 		case <-f.toAnnounce:
-			if place, of, chosen := f.peers.Place(WatchDuty, f.options.Watchers); chosen {
-				f.peers.Announce(ctx, place, of)
-			} else if f.standIn.active.Load() {
-				f.peers.Announce(ctx, 0, 0)
+			switch {
+			case f.placed():
+				f.peers.Announce(ctx, WatchDuty, f.options.Watchers)
+			case f.standIn.active.Load():
+				f.peers.PassOn(ctx)
 			}
 		case <-f.toPassOn:
-			f.peers.Announce(ctx, 0, 0)
+			f.peers.PassOn(ctx)
 		}
 		wait.Sleep(ctx, announceInterval)
 	}
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -64,10 +64,12 @@
 	RegionSize() int
 	// FetchDocument returns the document of the daemon at an address.
 	FetchDocument(ctx context.Context, address string, present config.Document) (config.Document, error)
-	// Announce tells members of the region what is in force here: of the daemons
-	// that watch the store, this is the one at a place among so many. With of = 0
-	// the news came from another daemon. It may block.
-	Announce(ctx context.Context, place, of int)
+	// Announce tells members of the region what is in force here, as one of the count
+	// daemons that are chosen for a duty. It may block.
+	Announce(ctx context.Context, duty string, count int)
+	// PassOn tells a few members what is in force here, as others tell it, too. It may
+	// block.
+	PassOn(ctx context.Context)
 }
 
 // Options are a Follower's collaborators.
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -33,7 +33,10 @@
 	return l.othersChosen
 }
 func (l *lonely) RegionSize() int { return 1 }
-func (l *lonely) Announce(context.Context, int, int) {
+func (l *lonely) Announce(context.Context, string, int) {
+	l.announced.Add(1)
+}
+func (l *lonely) PassOn(context.Context) {
 	l.announced.Add(1)
 }
 func (l *lonely) FetchDocument(context.Context, string, config.Document) (config.Document, error) {
--- a/peer/announce.go
+++ b/peer/announce.go
@@ -27,16 +27,25 @@
 	passOn = 2
 )
 
-// Announce tells other members of the region what is in force here, and hands over
-// what they have not got. Of the daemons that hear of a change from the store, this
-// is the one at a place among so many; each member is told by a few of them. With
-// of = 0 the news came from another daemon, and is passed on to a few members in
-// random order. It blocks until all have been told or were given up on.
-func (n *Node) Announce(ctx context.Context, place, of int) {
-	targets := n.passOnTargets()
-	if of > 0 {
-		targets = assigned(n.View().region, n.options.Self.Name, place, of)
-	}
+// Announce tells members of the region what is in force here, and hands over what they
+// have not got. Of the count daemons that are chosen for the duty of watching the store
+// this is one; each member is told by a few of them. It blocks until all have been told
+// or were given up on.
+func (n *Node) Announce(ctx context.Context, duty string, count int) {
+	view := n.View()
+	n.announceToAll(ctx, assigned(view.region, view.self, view.holders(duty, count)))
+}
+
+// PassOn is Announce for news that came from another daemon: a few members are told, in
+// random order.
+func (n *Node) PassOn(ctx context.Context) {
+	n.mutex.Lock()
+	targets := n.state.Sample(passOn, "")
+	n.mutex.Unlock()
+	n.announceToAll(ctx, targets)
+}
+
+func (n *Node) announceToAll(ctx context.Context, targets []membership.Member) {
 	slots := make(chan struct{}, announceParallel)
 	var waiting sync.WaitGroup
 	for _, target := range targets {
@@ -51,12 +60,6 @@
 	waiting.Wait()
 }
 
-func (n *Node) passOnTargets() []membership.Member {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.state.Sample(passOn, "")
-}
-
 // tellerTimeout bounds the question whether a teller is there. It is short, as others
 // are asked at the same time and a wrong no costs a few calls to the store.
 const tellerTimeout = 250 * time.Millisecond
@@ -68,7 +71,7 @@
 	view := n.View()
 	ctx, cancel := context.WithTimeout(ctx, tellerTimeout)
 	defer cancel()
-	tellers := tellersOf(view.region, view.self, membership.Choose(view.region, duty, count))
+	tellers := tellersOf(view.self, view.holders(duty, count))
 	answers := make(chan bool, len(tellers))
 	for _, teller := range tellers {
 		go func() { answers <- n.toldBy(ctx, teller, duty, count) }()
@@ -98,26 +101,24 @@
 	return err == nil && tells
 }
 
-// tellersOf returns those of the watchers that tell a member of news; see assigned.
-func tellersOf(members []membership.Member, name string, watchers []membership.Member) []membership.Member {
-	index := slices.IndexFunc(members, func(member membership.Member) bool { return member.Name == name })
-	if index < 0 || len(watchers) == 0 {
-		return nil
-	}
-	var found []membership.Member
-	for offset := range min(tellers, len(watchers)) {
-		found = append(found, watchers[(index+offset)%len(watchers)])
-	}
-	return found
+// tellersOf returns those of the daemons that watch the store that tell a member of
+// news, itself left out. They do not depend on the other members, of which two daemons may
+// know different ones for a moment.
+func tellersOf(name string, watchers []membership.Member) []membership.Member {
+	others := slices.DeleteFunc(slices.Clone(watchers), func(one membership.Member) bool { return one.Name == name })
+	return membership.Choose(others, "tell/"+name, tellers)
+}
+
+// tells says whether a daemon, as one of those that watch the store, tells a member.
+func tells(self, name string, watchers []membership.Member) bool {
+	return slices.ContainsFunc(tellersOf(name, watchers), func(one membership.Member) bool { return one.Name == self })
 }
 
-// assigned returns the members that the teller at a place among so many tells. The
-// members come in the same order at every daemon that has the same view.
-func assigned(members []membership.Member, self string, place, of int) []membership.Member {
+// assigned returns the members that a daemon tells.
+func assigned(members []membership.Member, self string, watchers []membership.Member) []membership.Member {
 	var targets []membership.Member
-	for index, member := range members {
-		distance := (place - index%of + of) % of
-		if distance < tellers && member.Name != self {
+	for _, member := range members {
+		if member.Name != self && tells(self, member.Name, watchers) {
 			targets = append(targets, member)
 		}
 	}
@@ -219,10 +220,8 @@
 func (s *server) Tells(_ context.Context, request *peerpb.TellsRequest) (*peerpb.TellsReply, error) {
 	n := s.node
 	view := n.View()
-	watchers := membership.Choose(view.region, request.Duty, int(request.Count))
-	isSelf := func(member membership.Member) bool { return member.Name == view.self }
-	tells := n.options.Configuration.Watching() && slices.ContainsFunc(tellersOf(view.region, request.Name, watchers), isSelf)
-	return &peerpb.TellsReply{Tells: tells}, nil
+	told := tells(view.self, request.Name, view.holders(request.Duty, int(request.Count)))
+	return &peerpb.TellsReply{Tells: told && n.options.Configuration.Watching()}, nil
 }
 
 // Deliver implements peerpb.DRPCPeerServer.
--- a/peer/announce_test.go
+++ b/peer/announce_test.go
@@ -17,31 +17,59 @@
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
+// fleetOf returns so many members.
+func fleetOf(size int) []membership.Member {
+	members := make([]membership.Member, size)
+	for number := range members {
+		members[number].Name = fmt.Sprintf("edge-%03d", number)
+	}
+	return members
+}
+
 // TestEveryMemberHasItsTellers lets every daemon that watches tell its members: each
-// member is told by two of them, or by the only one there is.
+// member is told by two others, or by as many as there are, and none has far more to tell
+// than the others.
 func TestEveryMemberHasItsTellers(t *testing.T) {
 	for _, size := range []int{1, 2, 7, 18, 142, 850} {
-		members := make([]membership.Member, size)
-		for number := range members {
-			members[number].Name = fmt.Sprintf("edge-%03d", number)
-		}
-		for _, watchers := range []int{1, 2, 3, 8} {
-			if watchers > size {
-				continue
-			}
+		members := fleetOf(size)
+		for _, count := range []int{1, 2, 3, 4, 8} {
+			watchers := membership.Choose(members, "watch", count)
 			told := make(map[string]int)
-			for place := range watchers {
-				for _, member := range assigned(members, "edge-000", place, watchers) {
+			for _, watcher := range watchers {
+				targets := assigned(members, watcher.Name, watchers)
+				require.LessOrEqual(t, len(targets), 3*tellers*size/(2*count)+6, "%d members, %d watchers", size, count)
+				for _, member := range targets {
 					told[member.Name]++
 				}
 			}
-			for _, member := range members[1:] {
-				require.Equal(t, min(tellers, watchers), told[member.Name], "%s of %d, %d watchers", member.Name, size, watchers)
+			for _, member := range members {
+				others := len(watchers)
+				if slices.Contains(watchers, member) {
+					others--
+				}
+				require.Equal(t, min(tellers, others), told[member.Name], "%s of %d, %d watchers", member.Name, size, count)
 			}
 		}
 	}
 }
 
+// TestTellersDoNotDependOnOthers: daemons that know different members for a moment, but
+// the same that watch, agree on who tells whom.
+func TestTellersDoNotDependOnOthers(t *testing.T) {
+	members := fleetOf(60)
+	watchers := membership.Choose(members, "watch", 4)
+	for _, watcher := range watchers {
+		targets := assigned(members, watcher.Name, watchers)
+		fewer := slices.DeleteFunc(slices.Clone(members), func(member membership.Member) bool {
+			return member.Name < "edge-020" && !slices.Contains(watchers, member)
+		})
+		for _, member := range assigned(fewer, watcher.Name, watchers) {
+			require.Contains(t, targets, member)
+		}
+		require.NotEmpty(t, targets)
+	}
+}
+
 // held is the configuration of a daemon that has one position.
 type held struct {
 	directory atomic.Uint64
@@ -57,27 +85,6 @@
 func (*held) Behind(membership.Member, config.Position) {}
 func (*held) Offer(config.Document, string) error       { return nil }
 
-// TestTellersOfAMember are just those that would tell it.
-func TestTellersOfAMember(t *testing.T) {
-	members := make([]membership.Member, 30)
-	for number := range members {
-		members[number].Name = fmt.Sprintf("edge-%03d", number)
-	}
-	for _, count := range []int{1, 2, 3, 8} {
-		watchers := membership.Choose(members, "watch", count)
-		for _, member := range members {
-			var expected []membership.Member
-			for place, watcher := range watchers {
-				if slices.Contains(assigned(members, watcher.Name, place, count), member) || watcher == member && slices.Contains(assigned(members, "", place, count), member) {
-					expected = append(expected, watcher)
-				}
-			}
-			require.ElementsMatch(t, expected, tellersOf(members, member.Name, watchers))
-		}
-	}
-	require.Empty(t, tellersOf(members, "unknown", members[:2]))
-}
-
 // TestNewsIsHandedOverOnce is told of the same news by several daemons: one of them
 // hands it over, and another one should that one fail to.
 func TestNewsIsHandedOverOnce(t *testing.T) {
--- a/peer/view.go
+++ b/peer/view.go
@@ -74,6 +74,15 @@
 	return len(n.View().region)
 }
 
+// holders returns the count members of the region that are chosen for a duty, or all
+// with a count of 0.
+func (v *View) holders(duty string, count int) []membership.Member {
+	if count <= 0 {
+		return v.region
+	}
+	return membership.Choose(v.region, duty, count)
+}
+
 // Holds says whether this daemon is among the count daemons of its region that
 // are chosen for a duty.
 func (n *Node) Holds(duty string, count int) bool {
@@ -85,10 +94,7 @@
 // that are chosen for a duty, and their number. With a count of 0 all are chosen.
 func (n *Node) Place(duty string, count int) (place, of int, chosen bool) {
 	view := n.View()
-	holders := view.region
-	if count > 0 {
-		holders = membership.Choose(view.region, duty, count)
-	}
+	holders := view.holders(duty, count)
 	for place, member := range holders {
 		if member.Name == view.self {
 			return place, len(holders), true
