--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -118,6 +118,23 @@
 	}
 }
 
+// TestStandingInListsNothing lets daemons watch in the place of those without power: they
+// go on from what they were told, and do not list all back ends anew.
+func TestStandingInListsNothing(t *testing.T) {
+	runFleet(t, 18, 3, func(f *fleet) {
+		f.announce(f.workers[0], "draining")
+		f.store.Compact() // what they read at their start is too old to go on from
+		f.announce(f.workers[1], "draining")
+		require.Less(t, f.inForce(f.store.Revision()), 250*time.Millisecond)
+		listed := f.store.Lists("servers")
+		f.powerOff(func(one *daemon.Daemon, _ int) bool { return one.Status(f.t.Context()).Watching })
+		f.announce(f.workers[0], "ready")
+		require.Less(t, f.inForce(f.store.Revision()), 1500*time.Millisecond)
+		time.Sleep(time.Second)
+		require.Equal(t, listed, f.store.Lists("servers"))
+	})
+}
+
 // powerOff silences the daemons that strike chooses, as machines without power are.
 // They are not among the fleet's daemons any more.
 func (f *fleet) powerOff(strike func(one *daemon.Daemon, number int) bool) {
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -56,11 +56,12 @@
 	changed  chan struct{}
 	faults   Faults
 	calls    int
+	lists    map[string]int // by kind
 }
 
 // New returns a store that is well and empty.
 func New() *Stub {
-	return &Stub{kinds: make(map[string]map[string]Object), changed: make(chan struct{})}
+	return &Stub{kinds: make(map[string]map[string]Object), lists: make(map[string]int), changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -77,6 +78,13 @@
 	return s.calls
 }
 
+// Lists returns how many calls listed a kind.
+func (s *Stub) Lists(kind string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lists[kind]
+}
+
 // Revision returns the revision of the last change.
 func (s *Stub) Revision() uint64 {
 	s.mutex.Lock()
@@ -184,6 +192,7 @@
 	}
 	after := query.Get("after")
 	s.mutex.Lock()
+	s.lists[r.PathValue("kind")]++
 	var items []Object
 	for name, object := range s.kinds[r.PathValue("kind")] {
 		if name > after {
