--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -5,8 +5,9 @@
 // counts as a call, so that their number must not grow with the fleet. A daemon
 // that learns of a new revision puts it in force and tells a few others at once,
 // which fetch what they lack and do the same. Heartbeats carry the revision too,
-// so that whoever was missed catches up within seconds. A daemon only ever goes
-// to a higher revision.
+// so that whoever was missed catches up within seconds. A daemon that none of those
+// would tell watches the store itself until one does. A daemon only ever goes to a
+// higher revision.
 package dissemination
 
 import (
--- a/dissemination/standin.go
+++ b/dissemination/standin.go
@@ -8,16 +8,18 @@
 	"github.com/tuliphall/tuliphall/wait"
 )
 
-// A daemon that does not watch the store checks now and then whether it would hear of
-// news: every leastCheck, or less often in a larger region, so that those who watch are
-// not asked more often by more daemons. Once a member has not answered it checks every
-// standInInterval, until it has been told so standInChecks times in a row: where many
-// daemons die at once, others take over from them by turns.
+// When a daemon that does not watch the store checks whether it would hear of news.
 const (
-	leastCheck      = 700 * time.Millisecond
-	checkPerDaemon  = 8 * time.Millisecond
+	// leastCheck and checkPerDaemon give the time between two checks: it grows with the
+	// region, so that those who watch are not asked more often by more daemons.
+	leastCheck     = 700 * time.Millisecond
+	checkPerDaemon = 8 * time.Millisecond
+	// standInInterval is the time between two checks once a member has not answered, or
+	// nobody would tell this daemon.
 	standInInterval = 400 * time.Millisecond
-	standInChecks   = 4
+	// standInChecks is how often in a row it must then be told that it would hear: where
+	// many daemons die at once, others take over from them by turns.
+	standInChecks = 4
 )
 
 // standIn is whether this daemon watches the store although others are chosen to, as
@@ -26,7 +28,7 @@
 type standIn struct {
 	doubts  chan struct{} // room for one: a member has not answered
 	active  atomic.Bool
-	changed chan struct{} // room for one for each source: active became true
+	changed chan struct{} // room for one for each source: this daemon may watch now
 }
 
 func newStandIn(sources int) standIn {
@@ -71,7 +73,7 @@
 }
 
 // check asks whether this daemon would hear of news, until it has been told so a number
-// of times in a row. Meanwhile it watches the store whenever it was not.
+// of times in a row. It watches the store from the first no to the next yes.
 func (f *Follower) check(ctx context.Context, times int) {
 	for heard := 0; ctx.Err() == nil && !f.placed(); wait.Sleep(ctx, standInInterval) {
 		if !f.peers.HearsOfNews(ctx, WatchDuty, f.options.Watchers) {
@@ -140,7 +142,8 @@
 // others that hear what a deaf watch misses.
 const standInTurns = 2
 
-// turn returns the daemon's place among those that watch, and their number.
+// turn returns the daemon's place among those that watch, and their number, which say how
+// long its watch lasts.
 func (f *Follower) turn() (place, of int) {
 	place, of, placed := f.peers.Place(WatchDuty, f.options.Watchers)
 	if !placed {
--- a/peer/node.go
+++ b/peer/node.go
@@ -98,8 +98,8 @@
 	Slots peerpb.DRPCSlotsServer
 	// Seeds returns peer addresses of daemons that may be alive. It may block.
 	Seeds func(ctx context.Context) []string
-	// OnNoAnswer is told when a member has not answered, before others are asked whether
-	// they reach it. It must not block.
+	// OnNoAnswer is told when a member has not answered soon, before others are asked
+	// whether they reach it; nil: nobody is. It must not block.
 	OnNoAnswer func()
 	// OnDrain is told of each drain that is news. It must not block.
 	OnDrain func(Drain)
