--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -99,7 +99,7 @@
 // What is as on the users' platform.
 const (
 	probesPerBackend = 60
-	watchers         = 4
+	watchers         = 8
 	seedsTold        = 3
 )
 
