Read again: the soak's settings follow the deploy template, which bounds sessions in any case

A platform that tells no grace time gets the 3.6 s that were set before stop.within came; without that line sessions would have been unbounded there. Where the grace time is told, the filled settings differ by an empty line. No Go code of the product is changed.

--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -55,7 +55,7 @@
 probes_per_backend = 60.0
 [stop]
 notice = "2100ms"
-sessions = "3600ms"
+within = "6s"
 [log]
 decisions = true
 `
