Requests that a caller sends behind an unanswered one are worked on at the same time

Cause: net/http serves the requests of a connection in turn, so that the second request of a caller that pipelines reaches a back end only when the first is answered.

Ways weighed: an own loop over the connection (framing, time-outs, shutdown written anew), Hijack (the same), a second server behind a pipe (each request parsed and copied twice). Chosen: net/http goes on parsing and writing; a connection between it and TCP gives it one head at a time and starts what lies behind.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/operation"
 	"github.com/tuliphall/tuliphall/peer"
+	"github.com/tuliphall/tuliphall/pipelining"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
 	"github.com/tuliphall/tuliphall/slots"
@@ -78,6 +79,7 @@
 	operations *operation.Executor
 	slots      *slots.Client
 	handler    *frontend.Handler
+	callers    *pipelining.Server
 	prober     *measure.Prober
 	editor     *config.Editor
 
@@ -259,7 +261,7 @@
 
 // run starts a goroutine for each duty.
 func (d *Daemon) run(ctx context.Context, listeners opened, scope tally.Scope, metrics http.Handler) {
-	d.serveHTTP(listeners.caller, d.callerGate(d.handler))
+	d.serveCallers(listeners.caller)
 	d.serveHTTP(listeners.forward, d.handler.Forwarded())
 	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
 	if listeners.metrics != nil {
@@ -286,14 +288,35 @@
 	maxHeaderBytes = 64 << 10
 )
 
-func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) {
+// newServer returns a server of what other daemons, operators and callers ask.
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{
+	return &http.Server{
 		Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(logging.Part(d.logger, "http").Handler(), slog.LevelDebug),
 	}
+}
+
+func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) {
+	d.serve(d.newServer(handler), listener)
+}
+
+// serveCallers serves callers, who may pipeline and are told to come back on a new
+// connection while the daemon stops.
+func (d *Daemon) serveCallers(listener net.Listener) {
+	chosen := d.settings.Pipelining
+	d.callers = pipelining.New(pipelining.Options{
+		Handler: d.handler, Repeatable: d.handler.Repeatable, Closing: d.stopping.Load, IDHeader: d.dialect.RequestID,
+		PerConnection: max(chosen.Requests, 0), Total: chosen.Total, RequestBytes: chosen.RequestBytes, AnswerBytes: chosen.AnswerBytes,
+	})
+	server := d.newServer(d.callers)
+	server.ConnContext = d.callers.ConnContext
+	d.serve(server, d.callers.Listener(listener))
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	d.servers = append(d.servers, server)
 	d.running.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -302,16 +325,6 @@
 	})
 }
 
-// callerGate tells callers of a stopping daemon to come back on a new connection.
-func (d *Daemon) callerGate(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() && r.ProtoMajor == 1 {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Addresses returns where the daemon listens.
 func (d *Daemon) Addresses() Addresses {
 	return d.listeners
@@ -342,6 +355,7 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
+	d.callers.Drain(ctx)
 	var first error
 	for _, server := range d.servers[:2] {
 		if err := server.Shutdown(ctx); err != nil && first == nil {
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -17,6 +17,7 @@
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/operation"
+	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/slots"
@@ -110,6 +111,20 @@
 	h.serve(w, r, false)
 }
 
+// Repeatable says whether a request may be served twice: its policy lets it be sent
+// again. It does not block.
+func (h *Handler) Repeatable(r *http.Request) bool {
+	if h.options.Services.Snapshot() == nil || !h.options.Configured() || r.Header.Get("Upgrade") != "" {
+		return false
+	}
+	route, ok := h.options.Services.Match(r.Host, r.URL.Path)
+	if !ok {
+		return false
+	}
+	decision, err := route.Policy.Evaluate(policy.Request{Method: r.Method, Path: r.URL.Path, Header: r.Header})
+	return err == nil && decision.Retry && !decision.Once
+}
+
 // Forwarded serves requests that other daemons forward.
 func (h *Handler) Forwarded() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	stderrors "errors"
 	"fmt"
 	"log/slog"
@@ -29,10 +30,11 @@
 	// those on the platform's machine list.
 	Peers []string `toml:"peers"`
 
-	Listen   Listen   `toml:"listen"`
-	Platform Platform `toml:"platform"`
-	Stop     Stop     `toml:"stop"`
-	Log      Log      `toml:"log"`
+	Listen     Listen     `toml:"listen"`
+	Platform   Platform   `toml:"platform"`
+	Pipelining Pipelining `toml:"pipelining"`
+	Stop       Stop       `toml:"stop"`
+	Log        Log        `toml:"log"`
 }
 
 // Listen holds the addresses the daemon listens on, each IP:port.
@@ -94,6 +96,23 @@
 	WritesPerSecond float64 `toml:"writes_per_second"`
 }
 
+// Pipelining bounds the requests that are worked on before those ahead of them on their
+// connection are answered.
+type Pipelining struct {
+	// Requests is how many of one connection may be, besides the one that is answered
+	// next; 0: 16; NoPipelining: none.
+	Requests int `toml:"requests"`
+	// Total is how many of all connections may be; 0: 256.
+	Total int `toml:"total"`
+	// RequestBytes bounds what is read ahead on a connection; 0: 65536.
+	RequestBytes int `toml:"request_bytes"`
+	// AnswerBytes bounds what is kept of an answer until its turn comes; 0: 32768.
+	AnswerBytes int `toml:"answer_bytes"`
+}
+
+// NoPipelining as the number of requests lets each wait for those ahead of it.
+const NoPipelining = -1
+
 // Stop says how a planned stop goes.
 type Stop struct {
 	// Notice is how long the daemon goes on accepting after it says that it
@@ -143,6 +162,20 @@
 	DefaultLinesPerSecond  = 1000
 	DefaultBytesPerSecond  = 300_000
 
+	// DefaultPipelined lets a caller that sends that many at once wait once instead of
+	// that many times, and take no more of the back ends than that many callers would.
+	DefaultPipelined = 16
+	// DefaultPipelinedTotal answers of DefaultAnswerBytes take 8 MiB.
+	DefaultPipelinedTotal = 256
+	DefaultAnswerBytes    = 32 << 10
+	// DefaultRequestBytes is as long as the head of one request may be.
+	DefaultRequestBytes = 64 << 10
+
+	maxPipelined      = 1000
+	maxPipelinedTotal = 100_000
+	minPipelinedBytes = 1 << 10
+	maxPipelinedBytes = 16 << 20
+
 	maxTimeout  = config.Duration(time.Minute)
 	maxWatchers = 20
 	maxWrites   = 100
@@ -204,6 +237,7 @@
 	if s.Stop.Notice == 0 {
 		s.Stop.Notice = DefaultNotice
 	}
+	s.Pipelining.provision()
 	s.Stop.fit()
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
@@ -219,6 +253,14 @@
 	}
 }
 
+// provision fills in the defaults.
+func (p *Pipelining) provision() {
+	p.Requests = cmp.Or(p.Requests, DefaultPipelined)
+	p.Total = cmp.Or(p.Total, DefaultPipelinedTotal)
+	p.RequestBytes = cmp.Or(p.RequestBytes, DefaultRequestBytes)
+	p.AnswerBytes = cmp.Or(p.AnswerBytes, DefaultAnswerBytes)
+}
+
 // fit shortens a planned stop to the time that the platform gives it.
 func (s *Stop) fit() {
 	if s.Within <= stopMargin {
@@ -276,6 +318,11 @@
 	watchers := s.Platform.Watchers
 	check(watchers == AllWatch || (watchers >= 1 && watchers <= maxWatchers), "platform.watchers", watchers, "1 to 20, or -1 for every daemon")
 	check(s.Platform.WritesPerSecond > 0 && s.Platform.WritesPerSecond <= maxWrites, "platform.writes_per_second", s.Platform.WritesPerSecond, "above 0 to 100")
+	pipelining := s.Pipelining
+	check(pipelining.Requests == NoPipelining || (pipelining.Requests >= 1 && pipelining.Requests <= maxPipelined), "pipelining.requests", pipelining.Requests, "1 to 1000, or -1 for none")
+	check(pipelining.Total >= 1 && pipelining.Total <= maxPipelinedTotal, "pipelining.total", pipelining.Total, "1 to 100000")
+	check(pipelining.RequestBytes >= minPipelinedBytes && pipelining.RequestBytes <= maxPipelinedBytes, "pipelining.request_bytes", pipelining.RequestBytes, "1024 to 16777216")
+	check(pipelining.AnswerBytes >= minPipelinedBytes && pipelining.AnswerBytes <= maxPipelinedBytes, "pipelining.answer_bytes", pipelining.AnswerBytes, "1024 to 16777216")
 	check(within(s.Stop.Notice, maxNotice), "stop.notice", time.Duration(s.Stop.Notice), "10µs to 10m, with a unit")
 	check(s.Stop.Sessions == 0 || within(s.Stop.Sessions, maxSessions), "stop.sessions", time.Duration(s.Stop.Sessions), "0 or 10µs to 168h, with a unit")
 	check(s.Stop.Within == 0 || (s.Stop.Within >= minWithin && s.Stop.Within <= maxSessions), "stop.within", time.Duration(s.Stop.Within), "0 or 1s to 168h, with a unit")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -25,6 +25,11 @@
 timeout = "2s"
 watchers = 3
 writes_per_second = 20.0
+[pipelining]
+requests = 16
+total = 256
+request_bytes = 65536
+answer_bytes = 32768
 [stop]
 notice = "2s"
 sessions = "1h"
@@ -56,6 +61,11 @@
 		{`watchers = 3`, `watchers = -2`, "setting platform.watchers"},
 		{`watchers = 3`, `watchers = 21`, "setting platform.watchers"},
 		{`writes_per_second = 20.0`, `writes_per_second = 101.0`, "setting platform.writes_per_second"},
+		{`requests = 16`, `requests = -2`, "setting pipelining.requests"},
+		{`requests = 16`, `requests = 1001`, "setting pipelining.requests"},
+		{`total = 256`, `total = -1`, "setting pipelining.total"},
+		{`request_bytes = 65536`, `request_bytes = 100`, "setting pipelining.request_bytes"},
+		{`answer_bytes = 32768`, `answer_bytes = 16777217`, "setting pipelining.answer_bytes"},
 		{`notice = "2s"`, `notice = "11m"`, "setting stop.notice"},
 		{`sessions = "1h"`, `sessions = "-1h"`, "setting stop.sessions"},
 		{`sessions = "1h"`, `within = "900ms"`, "setting stop.within"},
