How many requests a back end holds is learned

Cause: back ends that slow down when nearly full were told apart by the requests that took the last slot and those that did not. That fits three slots. With six, of which the fifth and sixth slow all others down, the averages hardly differ, as most requests meet both; and between shortages the liking for the own zone fills back ends that others could relieve.

Change: latencies by the number in flight, of requests that met a steady number; the bound with the most power (throughput over latency); two thirds of the slots at first, one more tried while places are short. The objective and the first try of a request travel with it from here on.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -78,6 +78,14 @@
 	return d.core.Group.Takes(id)
 }
 
+// Advise takes in what another daemon that dispatches the service has learned of back
+// ends like this one, so that this one need not learn it anew when it takes over.
+func (d *Dispatcher) Advise(id string, inFlight int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.core.Group.Advise(id, inFlight)
+}
+
 // Report takes in a load report that came with an answer, or from a probe.
 func (d *Dispatcher) Report(state *routing.State, report routing.Report) {
 	d.change(func() { d.core.Report(time.Now(), state, report) })
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -65,8 +65,9 @@
 	upgrade   bool
 	request   *http.Request
 	received  time.Time
-	tried     []string // ids of the back ends it was sent to, in order
-	refusedBy string   // daemon that refused a place; empty: none did
+	firstTry  time.Time // when the caller first asked, as far as it tells
+	tried     []string  // ids of the back ends it was sent to, in order
+	refusedBy string    // daemon that refused a place; empty: none did
 }
 
 // headers are the numbers a caller may send.
@@ -145,6 +146,7 @@
 	if parsed.remaining > 0 && now.Add(parsed.remaining).Before(c.deadline) {
 		c.deadline = now.Add(parsed.remaining)
 	}
+	c.firstTry = now.Add(-h.patience.waited(route.Name, parsed.remaining))
 	if decision.Once {
 		if failure := checkKey(decision.Key); failure != nil {
 			return nil, failure
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -70,6 +70,7 @@
 	phase     float64 // of the turns by which routes divide requests
 	upgraded  sync.WaitGroup
 	forwarder *forwarder
+	patience  patience
 }
 
 // NewHandler returns a handler.
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -34,7 +34,7 @@
 func (c *call) wanted(wait time.Duration, zone string) dispatch.Request {
 	return dispatch.Request{
 		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline,
-		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: zone},
+		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: zone, Objective: c.decision.Objective, FirstTry: c.firstTry},
 	}
 }
 
@@ -86,6 +86,7 @@
 		a.logAsked(slog.LevelInfo, "place not used", dispatcher, slog.String("backend", granted.Backend))
 		return nil, nil
 	}
+	c.service.Dispatcher.Advise(granted.Backend, granted.BestInFlight)
 	return placeOf(granted, kind, dispatcher.Name), nil
 }
 
--- a/routing/group.go
+++ b/routing/group.go
@@ -36,8 +36,10 @@
 	options Options
 	states  []*State
 	byID    map[string]*State
-	scratch []*State
-	knee    knee
+	scratch []*State // of eligible
+	kept    []*State // of free
+	learned concurrency
+	short   bool // at the last pick at most one back end had a place
 	common  common
 	// probeCredit is how many probes for fresher reports the last requests earned,
 	// and origins are those that requests had.
@@ -67,6 +69,7 @@
 		}
 		if state.Slots != backend.Slots || state.Window != backend.Window {
 			state.window = g.firstWindow(backend)
+			state.bound = g.learned.bound(backend.Window, g.short, g.options.Random)
 		}
 		state.Backend = backend
 		byID[backend.ID] = state
@@ -141,6 +144,10 @@
 	Repeatable bool
 	// Zone is that of the daemon that sends the request.
 	Zone string
+	// FirstTry is when the caller first asked, as far as known.
+	FirstTry time.Time
+	// Objective is how soon after that an answer is to come; 0: none is set.
+	Objective time.Duration
 }
 
 // Pick chooses a back end for a request and counts it as sent. It returns false
@@ -149,16 +156,20 @@
 	if trial := g.trial(now, request); trial != nil {
 		trial.health.Trial(now)
 		g.sent(trial, now)
-		return g.result(trial, ReasonTrial, 1, now), true
+		return g.result(trial, ReasonTrial, 1, now, request), true
 	}
 	candidates := g.eligible(now, request)
 	if len(candidates) == 0 {
 		return PickResult{}, false
 	}
 	if request.Session != "" {
-		return g.pickSession(now, request.Session, candidates)
+		return g.pickSession(now, request, candidates)
 	}
 	free := g.free(now, candidates)
+	if len(free) == 0 && g.rebound(candidates) {
+		free = g.free(now, candidates)
+	}
+	g.short = len(free) < 2
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
@@ -166,17 +177,18 @@
 	g.earnProbes(from)
 	if newcomer := g.newcomer(now, request, free); newcomer != nil {
 		g.sent(newcomer, now)
-		return g.result(newcomer, ReasonNewcomer, len(free), now), true
+		return g.result(newcomer, ReasonNewcomer, len(free), now, request), true
 	}
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Origin: from, Candidates: free})]
 	g.sent(chosen, now)
-	return g.result(chosen, ReasonLoad, len(free), now), true
+	return g.result(chosen, ReasonLoad, len(free), now, request), true
 }
 
-func (g *Group) result(state *State, reason Reason, candidates int, now time.Time) PickResult {
+func (g *Group) result(state *State, reason Reason, candidates int, now time.Time, request Request) PickResult {
 	return PickResult{
 		Backend: state, Reason: reason, Candidates: candidates, ReportAge: state.ReportAge(now),
-		slowdown: state.slowdown.expected(now), tookLast: state.InFlight >= state.Slots,
+		slowdown: state.slowdown.expected(now), begun: state.occupancy,
+		BestInFlight: g.learned.known(state.Window),
 	}
 }
 
@@ -223,14 +235,14 @@
 // free keeps the candidates that hold fewer requests than their limit and are not held
 // back, unless all are and have nothing else to do.
 func (g *Group) free(now time.Time, candidates []*State) []*State {
-	kept := candidates[:0]
-	explore := g.options.Random.Float64() < kneeExplore
+	kept := g.kept[:0]
 	idle := !g.busy()
 	for _, state := range candidates {
-		if state.InFlight < g.limit(state, explore) && (idle || !state.held(now)) {
+		if state.InFlight < g.limit(state) && (idle || !state.held(now)) {
 			kept = append(kept, state)
 		}
 	}
+	g.kept = kept
 	return kept
 }
 
@@ -239,32 +251,84 @@
 	return slices.ContainsFunc(g.states, func(state *State) bool { return state.InFlight > 0 })
 }
 
-// limit bounds this daemon's requests at a back end. explore lets it fill one
-// whose last slot is better left free.
-func (g *Group) limit(state *State, explore bool) int {
+// limit bounds this daemon's requests at a back end.
+func (g *Group) limit(state *State) int {
 	limit := state.limit(g.options.SlowStart)
-	if state.Window == 0 || explore || !g.knee.spare(state.Slots) {
+	if state.Window == 0 {
 		return limit
 	}
-	return min(limit, max(state.Window-1, 1))
+	return min(limit, state.bound)
+}
+
+// learn takes in a request that succeeded, and chooses the bound of its back end anew
+// after some of them.
+func (g *Group) learn(picked PickResult) {
+	state := picked.Backend
+	if state.Window == 0 {
+		return
+	}
+	if g.learned.observe(state.Window, state.occupancy.since(picked.begun)) {
+		g.chooseAll(state.Window)
+	}
+	if state.sinceBound++; state.sinceBound >= boundRounds*state.bound {
+		g.choose(state)
+	}
+}
+
+// Advise takes in with how many requests in flight another daemon, which dispatched the
+// service until now, found that a back end does best.
+func (g *Group) Advise(id string, inFlight int) {
+	if state, known := g.byID[id]; known && inFlight > 0 && inFlight <= state.Window {
+		g.learned.advise(state.Window, inFlight)
+	}
+}
+
+// rebound chooses the bounds of those back ends anew for which it was chosen before
+// places were short, and says whether there were any.
+func (g *Group) rebound(candidates []*State) bool {
+	g.short = true
+	any := false
+	for _, state := range candidates {
+		if state.Window > 0 && !state.boundShort {
+			g.choose(state)
+			any = true
+		}
+	}
+	return any
+}
+
+// chooseAll chooses the bounds of all back ends with so many slots.
+func (g *Group) chooseAll(slots int) {
+	for _, state := range g.states {
+		if state.Window == slots {
+			g.choose(state)
+		}
+	}
+}
+
+// choose chooses how many requests a back end is to hold from now on.
+func (g *Group) choose(state *State) {
+	state.sinceBound, state.boundShort = 0, g.short
+	state.bound = g.learned.bound(state.Window, g.short, g.options.Random)
 }
 
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
-func (g *Group) pickSession(now time.Time, session string, candidates []*State) (PickResult, bool) {
+func (g *Group) pickSession(now time.Time, request Request, candidates []*State) (PickResult, bool) {
 	var best *State
 	var bestHash uint64
 	for _, state := range candidates {
-		hash := xxhash.Sum64String(session + "\x00" + state.ID)
+		hash := xxhash.Sum64String(request.Session + "\x00" + state.ID)
 		if best == nil || hash > bestHash {
 			best, bestHash = state, hash
 		}
 	}
 	g.sent(best, now)
-	return g.result(best, ReasonSession, len(candidates), now), true
+	return g.result(best, ReasonSession, len(candidates), now, request), true
 }
 
 func (g *Group) sent(state *State, now time.Time) {
+	state.pass(now)
 	if state.InFlight == 0 {
 		state.quietSince = now
 	}
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -22,6 +22,7 @@
 // Finished notes the end of a request that Pick counted as sent.
 func (g *Group) Finished(picked PickResult, now time.Time, outcome Outcome, latency time.Duration) {
 	state := picked.Backend
+	state.pass(now)
 	state.InFlight--
 	if outcome == Canceled {
 		state.gaveUp(now)
@@ -36,7 +37,7 @@
 		state.health.Success()
 		state.warmth++
 		state.observe(latency, picked.slowdown)
-		g.knee.observe(picked.tookLast, latency, picked.slowdown)
+		g.learn(picked)
 	case Failed:
 		state.health.Failure(now)
 	case Canceled:
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -39,9 +39,12 @@
 	Reason     Reason
 	Candidates int           // candidates weighed
 	ReportAge  time.Duration // age of the back end's last report; -1: none yet
+	// BestInFlight is with how many requests back ends with as many slots do best, as
+	// learned; 0: that is not known yet.
+	BestInFlight int
 
-	slowdown float64 // expected when it was picked
-	tookLast bool    // the request took the last free slot, or queued
+	slowdown float64   // expected when it was picked
+	begun    occupancy // of the back end when it was picked
 }
 
 // LeastLoad picks the candidate with the smallest load, counted in requests a
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -120,7 +120,7 @@
 	var best *State
 	var least float64
 	for _, state := range g.states {
-		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state, false) {
+		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state) {
 			continue
 		}
 		if score := state.score(now, from); best == nil || score < least {
--- a/routing/state.go
+++ b/routing/state.go
@@ -51,8 +51,13 @@
 	heard    time.Time // of the last answer or probe
 	window   float64   // most requests of this daemon at the back end
 	slowdown slowdown
-	probing  bool // a probe for a fresher report is under way
-	probedAt time.Time
+	// bound is how many requests it is to hold at most, of those with a declared window.
+	bound      int
+	sinceBound int  // requests that succeeded since it was chosen
+	boundShort bool // places were short then
+	occupancy  occupancy
+	probing    bool // a probe for a fresher report is under way
+	probedAt   time.Time
 	// introduced is how often it was asked for its first report.
 	introduced int
 	seenAt     time.Time // when it could first have got a request; zero: never yet
--- a/slots/client.go
+++ b/slots/client.go
@@ -57,6 +57,9 @@
 	Candidates int
 	ReportAge  time.Duration
 	Waited     time.Duration
+	// BestInFlight is what the dispatcher has learned of back ends like this one; see
+	// routing.PickResult.
+	BestInFlight int
 
 	session *session
 	id      uint64
--- a/slots/server.go
+++ b/slots/server.go
@@ -136,6 +136,7 @@
 	h.send(&peerpb.SlotReply{Id: id, Grant: &peerpb.Grant{
 		Backend: grant.Backend.ID, Reason: string(grant.Reason), Candidates: int64(grant.Candidates),
 		ReportAgeUs: grant.ReportAge.Microseconds(), WaitedUs: grant.Waited().Microseconds(),
+		BestInFlight: int64(grant.BestInFlight),
 	}})
 }
 
@@ -190,7 +191,7 @@
 func decodeRequest(now time.Time, from *peerpb.Acquire) dispatch.Request {
 	return dispatch.Request{
 		Weight: int(from.Weight), Wait: microseconds(from.WaitUs), Deadline: now.Add(microseconds(from.RemainingUs)),
-		Routing: routing.Request{Session: from.Session, Tried: from.Tried, Repeatable: from.Repeatable, Zone: from.Zone},
+		Routing: routing.Request{Session: from.Session, Tried: from.Tried, Repeatable: from.Repeatable, Zone: from.Zone, Objective: microseconds(from.ObjectiveUs), FirstTry: now.Add(-microseconds(from.AgeUs))},
 	}
 }
 
