--- a/lab/simulation/simulation_test.go
+++ b/lab/simulation/simulation_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/lab/simulation"
@@ -63,18 +64,26 @@
 	require.Less(t, float64(result.Failed), 0.001*float64(result.Offered))
 }
 
-// TestSlowServer slows one of ten down tenfold from second 3 to 10.
+// TestSlowServer slows one of ten down tenfold from second 3 to 10. The p99 of half a
+// second is that of the five slowest of 700 requests, and differs by half from one half
+// second to the next; that of the whole time, for ten seeds, is held to less.
 func TestSlowServer(t *testing.T) {
-	undisturbed := simulation.Run(priceQuery(0.7, 10*time.Second), product())
-	scenario := priceQuery(0.7, 10*time.Second)
-	scenario.Faults = []simulation.Fault{{Kind: simulation.FaultSlow, Worker: 4, From: 3 * time.Second, Until: 10 * time.Second, Factor: 10}}
-	result := simulation.Run(scenario, product())
-	for _, interval := range result.Intervals {
-		if interval.From < 5*time.Second || interval.From >= 9500*time.Millisecond {
-			continue
+	for seed := uint64(1); seed <= 10; seed++ {
+		calm := priceQuery(0.7, 10*time.Second)
+		calm.Seed = seed
+		undisturbed := simulation.Run(calm, product())
+		scenario := calm
+		scenario.Faults = []simulation.Fault{{Kind: simulation.FaultSlow, Worker: 4, From: 3 * time.Second, Until: 10 * time.Second, Factor: 10}}
+		result := simulation.Run(scenario, product())
+		slowed := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+		for _, interval := range result.Intervals {
+			if interval.From >= 5*time.Second && interval.From < 9500*time.Millisecond {
+				slowed.Merge(interval.Latency)
+			}
 		}
-		p99 := time.Duration(interval.Latency.ValueAtQuantile(99)) * time.Microsecond
-		require.Less(t, float64(p99), 1.3*float64(undisturbed.P(99)), "at %s: %s against %s", interval.From, p99, undisturbed.P(99))
+		p99 := time.Duration(slowed.ValueAtQuantile(99)) * time.Microsecond
+		t.Logf("seed %d: %.3f", seed, float64(p99)/float64(undisturbed.P(99)))
+		require.Less(t, float64(p99), 1.25*float64(undisturbed.P(99)), "seed %d: %s against %s", seed, p99, undisturbed.P(99))
 	}
 }
 
