Among requests of a weight that wait, the one whose caller asked last goes first

Hypothesis: under overload the requests that are served after coming back are late already, and take places from those that could still be in time. What the caller says it is still willing to wait, against what callers of its route usually say, tells how long ago it first asked. Change: within a weight the newest first try goes first, instead of the one that may wait least longer.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -22,6 +22,7 @@
 	Weight   int       // higher goes first
 	Deadline time.Time // after this the answer is of no use
 	Expiry   time.Time // after this the request may not wait any longer
+	FirstTry time.Time // when its caller first asked; zero: unknown
 	// Payload belongs to the owner of the queue.
 	Payload any
 
@@ -177,6 +178,9 @@
 	if a.Weight != b.Weight {
 		return a.Weight > b.Weight
 	}
+	if !a.FirstTry.Equal(b.FirstTry) {
+		return a.FirstTry.After(b.FirstTry)
+	}
 	if !a.Expiry.Equal(b.Expiry) {
 		return a.Expiry.Before(b.Expiry)
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -83,7 +83,7 @@
 		expiry = now.Add(request.Wait)
 	}
 	return &admission.Ticket{
-		Weight: request.Weight, Deadline: request.Deadline, Expiry: expiry,
+		Weight: request.Weight, Deadline: request.Deadline, Expiry: expiry, FirstTry: request.Routing.FirstTry,
 		Payload: &waiting{request: request, since: now, payload: payload},
 	}
 }
