A refused caller is told to come back after as long as it has waited already

Hypothesis: 100 ms for everybody bring the same callers back while places are short still, so that two further tries are spent within half a second. Change: the time since the first try, 100 ms at least, or what the queue needs if that is longer. Callers that come back are spread as their first tries were, and the later the longer the shortage lasts.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -169,7 +169,7 @@
 	if decision.Place != nil {
 		return &Grant{Place: decision.Place, dispatcher: d}, nil
 	}
-	return d.await(ctx, decision.Ticket, told)
+	return d.await(ctx, request, decision.Ticket, told)
 }
 
 func (d *Dispatcher) offer(request Request, told answers) (Decision, *resultcode.Failure) {
@@ -186,7 +186,7 @@
 	return decision, nil
 }
 
-// retryAfter is the advice given where no better estimate exists.
+// retryAfter is the least advice given.
 const retryAfter = 100 * time.Millisecond
 
 // refusal tells the caller when to come back: when the requests that now wait
@@ -196,7 +196,7 @@
 	if code == resultcode.NoBackend {
 		detail = "every back end is draining or none is placed"
 	}
-	advice := max(d.core.Queue.Wait(now, request.Weight, d.core.Group.Pace()), retryAfter)
+	advice := max(d.core.Queue.Wait(now, request.Weight, d.core.Group.Pace()), comeBack(now, request))
 	return &resultcode.Failure{Code: code, Detail: detail, RetryAfter: advice}
 }
 
@@ -205,7 +205,7 @@
 const recheckInterval = 20 * time.Millisecond
 
 // await blocks until the ticket is granted, refused, or given up.
-func (d *Dispatcher) await(ctx context.Context, ticket *admission.Ticket, told answers) (*Grant, error) {
+func (d *Dispatcher) await(ctx context.Context, request Request, ticket *admission.Ticket, told answers) (*Grant, error) {
 	begun := time.Now()
 	timer := time.NewTimer(ticket.Expiry.Sub(begun))
 	defer timer.Stop()
@@ -234,7 +234,18 @@
 		// The answer was given in the same moment; it counts.
 		return (<-told).unpack()
 	}
-	return nil, &resultcode.Failure{Code: code, Detail: "waited " + time.Since(begun).Round(time.Millisecond).String(), RetryAfter: retryAfter}
+	return nil, &resultcode.Failure{Code: code, Detail: "waited " + time.Since(begun).Round(time.Millisecond).String(), RetryAfter: comeBack(time.Now(), request)}
+}
+
+// comeBack is after how long a caller is told to come back where the queue tells nothing
+// better: after as long as it has waited since its first try. Callers come back the
+// later the longer places are short, and not all at once, as they came at different
+// times.
+func comeBack(now time.Time, request Request) time.Duration {
+	if request.Routing.FirstTry.IsZero() {
+		return retryAfter
+	}
+	return max(retryAfter, now.Sub(request.Routing.FirstTry))
 }
 
 func (a answer) unpack() (*Grant, error) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -229,3 +229,50 @@
 		require.Less(t, time.Since(begun), 600*time.Millisecond)
 	})
 }
+
+// returning is a request whose caller asked first so long ago.
+func returning(ago time.Duration) dispatch.Request {
+	made := request(1, time.Second)
+	made.Routing.FirstTry = time.Now().Add(-ago)
+	return made
+}
+
+// TestNewestFirstTryGoesFirst: of requests that wait, the one that has most time left
+// before it is late gets the place, and those that have none left come last.
+func TestNewestFirstTryGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(1, 10)
+		held := fill(t, d)
+		served := make(chan time.Duration, 3)
+		for _, ago := range []time.Duration{300 * time.Millisecond, 0, 700 * time.Millisecond} {
+			go func() {
+				grant, err := d.Acquire(t.Context(), returning(ago))
+				require.NoError(t, err)
+				served <- ago
+				grant.Done(routing.Canceled, 0)
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		held.Done(routing.Canceled, 0)
+		for _, want := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond} {
+			require.Equal(t, want, <-served)
+		}
+	})
+}
+
+// TestComeBackLater: a caller is told to come back the later the longer ago it first
+// asked, also one that did not say when that was.
+func TestComeBackLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(1, 10)
+		fill(t, d)
+		for ago, want := range map[time.Duration]time.Duration{0: 150, 400 * time.Millisecond: 550} {
+			asked := returning(ago)
+			asked.Wait = 150 * time.Millisecond
+			_, err := d.Acquire(t.Context(), asked)
+			require.Equal(t, want*time.Millisecond, err.(*resultcode.Failure).RetryAfter)
+		}
+		_, err := d.Acquire(t.Context(), request(1, 150*time.Millisecond))
+		require.Equal(t, 100*time.Millisecond, err.(*resultcode.Failure).RetryAfter)
+	})
+}
