Short answers are read whole before they are passed on

Cause: an answer that a back end cuts short was passed on as it came, so that the caller's connection had to be closed over it, together with the answers behind it. Change: an answer of known length up to 32 KiB is read whole first; one that is cut is a failed attempt, sent again where the route allows it, told as unknown where not.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -8,6 +8,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -190,8 +191,8 @@
 }
 
 // Do sends the request and returns the answer, whose body the caller reads and
-// closes. request.URL needs path and query only. It blocks until the answer's
-// header is there or ctx ends; a deadline is told by the cause of ctx being
+// closes. A short answer is whole. request.URL needs path and query only. It blocks until the answer's
+// header is there, or the whole of a short one, or ctx ends; a deadline is told by the cause of ctx being
 // context.DeadlineExceeded. The error is a *Failure.
 func (c *Client) Do(ctx context.Context, request *http.Request) (*http.Response, error) {
 	exchange := &exchange{}
@@ -217,9 +218,30 @@
 		response.Body.Close()
 		return nil, &Failure{Code: resultcode.AnswerUnverifiable, Cause: err}
 	}
+	if err := readShort(response); err != nil {
+		exchange.close()
+		return nil, c.failure(ctx, exchange, body, err)
+	}
 	return response, nil
 }
 
+// shortAnswer is up to which length an answer is read whole before it is returned: it is
+// as much as is copied at once. One that is cut short is a failure then that may be sent
+// again; of a longer one the caller has got a part already.
+const shortAnswer = 32 << 10
+
+// readShort reads the body of a short answer into memory and closes it.
+func readShort(response *http.Response) error {
+	if response.ContentLength <= 0 || response.ContentLength > shortAnswer || !bodyAllowed(response) {
+		return nil
+	}
+	whole := make([]byte, response.ContentLength)
+	_, err := io.ReadFull(response.Body, whole)
+	response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(whole))
+	return err
+}
+
 func (c *Client) failure(ctx context.Context, exchange *exchange, body *onceBody, err error) *Failure {
 	sent := exchange.sent()
 	var code resultcode.Code
--- /dev/null
+++ b/backend/short_test.go
@@ -0,0 +1,70 @@
+package backend_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/resultcode"
+)
+
+// serveCut answers one request with a body of some length, of which it sends a part and
+// then closes the connection.
+func serveCut(t *testing.T, length, sent int) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer accepted.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(accepted)); err != nil {
+			return
+		}
+		fmt.Fprintf(accepted, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", sent))
+	}()
+	return listener.Addr().String()
+}
+
+func get(t *testing.T, address string) (*http.Response, error) {
+	client := backend.NewClient(backend.Options{Network: network.TCP{}, Address: address, Connections: 1})
+	t.Cleanup(client.Close)
+	return client.Do(t.Context(), &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: make(http.Header)})
+}
+
+// TestShortAnswerThatIsCut: nothing of it reaches the caller, and the failure says that
+// the request may have run.
+func TestShortAnswerThatIsCut(t *testing.T) {
+	_, err := get(t, serveCut(t, 400, 399))
+	var failed *backend.Failure
+	require.True(t, errors.As(err, &failed), "%v", err)
+	require.Equal(t, resultcode.ConnectionBroken, failed.Code)
+}
+
+// TestAnswersAreWhole: a short one and a long one are as they were sent; the end of a long
+// one that is cut shows while it is read.
+func TestAnswersAreWhole(t *testing.T) {
+	for length, sent := range map[int]int{0: 0, 1: 1, 32 << 10: 32 << 10, 100_000: 100_000, 100_001: 50_000} {
+		response, err := get(t, serveCut(t, length, sent))
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.Len(t, body, sent)
+		if sent < length {
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			continue
+		}
+		require.NoError(t, err)
+	}
+}
