--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -261,7 +261,7 @@
 
 // run starts a goroutine for each duty.
 func (d *Daemon) run(ctx context.Context, listeners opened, scope tally.Scope, metrics http.Handler) {
-	d.serveCallers(listeners.caller)
+	d.serveCallers(listeners.caller, scope)
 	d.serveHTTP(listeners.forward, d.handler.Forwarded())
 	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
 	if listeners.metrics != nil {
@@ -305,10 +305,10 @@
 
 // serveCallers serves callers, who may pipeline and are told to come back on a new
 // connection while the daemon stops.
-func (d *Daemon) serveCallers(listener net.Listener) {
+func (d *Daemon) serveCallers(listener net.Listener, scope tally.Scope) {
 	chosen := d.settings.Pipelining
 	d.callers = pipelining.New(pipelining.Options{
-		Handler: d.handler, Repeatable: d.handler.Repeatable, Closing: d.stopping.Load, IDHeader: d.dialect.RequestID,
+		Handler: d.handler, Repeatable: d.handler.Repeatable, Closing: d.stopping.Load, IDHeader: d.dialect.RequestID, Metrics: scope,
 		PerConnection: max(chosen.Requests, 0), Total: chosen.Total, RequestBytes: chosen.RequestBytes, AnswerBytes: chosen.AnswerBytes,
 	})
 	server := d.newServer(d.callers)
--- a/pipelining/pipelining.go
+++ b/pipelining/pipelining.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Options are what a Server is built from.
@@ -22,6 +24,8 @@
 	Closing func() bool
 	// IDHeader is the header that tells requests apart.
 	IDHeader string
+	// Metrics get the number of requests that were started early; nil: none do.
+	Metrics tally.Scope
 
 	// PerConnection is how many requests of a connection may be started early; 0: none.
 	PerConnection int
@@ -37,13 +41,17 @@
 // http.Server must have ConnContext as its own.
 type Server struct {
 	options Options
+	started tally.Counter
 	waiting atomic.Int64 // started early, and their turn has not come
 
 }
 
 // New returns a server.
 func New(options Options) *Server {
-	return &Server{options: options}
+	if options.Metrics == nil {
+		options.Metrics = tally.NoopScope
+	}
+	return &Server{options: options, started: options.Metrics.Counter("pipelined_requests")}
 }
 
 // listener hands out connections that are read ahead.
@@ -104,6 +112,7 @@
 		s.release()
 		return false
 	}
+	s.started.Inc(1)
 	return true
 }
 
