--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -13,6 +13,9 @@
 	Weight   int
 	Wait     time.Duration // longest wait; 0: until the deadline
 	Deadline time.Time
+	// FirstTry is when the caller first asked, before it was refused and came back;
+	// zero: that is not known.
+	FirstTry time.Time
 	Routing  routing.Request
 }
 
@@ -83,7 +86,7 @@
 		expiry = now.Add(request.Wait)
 	}
 	return &admission.Ticket{
-		Weight: request.Weight, Deadline: request.Deadline, Expiry: expiry, FirstTry: request.Routing.FirstTry,
+		Weight: request.Weight, Deadline: request.Deadline, Expiry: expiry, FirstTry: request.FirstTry,
 		Payload: &waiting{request: request, since: now, payload: payload},
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -242,10 +242,10 @@
 // later the longer places are short, and not all at once, as they came at different
 // times.
 func comeBack(now time.Time, request Request) time.Duration {
-	if request.Routing.FirstTry.IsZero() {
+	if request.FirstTry.IsZero() {
 		return retryAfter
 	}
-	return max(retryAfter, now.Sub(request.Routing.FirstTry))
+	return max(retryAfter, now.Sub(request.FirstTry))
 }
 
 func (a answer) unpack() (*Grant, error) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -233,7 +233,7 @@
 // returning is a request whose caller asked first so long ago.
 func returning(ago time.Duration) dispatch.Request {
 	made := request(1, time.Second)
-	made.Routing.FirstTry = time.Now().Add(-ago)
+	made.FirstTry = time.Now().Add(-ago)
 	return made
 }
 
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -33,8 +33,8 @@
 // it; 0: until the deadline.
 func (c *call) wanted(wait time.Duration, zone string) dispatch.Request {
 	return dispatch.Request{
-		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline,
-		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: zone, Objective: c.decision.Objective, FirstTry: c.firstTry},
+		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline, FirstTry: c.firstTry,
+		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: zone},
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,8 +51,6 @@
 	Key      string `toml:"key" json:"key,omitempty"`           // text; the Idempotency-Key header
 	Session  string `toml:"session" json:"session,omitempty"`   // text; "", no affinity
 	Hedge    string `toml:"hedge" json:"hedge,omitempty"`       // duration; 0, no second attempt beside a slow one
-	// Objective is how soon after its caller's first try an answer is to come.
-	Objective string `toml:"objective" json:"objective,omitempty"` // duration; 0, none
 }
 
 // Request is what a policy may look at.
@@ -73,8 +71,6 @@
 	Key      string
 	Session  string
 	Hedge    time.Duration // 0: never
-	// Objective is how soon an answer is to come; 0: none is set.
-	Objective time.Duration
 }
 
 // HeaderKey is the header that carries an operation's key where the policy
@@ -99,8 +95,8 @@
 
 // Program is a compiled policy. It is safe for concurrent use.
 type Program struct {
-	class, weight, retry, wait, deadline, once, key, session, hedge, objective *expression
-	needsHeader                                                                bool
+	class, weight, retry, wait, deadline, once, key, session, hedge *expression
+	needsHeader                                                     bool
 }
 
 // expression is one compiled expression; constant holds its value where it
@@ -171,7 +167,6 @@
 		{"key", source.Key, cel.StringType, &program.key},
 		{"session", source.Session, cel.StringType, &program.session},
 		{"hedge", source.Hedge, cel.DurationType, &program.hedge},
-		{"objective", source.Objective, cel.DurationType, &program.objective},
 	} {
 		if field.text == "" {
 			continue
@@ -277,7 +272,6 @@
 	note(evaluate(p.deadline, "deadline", input, &decision.Deadline))
 	note(evaluate(p.session, "session", input, &decision.Session))
 	note(evaluate(p.hedge, "hedge", input, &decision.Hedge))
-	note(evaluate(p.objective, "objective", input, &decision.Objective))
 	// An operation whose expression fails is treated as one: not repeating
 	// is the safe side.
 	if err := evaluate(p.once, "once", input, &decision.Once); err != nil {
@@ -298,7 +292,6 @@
 		decision.Hedge = 0
 	}
 	decision.Hedge = max(decision.Hedge, 0)
-	decision.Objective = max(decision.Objective, 0)
 	decision.Wait = max(decision.Wait, 0)
 	decision.Deadline = max(decision.Deadline, 0)
 	return decision, failed
--- a/routing/group.go
+++ b/routing/group.go
@@ -144,10 +144,6 @@
 	Repeatable bool
 	// Zone is that of the daemon that sends the request.
 	Zone string
-	// FirstTry is when the caller first asked, as far as known.
-	FirstTry time.Time
-	// Objective is how soon after that an answer is to come; 0: none is set.
-	Objective time.Duration
 }
 
 // Pick chooses a back end for a request and counts it as sent. It returns false
@@ -156,14 +152,14 @@
 	if trial := g.trial(now, request); trial != nil {
 		trial.health.Trial(now)
 		g.sent(trial, now)
-		return g.result(trial, ReasonTrial, 1, now, request), true
+		return g.result(trial, ReasonTrial, 1, now), true
 	}
 	candidates := g.eligible(now, request)
 	if len(candidates) == 0 {
 		return PickResult{}, false
 	}
 	if request.Session != "" {
-		return g.pickSession(now, request, candidates)
+		return g.pickSession(now, request.Session, candidates)
 	}
 	free := g.free(now, candidates)
 	if len(free) == 0 && g.rebound(candidates) {
@@ -177,14 +173,14 @@
 	g.earnProbes(from)
 	if newcomer := g.newcomer(now, request, free); newcomer != nil {
 		g.sent(newcomer, now)
-		return g.result(newcomer, ReasonNewcomer, len(free), now, request), true
+		return g.result(newcomer, ReasonNewcomer, len(free), now), true
 	}
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Origin: from, Candidates: free})]
 	g.sent(chosen, now)
-	return g.result(chosen, ReasonLoad, len(free), now, request), true
+	return g.result(chosen, ReasonLoad, len(free), now), true
 }
 
-func (g *Group) result(state *State, reason Reason, candidates int, now time.Time, request Request) PickResult {
+func (g *Group) result(state *State, reason Reason, candidates int, now time.Time) PickResult {
 	return PickResult{
 		Backend: state, Reason: reason, Candidates: candidates, ReportAge: state.ReportAge(now),
 		slowdown: state.slowdown.expected(now), begun: state.occupancy,
@@ -314,17 +310,17 @@
 
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
-func (g *Group) pickSession(now time.Time, request Request, candidates []*State) (PickResult, bool) {
+func (g *Group) pickSession(now time.Time, session string, candidates []*State) (PickResult, bool) {
 	var best *State
 	var bestHash uint64
 	for _, state := range candidates {
-		hash := xxhash.Sum64String(request.Session + "\x00" + state.ID)
+		hash := xxhash.Sum64String(session + "\x00" + state.ID)
 		if best == nil || hash > bestHash {
 			best, bestHash = state, hash
 		}
 	}
 	g.sent(best, now)
-	return g.result(best, ReasonSession, len(candidates), now, request), true
+	return g.result(best, ReasonSession, len(candidates), now), true
 }
 
 func (g *Group) sent(state *State, now time.Time) {
--- a/slots/server.go
+++ b/slots/server.go
@@ -190,8 +190,8 @@
 
 func decodeRequest(now time.Time, from *peerpb.Acquire) dispatch.Request {
 	return dispatch.Request{
-		Weight: int(from.Weight), Wait: microseconds(from.WaitUs), Deadline: now.Add(microseconds(from.RemainingUs)),
-		Routing: routing.Request{Session: from.Session, Tried: from.Tried, Repeatable: from.Repeatable, Zone: from.Zone, Objective: microseconds(from.ObjectiveUs), FirstTry: now.Add(-microseconds(from.AgeUs))},
+		Weight: int(from.Weight), Wait: microseconds(from.WaitUs), Deadline: now.Add(microseconds(from.RemainingUs)), FirstTry: now.Add(-microseconds(from.AgeUs)),
+		Routing: routing.Request{Session: from.Session, Tried: from.Tried, Repeatable: from.Repeatable, Zone: from.Zone},
 	}
 }
 
--- a/slots/session.go
+++ b/slots/session.go
@@ -280,6 +280,14 @@
 		Service: service, Attempt: int32(kind), Weight: int64(request.Weight), WaitUs: request.Wait.Microseconds(),
 		RemainingUs: request.Deadline.Sub(now).Microseconds(), Session: request.Routing.Session,
 		Tried: request.Routing.Tried, Repeatable: request.Routing.Repeatable, Zone: request.Routing.Zone,
-		ObjectiveUs: request.Routing.Objective.Microseconds(), AgeUs: now.Sub(request.Routing.FirstTry).Microseconds(),
+		AgeUs: age(now, request.FirstTry).Microseconds(),
 	}
 }
+
+// age returns for how long the caller has waited; 0 where that is not known.
+func age(now, firstTry time.Time) time.Duration {
+	if firstTry.IsZero() {
+		return 0
+	}
+	return now.Sub(firstTry)
+}
