What is learned of the concurrency has a line, a column and tests

routing: concurrency learned, when the best number in flight of back ends is found to be another one; BEST in tuliphall describe service; best_in_flight in the status.

--- a/command/show.go
+++ b/command/show.go
@@ -168,9 +168,9 @@
 		if c.global.Output == outputJSON {
 			return c.global.printJSON(s)
 		}
-		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "DRAINING", "EJECTED", "LATENCY"}}
+		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "BEST", "DRAINING", "EJECTED", "LATENCY"}}
 		for _, b := range s.Backends {
-			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String()})
+			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.BestInFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String()})
 		}
 		return c.global.printTable(rows)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 // Dispatcher serves one service. It is safe for concurrent use.
 type Dispatcher struct {
 	onEjection func(backend string, ejected bool)
+	onLearned  func(slots, before, after int)
 
 	mutex sync.Mutex
 	core  Core
@@ -35,6 +36,7 @@
 	return &Dispatcher{
 		core:       Core{Group: group, Queue: admission.NewQueue(queueLimit)},
 		onEjection: func(string, bool) {},
+		onLearned:  func(int, int, int) {},
 	}
 }
 
@@ -44,18 +46,29 @@
 	d.onEjection = told
 }
 
+// OnLearned sets what is told when the number of requests in flight that back ends with
+// so many slots do best with is found to be another one. It must be called before the
+// first request; told must not block.
+func (d *Dispatcher) OnLearned(told func(slots, before, after int)) {
+	d.onLearned = told
+}
+
 // changeHealth is change for what may eject a back end or let it back in.
 func (d *Dispatcher) changeHealth(state *routing.State, apply func(now time.Time)) {
 	var before, after bool
+	var bestBefore, bestAfter int
 	d.change(func() {
 		now := time.Now()
-		before = state.Ejected(now)
+		before, bestBefore = state.Ejected(now), d.core.Group.BestInFlight(state.ID)
 		apply(now)
-		after = state.Ejected(now)
+		after, bestAfter = state.Ejected(now), d.core.Group.BestInFlight(state.ID)
 	})
 	if before != after {
 		d.onEjection(state.ID, after)
 	}
+	if bestBefore != bestAfter {
+		d.onLearned(state.Slots, bestBefore, bestAfter)
+	}
 }
 
 // Configure sets the back ends and the bound of the queue.
@@ -275,14 +288,16 @@
 
 // BackendStatus is what operators see of a back end.
 type BackendStatus struct {
-	ID       string        `json:"id"`
-	Zone     string        `json:"zone"`
-	Slots    int           `json:"slots"`
-	InFlight int           `json:"in_flight"`
-	Others   float64       `json:"others"`
-	Draining bool          `json:"draining"`
-	Ejected  bool          `json:"ejected"`
-	Latency  time.Duration `json:"latency_ns"`
+	ID       string `json:"id"`
+	Zone     string `json:"zone"`
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"in_flight"`
+	// BestInFlight is with how many it does best, as learned; 0: nothing bounds it.
+	BestInFlight int           `json:"best_in_flight"`
+	Others       float64       `json:"others"`
+	Draining     bool          `json:"draining"`
+	Ejected      bool          `json:"ejected"`
+	Latency      time.Duration `json:"latency_ns"`
 }
 
 // Status returns the back ends' states and the number of waiting requests.
@@ -292,7 +307,7 @@
 	now := time.Now()
 	for _, state := range d.core.Group.States() {
 		backends = append(backends, BackendStatus{
-			ID: state.ID, Zone: state.Zone, Slots: state.Slots, InFlight: state.InFlight,
+			ID: state.ID, Zone: state.Zone, Slots: state.Slots, InFlight: state.InFlight, BestInFlight: d.core.Group.BestInFlight(state.ID),
 			Others: state.Others(now), Draining: state.Draining, Ejected: state.Ejected(now), Latency: state.Latency(),
 		})
 	}
--- a/routing/concurrency.go
+++ b/routing/concurrency.go
@@ -31,8 +31,8 @@
 // the number with the most throughput for its latency. That quotient, Kleinrock's power
 // (Power and deterministic rules of thumb for probabilistic problems in computer
 // communications, 1979), falls where one more in flight slows down the others by more
-// than it brings. The zero value has seen none. Back ends with a
-// different number of slots are kept apart.
+// than it brings. The zero value has seen none. Back ends with a different number of slots
+// are kept apart.
 //
 // Two thirds of the slots are used at first. As soon as places are short, one more is
 // tried, until it is known whether it is better; from then on, now and then another number.
@@ -75,6 +75,14 @@
 	return 0
 }
 
+// best returns the best number in flight as far as is known.
+func (c *concurrency) best(slots int) int {
+	if learned, known := c.bySlots[slots]; known {
+		return learned.best
+	}
+	return firstBound(slots)
+}
+
 // advise takes in the best number in flight as learned elsewhere. It counts until enough
 // has been seen here.
 func (c *concurrency) advise(slots, best int) {
@@ -136,7 +144,9 @@
 }
 
 // firstBound is the bound of a back end before anything is known: two thirds of its
-// slots. Where it is too low, the first requests that wait raise it.
+// slots. Where it is too low, the first requests that wait raise it. At back ends that slow
+// down beyond four of six slots, beginning with half or three quarters of them cost 0.01 of
+// the requests in time, mean of 15 runs of 50 s under faults.
 func firstBound(slots int) int {
 	return (2*slots + 2) / 3
 }
--- a/routing/group.go
+++ b/routing/group.go
@@ -271,6 +271,15 @@
 	}
 }
 
+// BestInFlight returns with how many requests in flight a back end does best, as far as is
+// known; 0 where it is not known or has no bound.
+func (g *Group) BestInFlight(id string) int {
+	if state, known := g.byID[id]; known && state.Window > 0 {
+		return g.learned.best(state.Window)
+	}
+	return 0
+}
+
 // Advise takes in with how many requests in flight another daemon, which dispatched the
 // service until now, found that a back end does best.
 func (g *Group) Advise(id string, inFlight int) {
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -313,3 +313,36 @@
 	alone.Report(alone.byID["disturbed"], Report{Slowdown: 9}, false, start)
 	require.Equal(t, "disturbed", pick(t, alone, start, "").Backend.ID)
 }
+
+// TestOthersAreTriedWhilePlacesAreShort: one more request than is known to be good is put
+// in flight only when nothing else has a place.
+func TestOthersAreTriedWhilePlacesAreShort(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Slots: 6, Window: 6}, Backend{ID: "b", Slots: 6, Window: 6})
+	for range 2 * 4 {
+		pick(t, group, start, "")
+	}
+	require.Equal(t, []int{4, 4}, []int{group.byID["a"].InFlight, group.byID["b"].InFlight}, "two thirds of the slots first")
+	more := 0
+	for range 10 {
+		if _, ok := group.Pick(start, Request{}); ok {
+			more++
+		}
+	}
+	require.LessOrEqual(t, more, 2, "one more each")
+}
+
+// TestAdviceCounts: what another daemon learned holds until this one knows better.
+func TestAdviceCounts(t *testing.T) {
+	group := newTestGroup(Backend{ID: "a", Slots: 3, Window: 3})
+	group.Advise("a", 3)
+	require.Equal(t, 3, group.BestInFlight("a"))
+	group.Advise("gone", 1)
+	group.Advise("a", 0)
+	group.Advise("a", 4)
+	require.Equal(t, 3, group.BestInFlight("a"))
+	for range 5 * concurrencyPrior {
+		group.learned.observe(3, met{taken: work, inFlight: 2})
+		group.learned.observe(3, met{taken: 2 * work, inFlight: 3})
+	}
+	require.Equal(t, 2, group.BestInFlight("a"))
+}
--- a/service/service.go
+++ b/service/service.go
@@ -43,12 +43,16 @@
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
 		drained:    make(map[drainKey]bool),
 	}
+	outliers, routed := logging.Part(options.Log, "outlier"), logging.Part(options.Log, "routing")
 	service.Dispatcher.OnEjection(func(backend string, ejected bool) {
 		message := "back end let back in"
 		if ejected {
 			message = "back end ejected"
 		}
-		options.Log.Info(message, "service", name, "backend", backend)
+		outliers.Info(message, "service", name, "backend", backend)
+	})
+	service.Dispatcher.OnLearned(func(slots, before, after int) {
+		routed.Info("concurrency learned", "service", name, "slots", slots, "before", before, "in_flight", after)
 	})
 	service.clients.Store(&clients{})
 	return service
@@ -215,7 +219,6 @@
 	if options.Log == nil {
 		options.Log = slog.New(slog.DiscardHandler)
 	}
-	options.Log = logging.Part(options.Log, "outlier")
 	return &Registry{options: options, seed: options.Seed}
 }
 
