--- a/routing/concurrency.go
+++ b/routing/concurrency.go
@@ -172,6 +172,8 @@
 	byNumber []average // by the number in flight, from 1 on
 	advised  int       // best as learned elsewhere; 0: nobody said
 	best     int
+	pools    []pool    // of expected, kept from call to call
+	taken    []float64 // what expected returned last
 }
 
 func newLatencies(slots int) *latencies {
@@ -200,9 +202,10 @@
 // expected returns how long a request is expected to take by the number in flight. A
 // number of which little is known counts as taking about as long as the one before it,
 // so that it is tried. More in flight never make each one faster: where it looks so, the
-// two count as alike (isotonic regression by pooling adjacent violators).
+// two count as alike (isotonic regression by pooling adjacent violators). The result is
+// valid until the next call.
 func (l *latencies) expected() []float64 {
-	var pools []pool
+	pools := l.pools[:0]
 	for _, one := range l.byNumber {
 		next := pool{average: one, numbers: 1}
 		if len(pools) > 0 && pools[len(pools)-1].count > 0 {
@@ -214,13 +217,13 @@
 		}
 		pools = append(pools, next)
 	}
-	var expected []float64
+	l.pools, l.taken = pools, l.taken[:0]
 	for _, one := range pools {
 		for range one.numbers {
-			expected = append(expected, one.value)
+			l.taken = append(l.taken, one.value)
 		}
 	}
-	return expected
+	return l.taken
 }
 
 // pool is an average that several numbers in flight share.
