--- a/lab/scenarios/scenarios_test.go
+++ b/lab/scenarios/scenarios_test.go
@@ -3,11 +3,15 @@
 package scenarios
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -44,11 +48,12 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":  ports,
-			"ready":  ready,
-			"fetch":  fetch,
-			"subst":  substitute,
-			"hangup": hangup,
+			"ports":     ports,
+			"ready":     ready,
+			"fetch":     fetch,
+			"pipelined": pipelined,
+			"subst":     substitute,
+			"hangup":    hangup,
 		},
 	})
 }
@@ -132,6 +137,37 @@
 	}
 }
 
+// pipelined URL COUNT sends so many requests for URL/0, URL/1 and so on at once on one
+// connection, and fails unless they are answered in this order.
+func pipelined(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("unsupported: ! pipelined")
+	}
+	target, err := url.Parse(args[0])
+	ts.Check(err)
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	caller, err := net.Dial("tcp", target.Host)
+	ts.Check(err)
+	defer caller.Close()
+	var sent strings.Builder
+	for number := range count {
+		fmt.Fprintf(&sent, "GET %s/%d HTTP/1.1\r\nHost: %s\r\n\r\n", target.Path, number, target.Host)
+	}
+	_, err = io.WriteString(caller, sent.String())
+	ts.Check(err)
+	answers := bufio.NewReader(caller)
+	for number := range count {
+		response, err := http.ReadResponse(answers, nil)
+		ts.Check(err)
+		body, err := io.ReadAll(response.Body)
+		ts.Check(err)
+		if want := fmt.Sprintf("GET %s/%d", target.Path, number); response.StatusCode != http.StatusOK || !strings.Contains(string(body), want) {
+			ts.Fatalf("answer %d: status %d, %q; want %q", number, response.StatusCode, body, want)
+		}
+	}
+}
+
 // hangup COMMAND sends SIGHUP, which kill does not know, to the script's background
 // processes of a command.
 func hangup(ts *testscript.TestScript, _ bool, args []string) {
