--- a/backend/backend.go
+++ b/backend/backend.go
@@ -191,9 +191,9 @@
 }
 
 // Do sends the request and returns the answer, whose body the caller reads and
-// closes. A short answer is whole. request.URL needs path and query only. It blocks until the answer's
-// header is there, or the whole of a short one, or ctx ends; a deadline is told by the cause of ctx being
-// context.DeadlineExceeded. The error is a *Failure.
+// closes; a short one is whole. request.URL needs path and query only. It blocks until
+// the answer's header is there, or all of a short answer, or ctx ends; a deadline is
+// told by the cause of ctx being context.DeadlineExceeded. The error is a *Failure.
 func (c *Client) Do(ctx context.Context, request *http.Request) (*http.Response, error) {
 	exchange := &exchange{}
 	trace := &httptrace.ClientTrace{GotConn: exchange.gotConn}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -250,6 +250,10 @@
 	return nil, &resultcode.Failure{Code: code, Detail: "waited " + time.Since(begun).Round(time.Millisecond).String(), RetryAfter: comeBack(time.Now(), request)}
 }
 
+// maxComeBack bounds the advice for callers that have waited for long: it is many times
+// what a burst lasts.
+const maxComeBack = 10 * time.Second
+
 // comeBack is after how long a caller is told to come back where the queue tells nothing
 // better: after as long as it has waited since its first try. Callers come back the
 // later the longer places are short, and not all at once, as they came at different
@@ -258,7 +262,7 @@
 	if request.FirstTry.IsZero() {
 		return retryAfter
 	}
-	return max(retryAfter, now.Sub(request.FirstTry))
+	return min(max(retryAfter, now.Sub(request.FirstTry)), maxComeBack)
 }
 
 func (a answer) unpack() (*Grant, error) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -266,7 +266,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newDispatcher(1, 10)
 		fill(t, d)
-		for ago, want := range map[time.Duration]time.Duration{0: 150, 400 * time.Millisecond: 550} {
+		for ago, want := range map[time.Duration]time.Duration{0: 150, 400 * time.Millisecond: 550, time.Hour: 10_000} {
 			asked := returning(ago)
 			asked.Wait = 150 * time.Millisecond
 			_, err := d.Acquire(t.Context(), asked)
--- a/routing/group.go
+++ b/routing/group.go
@@ -292,14 +292,14 @@
 // places were short, and says whether there were any.
 func (g *Group) rebound(candidates []*State) bool {
 	g.short = true
-	any := false
+	changed := false
 	for _, state := range candidates {
 		if state.Window > 0 && !state.boundShort {
 			g.choose(state)
-			any = true
+			changed = true
 		}
 	}
-	return any
+	return changed
 }
 
 // chooseAll chooses the bounds of all back ends with so many slots.
