--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -48,13 +48,20 @@
 		case <-ticker.C:
 		}
 		kept, unsafe, newest := c.random.IntN(2) == 0, c.random.IntN(3) == 0, c.random.IntN(8) == 0
+		pipelined := 0
+		if c.random.IntN(10) == 0 {
+			pipelined = 2 + c.random.IntN(mostPipelined-1)
+		}
 		target := c.choose()
 		running.Go(func() {
-			if newest {
+			switch {
+			case pipelined > 0:
+				c.sendPipelined(target, pipelined)
+			case newest:
 				c.sendNewest(target)
-				return
+			default:
+				c.send(target, unsafe, kept)
 			}
-			c.send(target, unsafe, kept)
 		})
 	}
 }
