What comes once a handler has returned is left to net/http

Cause, from a benchmark over loopback: a caller that has got its whole answer may send its next request before net/http ends its background read; it was then started early, on a goroutine of its own, parsed twice. Change: nothing is started once the handler has returned, and the read gives way with a byte, as with net/http alone.

--- /dev/null
+++ b/pipelining/bench_test.go
@@ -0,0 +1,54 @@
+package pipelining_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/pipelining"
+)
+
+// BenchmarkOneByOne is what a request costs over loopback whose caller waits for each
+// answer, by net/http alone and read ahead.
+func BenchmarkOneByOne(b *testing.B) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "answer") })
+	b.Run("alone", func(b *testing.B) {
+		oneByOne(b, &http.Server{Handler: handler}, func(under net.Listener) net.Listener { return under })
+	})
+	b.Run("read ahead", func(b *testing.B) {
+		server := pipelining.New(pipelining.Options{
+			Handler: handler, Repeatable: func(*http.Request) bool { return true }, Closing: func() bool { return false },
+			IDHeader: "Request-Id", PerConnection: 16, Total: 256, RequestBytes: 64 << 10, AnswerBytes: 32 << 10,
+		})
+		oneByOne(b, &http.Server{Handler: server, ConnContext: server.ConnContext}, server.Listener)
+	})
+}
+
+func oneByOne(b *testing.B, server *http.Server, wrap func(net.Listener) net.Listener) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go server.Serve(wrap(listener))
+	defer server.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(b, err)
+	defer caller.Close()
+	answers := bufio.NewReader(caller)
+	request := []byte(get("/prices/today"))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := caller.Write(request); err != nil {
+			b.Fatal(err)
+		}
+		response, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -32,6 +32,7 @@
 	atHead   bool // the last byte that net/http got ended a head
 	pending  []byte
 	ahead    bool     // what is behind the present request may be started
+	finished bool     // its handler has returned
 	started  []*early // in order; the first ones in pending
 	covered  int      // bytes of pending that are those of started
 	last     bool     // nothing more is to be started
@@ -115,11 +116,15 @@
 }
 
 // readAhead reads on while a request is being answered, and starts what may be. It
-// returns when net/http gives up the read, or when the caller leaves. The mutex is held
-// and is released.
+// returns when net/http gives up the read, when the caller leaves, or with a byte of the
+// next request once the handler has returned. The mutex is held and is released.
 func (c *conn) readAhead(target []byte) (int, error) {
 	defer c.mutex.Unlock()
+	c.finished = false // the read was begun for the next request
 	for {
+		if c.finished && len(c.pending) > 0 {
+			return c.takePending(target), nil
+		}
 		c.startMore()
 		if c.waitForRoom() {
 			return 0, os.ErrDeadlineExceeded
@@ -209,7 +214,7 @@
 	ahead := bodyless(r) && !r.Close && r.ProtoAtLeast(1, 1) && c.server.options.Repeatable(r)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.ahead = ahead
+	c.ahead, c.finished = ahead, false
 	c.plain = c.plain || r.Header.Get("Upgrade") != ""
 	var found *early
 	if len(c.started) > 0 {
@@ -225,6 +230,14 @@
 	return found
 }
 
+// finish notes that the handler has returned. What comes from now on may be sent by a
+// caller that has got the whole answer already: net/http comes to it at once.
+func (c *conn) finish() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ahead, c.finished = false, true
+}
+
 // closeAfter says whether the connection can be closed after the request that is being
 // answered: none behind it has been started. If so, none will be.
 func (c *conn) closeAfter() bool {
--- a/pipelining/pipelining.go
+++ b/pipelining/pipelining.go
@@ -93,6 +93,7 @@
 		return
 	}
 	started := c.begin(r)
+	defer c.finish()
 	if s.options.Closing() && c.closeAfter() {
 		w.Header().Set("Connection", "close")
 	}
