--- a/routing/group.go
+++ b/routing/group.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/tuliphall/tuliphall/outlier"
 )
 
 // Options are a Group's settings.
@@ -36,16 +34,21 @@
 	options Options
 	states  []*State
 	byID    map[string]*State
-	scratch []*State // of eligible
-	kept    []*State // of free
+	zones   []string // of the back ends, each once
+	found   survey   // of the last request, kept for its memory
+	looks   int
 	learned concurrency
 	short   bool // at the last pick at most one back end had a place
+	// unshort says that bounds may have been chosen since places were last short, which
+	// hold for then only.
+	unshort bool
 	common  common
 	// probeCredit is how many probes for fresher reports the last requests earned,
 	// and origins are those that requests had.
 	probeCredit float64
 	origins     []origin
-	introduce   bool // the last probe was for a first report, if any was wanted
+	bests       bests // kept for its memory
+	introduce   bool  // the last probe was for a first report, if any was wanted
 }
 
 // NewGroup returns a group without back ends.
@@ -76,6 +79,20 @@
 		states = append(states, state)
 	}
 	g.states, g.byID = states, byID
+	g.unshort = true
+	g.numberZones()
+}
+
+// numberZones gives each zone of the back ends a number.
+func (g *Group) numberZones() {
+	g.zones = g.zones[:0]
+	for _, state := range g.states {
+		state.zone = slices.Index(g.zones, state.Zone)
+		if state.zone < 0 {
+			state.zone = len(g.zones)
+			g.zones = append(g.zones, state.Zone)
+		}
+	}
 }
 
 // States returns the back ends' states. The caller must not change them.
@@ -83,6 +100,11 @@
 	return g.states
 }
 
+// Looks returns how often all back ends were looked at for a request.
+func (g *Group) Looks() int {
+	return g.looks
+}
+
 // State returns a back end's state, or nil where it is not known.
 func (g *Group) State(id string) *State {
 	return g.byID[id]
@@ -129,10 +151,6 @@
 	return false
 }
 
-// repeatableFirst is how long a due trial is kept for a request that can be
-// repeated elsewhere, before any request may be the trial.
-const repeatableFirst = 2 * time.Second
-
 // Request is what routing needs to know of a request.
 type Request struct {
 	// Session binds requests with the same text to one back end; empty: no
@@ -149,29 +167,29 @@
 // Pick chooses a back end for a request and counts it as sent. It returns false
 // when every back end is full, draining or ejected, and the request must wait.
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
-	if trial := g.trial(now, request); trial != nil {
+	if request.Session != "" {
+		return g.pickSession(now, request)
+	}
+	g.look(now, request)
+	if trial := g.found.trial; trial != nil {
 		trial.health.Trial(now)
 		g.sent(trial, now)
 		return g.result(trial, ReasonTrial, 1, now), true
 	}
-	candidates := g.eligible(now, request)
-	if len(candidates) == 0 {
+	if g.found.eligible == 0 {
 		return PickResult{}, false
 	}
-	if request.Session != "" {
-		return g.pickSession(now, request.Session, candidates)
-	}
-	free := g.free(now, candidates)
-	if len(free) == 0 && g.rebound(candidates) {
-		free = g.free(now, candidates)
+	if len(g.found.free) == 0 && g.rebound() {
+		g.look(now, request)
 	}
+	free := g.found.free
 	g.short = len(free) < 2
 	if len(free) == 0 {
 		return PickResult{}, false
 	}
 	from := origin{zone: request.Zone, repeatable: request.Repeatable}
 	g.earnProbes(from)
-	if newcomer := g.newcomer(now, request, free); newcomer != nil {
+	if newcomer := g.newcomer(now, request); newcomer != nil {
 		g.sent(newcomer, now)
 		return g.result(newcomer, ReasonNewcomer, len(free), now), true
 	}
@@ -188,65 +206,6 @@
 	}
 }
 
-// trial returns an ejected back end whose trial is due, or nil.
-func (g *Group) trial(now time.Time, request Request) *State {
-	if request.Session != "" {
-		return nil
-	}
-	asOf := now
-	if !request.Repeatable {
-		asOf = now.Add(-repeatableFirst)
-	}
-	for _, state := range g.states {
-		if !state.Draining && state.health.TrialDue(asOf) && !contains(request.Tried, state.ID) {
-			return state
-		}
-	}
-	return nil
-}
-
-// eligible returns the back ends that take requests. Where more are ejected
-// than may be, the ejected ones count as well: a fault that all share must not
-// empty the group. Back ends that failed the request come only when there is
-// no other.
-func (g *Group) eligible(now time.Time, request Request) []*State {
-	list := g.scratch[:0]
-	ejected := 0
-	for _, state := range g.states {
-		if state.Ejected(now) && !state.Draining {
-			ejected++
-		}
-	}
-	tooMany := ejected > outlier.MaxEjected(len(g.states))
-	for _, state := range g.states {
-		out := state.Draining || (state.Ejected(now) && !tooMany)
-		if !out && !contains(request.Tried, state.ID) {
-			list = append(list, state)
-		}
-	}
-	g.scratch = list
-	return list
-}
-
-// free keeps the candidates that hold fewer requests than their limit and are not held
-// back, unless all are and have nothing else to do.
-func (g *Group) free(now time.Time, candidates []*State) []*State {
-	kept := g.kept[:0]
-	idle := !g.busy()
-	for _, state := range candidates {
-		if state.InFlight < g.limit(state) && (idle || !state.held(now)) {
-			kept = append(kept, state)
-		}
-	}
-	g.kept = kept
-	return kept
-}
-
-// busy says whether any back end has a request, whose end will bring a place.
-func (g *Group) busy() bool {
-	return slices.ContainsFunc(g.states, func(state *State) bool { return state.InFlight > 0 })
-}
-
 // limit bounds this daemon's requests at a back end.
 func (g *Group) limit(state *State) int {
 	limit := state.limit(g.options.SlowStart)
@@ -290,10 +249,14 @@
 
 // rebound chooses the bounds of those back ends anew for which it was chosen before
 // places were short, and says whether there were any.
-func (g *Group) rebound(candidates []*State) bool {
+func (g *Group) rebound() bool {
 	g.short = true
+	if !g.unshort {
+		return false
+	}
+	g.unshort = false
 	changed := false
-	for _, state := range candidates {
+	for _, state := range g.states {
 		if state.Window > 0 && !state.boundShort {
 			g.choose(state)
 			changed = true
@@ -314,16 +277,21 @@
 // choose chooses how many requests a back end is to hold from now on.
 func (g *Group) choose(state *State) {
 	state.sinceBound, state.boundShort = 0, g.short
+	g.unshort = g.unshort || !g.short
 	state.bound = g.learned.bound(state.Window, g.short, g.options.Random)
 }
 
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
-func (g *Group) pickSession(now time.Time, session string, candidates []*State) (PickResult, bool) {
+func (g *Group) pickSession(now time.Time, request Request) (PickResult, bool) {
+	candidates := g.eligible(now, request)
+	if len(candidates) == 0 {
+		return PickResult{}, false
+	}
 	var best *State
 	var bestHash uint64
 	for _, state := range candidates {
-		hash := xxhash.Sum64String(session + "\x00" + state.ID)
+		hash := xxhash.Sum64String(request.Session + "\x00" + state.ID)
 		if best == nil || hash > bestHash {
 			best, bestHash = state, hash
 		}
--- a/routing/hold.go
+++ b/routing/hold.go
@@ -11,5 +11,10 @@
 // held says whether no request should begin at a back end now. That ends by itself, as
 // the report that says so gets old.
 func (s *State) held(now time.Time) bool {
-	return s.slowdown.reports > 0 && s.slowdown.expected(now) > holdFactor*s.slowdown.usual()
+	if s.slowdown.reports == 0 {
+		return false
+	}
+	limit := holdFactor * s.slowdown.usual()
+	// What is expected lies between the last report and what is usual.
+	return s.slowdown.last > limit && s.slowdown.expected(now) > limit
 }
--- a/routing/newcomer.go
+++ b/routing/newcomer.go
@@ -15,13 +15,10 @@
 	newcomerLimit = 3 * time.Second
 )
 
-// newcomer returns a candidate that has had no request yet and should get this one, or
-// nil.
-func (g *Group) newcomer(now time.Time, request Request, candidates []*State) *State {
-	for _, state := range candidates {
-		if state.met {
-			continue
-		}
+// newcomer returns a back end that has a place, has had no request yet and should get
+// this one, or nil.
+func (g *Group) newcomer(now time.Time, request Request) *State {
+	for _, state := range g.found.unmet {
 		if state.seenAt.IsZero() {
 			state.seenAt = now
 		}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -57,18 +58,18 @@
 
 // Pick implements Picker.
 func (LeastLoad) Pick(info PickInfo) int {
-	return Least(info, func(candidate *State) float64 { return candidate.score(info.Now, info.Origin) })
+	return Least(info, func(candidate *State, most float64) float64 { return candidate.score(info.Now, info.Origin, most) })
 }
 
 // Least returns the index of the candidate with the smallest score, at random
-// among equals.
-func Least(info PickInfo, score func(*State) float64) int {
+// among equals. score may return anything above most where the score is above it.
+func Least(info PickInfo, score func(candidate *State, most float64) float64) int {
 	best, ties := 0, 0
-	var least float64
+	least := math.Inf(1)
 	for index, candidate := range info.Candidates {
-		value := score(candidate)
+		value := score(candidate, least)
 		switch {
-		case index == 0 || value < least:
+		case value < least:
 			best, least, ties = index, value, 1
 		case value == least:
 			ties++
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -83,11 +83,14 @@
 			return state.ID, true
 		}
 	}
+	if len(g.origins) > 0 {
+		g.lookForBests(now)
+	}
 	for range g.origins {
 		// They take turns.
 		next := g.origins[0]
 		g.origins = append(g.origins[1:], next)
-		best := g.best(now, next)
+		best := g.bests.of(next)
 		if best == nil || best.probing || now.Sub(best.probedAt) < interval || (!best.reportAt.IsZero() && now.Sub(best.reportAt) < freshness) {
 			continue
 		}
@@ -114,22 +117,6 @@
 	state.probing, state.probedAt = true, now
 }
 
-// best returns the back end that a request of an origin would get now, nil where all
-// are full.
-func (g *Group) best(now time.Time, from origin) *State {
-	var best *State
-	var least float64
-	for _, state := range g.states {
-		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state) {
-			continue
-		}
-		if score := state.score(now, from); best == nil || score < least {
-			best, least = state, score
-		}
-	}
-	return best
-}
-
 // Unprobed notes that a probe of a back end told nothing.
 func (g *Group) Unprobed(id string) {
 	if state, known := g.byID[id]; known {
--- a/routing/slowdown.go
+++ b/routing/slowdown.go
@@ -10,6 +10,9 @@
 	// slowdownMemory is the age at which a report of it counts 1/e; the
 	// neighbours that cause it come and go within a fraction of a second.
 	slowdownMemory = 150 * time.Millisecond
+	// slowdownForgotten is the age at which a report counts less than 1/20,000, and is
+	// left out: that spares reckoning it.
+	slowdownForgotten = 10 * slowdownMemory
 	// usualWeight is the weight of a new report in what is usual at its back end.
 	usualWeight = 0.02
 	// commonWeight is the weight of a new report in what is usual at all back ends.
@@ -82,6 +85,22 @@
 	if s.at.IsZero() {
 		return usual
 	}
-	weight := math.Exp(-now.Sub(s.at).Seconds() / slowdownMemory.Seconds())
+	age := now.Sub(s.at)
+	if age > slowdownForgotten {
+		return usual
+	}
+	weight := math.Exp(-age.Seconds() / slowdownMemory.Seconds())
 	return usual + weight*(s.last-usual)
 }
+
+// least is a bound below expected that costs less to reckon.
+func (s *slowdown) least() float64 {
+	if !s.known() {
+		return 1
+	}
+	usual := s.usual()
+	if s.at.IsZero() {
+		return usual
+	}
+	return min(usual, s.last)
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -34,6 +34,7 @@
 // State is what one daemon knows of one back end.
 type State struct {
 	Backend
+	zone int // number of its zone in the group
 	// InFlight counts this daemon's requests at the back end.
 	InFlight int
 	// Draining back ends get no new requests.
@@ -70,6 +71,9 @@
 // Others estimates the requests of other daemons at the back end from the
 // freshest source, which counts less the older it is.
 func (s *State) Others(now time.Time) float64 {
+	if s.peers == 0 && s.reported == 0 {
+		return 0
+	}
 	if s.peersAt.After(s.reportAt) {
 		return decay(s.peers, now.Sub(s.peersAt), peerHalfLife)
 	}
@@ -96,18 +100,45 @@
 	return s.latency
 }
 
-// score is the load with one more request, weighed by the latency and, where the
-// back end tells it, by how much longer work takes there now.
-func (s *State) score(now time.Time, from origin) float64 {
-	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
+// score is what the back end costs a request from an origin: its load, weighed by the
+// latency or, where the back end tells it, by how much longer work takes there now, and
+// then by its zone. Where it would be most or more, anything from most on is returned.
+func (s *State) score(now time.Time, from origin, most float64) float64 {
+	load := s.load(now)
 	if !s.slowdown.known() {
 		return load * s.root
 	}
-	score := (slotWeight*min(load, 1) + max(load, 1)) * max(s.slowdown.expected(now), s.stall(now))
 	if from.zone != s.Zone {
-		score *= from.otherZone()
+		load *= from.otherZone()
+	}
+	return s.slowed(now, load, most)
+}
+
+// nearScore is the score for a request from the back end's own zone.
+func (s *State) nearScore(now time.Time, most float64) float64 {
+	if !s.slowdown.known() {
+		return s.load(now) * s.root
+	}
+	return s.slowed(now, s.load(now), most)
+}
+
+// slowed is a load times the slowdown that is to be expected. Most back ends are known to
+// be no better than the best so far before that is reckoned.
+func (s *State) slowed(now time.Time, load, most float64) float64 {
+	if least := load * s.slowdown.least(); least > most {
+		return least
+	}
+	return load * max(s.slowdown.expected(now), s.stall(now))
+}
+
+// load is the load with one more request. Where slowdowns are told, slots that are free
+// count less than those that are not.
+func (s *State) load(now time.Time) float64 {
+	load := (float64(s.InFlight) + s.Others(now) + 1) / float64(s.Slots)
+	if !s.slowdown.known() {
+		return load
 	}
-	return score
+	return slotWeight*min(load, 1) + max(load, 1)
 }
 
 // origin is what of a request its score at a back end depends on.
--- /dev/null
+++ b/routing/survey.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/tuliphall/tuliphall/outlier"
+)
+
+// repeatableFirst is how long a due trial is kept for a request that can be
+// repeated elsewhere, before any request may be the trial.
+const repeatableFirst = 2 * time.Second
+
+// survey is what one walk over the back ends finds for a request. One walk instead of
+// five, and one reckoning of each slowdown: a request and its end cost the dispatcher of
+// 415 back ends 14 µs instead of 55 (BenchmarkPickAndFinish).
+type survey struct {
+	// trial is an ejected back end whose trial is due; nil: none.
+	trial *State
+	// eligible is how many back ends take requests, though they may be full now.
+	eligible int
+	// free hold fewer requests than their limit and are not held back.
+	free []*State
+	// unmet are those of the free that have had no request yet.
+	unmet []*State
+	// held would be free, but no request should begin there now.
+	held []*State
+	// ejected would be free or held, but are left out for failing.
+	ejected []*State
+	busy    bool // some back end has a request, whose end will bring a place
+}
+
+// clear forgets everything but the memory.
+func (s *survey) clear() {
+	*s = survey{free: s.free[:0], unmet: s.unmet[:0], held: s.held[:0], ejected: s.ejected[:0]}
+}
+
+// add takes in a back end that takes requests.
+func (s *survey) add(state *State, now time.Time, limit int) {
+	s.eligible++
+	switch {
+	case state.InFlight >= limit:
+	case state.held(now):
+		s.held = append(s.held, state)
+	default:
+		s.welcome(state)
+	}
+}
+
+// welcome takes in a back end that may have the request.
+func (s *survey) welcome(state *State) {
+	s.free = append(s.free, state)
+	if !state.met {
+		s.unmet = append(s.unmet, state)
+	}
+}
+
+// look finds out which back ends may have a request that comes now. Where more are
+// ejected than may be, the ejected ones count as well: a fault that all share must not
+// empty the group. Those that are held back count where no other has anything to do.
+func (g *Group) look(now time.Time, request Request) {
+	g.looks++
+	found := &g.found
+	found.clear()
+	trialAsOf := now
+	if !request.Repeatable {
+		trialAsOf = now.Add(-repeatableFirst)
+	}
+	for _, state := range g.states {
+		found.busy = found.busy || state.InFlight > 0
+		if state.Draining {
+			continue
+		}
+		tried := contains(request.Tried, state.ID)
+		switch {
+		case state.Ejected(now):
+			found.ejected = append(found.ejected, state)
+			if found.trial == nil && !tried && state.health.TrialDue(trialAsOf) {
+				found.trial = state
+			}
+		case !tried:
+			found.add(state, now, g.limit(state))
+		}
+	}
+	if len(found.ejected) > outlier.MaxEjected(len(g.states)) {
+		for _, state := range found.ejected {
+			if !contains(request.Tried, state.ID) {
+				found.add(state, now, g.limit(state))
+			}
+		}
+	}
+	if !found.busy {
+		for _, state := range found.held {
+			found.welcome(state)
+		}
+	}
+}
+
+// eligible returns the back ends that take requests, though they may be full now.
+func (g *Group) eligible(now time.Time, request Request) []*State {
+	tooMany := g.ejectedCount(now) > outlier.MaxEjected(len(g.states))
+	var list []*State
+	for _, state := range g.states {
+		out := state.Draining || (state.Ejected(now) && !tooMany)
+		if !out && !contains(request.Tried, state.ID) {
+			list = append(list, state)
+		}
+	}
+	return list
+}
+
+// ejectedCount returns how many back ends are left out for failing.
+func (g *Group) ejectedCount(now time.Time) int {
+	count := 0
+	for _, state := range g.states {
+		if state.Ejected(now) && !state.Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// bests are the back ends that requests would get now, by where they come from.
+type bests struct {
+	byZone  []scored // by the number of the zone
+	any     scored   // of all zones
+	unzoned bool     // zones do not count
+}
+
+// scored is a back end with its score for a request from its own zone.
+type scored struct {
+	state *State // nil: none has a place
+	score float64
+}
+
+// offer replaces the back end by a better one.
+func (s *scored) offer(state *State, score float64) {
+	if score < s.score {
+		s.state, s.score = state, score
+	}
+}
+
+// noneScored is worse than any back end.
+var noneScored = scored{score: math.Inf(1)}
+
+// lookForBests finds, in one walk, the back ends that requests from any zone would get
+// now. A walk for each zone and kind of request took 29 µs for 415 back ends in 6 zones,
+// 150 times a second (BenchmarkStaleTarget: 4 µs).
+func (g *Group) lookForBests(now time.Time) {
+	g.bests = bests{byZone: g.bests.byZone[:0], any: noneScored}
+	for range g.zones {
+		g.bests.byZone = append(g.bests.byZone, noneScored)
+	}
+	for _, state := range g.states {
+		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state) {
+			continue
+		}
+		near := &g.bests.byZone[state.zone]
+		score := state.nearScore(now, near.score) // the best of all is the best of its zone
+		near.offer(state, score)
+		g.bests.any.offer(state, score)
+		g.bests.unzoned = !state.slowdown.known()
+	}
+}
+
+// of returns the back end that a request of an origin would get, nil where all are full.
+// The best of the other zones is the best of all, as one of the own zone that is the best
+// of all is also the best of its zone.
+func (b *bests) of(from origin) *State {
+	if b.any.state == nil || b.unzoned {
+		return b.any.state
+	}
+	for _, near := range b.byZone {
+		if near.state != nil && near.state.Zone == from.zone && near.score <= b.any.score*from.otherZone() {
+			return near.state
+		}
+	}
+	return b.any.state
+}
