--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -223,7 +223,7 @@
 		Self: membership.Member{
 			Name: d.settings.Name, Region: d.settings.Region, Zone: d.settings.Zone,
 			PeerAddress: d.listeners.Peer, ForwardAddress: d.listeners.Forward,
-			Incarnation: uint64(d.started.UnixMilli()),
+			Cores: d.settings.Cores, Incarnation: uint64(d.started.UnixMilli()),
 		},
 		Meter: d.meter, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
 		Configuration: d.follower, Slots: slots.NewServer(d.services), Seeds: d.seeds, OnDrain: d.onDrain,
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -71,6 +71,7 @@
 	Zone           string
 	PeerAddress    string
 	ForwardAddress string
+	Cores          float64 // processor time of its machine, in cores; 0: it did not tell
 	Incarnation    uint64
 	Status         Status
 }
@@ -244,7 +245,7 @@
 	if !known && !update.Serving() {
 		return false // nothing is lost by not knowing of a member that is gone
 	}
-	if !known || present.Status != update.Status || present.ForwardAddress != update.ForwardAddress {
+	if !known || present.Status != update.Status || present.ForwardAddress != update.ForwardAddress || present.Cores != update.Cores {
 		s.version++
 	}
 	before := update.Status
--- /dev/null
+++ b/membership/room.go
@@ -0,0 +1,34 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+)
+
+// leastRoomy is how many members have room at the least: the duties of a fleet are spread
+// over some, also where a single machine is much larger than all others.
+const leastRoomy = 8
+
+// Roomy returns the members whose machines have the most processor time: at least half of
+// what the eighth of them has. Where machines differ little, or tell nothing, these are
+// all. What one daemon does for a whole fleet is done by one of these: a dispatcher of 415
+// back ends used more than half of the 0.16 of a core that the smallest machines have, in
+// the busiest second of a day.
+func Roomy(members []Member) []Member {
+	if len(members) <= leastRoomy {
+		return members
+	}
+	cores := make([]float64, 0, len(members))
+	for _, member := range members {
+		cores = append(cores, member.Cores)
+	}
+	slices.SortFunc(cores, func(a, b float64) int { return cmp.Compare(b, a) })
+	enough := cores[leastRoomy-1] / 2
+	roomy := make([]Member, 0, len(members))
+	for _, member := range members {
+		if member.Cores >= enough {
+			roomy = append(roomy, member)
+		}
+	}
+	return roomy
+}
--- /dev/null
+++ b/membership/room_test.go
@@ -0,0 +1,38 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/membership"
+)
+
+// withCores returns members whose machines have so much processor time each.
+func withCores(count int, cores float64, from int) []membership.Member {
+	var members []membership.Member
+	for number := range count {
+		members = append(members, membership.Member{Name: fmt.Sprintf("m%d", from+number), Cores: cores})
+	}
+	return members
+}
+
+// TestRoomyAreTheLargeMachines leaves small machines out where there are enough large ones.
+func TestRoomyAreTheLargeMachines(t *testing.T) {
+	large := withCores(18, 0.8, 0)
+	require.Equal(t, large, membership.Roomy(append(large, withCores(455, 0.16, 18)...)))
+}
+
+// TestRoomyAreAll keeps all where machines differ little, tell nothing, or few are large.
+func TestRoomyAreAll(t *testing.T) {
+	for name, members := range map[string][]membership.Member{
+		"alike":          withCores(20, 0.32, 0),
+		"not told":       withCores(20, 0, 0),
+		"few":            append(withCores(3, 4, 0), withCores(5, 0.1, 3)...),
+		"one large":      append(withCores(1, 64, 0), withCores(40, 0.5, 1)...),
+		"some told less": append(withCores(10, 0.32, 0), withCores(10, 0.16, 10)...),
+	} {
+		require.Len(t, membership.Roomy(members), len(members), name)
+	}
+}
--- a/peer/call.go
+++ b/peer/call.go
@@ -69,7 +69,7 @@
 func encodeMember(m membership.Member) *peerpb.Member {
 	return &peerpb.Member{
 		Name: m.Name, Region: m.Region, Zone: m.Zone, PeerAddress: m.PeerAddress, ForwardAddress: m.ForwardAddress,
-		Incarnation: m.Incarnation, Status: peerpb.Status(m.Status),
+		Incarnation: m.Incarnation, Status: peerpb.Status(m.Status), Cores: m.Cores,
 	}
 }
 
@@ -84,7 +84,7 @@
 func decodeMember(m *peerpb.Member) membership.Member {
 	return membership.Member{
 		Name: m.GetName(), Region: m.GetRegion(), Zone: m.GetZone(), PeerAddress: m.GetPeerAddress(),
-		ForwardAddress: m.GetForwardAddress(), Incarnation: m.GetIncarnation(), Status: membership.Status(m.GetStatus()),
+		ForwardAddress: m.GetForwardAddress(), Incarnation: m.GetIncarnation(), Status: membership.Status(m.GetStatus()), Cores: m.GetCores(),
 	}
 }
 
--- a/peer/forming.go
+++ b/peer/forming.go
@@ -60,19 +60,16 @@
 	f.met = f.met || slices.Contains(f.seeds, own)
 }
 
-// choose returns those of the members of the region that dispatchers are chosen among.
-func (f *forming) choose(now time.Time, region []membership.Member) []membership.Member {
+// choose returns those of the members of the region that are seeds, and whether
+// dispatchers are chosen among them for now.
+func (f *forming) choose(now time.Time, region []membership.Member) (seeds []membership.Member, forming bool) {
 	if !f.met || f.joined || f.seedsOver(now) || len(region) < formingFleet {
-		return region
+		return nil, false
 	}
-	var seeds []membership.Member
 	for _, member := range region {
 		if slices.Contains(f.seeds, member.PeerAddress) {
 			seeds = append(seeds, member)
 		}
 	}
-	if len(seeds) == 0 {
-		return region
-	}
-	return seeds
+	return seeds, len(seeds) > 0 && len(seeds) < len(region)
 }
--- a/peer/view.go
+++ b/peer/view.go
@@ -14,6 +14,7 @@
 	region  []membership.Member
 	// dispatchers are those of the region that dispatchers are chosen among.
 	dispatchers []membership.Member
+	forming     bool     // those are the seeds
 	cache       sync.Map // service name to membership.Member
 }
 
@@ -29,7 +30,10 @@
 			view.region = append(view.region, member)
 		}
 	}
-	view.dispatchers = n.forming.choose(time.Now(), view.region)
+	view.dispatchers, view.forming = n.forming.choose(time.Now(), view.region)
+	if !view.forming {
+		view.dispatchers = membership.Roomy(view.region)
+	}
 	n.view.Store(view)
 }
 
@@ -65,8 +69,7 @@
 // Forming says whether dispatchers are chosen among the seeds for a moment, as all
 // daemons have just started.
 func (n *Node) Forming() bool {
-	view := n.View()
-	return len(view.dispatchers) < len(view.region)
+	return n.View().forming
 }
 
 // RegionSize returns how many daemons of the region are alive, this one included.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,6 +26,10 @@
 	Region string `toml:"region"`
 	Zone   string `toml:"zone"`
 
+	// Cores is how much processor time the machine gives the daemon, in cores. What one
+	// daemon does for all is done by those with the most; 0: unknown, as little as any.
+	Cores float64 `toml:"cores"`
+
 	// Peers are peer addresses of other daemons to ask at the start, besides
 	// those on the platform's machine list.
 	Peers []string `toml:"peers"`
@@ -176,6 +180,8 @@
 	minPipelinedBytes = 1 << 10
 	maxPipelinedBytes = 16 << 20
 
+	maxCores = 1024
+
 	maxTimeout  = config.Duration(time.Minute)
 	maxWatchers = 20
 	maxWrites   = 100
@@ -302,6 +308,7 @@
 	check(isAddress(s.Listen.Forward), "listen.forward", s.Listen.Forward, "IP:port")
 	check(isAddress(s.Listen.Admin), "listen.admin", s.Listen.Admin, "IP:port")
 	check(s.Listen.Metrics == "" || isAddress(s.Listen.Metrics), "listen.metrics", s.Listen.Metrics, "IP:port, or empty")
+	check(s.Cores >= 0 && s.Cores <= maxCores, "cores", s.Cores, "0 to 1024")
 	for _, address := range s.Peers {
 		check(isAddress(address), "peers", address, "IP:port")
 	}
