--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -118,7 +118,7 @@
 func (c *Core) place(now, since time.Time, request Request, result routing.PickResult) *Place {
 	return &Place{
 		PickResult: result, Since: since, Sent: now, class: request.Class,
-		HedgeAfter: c.work.of(request.Class).hedgeAfter(now, request),
+		HedgeAfter: c.work.of(request.Class).hedgeAfter(now, request, result.MostFull),
 	}
 }
 
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -27,19 +27,23 @@
 const (
 	fastest = 0.05
 	typical = 0.5
-	// slowest is beyond which a request is slow: the slowest fifth is about what the
-	// retry budgets in use pay for. On quiet days it served 0.004 to 0.008 more of the
-	// worth than the slowest twentieth that Dean and Barroso give (The Tail at Scale,
-	// 2013; means of 3 days), under load as much (42 days).
-	slowest = 0.8
+	// slow is beyond which a request gets a second attempt while most back ends have
+	// places free: the slowest fifth is about what the retry budgets in use pay for. On
+	// quiet days it served 0.003 to 0.008 more of the worth than the slowest twentieth
+	// (means of 3 days at three deployments).
+	slow = 0.8
+	// slowest is the same while most are full, when a second attempt takes the place of
+	// another request: the slowest twentieth (Dean and Barroso, The Tail at Scale, 2013).
+	slowest = 0.95
 )
 
 // latencies are those that requests of one class had of late, from when they were sent to
 // a back end. The zero value has seen none.
 type latencies struct {
-	last                      [workMemory]time.Duration
-	seen                      int
-	fastest, typical, slowest time.Duration // 0: not known yet
+	last             [workMemory]time.Duration
+	seen             int
+	fastest, typical time.Duration // 0: not known yet
+	slow, slowest    time.Duration
 }
 
 // add takes in the latency of an answer.
@@ -51,7 +55,7 @@
 	}
 	sorted := slices.Sorted(slices.Values(l.last[:min(l.seen, workMemory)]))
 	part := func(share float64) time.Duration { return sorted[int(share*float64(len(sorted)))] }
-	l.fastest, l.typical, l.slowest = part(fastest), part(typical), part(slowest)
+	l.fastest, l.typical, l.slow, l.slowest = part(fastest), part(typical), part(slow), part(slowest)
 }
 
 // work is what is known of the work of each class of requests. The zero value knows
@@ -90,14 +94,19 @@
 }
 
 // hedgeAfter returns how long after it was sent a request should get a second attempt: as
-// soon as it is one of the slowest of its class, but not so late that the second answer
-// would commonly miss the objective. It returns 0 where that is not known.
-func (l *latencies) hedgeAfter(sent time.Time, request Request) time.Duration {
+// soon as it is one of the slowest of its class, of which there are fewer where most back
+// ends are full, but not so late that the second answer would commonly miss the objective.
+// It returns 0 where that is not known.
+func (l *latencies) hedgeAfter(sent time.Time, request Request, mostFull bool) time.Duration {
 	objective, given := request.objective()
 	if !given || l.slowest == 0 {
 		return 0
 	}
-	tail := l.slowest + time.Duration(tailMargin*float64(l.typical))
+	tail := l.slow
+	if mostFull {
+		tail = l.slowest
+	}
+	tail += time.Duration(tailMargin * float64(l.typical))
 	if last := objective.Sub(sent) - l.typical; last > l.typical {
 		return min(tail, last)
 	}
--- a/routing/group.go
+++ b/routing/group.go
@@ -200,7 +200,7 @@
 
 func (g *Group) result(state *State, reason Reason, candidates int, now time.Time) PickResult {
 	return PickResult{
-		Backend: state, Reason: reason, Candidates: candidates, ReportAge: state.ReportAge(now),
+		Backend: state, Reason: reason, Candidates: candidates, MostFull: 2*candidates < g.found.eligible, ReportAge: state.ReportAge(now),
 		slowdown: state.slowdown.expected(now), begun: state.occupancy,
 		BestInFlight: g.learned.known(state.Window),
 	}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -39,6 +39,7 @@
 	Backend    *State
 	Reason     Reason
 	Candidates int           // candidates weighed
+	MostFull   bool          // most back ends had no place
 	ReportAge  time.Duration // age of the back end's last report; -1: none yet
 	// BestInFlight is with how many requests back ends with as many slots do best, as
 	// learned; 0: that is not known yet.
