--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -96,7 +96,7 @@
 // hedgeAfter returns how long after it was sent a request should get a second attempt: as
 // soon as it is one of the slowest of its class, of which there are fewer where most back
 // ends are full, but not so late that the second answer would commonly miss the objective.
-// It returns 0 where that is not known.
+// It returns 0 where that is not known, or even the fastest answer would come too late.
 func (l *latencies) hedgeAfter(sent time.Time, request Request, mostFull bool) time.Duration {
 	objective, given := request.objective()
 	if !given || l.slowest == 0 {
@@ -108,7 +108,10 @@
 	}
 	tail += time.Duration(tailMargin * float64(l.typical))
 	if last := objective.Sub(sent) - l.typical; last > l.typical {
-		return min(tail, last)
+		tail = min(tail, last)
+	}
+	if sent.Add(tail + l.fastest).After(objective) {
+		return 0
 	}
 	return tail
 }
