--- a/docs/capacity_test.go
+++ b/docs/capacity_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -75,25 +76,53 @@
 	}
 }
 
+// rowsOf returns the cells of the rows of the table below a heading of a page, without its
+// head.
+func rowsOf(t *testing.T, page, heading string) [][]string {
+	t.Helper()
+	_, rest, found := strings.Cut(page, heading)
+	require.True(t, found)
+	section, _, _ := strings.Cut(rest, "\n## ")
+	var rows [][]string
+	for line := range strings.SplitSeq(section, "\n") {
+		if strings.HasPrefix(line, "| ") {
+			rows = append(rows, strings.Split(strings.Trim(line, "|"), "|"))
+		}
+	}
+	require.Greater(t, len(rows), 2)
+	return rows[2:]
+}
+
+// TestSweepFigures checks that each row of the sweep's table stands as it is in what the
+// sweep printed.
+func TestSweepFigures(t *testing.T) {
+	page, err := os.ReadFile("CAPACITY.md")
+	require.NoError(t, err)
+	printed, err := os.ReadFile("results/sweep.txt")
+	require.NoError(t, err)
+	var known []string // the figures of a line, by single spaces
+	for line := range strings.SplitSeq(string(printed), "\n") {
+		known = append(known, strings.Join(strings.Fields(line), " "))
+	}
+	for _, cells := range rowsOf(t, string(page), "## From the sweep") {
+		const sizes, power, most = 3, 4, 6
+		figures := append(slices.Clone(cells[1:1+sizes]), cells[power], cells[most])
+		want := strings.Join(strings.Fields(strings.Join(figures, " ")), " ")
+		require.True(t, slices.ContainsFunc(known, func(line string) bool { return strings.HasSuffix(line, want) }), "%s: %s", cells[0], want)
+	}
+}
+
 // TestCapacityRows checks that every row of the roles names a slope, a mechanism and
 // a bound.
 func TestCapacityRows(t *testing.T) {
 	page, err := os.ReadFile("CAPACITY.md")
 	require.NoError(t, err)
-	_, rest, found := strings.Cut(string(page), "## Roles")
-	require.True(t, found)
-	section, _, _ := strings.Cut(rest, "\n## ")
-	rows := 0
-	for line := range strings.SplitSeq(section, "\n") {
-		if !strings.HasPrefix(line, "| ") || strings.HasPrefix(line, "| ---") || strings.HasPrefix(line, "| role") {
-			continue
-		}
-		rows++
-		cells := strings.Split(strings.Trim(line, "|"), "|")
-		require.Len(t, cells, 7, line)
+	rows := rowsOf(t, string(page), "## Roles")
+	for _, cells := range rows {
+		require.Len(t, cells, 7)
 		for _, cell := range cells {
-			require.NotEmpty(t, strings.TrimSpace(cell), line)
+			require.NotEmpty(t, strings.TrimSpace(cell), cells[0])
 		}
 	}
-	require.Greater(t, rows, 10)
+	require.Greater(t, len(rows), 10)
 }
