--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -31,7 +31,8 @@
 // they go on waiting in milliseconds, so that a first try may look a few of them old.
 const returnedAge = 10 * time.Millisecond
 
-// Returned says whether the caller was refused before and has come back.
+// Returned says whether the caller was refused before and has come back. One whose first
+// attempt failed after a while counts as well: it has as little time left.
 func (r Request) Returned(now time.Time) bool {
 	return !r.FirstTry.IsZero() && now.Sub(r.FirstTry) >= returnedAge
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -118,6 +118,21 @@
 	require.False(t, budget.Spend(retry.Retry, true))
 }
 
+// TestFirstTriesLeaveAReserve lets requests that failed at their callers' first try spend
+// until what is left is kept for callers that have come back.
+func TestFirstTriesLeaveAReserve(t *testing.T) {
+	budget := full()
+	first, returned := 0, 0
+	for budget.Spend(retry.Retry, false) {
+		first++
+	}
+	for budget.Spend(retry.Retry, true) {
+		returned++
+	}
+	require.Equal(t, retry.DefaultBurst, first+returned)
+	require.Equal(t, 3, returned)
+}
+
 // TestHedgesLeaveAReserve lets hedges spend until what is left is kept for requests
 // that failed.
 func TestHedgesLeaveAReserve(t *testing.T) {
