--- a/lab/simulation/doc.go
+++ b/lab/simulation/doc.go
@@ -10,4 +10,10 @@
 // neighbour slows all work on its machine, that under way included, by Slowdown
 // during spells of exponential length. Latency runs from the arrival at the
 // daemon to the arrival of the answer there.
+//
+// Replay plays a load pattern (patterns/*.toml) to the decisions of one dispatcher: who
+// waits, who is refused, where requests go, when they get a second attempt. Callers come
+// back as they are told, with what is left of their time; back ends slow down when full,
+// refuse, fall silent, join or slow down as the pattern says. Arrivals and work are the
+// same whatever is decided.
 package simulation
--- a/routing/group.go
+++ b/routing/group.go
@@ -39,10 +39,10 @@
 	looks   int
 	learned concurrency
 	short   bool // at the last pick at most one back end had a place
-	// unshort says that bounds may have been chosen since places were last short, which
+	// boundsStale says that bounds may have been chosen since places were last short, which
 	// hold for then only.
-	unshort bool
-	common  common
+	boundsStale bool
+	common      common
 	// probeCredit is how many probes for fresher reports the last requests earned,
 	// and origins are those that requests had.
 	probeCredit float64
@@ -79,7 +79,7 @@
 		states = append(states, state)
 	}
 	g.states, g.byID = states, byID
-	g.unshort = true
+	g.boundsStale = true
 	g.numberZones()
 }
 
@@ -87,9 +87,9 @@
 func (g *Group) numberZones() {
 	g.zones = g.zones[:0]
 	for _, state := range g.states {
-		state.zone = slices.Index(g.zones, state.Zone)
-		if state.zone < 0 {
-			state.zone = len(g.zones)
+		state.zoneNumber = slices.Index(g.zones, state.Zone)
+		if state.zoneNumber < 0 {
+			state.zoneNumber = len(g.zones)
 			g.zones = append(g.zones, state.Zone)
 		}
 	}
@@ -251,10 +251,10 @@
 // places were short, and says whether there were any.
 func (g *Group) rebound() bool {
 	g.short = true
-	if !g.unshort {
+	if !g.boundsStale {
 		return false
 	}
-	g.unshort = false
+	g.boundsStale = false
 	changed := false
 	for _, state := range g.states {
 		if state.Window > 0 && !state.boundShort {
@@ -277,7 +277,7 @@
 // choose chooses how many requests a back end is to hold from now on.
 func (g *Group) choose(state *State) {
 	state.sinceBound, state.boundShort = 0, g.short
-	g.unshort = g.unshort || !g.short
+	g.boundsStale = g.boundsStale || !g.short
 	state.bound = g.learned.bound(state.Window, g.short, g.options.Random)
 }
 
--- a/routing/state.go
+++ b/routing/state.go
@@ -34,7 +34,7 @@
 // State is what one daemon knows of one back end.
 type State struct {
 	Backend
-	zone int // number of its zone in the group
+	zoneNumber int // of its zone in the group
 	// InFlight counts this daemon's requests at the back end.
 	InFlight int
 	// Draining back ends get no new requests.
--- a/routing/survey.go
+++ b/routing/survey.go
@@ -43,12 +43,12 @@
 	case state.held(now):
 		s.held = append(s.held, state)
 	default:
-		s.welcome(state)
+		s.addFree(state)
 	}
 }
 
-// welcome takes in a back end that may have the request.
-func (s *survey) welcome(state *State) {
+// addFree takes in a back end that may have the request.
+func (s *survey) addFree(state *State) {
 	s.free = append(s.free, state)
 	if !state.met {
 		s.unmet = append(s.unmet, state)
@@ -91,7 +91,7 @@
 	}
 	if !found.busy {
 		for _, state := range found.held {
-			found.welcome(state)
+			found.addFree(state)
 		}
 	}
 }
@@ -155,7 +155,7 @@
 		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state) {
 			continue
 		}
-		near := &g.bests.byZone[state.zone]
+		near := &g.bests.byZone[state.zoneNumber]
 		score := state.nearScore(now, near.score) // the best of all is the best of its zone
 		near.offer(state, score)
 		g.bests.any.offer(state, score)
