--- a/admission/saturation.go
+++ b/admission/saturation.go
@@ -33,10 +33,12 @@
 }
 
 // perSecond returns how many places have come free a second since the saturation began,
-// and which part of rateWindow that has lasted, 1 at the most.
+// and which part of rateWindow that has lasted, 1 at the most. Until the first one comes
+// free nothing is known: a single long request may hold all places that a back end which
+// has just started is given, and soon it is given more.
 func (s *saturation) perSecond(now time.Time) (rate, part float64) {
 	lasted := now.Sub(s.since).Seconds()
-	if s.over(now) || lasted <= 0 {
+	if s.over(now) || lasted <= 0 || s.served == 0 {
 		return 0, 0
 	}
 	return float64(s.served) / lasted, min(lasted/rateWindow.Seconds(), 1)
--- a/admission/saturation_test.go
+++ b/admission/saturation_test.go
@@ -27,3 +27,17 @@
 	queue.Remove(waiting)
 	require.InDelta(t, 200, served(start.Add(time.Second+2*saturationGap)), 1, "nobody waits any more")
 }
+
+// TestNothingIsKnownBeforeTheFirstPlace lets requests wait behind one that lasts for
+// seconds at the only back end: that no place has come free is no reason to refuse them.
+func TestNothingIsKnownBeforeTheFirstPlace(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	queue := NewQueue(1000)
+	for number := range 100 {
+		now := start.Add(time.Duration(number) * 10 * time.Millisecond)
+		queue.Arrived(now, 1)
+		verdict, _ := queue.Offer(now, &Ticket{Weight: 1, Deadline: now.Add(10 * time.Second), FirstTry: now}, time.Millisecond)
+		require.Equal(t, Waiting, verdict)
+		require.Empty(t, queue.Hopeless(now, time.Millisecond))
+	}
+}
