--- a/admission/chance.go
+++ b/admission/chance.go
@@ -33,7 +33,7 @@
 }
 
 // chance returns how likely a request, with so many waiting before it, is to get a place
-// within a time.
+// within a time, which is above 0.
 //
 // Requests that come later may go before it, so that its distance from the next place is
 // a random walk: it shrinks by served − ahead a second on average, with the variance
@@ -44,9 +44,6 @@
 // however long the request would wait.
 func (t traffic) chance(waiting int, within time.Duration) float64 {
 	seconds := within.Seconds()
-	if seconds <= 0 {
-		return 0
-	}
 	variance := t.served + t.ahead
 	if variance == 0 {
 		return 1 // nothing is known
--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -64,6 +64,11 @@
 		}
 		return request
 	}
+	readWhole := func(conn net.Conn) {
+		if request := head(conn); request != nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+	}
 	for name, serve := range map[string]func(conn net.Conn){
 		"in the head": func(conn net.Conn) {
 			_, _ = conn.Read(make([]byte, 1))
@@ -76,23 +81,17 @@
 			reset(conn)
 		},
 		"before the answer": func(conn net.Conn) {
-			if request := head(conn); request != nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-			}
+			readWhole(conn)
 			reset(conn)
 		},
 		"in the answer's head": func(conn net.Conn) {
-			if request := head(conn); request != nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-			}
+			readWhole(conn)
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Le")
 			time.Sleep(10 * time.Millisecond)
 			reset(conn)
 		},
 		"in the answer's body": func(conn net.Conn) {
-			if request := head(conn); request != nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-			}
+			readWhole(conn)
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
 			time.Sleep(10 * time.Millisecond)
 			reset(conn)
--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -14,12 +14,12 @@
 	maxComeBack = 10 * time.Second
 )
 
-// RetryAfter is after how long a caller is told to come back that is refused for want of a
+// retryAfter is after how long a caller is told to come back that is refused for want of a
 // place: when the requests that wait now should have been served, and no sooner than
 // after as long as it has waited since its first try. Callers come back the later the
 // longer places are short, and not all at once, as they came at different times.
-func (c *Core) RetryAfter(now time.Time, request Request) time.Duration {
-	return max(c.Queue.Wait(now, request.Weight, c.Group.Pace()), comeBack(now, request))
+func (c *Core) retryAfter(now time.Time, request Request, pace time.Duration) time.Duration {
+	return max(c.Queue.Wait(now, request.Weight, pace), comeBack(now, request))
 }
 
 // RetryAfterBackend is after how long a caller is told to come back whose request a back
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -142,7 +142,7 @@
 	c.Group.Finished(place.PickResult, now, outcome, latency)
 	c.Queue.Served(now)
 	if outcome == routing.Success {
-		c.work.of(place.class).add(latency)
+		c.work.learn(place.class, latency)
 	}
 }
 
@@ -188,8 +188,14 @@
 	Payload any
 }
 
+// Refuse returns what a request is told that is refused a place.
+func (c *Core) Refuse(now time.Time, request Request, code resultcode.Code) *resultcode.Failure {
+	pace := c.Group.Pace() // a walk over all back ends
+	return &resultcode.Failure{Code: code, Detail: c.explain(now, request, code, pace), RetryAfter: c.retryAfter(now, request, pace)}
+}
+
 // explain says in words why a request is refused a place, for logs and callers.
-func (c *Core) explain(now time.Time, request Request, code resultcode.Code) string {
+func (c *Core) explain(now time.Time, request Request, code resultcode.Code, pace time.Duration) string {
 	switch {
 	case code == resultcode.NoBackend:
 		return "every back end is draining or none is placed"
@@ -197,5 +203,5 @@
 		return fmt.Sprintf("%s are left, the fastest answers take %s",
 			request.Deadline.Sub(now).Round(time.Millisecond), c.work.of(request.Class).fastest.Round(time.Millisecond))
 	}
-	return "no place in time: " + c.Queue.Describe(now, request.Weight, c.Group.Pace())
+	return "no place in time: " + c.Queue.Describe(now, request.Weight, pace)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -187,10 +187,10 @@
 	now := time.Now()
 	decision := d.core.Offer(now, request, told)
 	if decision.Displaced != nil {
-		decision.Displaced.(answers) <- answer{refused: d.refusal(now, request, resultcode.QueueFull)}
+		decision.Displaced.(answers) <- answer{refused: d.core.Refuse(now, request, resultcode.QueueFull)}
 	}
 	if decision.Refused != 0 {
-		return Decision{}, d.refusal(now, request, decision.Refused)
+		return Decision{}, d.core.Refuse(now, request, decision.Refused)
 	}
 	if decision.Ticket != nil {
 		d.recheckSoon()
@@ -198,12 +198,6 @@
 	return decision, nil
 }
 
-// refusal tells the caller when to come back: when the requests that now wait
-// should have been served.
-func (d *Dispatcher) refusal(now time.Time, request Request, code resultcode.Code) *resultcode.Failure {
-	return &resultcode.Failure{Code: code, Detail: d.core.explain(now, request, code), RetryAfter: d.core.RetryAfter(now, request)}
-}
-
 // recheckInterval is how often it is looked, while requests wait, whether time alone
 // has brought a place: a back end may be held back for a moment only.
 const recheckInterval = 20 * time.Millisecond
@@ -228,7 +222,7 @@
 	now := time.Now()
 	d.serve(now)
 	for _, one := range d.core.Hopeless(now) {
-		one.Payload.(answers) <- answer{refused: d.refusal(now, one.Request, resultcode.DeadlineTooShort)}
+		one.Payload.(answers) <- answer{refused: d.core.Refuse(now, one.Request, resultcode.DeadlineTooShort)}
 	}
 	if d.core.Queue.Len() > 0 {
 		d.recheckSoon()
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -66,10 +66,21 @@
 	byClass map[string]*latencies
 }
 
-// of returns what is known of a class, which is nothing without one.
+// nothingKnown is of a class that has had no answers yet. It is never changed.
+var nothingKnown = new(latencies)
+
+// of returns what is known of a class. It must not be changed.
 func (w *work) of(class string) *latencies {
+	if known, found := w.byClass[class]; found {
+		return known
+	}
+	return nothingKnown
+}
+
+// learn takes in the latency of an answer to a request of a class, if it has one.
+func (w *work) learn(class string, latency time.Duration) {
 	if class == "" {
-		return new(latencies)
+		return
 	}
 	known, found := w.byClass[class]
 	if !found {
@@ -79,7 +90,7 @@
 		known = new(latencies)
 		w.byClass[class] = known
 	}
-	return known
+	known.add(latency)
 }
 
 // servable says whether an answer could come before the deadline, as far as is known.
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -27,7 +27,7 @@
 	group.SetBackends(list)
 	core := &Core{Group: group, Queue: admission.NewQueue(100)}
 	for number := range workMemory {
-		core.work.of("read").add(80*time.Millisecond + time.Duration(number*40/workMemory)*time.Millisecond)
+		core.work.learn("read", 80*time.Millisecond+time.Duration(number*40/workMemory)*time.Millisecond)
 	}
 	return core
 }
@@ -78,7 +78,7 @@
 	hopeless := core.Hopeless(late)
 	require.Len(t, hopeless, 1)
 	require.Equal(t, "waits", hopeless[0].Payload)
-	require.GreaterOrEqual(t, core.RetryAfter(late, hopeless[0].Request), leastComeBack)
+	require.GreaterOrEqual(t, core.Refuse(late, hopeless[0].Request, resultcode.DeadlineTooShort).RetryAfter, leastComeBack)
 }
 
 // TestHedgeAfter makes a second attempt when a request is slower than most of its class,
@@ -99,7 +99,7 @@
 // TestWithoutClassNothingIsKnown refuses no request of no class for what others take.
 func TestWithoutClassNothingIsKnown(t *testing.T) {
 	core := learned(1)
-	core.work.of("").add(time.Hour)
+	core.work.learn("", time.Hour)
 	unnamed := reading(0)
 	unnamed.Class, unnamed.Deadline = "", epoch.Add(time.Millisecond)
 	require.NotNil(t, core.Offer(epoch, unnamed, nil).Place)
@@ -109,7 +109,7 @@
 func TestClassesAreForgottenNotPiledUp(t *testing.T) {
 	var known work
 	for number := range 3 * maxClasses {
-		known.of(string(rune(number))).add(time.Second)
+		known.learn(string(rune(number)), time.Second)
 	}
 	require.LessOrEqual(t, len(known.byClass), maxClasses)
 }
--- a/lab/simulation/replay.go
+++ b/lab/simulation/replay.go
@@ -8,6 +8,7 @@
 
 	"github.com/tuliphall/tuliphall/admission"
 	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 )
@@ -211,7 +212,7 @@
 
 // refuse tells a caller that it gets no place, and lets it come back.
 func (r *replay) refuse(one *try) {
-	r.refuseFor(one, r.core.RetryAfter(r.time(), r.request(one, false)))
+	r.refuseFor(one, r.core.Refuse(r.time(), r.request(one, false), resultcode.DeadlineTooShort).RetryAfter)
 }
 
 // refuseFor tells a caller to come back after a time.
--- a/routing/group.go
+++ b/routing/group.go
@@ -167,16 +167,16 @@
 // Pick chooses a back end for a request and counts it as sent. It returns false
 // when every back end is full, draining or ejected, and the request must wait.
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
+	g.look(now, request)
 	if request.Session != "" {
-		return g.pickSession(now, request)
+		return g.pickSession(now, request.Session)
 	}
-	g.look(now, request)
 	if trial := g.found.trial; trial != nil {
 		trial.health.Trial(now)
 		g.sent(trial, now)
 		return g.result(trial, ReasonTrial, 1, now), true
 	}
-	if g.found.eligible == 0 {
+	if len(g.found.eligible) == 0 {
 		return PickResult{}, false
 	}
 	if len(g.found.free) == 0 && g.rebound() {
@@ -200,7 +200,7 @@
 
 func (g *Group) result(state *State, reason Reason, candidates int, now time.Time) PickResult {
 	return PickResult{
-		Backend: state, Reason: reason, Candidates: candidates, MostFull: 2*candidates < g.found.eligible, ReportAge: state.ReportAge(now),
+		Backend: state, Reason: reason, Candidates: candidates, MostFull: 2*candidates < len(g.found.eligible), ReportAge: state.ReportAge(now),
 		slowdown: state.slowdown.expected(now), begun: state.occupancy,
 		BestInFlight: g.learned.known(state.Window),
 	}
@@ -283,15 +283,15 @@
 
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
-func (g *Group) pickSession(now time.Time, request Request) (PickResult, bool) {
-	candidates := g.eligible(now, request)
+func (g *Group) pickSession(now time.Time, session string) (PickResult, bool) {
+	candidates := g.found.eligible
 	if len(candidates) == 0 {
 		return PickResult{}, false
 	}
 	var best *State
 	var bestHash uint64
 	for _, state := range candidates {
-		hash := xxhash.Sum64String(request.Session + "\x00" + state.ID)
+		hash := xxhash.Sum64String(session + "\x00" + state.ID)
 		if best == nil || hash > bestHash {
 			best, bestHash = state, hash
 		}
--- a/routing/survey.go
+++ b/routing/survey.go
@@ -17,8 +17,8 @@
 type survey struct {
 	// trial is an ejected back end whose trial is due; nil: none.
 	trial *State
-	// eligible is how many back ends take requests, though they may be full now.
-	eligible int
+	// eligible take requests, though they may be full now.
+	eligible []*State
 	// free hold fewer requests than their limit and are not held back.
 	free []*State
 	// unmet are those of the free that have had no request yet.
@@ -32,12 +32,12 @@
 
 // clear forgets everything but the memory.
 func (s *survey) clear() {
-	*s = survey{free: s.free[:0], unmet: s.unmet[:0], held: s.held[:0], ejected: s.ejected[:0]}
+	*s = survey{eligible: s.eligible[:0], free: s.free[:0], unmet: s.unmet[:0], held: s.held[:0], ejected: s.ejected[:0]}
 }
 
 // add takes in a back end that takes requests.
 func (s *survey) add(state *State, now time.Time, limit int) {
-	s.eligible++
+	s.eligible = append(s.eligible, state)
 	switch {
 	case state.InFlight >= limit:
 	case state.held(now):
@@ -96,30 +96,6 @@
 	}
 }
 
-// eligible returns the back ends that take requests, though they may be full now.
-func (g *Group) eligible(now time.Time, request Request) []*State {
-	tooMany := g.ejectedCount(now) > outlier.MaxEjected(len(g.states))
-	var list []*State
-	for _, state := range g.states {
-		out := state.Draining || (state.Ejected(now) && !tooMany)
-		if !out && !contains(request.Tried, state.ID) {
-			list = append(list, state)
-		}
-	}
-	return list
-}
-
-// ejectedCount returns how many back ends are left out for failing.
-func (g *Group) ejectedCount(now time.Time) int {
-	count := 0
-	for _, state := range g.states {
-		if state.Ejected(now) && !state.Draining {
-			count++
-		}
-	}
-	return count
-}
-
 // bests are the back ends that requests would get now, by where they come from.
 type bests struct {
 	byZone  []scored // by the number of the zone
