--- a/admin/api.go
+++ b/admin/api.go
@@ -72,6 +72,8 @@
 	Uptime   time.Duration   `json:"uptime_ns"`
 	Members  []Member        `json:"members"`
 	Watching bool            `json:"watching"` // this daemon watches the platform
+	// Evacuated are the zones whose back ends get no new requests from the asked daemon.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // ServiceStatus is what a daemon knows of one service.
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -18,6 +18,9 @@
 	// ParseReport reads that header. It returns false when the value has no
 	// usable count.
 	ParseReport func(value string) (Report, bool)
+	// WarmUpLeft is the header of a health answer that holds for how many milliseconds the
+	// back end remains cold. Empty: none does.
+	WarmUpLeft string
 	// EchoesRequestID: every answer carries the id of its request. An answer
 	// without it, or with another one, is refused.
 	EchoesRequestID bool
--- a/backend/report.go
+++ b/backend/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // HeaderReport carries a back end's load on its answers, as published by the
@@ -24,6 +25,8 @@
 	// Slowdown is how much longer work takes there now than usually; 0: not
 	// told.
 	Slowdown float64
+	// WarmUpLeft is for how long it remains cold; 0: not told. Only answers to probes say so.
+	WarmUpLeft time.Duration
 }
 
 // jsonReport is the JSON form of a report.
--- a/command/change.go
+++ b/command/change.go
@@ -38,6 +38,7 @@
 		all.Routes = append(all.Routes, content.Routes...)
 		all.Placements = append(all.Placements, content.Placements...)
 		all.Policies = append(all.Policies, content.Policies...)
+		all.Zones = append(all.Zones, content.Zones...)
 	}
 	return all, nil
 }
@@ -135,7 +136,7 @@
 	if err := content.Validate(); err != nil {
 		return &exit{code: ExitUsage, cause: err}
 	}
-	_, err = fmt.Fprintf(c.global.out, "valid: %d services, %d routes, %d placements, %d policies\n", len(content.Services), len(content.Routes), len(content.Placements), len(content.Policies))
+	_, err = fmt.Fprintf(c.global.out, "valid: %d services, %d routes, %d placements, %d policies, %d zones\n", len(content.Services), len(content.Routes), len(content.Placements), len(content.Policies), len(content.Zones))
 	return err
 }
 
--- a/command/command.go
+++ b/command/command.go
@@ -150,10 +150,10 @@
 
 func commands(g *global) []entry {
 	return []entry{
-		{"apply", "Declare the objects in files", "Declares services, placements and policies. Prints the revision.\n\nExample: tuliphall apply -f prices.toml --wait", &applyCommand{global: g}},
+		{"apply", "Declare the objects in files", "Declares services, routes, placements, policies and zones. Prints the revision.\n\nExample: tuliphall apply -f prices.toml --wait", &applyCommand{global: g}},
 		{"validate", "Check files without a daemon", "Checks files by themselves.\n\nExample: tuliphall validate -f prices.toml", &validateCommand{global: g}},
 		{"diff", "Show what apply would change", "Exits with 6 when there are differences.\n\nExample: tuliphall diff -f prices.toml", &diffCommand{global: g}},
-		{"get", "List objects", "Lists the objects of a kind: service, placement or policy.\n\nExample: tuliphall get service", &getCommand{global: g}},
+		{"get", "List objects", "Lists the objects of a kind: service, route, placement, policy or zone.\n\nExample: tuliphall get service", &getCommand{global: g}},
 		{"describe", "Show one object and its state", "Example: tuliphall describe service price-query", &describeCommand{global: g}},
 		{"delete", "Remove objects", "Example: tuliphall delete policy reads", &deleteCommand{global: g}},
 		{"history", "List the changes made", "Example: tuliphall history", &historyCommand{global: g}},
@@ -163,6 +163,8 @@
 		{"explain", "Tell from logs why a request ended as it did", "Reads the logs of any number of daemons, from files or the standard input, and asks no daemon.\n\nExamples: tuliphall explain 473cecd9ab6907cc *.log; tuliphall explain --summary *.log", &explainCommand{global: g}},
 		{"drain", "Send no new requests to a back end", "Example: tuliphall drain price-query p3", &drainCommand{global: g, drained: true}},
 		{"undrain", "Send requests to a back end again", "Example: tuliphall undrain price-query p3", &drainCommand{global: g, drained: false}},
+		{"evacuate", "Send no new requests to the back ends of a zone", "For all services at once. Requests at work there end in peace.\n\nExample: tuliphall evacuate zone-a --wait", &evacuateCommand{global: g, evacuated: true}},
+		{"restore", "Send requests to an evacuated zone again", "Its back ends are spared at first, as they may have turned cold.\n\nExample: tuliphall restore zone-a", &evacuateCommand{global: g, evacuated: false}},
 		{"version", "Print the version", "", &versionCommand{global: g}},
 		{"completion", "Print a completion script for bash", "Example: source <(tuliphall completion)", &completionCommand{global: g}},
 	}
--- a/command/show.go
+++ b/command/show.go
@@ -106,8 +106,14 @@
 			rows = append(rows, []string{p.Name, p.Class, p.Weight, p.Retry, p.Once})
 		}
 		return c.global.print(content.Policies, rows)
+	case config.KindZone:
+		rows := [][]string{{"NAME", "EVACUATED"}}
+		for _, zone := range content.Zones {
+			rows = append(rows, []string{zone.Name, fmt.Sprint(zone.Evacuated)})
+		}
+		return c.global.print(content.Zones, rows)
 	}
-	return &exit{code: ExitUsage, cause: errors.NotValidf("KIND %q: allowed: service, route, placement, policy; it", c.Arguments.Kind)}
+	return &exit{code: ExitUsage, cause: errors.NotValidf("KIND %q: allowed: service, route, placement, policy, zone; it", c.Arguments.Kind)}
 }
 
 // sharesText writes shares as service:weight.
@@ -168,9 +174,9 @@
 		if c.global.Output == outputJSON {
 			return c.global.printJSON(s)
 		}
-		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "BEST", "DRAINING", "EJECTED", "LATENCY"}}
+		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "BEST", "DRAINING", "EVACUATED", "COLD", "EJECTED", "LATENCY"}}
 		for _, b := range s.Backends {
-			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.BestInFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String()})
+			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.BestInFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Evacuated), fmt.Sprint(b.Cold), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String()})
 		}
 		return c.global.printTable(rows)
 	}
@@ -203,6 +209,12 @@
 				return p, nil
 			}
 		}
+	case config.KindZone:
+		for _, zone := range content.Zones {
+			if zone.Name == key.Name {
+				return zone, nil
+			}
+		}
 	}
 	return nil, &exit{code: ExitNotFound, cause: errors.NotFoundf("%s", key)}
 }
@@ -242,6 +254,9 @@
 	for _, m := range status.Members {
 		rows = append(rows, []string{m.Name, m.Region, m.Zone, m.State, fmt.Sprint(m.Revision), m.Problem})
 	}
+	if len(status.Evacuated) > 0 {
+		rows = append(rows, nil, []string{"evacuated zones: " + strings.Join(status.Evacuated, " ")})
+	}
 	return c.global.print(status, rows)
 }
 
--- a/config/directory.go
+++ b/config/directory.go
@@ -137,29 +137,32 @@
 // either part came from the other one.
 func (d Document) Newest(other Document) (Document, bool) {
 	newer := d.Position().Behind(other.Position())
-	directory := d.Directory
-	if other.Directory.Revision > directory.Revision {
-		directory = other.Directory
-	}
+	newest := d
 	if other.Revision > d.Revision {
-		d = other
+		newest = newest.changed(other.Revision, other.Content, other.History)
+	}
+	if other.Directory.Revision > d.Directory.Revision {
+		newest.Directory = other.Directory
+	}
+	if other.Evacuations.Revision > d.Evacuations.Revision {
+		newest.Evacuations = other.Evacuations
 	}
-	d.Directory = directory
-	return d, newer
+	return newest, newer
 }
 
 // Position is the revision of each part of a document.
 type Position struct {
-	Revision  Revision
-	Directory Revision
+	Revision    Revision
+	Directory   Revision
+	Evacuations Revision
 }
 
 // Position returns the revisions of the document's parts.
 func (d Document) Position() Position {
-	return Position{Revision: d.Revision, Directory: d.Directory.Revision}
+	return Position{Revision: d.Revision, Directory: d.Directory.Revision, Evacuations: d.Evacuations.Revision}
 }
 
 // Behind says whether another position is higher in any part.
 func (p Position) Behind(other Position) bool {
-	return other.Revision > p.Revision || other.Directory > p.Directory
+	return other.Revision > p.Revision || other.Directory > p.Directory || other.Evacuations > p.Evacuations
 }
--- a/config/document.go
+++ b/config/document.go
@@ -42,8 +42,9 @@
 	Revision Revision `json:"revision"`
 	Content  Content  `json:"content"`
 	History  []Change `json:"history,omitempty"`
-	// Directory is not part of the revision, nor of the history.
-	Directory Directory `json:"directory,omitzero"`
+	// Directory and Evacuations are not part of the revision, nor of the history.
+	Directory   Directory   `json:"directory,omitzero"`
+	Evacuations Evacuations `json:"evacuations,omitzero"`
 }
 
 // DecodeDocument reads a document as Encode wrote it.
@@ -90,6 +91,11 @@
 			return nil, err
 		}
 	}
+	for _, zone := range c.Zones {
+		if err := put(KindZone, zone.Name, zone); err != nil {
+			return nil, err
+		}
+	}
 	return found, nil
 }
 
@@ -122,6 +128,8 @@
 		return decodeInto(data, &c.Placements)
 	case KindPolicy:
 		return decodeInto(data, &c.Policies)
+	case KindZone:
+		return decodeInto(data, &c.Zones)
 	default:
 		return errors.NotValidf("kind %q", key.Kind)
 	}
@@ -195,7 +203,7 @@
 	change.Revision = d.Revision + 1
 	change.Objects = changed
 	history := append(append([]Change(nil), d.History...), change)
-	return Document{Revision: change.Revision, Content: content, History: boundHistory(history), Directory: d.Directory}, nil
+	return d.changed(change.Revision, content, history), nil
 }
 
 // boundHistory drops the oldest changes until the history is within its bounds.
@@ -236,7 +244,13 @@
 	if err != nil {
 		return Document{}, err
 	}
-	return Document{Revision: revision, Content: content, History: boundHistory(history), Directory: d.Directory}, nil
+	return d.changed(revision, content, history), nil
+}
+
+// changed returns the document with other content. What a platform itself keeps stays.
+func (d Document) changed(revision Revision, content Content, history []Change) Document {
+	d.Revision, d.Content, d.History = revision, content, boundHistory(history)
+	return d
 }
 
 func (o objects) apply(changes []ObjectChange) {
--- a/config/objects.go
+++ b/config/objects.go
@@ -94,6 +94,12 @@
 	// ConnectTimeout is how long the opening of a connection to a back end may take;
 	// 0: 1 s. Nothing has left until then, so that the request is sent elsewhere.
 	ConnectTimeout Duration `toml:"connect_timeout" json:"connect_timeout,omitempty"`
+	// WarmUp is how long a back end counts as cold that has just started, or whose zone
+	// was evacuated until now; 0: nothing is cold.
+	WarmUp Duration `toml:"warm_up" json:"warm_up,omitempty"`
+	// WarmUpRate is how many requests a cold back end bears in a second, from all daemons
+	// together; 0: only slow start holds it.
+	WarmUpRate float64 `toml:"warm_up_rate" json:"warm_up_rate,omitempty"`
 	// AllowUnframed passes on answers that only the end of the connection
 	// delimits, which cannot be shown to be whole.
 	AllowUnframed bool `toml:"allow_unframed" json:"allow_unframed,omitempty"`
@@ -118,10 +124,17 @@
 	// Drained: the back end gets no new requests.
 	Drained bool `toml:"drained" json:"drained,omitempty"`
 	// Warm: the back end needs no slow start; false: a daemon that meets it for
-	// the first time begins with one request.
+	// the first time begins with one request, and holds it to the service's WarmUpRate.
 	Warm bool `toml:"warm" json:"warm,omitempty"`
 }
 
+// Zone is a zone in which back ends run, and what operators want of it.
+type Zone struct {
+	Name string `toml:"name" json:"name"` // as the back ends of the zone have it
+	// Evacuated: no back end of the zone gets a new request, of any service.
+	Evacuated bool `toml:"evacuated" json:"evacuated,omitempty"`
+}
+
 // Policy is a named policy.
 type Policy struct {
 	Name string `toml:"name" json:"name"`
@@ -134,6 +147,7 @@
 	Routes     []Route     `toml:"route" json:"routes,omitempty"`
 	Placements []Placement `toml:"placement" json:"placements,omitempty"`
 	Policies   []Policy    `toml:"policy" json:"policies,omitempty"`
+	Zones      []Zone      `toml:"zone" json:"zones,omitempty"`
 }
 
 // Kind names a kind of object.
@@ -145,6 +159,7 @@
 	KindRoute     Kind = "route"
 	KindPlacement Kind = "placement"
 	KindPolicy    Kind = "policy"
+	KindZone      Kind = "zone"
 )
 
 // ObjectKey names one object.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -12,6 +12,8 @@
 	Service  Service
 	Backends []Backend
 	Policy   *policy.Program
+	// Evacuated are the zones whose back ends get no new requests. It must not be changed.
+	Evacuated map[string]bool
 }
 
 // Deadline returns the service's deadline.
@@ -37,12 +39,16 @@
 	if err != nil {
 		return nil, err
 	}
-	placements := document.placements()
+	placements := document.Backends()
+	evacuated := make(map[string]bool)
+	for _, zone := range document.Evacuated() {
+		evacuated[zone] = true
+	}
 	snapshot := &Snapshot{Revision: document.Revision, Document: document}
 	targets := make(map[string]*Target, len(document.Content.Services))
 	var routes []*RunningRoute
 	for _, service := range document.Content.Services {
-		target := &Target{Service: service.withDefaults(), Policy: noPolicy}
+		target := &Target{Service: service.withDefaults(), Policy: noPolicy, Evacuated: evacuated}
 		if service.Policy != "" {
 			target.Policy = programs[service.Policy]
 		}
@@ -69,9 +75,9 @@
 	return others.Behind(mine) && !mine.Behind(others)
 }
 
-// placements gives the back ends of each service, those of the directory after
-// the declared ones.
-func (d Document) placements() map[string][]Backend {
+// Backends gives the back ends of each service, those of the directory after the declared
+// ones.
+func (d Document) Backends() map[string][]Backend {
 	placements := make(map[string][]Backend)
 	for _, placement := range d.Content.Placements {
 		placements[placement.Service] = placement.Backends
--- a/config/validate.go
+++ b/config/validate.go
@@ -27,6 +27,9 @@
 	MaxConnections       = 10000
 	MaxProbesPerSecond   = 1000
 	MaxProbeShare        = 0.01 // of a service's slot time
+	MaxZones             = 1000
+	MaxWarmUp            = Duration(time.Hour)
+	MaxWarmUpRate        = 100000.0
 	minStatus, maxStatus = 400, 599
 )
 
@@ -95,6 +98,7 @@
 	services := v.services(c.Services, programs, taken)
 	v.routes(c.Routes, services, programs, taken)
 	v.placements(c.Placements, services)
+	v.zones(c.Zones)
 	if len(v.wrong) > 0 {
 		return nil, stderrors.Join(v.wrong...)
 	}
@@ -172,6 +176,17 @@
 	v.check(total > 0, object, "share", total, "shares with a weight above 0")
 }
 
+func (v *validator) zones(declared []Zone) {
+	checkRange(v, ObjectKey{Kind: "document", Name: "all"}, "zones", len(declared), 0, MaxZones)
+	names := make(map[string]bool, len(declared))
+	for _, zone := range declared {
+		object := ObjectKey{Kind: KindZone, Name: zone.Name}
+		v.check(namePattern.MatchString(zone.Name), object, "name", zone.Name, nameAllowed)
+		v.check(!names[zone.Name], object, "name", zone.Name, "a name used once")
+		names[zone.Name] = true
+	}
+}
+
 // selector checks what selects requests.
 func (v *validator) selector(object ObjectKey, hosts []string, prefix string) {
 	v.check(prefix == "" || strings.HasPrefix(prefix, "/"), object, "path_prefix", prefix, "a path that begins with /")
@@ -201,6 +216,9 @@
 	v.checkDuration(object, "deadline", s.Deadline, MaxDeadline)
 	v.checkDuration(object, "idle_timeout", s.IdleTimeout, MaxDeadline)
 	v.checkDuration(object, "connect_timeout", s.ConnectTimeout, MaxConnectTimeout)
+	v.checkDuration(object, "warm_up", s.WarmUp, MaxWarmUp)
+	checkRange(v, object, "warm_up_rate", s.WarmUpRate, 0, MaxWarmUpRate)
+	v.check(s.WarmUpRate == 0 || s.WarmUp > 0, object, "warm_up", time.Duration(s.WarmUp), "a time, as warm_up_rate is above 0")
 	v.check(s.RefusalStatus == 0 || (s.RefusalStatus >= minStatus && s.RefusalStatus <= maxStatus), object, "refusal_status", s.RefusalStatus, "0 or 400 to 599")
 	v.check(s.ProbePath == "" || strings.HasPrefix(s.ProbePath, "/"), object, "probe_path", s.ProbePath, "a path that begins with /")
 	checkRange(v, object, "probes_per_second", s.ProbesPerSecond, 0, MaxProbesPerSecond)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -101,7 +101,7 @@
 		return Decision{Refused: resultcode.WaitExpired}
 	}
 	ticket := c.ticket(now, request, payload)
-	verdict, displaced := c.Queue.Offer(now, ticket, c.Group.Pace())
+	verdict, displaced := c.Queue.Offer(now, ticket, c.Group.Pace(now))
 	var decision Decision
 	if displaced != nil {
 		decision.Displaced = displaced.Payload.(*waiting).payload
@@ -175,7 +175,7 @@
 		return nil
 	}
 	var found []Hopeless
-	for _, ticket := range c.Queue.Hopeless(now, c.Group.Pace()) {
+	for _, ticket := range c.Queue.Hopeless(now, c.Group.Pace(now)) {
 		waiter := ticket.Payload.(*waiting)
 		found = append(found, Hopeless{Request: waiter.request, Payload: waiter.payload})
 	}
@@ -190,7 +190,7 @@
 
 // Refuse returns what a request is told that is refused a place.
 func (c *Core) Refuse(now time.Time, request Request, code resultcode.Code) *resultcode.Failure {
-	pace := c.Group.Pace() // a walk over all back ends
+	pace := c.Group.Pace(now) // a walk over all back ends
 	return &resultcode.Failure{Code: code, Detail: c.explain(now, request, code, pace), RetryAfter: c.retryAfter(now, request, pace)}
 }
 
@@ -198,7 +198,7 @@
 func (c *Core) explain(now time.Time, request Request, code resultcode.Code, pace time.Duration) string {
 	switch {
 	case code == resultcode.NoBackend:
-		return "every back end is draining or none is placed"
+		return c.Group.Unavailable()
 	case !c.work.of(request.Class).servable(now, request):
 		return fmt.Sprintf("%s are left, the fastest answers take %s",
 			request.Deadline.Sub(now).Round(time.Millisecond), c.work.of(request.Class).fastest.Round(time.Millisecond))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -75,14 +75,14 @@
 // Configure sets the back ends and the bound of the queue.
 func (d *Dispatcher) Configure(backends []routing.Backend, queueLimit int) {
 	d.change(func() {
-		d.core.Group.SetBackends(backends)
+		d.core.Group.SetBackends(time.Now(), backends)
 		d.core.Queue.SetLimit(queueLimit)
 	})
 }
 
 // SetDraining notes that a back end is leaving, or is back.
 func (d *Dispatcher) SetDraining(id string, draining bool) {
-	d.change(func() { d.core.Group.SetDraining(id, draining) })
+	d.change(func() { d.core.Group.SetDraining(time.Now(), id, draining) })
 }
 
 // Takes says whether a back end is known and not leaving.
@@ -299,6 +299,8 @@
 	BestInFlight int           `json:"best_in_flight"`
 	Others       float64       `json:"others"`
 	Draining     bool          `json:"draining"`
+	Evacuated    bool          `json:"evacuated"` // its zone is, which is why it is draining
+	Cold         bool          `json:"cold"`
 	Ejected      bool          `json:"ejected"`
 	Latency      time.Duration `json:"latency_ns"`
 }
@@ -319,7 +321,7 @@
 	for _, state := range d.core.Group.States() {
 		backends = append(backends, BackendStatus{
 			ID: state.ID, Zone: state.Zone, Slots: state.Slots, InFlight: state.InFlight, BestInFlight: d.core.Group.BestInFlight(state.ID),
-			Others: state.Others(now), Draining: state.Draining, Ejected: state.Ejected(now), Latency: state.Latency(),
+			Others: state.Others(now), Draining: state.Draining, Evacuated: state.Evacuated, Cold: state.Cold(now), Ejected: state.Ejected(now), Latency: state.Latency(),
 		})
 	}
 	return backends, d.core.Queue.Len()
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -24,7 +24,7 @@
 	for number := range backends {
 		list = append(list, routing.Backend{ID: string(rune('a' + number)), Slots: 1, Window: 1, Warm: true})
 	}
-	group.SetBackends(list)
+	group.SetBackends(epoch, list)
 	core := &Core{Group: group, Queue: admission.NewQueue(100)}
 	for number := range workMemory {
 		core.work.learn("read", 80*time.Millisecond+time.Duration(number*40/workMemory)*time.Millisecond)
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -56,6 +56,8 @@
 	return config.Document{}, errors.NotFoundf("declaration")
 }
 
+func (s *scriptedSource) Essential() bool { return true }
+
 func (s *scriptedSource) Name() string {
 	return "script"
 }
--- a/dissemination/log.go
+++ b/dissemination/log.go
@@ -22,6 +22,7 @@
 		slog.Int("routes", len(now.Content.Routes)), slog.Int("services", len(now.Content.Services)),
 		slog.Uint64("directory", uint64(now.Directory.Revision)), slog.Uint64("directory_before", uint64(before.Directory.Revision)),
 		slog.Int("backends", len(now.Directory.Listed)),
+		slog.String("evacuated", strings.Join(now.Evacuated(), " ")), slog.String("evacuated_before", strings.Join(before.Evacuated(), " ")),
 	}
 	attributes = append(attributes, backendsChanged(before.Directory, now.Directory)...)
 	f.log.LogAttrs(context.Background(), slog.LevelInfo, "in force", append(attributes, slog.String("source", source))...)
--- a/dissemination/source.go
+++ b/dissemination/source.go
@@ -15,6 +15,9 @@
 type Source interface {
 	// Name says in logs what it is.
 	Name() string
+	// Essential says whether requests can be served only once it has been read. Others are
+	// not read at the start, and watched half as often.
+	Essential() bool
 	// Read returns the newest there is; its other parts are empty. The error is
 	// errors.NotFound where nothing was declared yet.
 	Read(ctx context.Context) (config.Document, error)
@@ -43,6 +46,19 @@
 	return min(gap*time.Duration(max(turns, 1)), longestWatch)
 }
 
+// laterGap is how many times the gap between renewals is longer for a source that is not
+// essential. Operators give an evacuation five seconds to be in force; at twice 700 ms what
+// a deaf watch misses is heard within two, at half of the calls.
+const laterGap = 2
+
+// gapOf returns the time between the renewals of two daemons' watches of a source.
+func (f *Follower) gapOf(source Source) time.Duration {
+	if source.Essential() {
+		return f.options.WatchGap
+	}
+	return laterGap * f.options.WatchGap
+}
+
 // Head is the source for documents that operators write with the project's own
 // command.
 type Head struct {
@@ -62,6 +78,11 @@
 	return "head object"
 }
 
+// Essential implements Source.
+func (h *Head) Essential() bool {
+	return true
+}
+
 // Read implements Source.
 func (h *Head) Read(ctx context.Context) (config.Document, error) {
 	document, _, err := config.Load(ctx, h.store)
--- a/dissemination/start.go
+++ b/dissemination/start.go
@@ -42,6 +42,9 @@
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
 	for _, source := range f.options.Sources {
+		if !source.Essential() {
+			continue
+		}
 		document, err := source.Read(ctx)
 		if err != nil {
 			return err
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -22,7 +22,7 @@
 		place, watchers := f.turn()
 		begun := time.Now()
 		before := f.Position()
-		if err := f.watch(ctx, source, watchLength(f.options.WatchGap, place, watchers, fresh)); err != nil {
+		if err := f.watch(ctx, source, watchLength(f.gapOf(source), place, watchers, fresh)); err != nil {
 			health.failed(f.log, source, begun, err)
 			backoff = f.pause(ctx, backoff)
 			continue
--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -47,6 +47,10 @@
 	client       *http.Client
 	last         atomic.Int64 // number of the last request
 	logs         logs
+	// service is the declaration of the workers' services, and split the weights of those
+	// that every route leads to; none: all requests go to one.
+	service map[string]any
+	split   map[string]int
 
 	mutex   sync.Mutex
 	answers map[string]answer // by the request's id
@@ -62,13 +66,13 @@
 // runFleet is run with so many daemons.
 func runFleet(t *testing.T, daemons, workers int, check func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, net: fakenet.New(100 * time.Microsecond), store: objectstub.New(), answers: make(map[string]answer)}
+		f := &fleet{t: t, net: fakenet.New(100 * time.Microsecond), store: objectstub.New(), service: map[string]any{"healthPath": "/health"}, answers: make(map[string]answer)}
 		defer time.Sleep(time.Minute) // what still writes ends
 		defer f.checkOutcomes()
 		defer f.close()
 		f.storeAddress = f.serve("store", f.store.Handler())
 		for number := range workers {
-			one := &worker{id: fmt.Sprintf("i-%d", number), runs: make(map[string]int), work: 20 * time.Millisecond}
+			one := &worker{id: fmt.Sprintf("i-%d", number), zone: "zone", service: "board", runs: make(map[string]int), work: 20 * time.Millisecond}
 			one.instance = one.id
 			one.address = f.serve(one.id, one)
 			f.workers = append(f.workers, one)
@@ -160,14 +164,15 @@
 }
 
 type serverSpec struct {
-	Address string            `json:"address"`
-	Info    map[string]any    `json:"info"`
-	Status  map[string]string `json:"status"`
+	Address string         `json:"address"`
+	Info    map[string]any `json:"info"`
+	Status  map[string]any `json:"status"`
 }
 
 func (f *fleet) announce(one *worker, state string) {
 	f.store.Set("servers", one.id, serverSpec{
-		Address: one.address, Info: map[string]any{"service": "board", "zone": "zone", "slots": 3}, Status: map[string]string{"state": state},
+		Address: one.address, Info: map[string]any{"service": one.service, "zone": one.zone, "slots": 3},
+		Status: map[string]any{"state": state, "warmupLeftS": one.warmUpLeft.Seconds()},
 	})
 }
 
@@ -180,14 +185,32 @@
 // configure writes a configuration with a safe and an unsafe route under prefix.
 func (f *fleet) configure(prefix string) {
 	route := func(kind string) resource {
-		return resource{Kind: "routes", Metadata: map[string]any{"name": kind}, Spec: map[string]any{
+		spec := map[string]any{
 			"host": "a.example", "pathPrefix": prefix + kind + "/", "kind": kind, "timeoutS": 2, "targetLatencyS": 0.4,
 			"priority": 1, "service": "board", "maxAttempts": 2,
-		}}
+		}
+		if len(f.split) > 0 {
+			delete(spec, "service")
+			spec["split"] = f.shares()
+		}
+		return resource{Kind: "routes", Metadata: map[string]any{"name": kind}, Spec: spec}
+	}
+	resources := []resource{route("safe"), route("unsafe"), {Kind: "services", Metadata: map[string]any{"name": "board"}, Spec: f.service}}
+	for name := range f.split {
+		if name != "board" {
+			resources = append(resources, resource{Kind: "services", Metadata: map[string]any{"name": name}, Spec: f.service})
+		}
+	}
+	f.store.Set("config", "main", map[string]any{"version": 1, "resources": resources})
+}
+
+// shares returns the split as routes declare it.
+func (f *fleet) shares() []map[string]any {
+	var shares []map[string]any
+	for name, weight := range f.split {
+		shares = append(shares, map[string]any{"service": name, "weight": weight})
 	}
-	f.store.Set("config", "main", map[string]any{"version": 1, "resources": []resource{
-		route("safe"), route("unsafe"), {Kind: "services", Metadata: map[string]any{"name": "board"}, Spec: map[string]any{"healthPath": "/health"}},
-	}})
+	return shares
 }
 
 // answer is what a caller got.
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -57,11 +57,12 @@
 	faults   Faults
 	calls    int
 	lists    map[string]int // by kind
+	watches  map[string]int // by kind
 }
 
 // New returns a store that is well and empty.
 func New() *Stub {
-	return &Stub{kinds: make(map[string]map[string]Object), lists: make(map[string]int), changed: make(chan struct{})}
+	return &Stub{kinds: make(map[string]map[string]Object), lists: make(map[string]int), watches: make(map[string]int), changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -85,6 +86,13 @@
 	return s.lists[kind]
 }
 
+// Watches returns how many calls watched a kind.
+func (s *Stub) Watches(kind string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.watches[kind]
+}
+
 // Revision returns the revision of the last change.
 func (s *Stub) Revision() uint64 {
 	s.mutex.Lock()
@@ -218,6 +226,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mutex.Lock()
+	s.watches[r.PathValue("kind")]++
+	s.mutex.Unlock()
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
--- a/lab/objectstub/worker_test.go
+++ b/lab/objectstub/worker_test.go
@@ -11,6 +11,10 @@
 type worker struct {
 	id      string
 	address string
+	zone    string
+	service string
+	// warmUpLeft is for how long it says that it is cold.
+	warmUpLeft time.Duration
 
 	mutex    sync.Mutex
 	runs     map[string]int // by request id
@@ -20,7 +24,8 @@
 	echo     string        // answers with this request id; empty: the request's
 	disturb  time.Duration // work takes disturbedTimes as long in every other span of this length
 	probes   []time.Time
-	silent   bool // health checks get no answer
+	silent   bool        // health checks get no answer
+	arrivals []time.Time // of requests, in order
 }
 
 // disturbedTimes is how much longer work takes that begins while a worker is disturbed.
@@ -61,6 +66,7 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.mutex.Lock()
+	w.arrivals = append(w.arrivals, time.Now())
 	slowdown := w.slowdown()
 	work, refuse, echo := w.work*time.Duration(slowdown), w.refuse, w.echo
 	misdirected := r.Header.Get("Expected-Instance") != w.instance
--- a/lab/simulation/replay.go
+++ b/lab/simulation/replay.go
@@ -127,7 +127,7 @@
 	for _, one := range r.workers {
 		backends = append(backends, routing.Backend{ID: one.id, Slots: one.slots, Window: one.slots, Warm: true})
 	}
-	r.core.Group.SetBackends(backends)
+	r.core.Group.SetBackends(r.time(), backends)
 }
 
 func (r *replay) arrivals(class PatternClass, random *rand.Rand) {
--- a/lab/simulation/simulation.go
+++ b/lab/simulation/simulation.go
@@ -117,7 +117,7 @@
 	for number := range count {
 		random := rand.New(rand.NewPCG(s.scenario.Seed, uint64(1000+number)))
 		group := routing.NewGroup(routing.Options{Picker: s.system.Picker(s.oracle), Random: random, Overcommit: s.system.Overcommit})
-		group.SetBackends(backends)
+		group.SetBackends(epoch, backends)
 		one := &node{zone: number % s.scenario.Zones, core: dispatch.Core{Group: group, Queue: admission.NewQueue(s.scenario.Queue)}}
 		for range count {
 			one.told = append(one.told, make([]int, len(s.workers)))
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -15,6 +15,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,9 @@
 	refreshTimeout = 100 * time.Millisecond
 	// maxOutstanding bounds such probes of one service that are under way.
 	maxOutstanding = 4
+	// maxWarmUpLeft is the longest time that a back end may say it remains cold: an hour, as
+	// what services declare (config.MaxWarmUp).
+	maxWarmUpLeft = time.Duration(config.MaxWarmUp)
 	// maxProbeBody bounds what is read of the answer to a probe.
 	maxProbeBody = 4 << 10
 )
@@ -250,7 +254,22 @@
 		return nil, false, errors.Annotate(err, "probe")
 	}
 	if told, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
+		told.WarmUpLeft = p.warmUpLeft(response.Header)
 		report = new(routing.Report(told))
 	}
 	return report, response.StatusCode < http.StatusInternalServerError, nil
 }
+
+// warmUpLeft reads for how long the back end remains cold; 0 where it does not say.
+func (p *Prober) warmUpLeft(from http.Header) time.Duration {
+	told := from.Get(p.options.Dialect.WarmUpLeft)
+	if told == "" {
+		return 0
+	}
+	left, err := strconv.ParseFloat(told, 64)
+	if err != nil || !(left >= 0 && left <= maxWarmUpLeft.Seconds()*1000) {
+		p.log.Warn("unusable time until a back end is warm", "value", told, "error", err)
+		return 0
+	}
+	return time.Duration(left * float64(time.Millisecond))
+}
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -16,6 +16,9 @@
 	if err := n.addDirectory(reply, document.Directory, after.Directory); err != nil {
 		return nil, err
 	}
+	if document.Evacuations.Revision > after.Evacuations {
+		reply.Evacuations = &peerpb.Evacuations{Revision: uint64(document.Evacuations.Revision), Zones: document.Evacuations.Zones}
+	}
 	return reply, n.addConfiguration(reply, document, after.Revision)
 }
 
@@ -60,6 +63,9 @@
 	if err != nil {
 		return config.Document{}, err
 	}
+	if told := reply.Evacuations; config.Revision(told.GetRevision()) > present.Evacuations.Revision {
+		next.Evacuations = config.Evacuations{Revision: config.Revision(told.Revision), Zones: told.Zones}
+	}
 	next.Directory, err = followDirectory(present.Directory, reply)
 	return next, err
 }
@@ -90,7 +96,7 @@
 		if err := decompress(reply.Document, &document); err != nil {
 			return config.Document{}, errors.Annotate(err, "the document")
 		}
-		document.Directory = present.Directory
+		document.Directory, document.Evacuations = present.Directory, present.Evacuations
 		return document, nil
 	}
 	changes := make([]config.Change, len(reply.Changes))
--- a/peer/encoding.go
+++ b/peer/encoding.go
@@ -54,7 +54,7 @@
 }
 
 func (e *encodings) documentOf(document config.Document) ([]byte, error) {
-	document.Directory = config.Directory{} // sent by itself
+	document.Directory, document.Evacuations = config.Directory{}, config.Evacuations{} // sent by themselves
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return e.document.of(document.Revision, document)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -83,7 +83,7 @@
 	position := n.options.Configuration.Position()
 	n.mutex.Lock()
 	request := &peerpb.ExchangeRequest{
-		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory),
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations),
 		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}
 	n.mutex.Unlock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -44,7 +44,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return &peerpb.ExchangeReply{
-		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory),
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations),
 		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(len(n.view.Load().Serving)), Digest: n.state.Digest(),
 	}, nil
 }
@@ -72,6 +72,8 @@
 
 // Changes implements peerpb.DRPCPeerServer.
 func (s *server) Changes(_ context.Context, request *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
-	after := config.Position{Revision: config.Revision(request.After), Directory: config.Revision(request.DirectoryAfter)}
+	after := config.Position{
+		Revision: config.Revision(request.After), Directory: config.Revision(request.DirectoryAfter), Evacuations: config.Revision(request.EvacuationsAfter),
+	}
 	return s.node.changesAfter(after)
 }
--- a/routing/group.go
+++ b/routing/group.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -58,7 +59,7 @@
 
 // SetBackends replaces the declared back ends. What is known of those that stay
 // is kept; requests in flight at those that go are still counted when finished.
-func (g *Group) SetBackends(backends []Backend) {
+func (g *Group) SetBackends(now time.Time, backends []Backend) {
 	byID := make(map[string]*State, len(backends))
 	states := make([]*State, 0, len(backends))
 	for _, backend := range backends {
@@ -66,15 +67,19 @@
 		if !known {
 			state = &State{root: math.Sqrt(initialLatency.Seconds())}
 			state.slowdown.common = &g.common
-			if backend.Warm {
-				state.warmth = backend.Slots * windowFactor
-			}
 		}
 		if state.Slots != backend.Slots || state.Window != backend.Window {
 			state.window = g.firstWindow(backend)
 			state.bound = g.learned.bound(backend.Window, g.short, g.options.Random)
 		}
+		wasWarm := known && state.Warm
 		state.Backend = backend
+		switch {
+		case backend.Warm && !wasWarm:
+			state.warmedUp()
+		case !backend.Warm && (wasWarm || !known):
+			state.cool(now, backend.WarmUp.Lasts)
+		}
 		byID[backend.ID] = state
 		states = append(states, state)
 	}
@@ -112,11 +117,11 @@
 
 // Pace returns how long the back ends take for one request, all together, as far
 // as their latencies tell. It is 0 when no back end takes requests.
-func (g *Group) Pace() time.Duration {
+func (g *Group) Pace(now time.Time) time.Duration {
 	perSecond := 0.0
 	for _, state := range g.states {
 		if !state.Draining {
-			perSecond += float64(state.Slots) / state.Latency().Seconds()
+			perSecond += state.pace(now)
 		}
 	}
 	if perSecond == 0 {
@@ -125,11 +130,12 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// SetDraining notes that a back end is leaving, or is back.
-func (g *Group) SetDraining(id string, draining bool) {
+// SetDraining notes that a back end is to get no new requests, or gets them again. One that
+// comes back may have turned cold, whatever was heard of it last.
+func (g *Group) SetDraining(now time.Time, id string, draining bool) {
 	if state, ok := g.byID[id]; ok {
 		if state.Draining && !draining {
-			state.warmth = 0
+			state.cool(now, state.WarmUp.Lasts)
 		}
 		state.Draining = draining
 	}
@@ -151,6 +157,20 @@
 	return false
 }
 
+// Unavailable says why no back end takes requests.
+func (g *Group) Unavailable() string {
+	evacuated := 0
+	for _, state := range g.states {
+		if state.Evacuated {
+			evacuated++
+		}
+	}
+	if evacuated == 0 {
+		return "every back end is draining or none is placed"
+	}
+	return fmt.Sprintf("%d of %d back ends are in evacuated zones, the others draining", evacuated, len(g.states))
+}
+
 // Request is what routing needs to know of a request.
 type Request struct {
 	// Session binds requests with the same text to one back end; empty: no
@@ -162,6 +182,9 @@
 	Repeatable bool
 	// Zone is that of the daemon that sends the request.
 	Zone string
+	// Choosers is how many daemons may choose for requests of the service just now, each by
+	// itself; 0 or 1: one dispatcher for all.
+	Choosers int
 }
 
 // Pick chooses a back end for a request and counts it as sent. It returns false
@@ -169,11 +192,11 @@
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
 	g.look(now, request)
 	if request.Session != "" {
-		return g.pickSession(now, request.Session)
+		return g.pickSession(now, request)
 	}
 	if trial := g.found.trial; trial != nil {
 		trial.health.Trial(now)
-		g.sent(trial, now)
+		g.sent(trial, now, request.Choosers)
 		return g.result(trial, ReasonTrial, 1, now), true
 	}
 	if len(g.found.eligible) == 0 {
@@ -190,11 +213,11 @@
 	from := origin{zone: request.Zone, repeatable: request.Repeatable}
 	g.earnProbes(from)
 	if newcomer := g.newcomer(now, request); newcomer != nil {
-		g.sent(newcomer, now)
+		g.sent(newcomer, now, request.Choosers)
 		return g.result(newcomer, ReasonNewcomer, len(free), now), true
 	}
 	chosen := free[g.options.Picker.Pick(PickInfo{Now: now, Random: g.options.Random, Origin: from, Candidates: free})]
-	g.sent(chosen, now)
+	g.sent(chosen, now, request.Choosers)
 	return g.result(chosen, ReasonLoad, len(free), now), true
 }
 
@@ -283,7 +306,7 @@
 
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
-func (g *Group) pickSession(now time.Time, session string) (PickResult, bool) {
+func (g *Group) pickSession(now time.Time, request Request) (PickResult, bool) {
 	candidates := g.found.eligible
 	if len(candidates) == 0 {
 		return PickResult{}, false
@@ -291,22 +314,26 @@
 	var best *State
 	var bestHash uint64
 	for _, state := range candidates {
-		hash := xxhash.Sum64String(session + "\x00" + state.ID)
+		hash := xxhash.Sum64String(request.Session + "\x00" + state.ID)
 		if best == nil || hash > bestHash {
 			best, bestHash = state, hash
 		}
 	}
-	g.sent(best, now)
+	if !g.bears(best, now, request.Choosers) {
+		return PickResult{}, false // the request waits: only this one has its session
+	}
+	g.sent(best, now, request.Choosers)
 	return g.result(best, ReasonSession, len(candidates), now), true
 }
 
-func (g *Group) sent(state *State, now time.Time) {
+func (g *Group) sent(state *State, now time.Time, choosers int) {
 	state.pass(now)
 	if state.InFlight == 0 {
 		state.quietSince = now
 	}
 	state.InFlight++
 	state.met = true
+	state.spared(now, choosers)
 }
 
 // firstWindow is the bound before any report.
@@ -327,6 +354,8 @@
 	// Slowdown is how much longer work takes there now than usually; 0: not
 	// told.
 	Slowdown float64
+	// WarmUpLeft is for how long it remains cold; 0: not told.
+	WarmUpLeft time.Duration
 }
 
 // Report notes a load report of the back end. waiting says whether requests wait
@@ -339,6 +368,9 @@
 		g.common.report(report.Slowdown)
 		state.slowdown.report(at, report.Slowdown)
 	}
+	if report.WarmUpLeft > 0 {
+		state.cool(at, report.WarmUpLeft)
+	}
 	inFlight := report.InFlight
 	state.learnWindow(inFlight, waiting, g.leastWindow(state.Slots))
 	state.reported = max(inFlight-state.InFlight, 0)
--- a/routing/learning_test.go
+++ b/routing/learning_test.go
@@ -14,7 +14,7 @@
 
 func newTestGroup(backends ...Backend) *Group {
 	group := NewGroup(Options{Picker: LeastLoad{}, Random: rand.New(rand.NewPCG(1, 2)), Overcommit: DefaultOvercommit})
-	group.SetBackends(backends)
+	group.SetBackends(start, backends)
 	return group
 }
 
@@ -272,7 +272,7 @@
 			group.Report(group.byID["a"], Report{Slowdown: 1}, false, start)
 			picked := pick(t, group, start, "")
 			group.Finished(picked, start, Success, work)
-			group.SetBackends([]Backend{{ID: "a", Slots: 3, Window: 3}, {ID: "new", Slots: 3, Window: 3, Warm: true}})
+			group.SetBackends(start, []Backend{{ID: "a", Slots: 3, Window: 3}, {ID: "new", Slots: 3, Window: 3, Warm: true}})
 			for now := start; now.Sub(start) <= one.within; now = now.Add(10 * time.Millisecond) {
 				if one.told > 0 && now.Sub(start) == newcomerWait-50*time.Millisecond {
 					group.Report(group.byID["new"], Report{Slowdown: one.told}, false, now)
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if state.Ejected(now) {
-		state.warmth = 0
+		state.warmth = 0 // it may have failed because it got too much at once
 		state.health.Success()
 	}
 	if report != nil {
--- a/routing/state.go
+++ b/routing/state.go
@@ -29,6 +29,10 @@
 	// Warm: the back end is known to have run for a while, so that it needs no
 	// slow start although this daemon meets it for the first time.
 	Warm bool
+	// WarmUp is what it bears while it is not.
+	WarmUp WarmUp
+	// Evacuated: its zone is to get no requests, which is why it is Draining.
+	Evacuated bool
 }
 
 // State is what one daemon knows of one back end.
@@ -52,6 +56,7 @@
 	heard    time.Time // of the last answer or probe
 	window   float64   // most requests of this daemon at the back end
 	slowdown slowdown
+	warmUp   warmUp
 	// bound is how many requests it is to hold at most, of those with a declared window.
 	bound      int
 	sinceBound int  // requests that succeeded since it was chosen
@@ -141,6 +146,16 @@
 	return slotWeight*min(load, 1) + max(load, 1)
 }
 
+// pace returns how many requests the back end finishes in a second, as far as its latency
+// and what it bears tell.
+func (s *State) pace(now time.Time) float64 {
+	perSecond := float64(s.Slots) / s.Latency().Seconds()
+	if s.Cold(now) && s.WarmUp.PerSecond > 0 {
+		return min(perSecond, s.WarmUp.PerSecond)
+	}
+	return perSecond
+}
+
 // origin is what of a request its score at a back end depends on.
 type origin struct {
 	zone       string // of the daemon that sends it
--- a/routing/survey.go
+++ b/routing/survey.go
@@ -36,10 +36,10 @@
 }
 
 // add takes in a back end that takes requests.
-func (s *survey) add(state *State, now time.Time, limit int) {
+func (s *survey) add(state *State, now time.Time, full bool) {
 	s.eligible = append(s.eligible, state)
 	switch {
-	case state.InFlight >= limit:
+	case full:
 	case state.held(now):
 		s.held = append(s.held, state)
 	default:
@@ -55,6 +55,11 @@
 	}
 }
 
+// full says whether a back end may not have one more request now.
+func (g *Group) full(state *State, now time.Time, choosers int) bool {
+	return state.InFlight >= g.limit(state) || !g.bears(state, now, choosers)
+}
+
 // look finds out which back ends may have a request that comes now. Where more are
 // ejected than may be, the ejected ones count as well: a fault that all share must not
 // empty the group. Those that are held back count where no other has anything to do.
@@ -75,17 +80,17 @@
 		switch {
 		case state.Ejected(now):
 			found.ejected = append(found.ejected, state)
-			if found.trial == nil && !tried && state.health.TrialDue(trialAsOf) {
+			if found.trial == nil && !tried && state.health.TrialDue(trialAsOf) && g.bears(state, now, request.Choosers) {
 				found.trial = state
 			}
 		case !tried:
-			found.add(state, now, g.limit(state))
+			found.add(state, now, g.full(state, now, request.Choosers))
 		}
 	}
 	if len(found.ejected) > outlier.MaxEjected(len(g.states)) {
 		for _, state := range found.ejected {
 			if !contains(request.Tried, state.ID) {
-				found.add(state, now, g.limit(state))
+				found.add(state, now, g.full(state, now, request.Choosers))
 			}
 		}
 	}
@@ -128,7 +133,7 @@
 		g.bests.byZone = append(g.bests.byZone, noneScored)
 	}
 	for _, state := range g.states {
-		if state.Draining || state.Ejected(now) || state.InFlight >= g.limit(state) {
+		if state.Draining || state.Ejected(now) || g.full(state, now, 1) {
 			continue
 		}
 		near := &g.bests.byZone[state.zoneNumber]
--- a/service/acquire.go
+++ b/service/acquire.go
@@ -18,6 +18,8 @@
 // whole, whoever else gives out places.
 type Grantor struct {
 	burstShare float64
+	// choosers is how many daemons give out places at the same time, as far as is known.
+	choosers int
 }
 
 // dispatcherShare is the dispatcher's part of the burst. The rest is for daemons that
@@ -30,18 +32,18 @@
 
 // Dispatching is the daemon that dispatches the service.
 func Dispatching() Grantor {
-	return Grantor{burstShare: dispatcherShare}
+	return Grantor{burstShare: dispatcherShare, choosers: 1}
 }
 
 // Substitute is one of so many daemons, for a request for which it did not reach the
 // dispatcher.
 func Substitute(daemons int) Grantor {
-	return Grantor{burstShare: (1 - dispatcherShare) / float64(max(daemons, 1))}
+	return Grantor{burstShare: (1 - dispatcherShare) / float64(max(daemons, 1)), choosers: daemons}
 }
 
 // Alone is one of so many daemons that each give out places by themselves.
 func Alone(daemons int) Grantor {
-	return Grantor{burstShare: 1 / float64(max(daemons, 1))}
+	return Grantor{burstShare: 1 / float64(max(daemons, 1)), choosers: daemons}
 }
 
 // Acquire gives out a place for an attempt of a kind. A first attempt earns for the
@@ -52,6 +54,7 @@
 		return nil, ErrOverBudget
 	}
 	request.Spare = kind == retry.Hedge // it is worth one only while there are free ones
+	request.Routing.Choosers = as.choosers
 	grant, err := s.Dispatcher.Acquire(ctx, request)
 	if err != nil && kind != retry.First {
 		s.refund()
--- a/service/service.go
+++ b/service/service.go
@@ -29,11 +29,11 @@
 	target  atomic.Pointer[config.Target]
 	clients atomic.Pointer[clients]
 
-	mutex    sync.Mutex
-	budget   retry.Budget
-	earned   time.Time // of the last request that earned for it
-	drained  map[drainKey]bool
-	declared map[string]config.Backend
+	mutex   sync.Mutex
+	budget  retry.Budget
+	earned  time.Time // of the last request that earned for it
+	drained map[drainKey]bool
+	closed  map[string]bool // back ends that by declaration get no new requests
 }
 
 func newService(options Options, name string, seed uint64) *Service {
@@ -94,26 +94,30 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.target.Store(target)
-	declared := make(map[string]config.Backend, len(target.Backends))
+	closed := make(map[string]bool)
 	present := s.clients.Load()
 	next := &clients{requests: make(map[string]*backend.Client), probes: make(map[string]*backend.Client)}
 	places := make([]routing.Backend, 0, len(target.Backends))
 	for _, one := range target.Backends {
-		declared[one.ID] = one
+		evacuated := target.Evacuated[one.Zone]
+		closed[one.ID] = one.Drained || evacuated
 		options := backend.Options{Network: s.network, Address: one.Address, Connections: one.Connections, AllowUnframed: target.Service.AllowUnframed, Echo: s.echo, IdleTimeout: time.Duration(target.Service.IdleTimeout), ConnectTimeout: time.Duration(target.Service.ConnectTimeout)}
 		next.requests[one.ID] = keep(present.requests[one.ID], options)
 		options.NoReuse, options.Echo = target.Service.ProbeFreshness == 0, ""
 		options.Connections = probeConnections
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
-		places = append(places, routing.Backend{ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one), Warm: one.Warm})
+		places = append(places, routing.Backend{
+			ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one), Warm: one.Warm, Evacuated: evacuated,
+			WarmUp: routing.WarmUp{Lasts: time.Duration(target.Service.WarmUp), PerSecond: target.Service.WarmUpRate},
+		})
 	}
 	closeReplaced(present.requests, next.requests)
 	closeReplaced(present.probes, next.probes)
-	s.declared = declared
+	s.closed = closed
 	s.clients.Store(next)
 	s.Dispatcher.Configure(places, target.Service.QueueLimit)
 	for _, one := range target.Backends {
-		s.Dispatcher.SetDraining(one.ID, one.Drained || s.heardDrained(one.ID))
+		s.Dispatcher.SetDraining(one.ID, closed[one.ID] || s.heardDrained(one.ID))
 	}
 }
 
@@ -174,7 +178,7 @@
 	} else {
 		delete(s.drained, key)
 	}
-	s.Dispatcher.SetDraining(id, s.heardDrained(id) || s.declared[id].Drained)
+	s.Dispatcher.SetDraining(id, s.heardDrained(id) || s.closed[id])
 	return true
 }
 
