Heads that could be read in two ways are refused

Cause: net/http serves a request with a Content-Length and a Transfer-Encoding, lines that end with a line feed alone, and continued headers; whoever stands before or behind may read them otherwise. Ruled out: a handler can see it (net/http deletes or joins what is doubtful), so the head as it was read is checked (package framing); net/http goes on parsing. Before: each of the four served with 200. After: 400, code 2017, connection closed; an answer with both lengths: 502, connection closed. The tests of pipelining's framing run without the check, as before.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -160,6 +160,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.conn = conn
+	conn.expectAnswer()
 	e.writesThen = conn.begunWrites()
 	e.readsThen = conn.reads.Load()
 }
@@ -181,6 +182,16 @@
 	return e.conn == nil || e.conn.reads.Load() != e.readsThen
 }
 
+// unambiguous says why the answer could be read in two ways; nil: it can not.
+func (e *exchange) unambiguous() error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.conn == nil {
+		return nil
+	}
+	return e.conn.checkAnswer()
+}
+
 // close ends the connection, so that nothing more is read from it.
 func (e *exchange) close() {
 	e.mutex.Lock()
@@ -271,6 +282,9 @@
 	if !exchange.fresh() {
 		return errors.New("bytes of the answer came before the request was sent")
 	}
+	if err := exchange.unambiguous(); err != nil {
+		return err
+	}
 	if c.options.Echo != "" && response.Header.Get(c.options.Echo) != response.Request.Header.Get(c.options.Echo) {
 		return errors.Errorf("the answer belongs to request %q", response.Header.Get(c.options.Echo))
 	}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tuliphall/tuliphall/framing"
 	"github.com/tuliphall/tuliphall/network"
 )
 
@@ -25,6 +26,8 @@
 	mutex  sync.Mutex
 	writes int64 // writes begun
 	sealed bool
+	answer []byte // what was read of the head of the present answer
+	keeps  bool   // the head has not been read whole
 }
 
 // Write implements net.Conn. A write counts from its beginning, since a failed
@@ -45,10 +48,44 @@
 	n, err := c.Conn.Read(data)
 	if n > 0 {
 		c.reads.Add(1)
+		c.keep(data[:n])
 	}
 	return n, err
 }
 
+// maxAnswerHead is how much is kept of an answer: more than a head has in practice, and
+// less than net/http takes for one.
+const maxAnswerHead = 16 << 10
+
+// keep takes in what was read, while the head of an answer is due.
+func (c *countedConn) keep(read []byte) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.keeps {
+		return
+	}
+	c.answer = append(c.answer, read[:min(len(read), maxAnswerHead-len(c.answer))]...)
+	if length, whole := framing.HeadLength(c.answer); whole {
+		c.answer, c.keeps = c.answer[:length], false
+	}
+}
+
+// expectAnswer keeps what is read from now on.
+func (c *countedConn) expectAnswer() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answer, c.keeps = c.answer[:0], true
+}
+
+// checkAnswer says why the answer whose head has been read must not be passed on; nil: it
+// may be. Nothing is kept any more.
+func (c *countedConn) checkAnswer() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.keeps = false
+	return framing.CheckAnswer(c.answer)
+}
+
 func (c *countedConn) begunWrites() int64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/backend/short_test.go
+++ b/backend/short_test.go
@@ -68,3 +68,35 @@
 		require.NoError(t, err)
 	}
 }
+
+// TestAnswerWithTwoLengths refuses an answer that could be read in two ways, also behind an
+// interim one and when it comes byte by byte, and closes its connection.
+func TestAnswerWithTwoLengths(t *testing.T) {
+	const ambiguous = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	for _, piece := range []int{1, len(ambiguous)} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer accepted.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(accepted)); err != nil {
+				return
+			}
+			for rest := ambiguous; len(rest) > 0; rest = rest[min(piece, len(rest)):] {
+				fmt.Fprint(accepted, rest[:min(piece, len(rest))])
+			}
+			_, _ = io.Copy(io.Discard, accepted) // until the other side closes
+		}()
+		_, err = get(t, listener.Addr().String())
+		var failed *backend.Failure
+		require.True(t, errors.As(err, &failed), "%v", err)
+		require.Equal(t, resultcode.AnswerUnverifiable, failed.Code)
+		<-closed
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -308,7 +308,7 @@
 func (d *Daemon) serveCallers(listener net.Listener, scope tally.Scope) {
 	chosen := d.settings.Pipelining
 	d.callers = pipelining.New(pipelining.Options{
-		Handler: d.handler, Repeatable: d.handler.Repeatable, Closing: d.stopping.Load, IDHeader: d.dialect.RequestID, Metrics: scope,
+		Handler: d.handler, Repeatable: d.handler.Repeatable, Refuse: d.handler.Refuse, Closing: d.stopping.Load, IDHeader: d.dialect.RequestID, Metrics: scope,
 		PerConnection: max(chosen.Requests, 0), Total: chosen.Total, RequestBytes: chosen.RequestBytes, AnswerBytes: chosen.AnswerBytes,
 	})
 	server := d.newServer(d.callers)
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -126,6 +126,11 @@
 	return err == nil && decision.Retry && !decision.Once
 }
 
+// Refuse answers a request whose head must not be served, as it could be read in two ways.
+func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request, cause error) {
+	h.refuse(w, h.requestID(r.Header), &resultcode.Failure{Code: resultcode.AmbiguousRequest, Detail: cause.Error()})
+}
+
 // Forwarded serves requests that other daemons forward.
 func (h *Handler) Forwarded() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/lab/scenarios/scenarios_test.go
+++ b/lab/scenarios/scenarios_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -54,6 +55,7 @@
 			"pipelined": pipelined,
 			"subst":     substitute,
 			"hangup":    hangup,
+			"raw":       raw,
 		},
 	})
 }
@@ -168,6 +170,27 @@
 	}
 }
 
+// rawTimeout is how long raw waits for the other side to close the connection.
+const rawTimeout = 5 * time.Second
+
+// raw ADDRESS FILE sends the file's bytes, in which \r stands for a carriage return, and
+// prints what comes back until the connection is closed.
+func raw(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("unsupported: ! raw")
+	}
+	caller, err := net.Dial("tcp", args[0])
+	ts.Check(err)
+	defer caller.Close()
+	ts.Check(caller.SetDeadline(time.Now().Add(rawTimeout)))
+	_, err = io.WriteString(caller, strings.ReplaceAll(ts.ReadFile(args[1]), `\r`, "\r"))
+	ts.Check(err)
+	// A connection that is closed over unread bytes is reset.
+	if _, err := io.Copy(ts.Stdout(), caller); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		ts.Fatalf("%v", err)
+	}
+}
+
 // hangup COMMAND sends SIGHUP, which kill does not know, to the script's background
 // processes of a command.
 func hangup(ts *testscript.TestScript, _ bool, args []string) {
--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/tuliphall/tuliphall/framing"
 )
 
 // conn is a caller's connection as net/http reads it. Each Read gives net/http bytes up
@@ -30,6 +32,7 @@
 	preface  int  // how many bytes were as at the beginning of an HTTP/2 connection
 	plain    bool // another protocol than HTTP/1.1 is spoken, or may soon be
 	atHead   bool // the last byte that net/http got ended a head
+	head     head // of the request that net/http comes to next
 	pending  []byte
 	ahead    bool     // what is behind the present request may be started
 	finished bool     // its handler has returned
@@ -79,6 +82,7 @@
 	} else {
 		c.atHead = false
 	}
+	c.keep(target[:n])
 	c.pending = c.pending[:copy(c.pending, c.pending[n:])]
 	c.covered = max(c.covered-n, 0)
 	return n
@@ -90,8 +94,9 @@
 	end := c.scanner.end(piece)
 	c.atHead = end >= 0
 	if end < 0 {
-		return len(piece)
+		end = len(piece)
 	}
+	c.keep(piece[:end])
 	c.pending = append(c.pending, piece[end:]...)
 	return end
 }
@@ -260,7 +265,7 @@
 			return
 		}
 		request := parse(rest[:end])
-		if request == nil || !c.server.claim(request) {
+		if request == nil || c.server.strict() && framing.CheckRequest(rest[:end]) != nil || !c.server.claim(request) {
 			return
 		}
 		c.last = c.last || request.Close
--- a/pipelining/pipelining.go
+++ b/pipelining/pipelining.go
@@ -22,6 +22,9 @@
 	// Closing says whether connections are to be closed as soon as nothing that was
 	// started on them is left. It must not block.
 	Closing func() bool
+	// Refuse answers a request whose head must not be served, and says why; it is called
+	// instead of Handler, and the connection is closed behind it. nil: none is refused.
+	Refuse func(w http.ResponseWriter, r *http.Request, cause error)
 	// IDHeader is the header that tells requests apart.
 	IDHeader string
 	// Metrics get the number of requests that were started early; nil: none do.
@@ -94,6 +97,11 @@
 	}
 	started := c.begin(r)
 	defer c.finish()
+	if cause := c.malformed(r); cause != nil {
+		w.Header().Set("Connection", "close")
+		s.options.Refuse(w, r, cause)
+		return
+	}
 	if s.options.Closing() && c.closeAfter() {
 		w.Header().Set("Connection", "close")
 	}
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -48,6 +48,7 @@
 	NotConfigured       Code = 2014
 	CallerGone          Code = 2015
 	PeerUnreachable     Code = 2016
+	AmbiguousRequest    Code = 2017
 	ConnectionBroken    Code = 3001
 	DeadlineExceeded    Code = 3002
 	OperationUnknown    Code = 3003
@@ -94,6 +95,7 @@
 	{NotConfigured, "not-configured", NotRun, http.StatusServiceUnavailable, "The daemon has no configuration yet."},
 	{CallerGone, "caller-gone", NotRun, 499, "The caller left before the request was sent."},
 	{PeerUnreachable, "peer-unreachable", NotRun, http.StatusServiceUnavailable, "The daemon that dispatches the service could not be reached."},
+	{AmbiguousRequest, "ambiguous-request", NotRun, http.StatusBadRequest, "The request's head could be read in two ways."},
 	{ConnectionBroken, "connection-broken", Unknown, http.StatusBadGateway, "The connection to the back end broke after the request was sent."},
 	{DeadlineExceeded, "deadline-exceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed after the request was sent."},
 	{OperationUnknown, "operation-unknown", Unknown, http.StatusConflict, "An earlier request with this key ended without a known outcome."},
