Heads are found exactly behind bodies of any kind

Cause, from the refused heads themselves: the request line was looked for at the beginning of a line, and a body of a request before it need not end with one. Ruled out: the clients' heads. Change: bodies with a length are counted off, behind chunks the head begins after the last empty line. TestAmbiguousHeadsAreRefused has both (failed before).

--- a/pipelining/strict.go
+++ b/pipelining/strict.go
@@ -11,20 +11,60 @@
 // request: net/http's bound on heads of 64 KiB, and what it reads beyond.
 const maxHead = 72 << 10
 
-// head is what net/http was given last. It ends with the head of the request that net/http
-// comes to next, as no read goes on behind one, and may begin with the body before it.
-type head []byte
+// head keeps the head of the request that net/http comes to next, as net/http is given it: no
+// read goes on behind the end of a head. The zero value stands at the beginning of a
+// connection.
+type head struct {
+	kept []byte
+	body int64 // bytes that are still to come of the body of the request before
+	// chunked: the request before has a body that ends with an empty line, and the head
+	// begins behind that.
+	chunked bool
+}
+
+// add takes in what net/http is given.
+func (h *head) add(piece []byte) {
+	skipped := min(h.body, int64(len(piece)))
+	h.body -= skipped
+	piece = piece[skipped:]
+	if excess := len(h.kept) + len(piece) - maxHead; excess > 0 {
+		h.kept = h.kept[:copy(h.kept, h.kept[min(excess, len(h.kept)):])]
+		piece = piece[max(len(piece)-maxHead, 0):]
+	}
+	h.kept = append(h.kept, piece...)
+}
+
+// take returns the head of the request that net/http has come to, and begins with the next
+// one. The result is valid until the next call of add.
+func (h *head) take(r *http.Request) []byte {
+	kept := h.kept
+	if h.chunked {
+		kept = kept[behindEmptyLine(kept):]
+	}
+	*h = head{kept: h.kept[:0], body: max(r.ContentLength, 0), chunked: r.ContentLength < 0}
+	return kept
+}
+
+// behindEmptyLine returns where the last empty line ends, but for that at the end; 0 where
+// there is none.
+func behindEmptyLine(kept []byte) int {
+	for end := len(bytes.TrimRight(kept, "\r\n")); ; {
+		line := bytes.LastIndexByte(kept[:end], '\n')
+		if line < 0 {
+			return 0
+		}
+		if before := bytes.TrimSuffix(kept[:line], []byte{'\r'}); bytes.HasSuffix(before, []byte{'\n'}) {
+			return line + 1
+		}
+		end = line
+	}
+}
 
 // keep takes in what net/http is given, where heads are checked.
 func (c *conn) keep(piece []byte) {
-	if !c.server.strict() || c.plain {
-		return
-	}
-	if excess := len(c.head) + len(piece) - maxHead; excess > 0 {
-		c.head = c.head[:copy(c.head, c.head[min(excess, len(c.head)):])]
-		piece = piece[max(len(piece)-maxHead, 0):]
+	if c.server.strict() && !c.plain {
+		c.head.add(piece)
 	}
-	c.head = append(c.head, piece...)
 }
 
 // malformed says why the head of the request that net/http has come to must not be served;
@@ -35,25 +75,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	defer func() { c.head = c.head[:0] }()
-	return framing.CheckRequest(c.head.of(r))
-}
-
-// of returns the head of a request: from its first line, which is the last that reads so.
-// All that was kept is returned where none does, which happens when net/http has skipped
-// something, and is checked as it is.
-func (h head) of(r *http.Request) []byte {
-	first := []byte(r.Method + " " + r.RequestURI + " " + r.Proto)
-	for before := len(h); ; {
-		at := bytes.LastIndex(h[:before], first)
-		switch {
-		case at < 0:
-			return h
-		case at == 0 || h[at-1] == '\n':
-			return h[at:]
-		}
-		before = at
-	}
+	return framing.CheckRequest(c.head.take(r))
 }
 
 // strict says whether heads are checked.
--- a/pipelining/strict_test.go
+++ b/pipelining/strict_test.go
@@ -21,6 +21,8 @@
 	twoLengths = "POST /c HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
 	bareFeed   = "GET /d HTTP/1.1\r\nHost: a\nX: y\r\n\r\n"
 	continued  = "GET /e HTTP/1.1\r\nHost: a\r\nX: y\r\n z\r\n\r\n"
+	chunkedTo  = "POST /g HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab\n\nc\r\n0\r\n\r\n"
+	unended    = "POST /h HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\na\nbc" // the next head begins within a line
 	inHeader   = "GET /f HTTP/1.1\r\nHost: a\nX: GET /f HTTP/1.1\r\nY: z\r\n\r\n"
 )
 
@@ -63,6 +65,8 @@
 		"a head in a header":      {inHeader, framing.ErrBareLineFeed, nil},
 		"behind a request":        {plainGet + bareFeed + plainGet, framing.ErrBareLineFeed, []string{"/a"}},
 		"behind a body of a head": {plainPost + plainGet + continued, framing.ErrContinuedLine, []string{"/b" + plainPost[len(plainPost)-31:], "/a"}},
+		"behind any body":         {unended + plainGet + unended + bareFeed, framing.ErrBareLineFeed, []string{"/ha\nbc", "/a", "/ha\nbc"}},
+		"behind chunks":           {chunkedTo + plainGet + chunkedTo + inHeader, framing.ErrBareLineFeed, []string{"/gab\n\nc", "/a", "/gab\n\nc"}},
 		"an old transfer":         {strings.Replace(strings.Replace(twoLengths, "Content-Length: 5\r\n", "", 1), "HTTP/1.1", "HTTP/1.0", 1), framing.ErrOldTransfer, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -100,11 +104,12 @@
 	for range 100 {
 		c.keep(make([]byte, 5000))
 	}
-	c.keep([]byte(plainGet))
-	require.LessOrEqual(t, len(c.head), maxHead)
-	c.keep([]byte("\n" + plainGet))
+	require.LessOrEqual(t, len(c.head.kept), maxHead)
+	c.head = head{body: 10_000}
+	c.keep(make([]byte, 9_990))
+	c.keep([]byte("0123456789" + plainGet))
 	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(plainGet)))
 	require.NoError(t, err)
 	require.NoError(t, c.malformed(request))
-	require.Empty(t, c.head)
+	require.Empty(t, c.head.kept)
 }
