--- a/lab/objectstub/probes_test.go
+++ b/lab/objectstub/probes_test.go
@@ -54,6 +54,9 @@
 // answer probes.
 func TestProbesStayInTheBudget(t *testing.T) {
 	run(t, 3, func(f *fleet) {
+		for _, one := range f.workers { // else hardly any probe is worth making
+			one.change(func() { one.disturb = 150 * time.Millisecond })
+		}
 		f.load("/one/safe/", 30*time.Millisecond, 20*time.Second)
 		f.workers[0].change(func() { f.workers[0].silent = true })
 		f.load("/one/safe/", 30*time.Millisecond, 5*time.Second)
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -43,12 +43,14 @@
 	// probeTimeout bounds one probe.
 	probeTimeout = 500 * time.Millisecond
 	storeTimeout = 2 * time.Second
-	// freshTick is how often the prober looks whether a report is too old.
-	freshTick = 5 * time.Millisecond
+	// freshTick is how often the prober looks whether a report is too old: about as long as
+	// the shortest way to a back end and back, below which a report tells nothing newer.
+	freshTick = 2 * time.Millisecond
 	// refreshTimeout bounds a probe for a fresher report; what comes later is old.
 	refreshTimeout = 100 * time.Millisecond
-	// maxOutstanding bounds such probes of one service that are under way.
-	maxOutstanding = 4
+	// maxOutstanding bounds such probes of one service that are under way: one each look for
+	// as long as a probe takes three times over at 10 ms.
+	maxOutstanding = 16
 	// maxWarmUpLeft is the longest time that a back end may say it remains cold: an hour, as
 	// what services declare (config.MaxWarmUp).
 	maxWarmUpLeft = time.Duration(config.MaxWarmUp)
--- a/routing/group.go
+++ b/routing/group.go
@@ -50,6 +50,7 @@
 	origins     []origin
 	bests       bests // kept for its memory
 	introduce   bool  // the last probe was for a first report, if any was wanted
+	probeWorth  probeWorth
 }
 
 // NewGroup returns a group without back ends.
@@ -365,6 +366,9 @@
 		return
 	}
 	if report.Slowdown > 0 {
+		if !state.slowdown.at.IsZero() {
+			g.probeWorth.told(state.slowdown.last, report.Slowdown, at.Sub(state.slowdown.at))
+		}
 		g.common.report(report.Slowdown)
 		state.slowdown.report(at, report.Slowdown)
 	}
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -37,6 +37,7 @@
 		state.health.Success()
 		state.warmth++
 		state.observe(latency, picked.slowdown)
+		g.probeWorth.work = averaged(g.probeWorth.work, state.work)
 		g.learn(picked)
 	case Failed:
 		state.health.Failure(now)
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -68,14 +68,21 @@
 // may have back ends that tell none.
 const introductions = 3
 
+// Freshness returns how old the report may be that a back end is chosen by, as learned;
+// otherwise as long as that is not known.
+func (g *Group) Freshness(otherwise time.Duration) time.Duration {
+	return g.probeWorth.freshness(otherwise)
+}
+
 // StaleTarget returns a back end that would get the next request of some origin, if its
-// report is older than freshness; every other time one that has told nothing yet, if
+// report is older than is worth it, or than freshness as long as that is not known; every other time one that has told nothing yet, if
 // there is any. It is not returned again before interval has passed, nor before
 // Refreshed or Unprobed was called for it.
 func (g *Group) StaleTarget(now time.Time, freshness, interval time.Duration) (string, bool) {
 	if g.probeCredit < 1 {
 		return "", false
 	}
+	freshness = g.Freshness(freshness)
 	if g.introduce = !g.introduce; g.introduce {
 		if state := g.unintroduced(now, interval); state != nil {
 			state.introduced++
@@ -131,5 +138,6 @@
 		return
 	}
 	state.probing = false
+	g.probeWorth.cost = averaged(g.probeWorth.cost, now.Sub(state.probedAt))
 	g.Report(state, report, false, now)
 }
