--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -49,6 +49,8 @@
 	Group *routing.Group
 	Queue *admission.Queue
 	work  work
+
+	followed followed
 }
 
 // Place is a place at a back end.
@@ -58,8 +60,13 @@
 	Sent  time.Time // when the place was given
 	// HedgeAfter is how long after Sent a second attempt is worth making; 0: not known.
 	HedgeAfter time.Duration
+	// Followed: it is told if the request met a disturbed back end, when a second attempt
+	// is worth making at once; see Grant.OnDisturbed.
+	Followed bool
 
-	class string
+	class     string
+	disturbed bool   // the request met a disturbance
+	told      func() // is called then
 }
 
 // Decision is what becomes of an offered request: exactly one of Place, Ticket
@@ -119,10 +126,16 @@
 
 // place returns the place that was picked for a request which came at a time.
 func (c *Core) place(now, since time.Time, request Request, result routing.PickResult) *Place {
-	return &Place{
+	known := c.work.of(request.Class)
+	place := &Place{
 		PickResult: result, Since: since, Sent: now, class: request.Class,
-		HedgeAfter: c.work.of(request.Class).hedgeAfter(now, request, result.MostFull),
+		HedgeAfter: known.hedgeAfter(now, request, result.MostFull), Followed: known.follows(now, request),
+	}
+	if place.Followed {
+		c.followed.add(place)
+		c.Group.Follow(now, place.Backend)
 	}
+	return place
 }
 
 func (c *Core) ticket(now time.Time, request Request, payload any) *admission.Ticket {
@@ -139,6 +152,9 @@
 
 // Done gives a place back. latency counts only for a success.
 func (c *Core) Done(now time.Time, place *Place, outcome routing.Outcome, latency time.Duration) {
+	if place.Followed {
+		c.followed.remove(place)
+	}
 	c.Group.Finished(place.PickResult, now, outcome, latency)
 	c.Queue.Served(now)
 	if outcome == routing.Success {
@@ -203,5 +219,9 @@
 		return fmt.Sprintf("%s are left, the fastest answers take %s",
 			request.Deadline.Sub(now).Round(time.Millisecond), c.work.of(request.Class).fastest.Round(time.Millisecond))
 	}
-	return "no place in time: " + c.Queue.Describe(now, request.Weight, pace)
+	why := "no place in time: " + c.Queue.Describe(now, request.Weight, pace)
+	if leftOut := c.Group.LeftOut(now); leftOut != "" {
+		why += "; " + leftOut
+	}
+	return why
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -118,7 +118,18 @@
 
 // Refreshed takes in the report that a probe brought.
 func (d *Dispatcher) Refreshed(id string, report routing.Report) {
-	d.change(func() { d.core.Group.Refreshed(time.Now(), id, report) })
+	var met []func()
+	d.change(func() {
+		for _, place := range d.core.Refreshed(time.Now(), id, report) {
+			place.disturbed = true
+			if place.told != nil {
+				met = append(met, place.told)
+			}
+		}
+	})
+	for _, tell := range met {
+		tell()
+	}
 }
 
 // Unprobed notes that a probe told nothing.
@@ -153,6 +164,19 @@
 	dispatcher *Dispatcher
 }
 
+// OnDisturbed sets what is called, once at the most, when it is known that the request met a
+// disturbed back end. It must not block.
+func (g *Grant) OnDisturbed(told func()) {
+	d := g.dispatcher
+	d.mutex.Lock()
+	g.told = told
+	disturbed := g.disturbed
+	d.mutex.Unlock()
+	if disturbed {
+		told()
+	}
+}
+
 // Waited returns how long the request waited for its place.
 func (g *Grant) Waited() time.Duration {
 	return g.Sent.Sub(g.Since)
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -109,6 +109,17 @@
 	return request.Deadline.Add(-l.typical)
 }
 
+// follows says whether it is worth learning what a request meets at its back end: it is a
+// first attempt that may be sent again, and a second one that were made when that is known
+// would commonly be in time.
+func (l *latencies) follows(sent time.Time, request Request) bool {
+	objective, given := request.objective()
+	if !given || l.typical == 0 || !request.Routing.Repeatable || len(request.Routing.Tried) > 0 {
+		return false
+	}
+	return !sent.Add(metWithin + l.typical).After(objective)
+}
+
 // hedgeAfter returns how long after it was sent a request should get a second attempt: as
 // soon as it is one of the slowest of its class, of which there are fewer where most back
 // ends are full, but not so late that the second answer would commonly miss the objective.
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -68,6 +68,8 @@
 	firstTry  time.Time // when the caller first asked, as far as it tells
 	tried     []string  // ids of the back ends it was sent to, in order
 	refusedBy string    // daemon that refused a place; empty: none did
+	// hedge is why a second attempt was due, and why none was made if so; empty: none was due.
+	hedge string
 }
 
 // headers are the numbers a caller may send.
--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -25,27 +25,47 @@
 	running   int                 // exchanges whose result is still to come
 	failure   *resultcode.Failure // of those that have failed; nil: none has
 	cancels   []context.CancelFunc
-	places    chan *place // room for the one that was asked for; nil where there is none
+	places    chan asked // room for the one that was asked for
 	asking    bool
 }
 
+// asked is what became of asking for a place for the second attempt.
+type asked struct {
+	chosen *place // nil: there is none
+	err    error  // why
+}
+
+// why says why there is no place.
+func (a asked) why() string {
+	if a.err == nil {
+		return "no place"
+	}
+	return a.err.Error()
+}
+
 // race sends the request and, if no answer has come when the policy says so, sends
 // it to another back end too. It returns nil once an answer has been passed on.
 func (a *attempter) race(ctx context.Context, first *outbound, hedgeAt time.Time) *resultcode.Failure {
-	r := &race{attempter: a, results: make(chan result, 2), places: make(chan *place, 1)}
+	r := &race{attempter: a, results: make(chan result, 2), places: make(chan asked, 1)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.drain()
 	defer cancel()
 	r.launch(ctx, first)
 	timer := time.NewTimer(time.Until(hedgeAt))
 	defer timer.Stop()
+	disturbed := first.chosen.disturbed
 	for {
 		select {
+		case <-disturbed:
+			disturbed = nil
+			timer.Stop()
+			r.ask(ctx, "disturbed")
 		case <-timer.C:
-			r.ask(ctx)
-		case chosen := <-r.places:
+			disturbed = nil
+			r.ask(ctx, "slow")
+		case one := <-r.places:
 			r.asking = false
-			r.add(ctx, chosen)
+			r.add(ctx, one)
 		case one := <-r.results:
 			r.running--
 			if one.got != nil {
@@ -72,7 +92,10 @@
 	case c.decision.Hedge > 0:
 		return c.received.Add(c.decision.Hedge), true
 	}
-	return chosen.sent.Add(chosen.hedgeAfter), chosen.hedgeAfter > 0
+	if chosen.hedgeAfter == 0 {
+		return c.deadline, chosen.disturbed != nil
+	}
+	return chosen.sent.Add(chosen.hedgeAfter), true
 }
 
 // launch starts one exchange.
@@ -88,28 +111,31 @@
 }
 
 // ask asks for a place for the second attempt, if the route allows one.
-func (r *race) ask(ctx context.Context) {
+func (r *race) ask(ctx context.Context, cause string) {
 	a := r.attempter
 	c := a.call
+	c.hedge = cause
 	others := len(c.service.Target().Backends) - len(c.tried)
 	if len(c.tried) >= c.route.Attempts || others <= 0 || c.attempt > 1 {
+		c.hedge += ", no attempt left"
 		return
 	}
 	r.asking = true
 	request := c.wanted(0, a.handler.options.Zone)
 	go func() {
 		// Where there is none, the first attempt goes on alone.
-		chosen, _ := a.acquire(ctx, retry.Hedge, request)
-		r.places <- chosen
+		chosen, err := a.acquire(ctx, retry.Hedge, request)
+		r.places <- asked{chosen: chosen, err: err}
 	}()
 }
 
 // add sends the second attempt, unless there was no place for it.
-func (r *race) add(ctx context.Context, chosen *place) {
-	if chosen == nil {
+func (r *race) add(ctx context.Context, one asked) {
+	if one.chosen == nil {
+		r.attempter.call.hedge += ", none: " + one.why()
 		return
 	}
-	sent, failure := r.attempter.prepare(chosen)
+	sent, failure := r.attempter.prepare(one.chosen)
 	if failure != nil {
 		return
 	}
@@ -142,8 +168,8 @@
 		if !asking {
 			return
 		}
-		if chosen := <-r.places; chosen != nil {
-			chosen.done(routing.Canceled, 0, nil)
+		if one := <-r.places; one.chosen != nil {
+			one.chosen.done(routing.Canceled, 0, nil)
 		}
 	}()
 }
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -44,6 +44,7 @@
 	return []slog.Attr{
 		slog.String("service", c.service.Name()), slog.String("class", c.decision.Class), slog.String("route", c.route.Name),
 		slog.Int("sent", len(c.tried)), slog.String("backends", strings.Join(c.tried, " ")), slog.Duration("total", time.Since(c.received)),
+		slog.String("hedge", c.hedge),
 	}
 }
 
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -26,9 +26,12 @@
 	candidates int
 	reportAge  time.Duration
 	waited     time.Duration
-	hedgeAfter time.Duration // after sent; 0: no second attempt
-	sent       time.Time
-	done       func(outcome routing.Outcome, latency time.Duration, report *routing.Report)
+	hedgeAfter time.Duration // after sent; 0: no second attempt for that
+	// disturbed is closed when it is known that the back end was disturbed as the request
+	// reached it; nil: that will not be told.
+	disturbed <-chan struct{}
+	sent      time.Time
+	done      func(outcome routing.Outcome, latency time.Duration, report *routing.Report)
 }
 
 // wanted is the request for a place for the next attempt, which may wait so long for
@@ -118,8 +121,14 @@
 
 // ownPlace is a place that this daemon's own dispatcher gave.
 func (a *attempter) ownPlace(grant *dispatch.Grant, kind retry.Kind) *place {
+	var disturbed chan struct{}
+	if grant.Followed {
+		disturbed = make(chan struct{})
+		grant.OnDisturbed(func() { close(disturbed) })
+	}
 	return &place{
-		backend: grant.Backend.ID, dispatcher: a.handler.options.Name, kind: kind, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
+		disturbed: disturbed,
+		backend:   grant.Backend.ID, dispatcher: a.handler.options.Name, kind: kind, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited(), hedgeAfter: grant.HedgeAfter, sent: grant.Sent, done: grant.Done,
 	}
 }
@@ -127,7 +136,8 @@
 // placeOf is a place that another daemon gave.
 func placeOf(grant *slots.Grant, kind retry.Kind, dispatcher string) *place {
 	return &place{
-		backend: grant.Backend, dispatcher: dispatcher, kind: kind, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
+		disturbed: grant.Disturbed,
+		backend:   grant.Backend, dispatcher: dispatcher, kind: kind, reason: grant.Reason, candidates: grant.Candidates, reportAge: grant.ReportAge,
 		waited: grant.Waited, hedgeAfter: grant.HedgeAfter, sent: time.Now(), done: grant.Done,
 	}
 }
--- a/lab/objectstub/worker_test.go
+++ b/lab/objectstub/worker_test.go
@@ -16,16 +16,17 @@
 	// warmUpLeft is for how long it says that it is cold.
 	warmUpLeft time.Duration
 
-	mutex    sync.Mutex
-	runs     map[string]int // by request id
-	work     time.Duration
-	refuse   bool          // says Not-Executed
-	instance string        // the id it goes by; another than its own: its address was reused
-	echo     string        // answers with this request id; empty: the request's
-	disturb  time.Duration // work takes disturbedTimes as long in every other span of this length
-	probes   []time.Time
-	silent   bool        // health checks get no answer
-	arrivals []time.Time // of requests, in order
+	mutex     sync.Mutex
+	runs      map[string]int // by request id
+	work      time.Duration
+	refuse    bool          // says Not-Executed
+	instance  string        // the id it goes by; another than its own: its address was reused
+	echo      string        // answers with this request id; empty: the request's
+	disturb   time.Duration // work takes disturbedTimes as long in every other span of this length
+	disturbed bool          // work takes disturbedTimes as long now
+	probes    []time.Time
+	silent    bool        // health checks get no answer
+	arrivals  []time.Time // of requests, in order
 }
 
 // disturbedTimes is how much longer work takes that begins while a worker is disturbed.
@@ -33,6 +34,9 @@
 
 // slowdown returns how much longer work takes now. The caller holds the mutex.
 func (w *worker) slowdown() int {
+	if w.disturbed {
+		return disturbedTimes
+	}
 	if w.disturb > 0 && (time.Now().UnixNano()/int64(w.disturb)+int64(w.id[len(w.id)-1]))%2 == 0 {
 		return disturbedTimes
 	}
--- /dev/null
+++ b/routing/follow.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// arrival is how long after a place was given its request has reached the back end: the
+// longest way to the daemon that sends it and on. A probe that is sent then finds the back
+// end as the request found it.
+const arrival = 3 * time.Millisecond
+
+// Follow lets a back end be asked how it is as soon as a request has reached it. A cold one
+// is spared that.
+func (g *Group) Follow(now time.Time, state *State) {
+	if state.Cold(now) {
+		return
+	}
+	g.unfollow(state)
+	g.following = append(g.following, state)
+	state.followed = now
+}
+
+// arrived returns a back end that a request has just reached and that is to be asked, or
+// nil.
+func (g *Group) arrived(now time.Time, interval time.Duration) *State {
+	for _, state := range g.following {
+		if now.Sub(state.followed) < arrival {
+			return nil // later ones came later
+		}
+		if !state.probing && !state.Draining && !state.Ejected(now) && now.Sub(state.probedAt) >= interval {
+			return state
+		}
+	}
+	return nil
+}
+
+// unfollow notes that a back end has told how it is since the last request reached it, or
+// need not any more.
+func (g *Group) unfollow(state *State) {
+	state.followed = time.Time{}
+	if index := slices.Index(g.following, state); index >= 0 {
+		g.following = slices.Delete(g.following, index, index+1)
+	}
+}
+
+// Disturbed says whether the last report of a back end tells that what begins there takes
+// much longer than usually.
+func (s *State) Disturbed() bool {
+	return s.slowdown.reports > 0 && s.slowdown.last > holdFactor*s.slowdown.usual()
+}
--- a/routing/group.go
+++ b/routing/group.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,7 @@
 	bests       bests // kept for its memory
 	introduce   bool  // the last probe was for a first report, if any was wanted
 	probeWorth  probeWorth
+	following   []*State // back ends that are to be asked what requests met, oldest first
 }
 
 // NewGroup returns a group without back ends.
@@ -85,6 +87,7 @@
 		states = append(states, state)
 	}
 	g.states, g.byID = states, byID
+	g.following = slices.DeleteFunc(g.following, func(state *State) bool { return byID[state.ID] != state })
 	g.boundsStale = true
 	g.numberZones()
 }
@@ -158,18 +161,43 @@
 	return false
 }
 
+// Phrases of refusals that tell which back ends are left out, by which package explain knows
+// them again.
+const (
+	PhraseEvacuated = "back ends are in evacuated zones"
+	PhraseCold      = "back ends are cold"
+)
+
 // Unavailable says why no back end takes requests.
 func (g *Group) Unavailable() string {
-	evacuated := 0
-	for _, state := range g.states {
-		if state.Evacuated {
-			evacuated++
-		}
-	}
+	evacuated := g.count(func(state *State) bool { return state.Evacuated })
 	if evacuated == 0 {
 		return "every back end is draining or none is placed"
 	}
-	return fmt.Sprintf("%d of %d back ends are in evacuated zones, the others draining", evacuated, len(g.states))
+	return fmt.Sprintf("%d of %d %s, the others draining", evacuated, len(g.states), PhraseEvacuated)
+}
+
+// LeftOut says how many back ends take no requests, or few, for what they are; empty: none.
+func (g *Group) LeftOut(now time.Time) string {
+	var parts []string
+	if evacuated := g.count(func(state *State) bool { return state.Evacuated }); evacuated > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d %s", evacuated, len(g.states), PhraseEvacuated))
+	}
+	if cold := g.count(func(state *State) bool { return !state.Draining && state.Cold(now) }); cold > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d %s", cold, len(g.states), PhraseCold))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// count returns how many back ends are as asked for.
+func (g *Group) count(is func(state *State) bool) int {
+	count := 0
+	for _, state := range g.states {
+		if is(state) {
+			count++
+		}
+	}
+	return count
 }
 
 // Request is what routing needs to know of a request.
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -83,6 +83,11 @@
 		return "", false
 	}
 	freshness = g.Freshness(freshness)
+	if state := g.arrived(now, interval); state != nil {
+		g.unfollow(state)
+		g.probe(state, now)
+		return state.ID, true
+	}
 	if g.introduce = !g.introduce; g.introduce {
 		if state := g.unintroduced(now, interval); state != nil {
 			state.introduced++
--- a/routing/state.go
+++ b/routing/state.go
@@ -62,7 +62,8 @@
 	sinceBound int  // requests that succeeded since it was chosen
 	boundShort bool // places were short then
 	occupancy  occupancy
-	probing    bool // a probe for a fresher report is under way
+	probing    bool      // a probe for a fresher report is under way
+	followed   time.Time // when the last request began of which it is to be learned what it met; zero: none
 	probedAt   time.Time
 	// introduced is how often it was asked for its first report.
 	introduced int
--- a/slots/client.go
+++ b/slots/client.go
@@ -62,6 +62,9 @@
 	BestInFlight int
 	// HedgeAfter is when a second attempt is worth making; see dispatch.Place.
 	HedgeAfter time.Duration
+	// Disturbed is closed when the dispatcher tells that the request met a disturbed back
+	// end; nil: it will not tell.
+	Disturbed <-chan struct{}
 
 	session *session
 	id      uint64
@@ -70,6 +73,7 @@
 // Done gives the place back. latency counts only for a success; report is nil
 // where the back end told nothing. It does not block on the dispatcher.
 func (g *Grant) Done(outcome routing.Outcome, latency time.Duration, report *routing.Report) {
+	g.session.unfollow(g.id)
 	g.session.release(g.id, outcome, latency, report)
 }
 
--- a/slots/server.go
+++ b/slots/server.go
@@ -136,8 +136,11 @@
 	h.send(&peerpb.SlotReply{Id: id, Grant: &peerpb.Grant{
 		Backend: grant.Backend.ID, Reason: string(grant.Reason), Candidates: int64(grant.Candidates),
 		ReportAgeUs: grant.ReportAge.Microseconds(), WaitedUs: grant.Waited().Microseconds(),
-		BestInFlight: int64(grant.BestInFlight), HedgeAfterUs: grant.HedgeAfter.Microseconds(),
+		BestInFlight: int64(grant.BestInFlight), HedgeAfterUs: grant.HedgeAfter.Microseconds(), Followed: grant.Followed,
 	}})
+	if grant.Followed {
+		grant.OnDisturbed(func() { h.send(&peerpb.SlotReply{Id: id, Disturbed: true}) })
+	}
 }
 
 // hold notes the grant unless the request was given up in the meantime.
--- a/slots/session.go
+++ b/slots/session.go
@@ -32,7 +32,10 @@
 	next    uint64
 	waiting map[uint64]chan *peerpb.SlotReply
 	held    int
-	used    time.Time
+	// followed are closed when it is told that the request that has the place met a
+	// disturbed back end.
+	followed map[uint64]chan struct{}
+	used     time.Time
 }
 
 // queueLength bounds the messages of a session that are not written yet. A full
@@ -42,7 +45,7 @@
 func newSession(address string) *session {
 	return &session{
 		address: address, opened: make(chan struct{}), queue: make(chan *peerpb.SlotRequest, queueLength),
-		waiting: make(map[uint64]chan *peerpb.SlotReply), used: time.Now(),
+		waiting: make(map[uint64]chan *peerpb.SlotReply), followed: make(map[uint64]chan struct{}), used: time.Now(),
 	}
 }
 
@@ -106,8 +109,15 @@
 }
 
 func (s *session) take(reply *peerpb.SlotReply) {
+	if reply.Disturbed {
+		s.tellDisturbed(reply.Id)
+		return
+	}
 	s.mutex.Lock()
 	told, known := s.waiting[reply.Id]
+	if known && reply.Grant.GetFollowed() {
+		s.followed[reply.Id] = make(chan struct{})
+	}
 	if known {
 		select {
 		case told <- reply:
@@ -121,6 +131,31 @@
 	}
 }
 
+// following returns what is closed when it is told that a request met a disturbed back end;
+// nil: it will not be told.
+func (s *session) following(id uint64) <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.followed[id]
+}
+
+// unfollow forgets a place whose request has ended.
+func (s *session) unfollow(id uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.followed, id)
+}
+
+// tellDisturbed tells that the request that has a place met a disturbed back end.
+func (s *session) tellDisturbed(id uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if told, known := s.followed[id]; known {
+		close(told)
+		delete(s.followed, id)
+	}
+}
+
 // send queues one message. It does not block.
 func (s *session) send(request *peerpb.SlotRequest) {
 	select {
@@ -233,6 +268,7 @@
 // giveUp ends the wait for a place.
 func (s *session) giveUp(id uint64) {
 	s.leave(id, false)
+	s.unfollow(id)
 	s.send(&peerpb.SlotRequest{Id: id, Release: &peerpb.Release{Outcome: int32(routing.Canceled)}})
 }
 
@@ -242,7 +278,8 @@
 	}
 	granted := reply.Grant
 	return &Grant{
-		Backend: granted.Backend, Reason: routing.Reason(granted.Reason), Candidates: int(granted.Candidates),
+		Disturbed: s.following(reply.Id),
+		Backend:   granted.Backend, Reason: routing.Reason(granted.Reason), Candidates: int(granted.Candidates),
 		ReportAge: microseconds(granted.ReportAgeUs), Waited: microseconds(granted.WaitedUs), BestInFlight: int(granted.BestInFlight), HedgeAfter: microseconds(granted.HedgeAfterUs), session: s, id: reply.Id,
 	}, nil
 }
