--- a/explain/cause.go
+++ b/explain/cause.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tuliphall/tuliphall/resultcode"
+	"github.com/tuliphall/tuliphall/routing"
 )
 
 // Cause is why a request ended as it did.
@@ -131,6 +133,12 @@
 		Sentence: fmt.Sprintf("Every place of %s was taken (%s, %s); it was refused without being run, to come back after %s. Within %s, %d requests of the service were refused and %d answered.",
 			outcome.Service, outcome.Name, outcome.Cause, outcome.RetryAfter, near, load.refused, load.answered),
 	}
+	switch {
+	case strings.Contains(outcome.Cause, routing.PhraseEvacuated):
+		cause.Kind = "service overloaded while a zone is evacuated"
+	case strings.Contains(outcome.Cause, routing.PhraseCold):
+		cause.Kind = "service overloaded while back ends are cold"
+	}
 	giver := outcome.RefusedBy
 	if giver == "" {
 		giver = outcome.Daemon
@@ -149,6 +157,10 @@
 
 func (l *Log) noBackend(outcome Line) Cause {
 	cause := Cause{Kind: "no back end takes requests", At: outcome.Service, Sentence: fmt.Sprintf("No back end of %s takes requests, as %s knew: all leave, or none is listed.", outcome.Service, outcome.Daemon)}
+	if strings.Contains(outcome.Cause, routing.PhraseEvacuated) {
+		cause.Kind = "zones evacuated"
+		cause.Sentence = fmt.Sprintf("No back end of %s takes requests, as %s knew: %s.", outcome.Service, outcome.Daemon, outcome.Cause)
+	}
 	if own, ok := l.last(outcome.Daemon, outcome.Time, messageInForce); ok {
 		cause.Belief = fmt.Sprintf("%s had revision %d and %s back ends in all since %s.", outcome.Daemon, own.Revision, own.Backends, clock(own.Time))
 	}
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -59,6 +59,10 @@
 		one.proxy.set(Whole)
 	case Change:
 		f.configure()
+	case Evacuate:
+		f.evacuate(true)
+		time.Sleep(fault.Length)
+		f.evacuate(false)
 	case Storm:
 		for range stormChanges {
 			f.configure()
@@ -69,6 +73,31 @@
 	}
 }
 
+// evacuate evacuates the zone of every other back end, or takes it back.
+func (f *fleet) evacuate(evacuated bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.evacuated = time.Time{}
+	if evacuated {
+		f.store.Set("evacuations", emptiedZone, struct{}{})
+		f.evacuated = time.Now()
+	} else {
+		f.store.Remove("evacuations", emptiedZone)
+	}
+	for _, one := range f.workers {
+		one.change(func() { one.evacuated = f.evacuatedIn(one.zone) })
+	}
+}
+
+// evacuatedIn returns since when a zone is evacuated; zero: it is not. The caller holds the
+// mutex.
+func (f *fleet) evacuatedIn(zone string) time.Time {
+	if zone == emptiedZone {
+		return f.evacuated
+	}
+	return time.Time{}
+}
+
 // playWorker plays what strikes one back end.
 func (f *fleet) playWorker(fault Fault) {
 	one := f.worker(fault.Target)
--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -14,6 +14,8 @@
 const (
 	drainBound  = 2*time.Second + time.Second // after the store has it; one second for news
 	configBound = 2 * time.Second
+	// evacuationBound is how long after its evacuation a zone may get requests.
+	evacuationBound = 5 * time.Second
 	// settleTime is how long after the last fault bounded promises hold again.
 	settleTime = 6 * time.Second
 )
@@ -126,6 +128,16 @@
 	}
 }
 
+// arrivedAtEvacuated notes a request at a back end whose zone has been evacuated for so long.
+func (r *report) arrivedAtEvacuated(worker, id string, age time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.counts["at an evacuated zone"]++
+	if age > evacuationBound && r.calmFor() > settleTime {
+		r.violated("EVACUATED: %s reached %s %s after its zone was evacuated", id, worker, age)
+	}
+}
+
 // answered notes what a caller got.
 func (r *report) answered(id, path string, response *http.Response, got string) {
 	r.mutex.Lock()
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -29,10 +29,11 @@
 	WorkerLeaves Kind = "worker-leaves" // drains, and is replaced
 	Change       Kind = "change"        // a configuration
 	Storm        Kind = "storm"         // several in quick succession
+	Evacuate     Kind = "evacuate"      // a zone, which is taken back later
 )
 
 // planned kinds are no faults: nothing may be lost by them.
-var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true}
+var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true}
 
 var kinds = []Kind{
 	Stop, Kill, Pause, KillAll, StopAll, StoreDown, StoreDeaf, StoreLink, WorkerLink, WorkerSlow, WorkerLoses, WorkerFull, WorkerLies,
@@ -77,6 +78,17 @@
 			faults[index].Length = 12 * time.Second
 		}
 	}
+	faults = append(faults, drawEvacuation(seed, begin, end))
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
 	return faults
 }
+
+// evacuationLength is long enough for requests to come after the bound.
+const evacuationLength = evacuationBound + 4*time.Second
+
+// drawEvacuation draws when a zone is evacuated. It leaves what else is drawn from the seed as
+// it was, so that seeds that were kept still play the same.
+func drawEvacuation(seed uint64, begin, end time.Duration) Fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	return Fault{At: begin + time.Duration(random.Int64N(int64(end-begin))), Kind: Evacuate, Length: evacuationLength}
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -60,7 +60,9 @@
 	started int // workers so far
 	route   int
 	acked   time.Time
-	faults  sync.WaitGroup
+	// evacuated is since when emptiedZone is evacuated; zero: it is not.
+	evacuated time.Time
+	faults    sync.WaitGroup
 }
 
 // Run runs one seed.
@@ -180,6 +182,11 @@
 	f.acked = time.Now()
 }
 
+// emptiedZone is the zone that is evacuated, in which every other back end stands.
+const emptiedZone = "zone-b"
+
+var zones = []string{"zone-a", emptiedZone}
+
 // addWorker starts a back end and lists it.
 func (f *fleet) addWorker() (*worker, error) {
 	f.mutex.Lock()
@@ -190,6 +197,8 @@
 	if err != nil {
 		return nil, err
 	}
+	one.zone = zones[f.started%len(zones)]
+	one.evacuated = f.evacuatedIn(one.zone)
 	f.workers = append(f.workers, one)
 	f.list(one, "ready")
 	return one, nil
@@ -197,7 +206,7 @@
 
 func (f *fleet) list(one *worker, state string) {
 	f.store.Set("servers", one.id, map[string]any{
-		"address": one.address(), "info": map[string]any{"service": "board", "zone": "zone-a", "slots": workerSlots},
+		"address": one.address(), "info": map[string]any{"service": "board", "zone": one.zone, "slots": workerSlots},
 		"status": map[string]any{"state": state},
 	})
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -41,6 +41,7 @@
 			r.answered("s-1", "/safe/s-1", answer(http.StatusOK, "s-2"), body("s-1", "/safe/s-1"))
 		}},
 		"sent to a leaving back end": {"DRAIN", func(r *report) { r.arrivedAtLeaving("i-1", "s-1", drainBound+time.Second) }},
+		"sent to an evacuated zone":  {"EVACUATED", func(r *report) { r.arrivedAtEvacuated("i-1", "s-1", evacuationBound+time.Second) }},
 		"cut by a planned stop": {"LOST", func(r *report) {
 			r.ran("u-1", "/unsafe/u-1")
 			r.unanswered("u-1", "/unsafe/u-1", true, io.ErrUnexpectedEOF)
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -22,6 +22,7 @@
 // worker is a stand-in for one back end, behind a proxy. It is safe for concurrent use.
 type worker struct {
 	id     string
+	zone   string
 	server *http.Server
 	proxy  *proxy
 	report *report
@@ -34,6 +35,8 @@
 	full    bool
 	lies    bool
 	left    time.Time // since when the store says that it leaves; zero: it does not
+	// evacuated is since when the store says that its zone is; zero: it does not.
+	evacuated time.Time
 }
 
 func startWorker(id, address, proxyAddress string, report *report) (*worker, error) {
@@ -94,7 +97,7 @@
 		return
 	}
 	w.mutex.Lock()
-	slow, loses, lies, left := w.slow, w.loses, w.lies, w.left
+	slow, loses, lies, left, evacuated := w.slow, w.loses, w.lies, w.left, w.evacuated
 	w.mutex.Unlock()
 	if r.Header.Get("Expected-Instance") != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -103,6 +106,9 @@
 	if !left.IsZero() {
 		w.report.arrivedAtLeaving(w.id, id, time.Since(left))
 	}
+	if !evacuated.IsZero() {
+		w.report.arrivedAtEvacuated(w.id, id, time.Since(evacuated))
+	}
 	if !w.enter() {
 		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
