--- a/lab/scale/claims.go
+++ b/lab/claims/claims.go
@@ -1,4 +1,6 @@
-package scale
+// Package claims measures how many operations a second one daemon claims and settles in the
+// journal of a store.
+package claims
 
 import (
 	"context"
@@ -33,8 +35,8 @@
 	return s.Memory.Put(ctx, key, value, expected)
 }
 
-// Claims is how many operations one daemon claims and settles.
-type Claims struct {
+// Row is how many operations one daemon claims and settles.
+type Row struct {
 	WritesLimit   float64 `json:"writes_limit_per_second"`
 	Callers       int     `json:"callers"`
 	PerSecond     float64 `json:"operations_per_second"`
@@ -43,8 +45,8 @@
 	MeanLatencyMS float64 `json:"mean_claim_ms"`
 }
 
-// MeasureClaims lets callers claim and finish operations one after another.
-func MeasureClaims(writes float64, callers int, length time.Duration) Claims {
+// Measure lets callers claim and finish operations one after another.
+func Measure(writes float64, callers int, length time.Duration) Row {
 	store := &slowStore{Memory: objectstore.NewMemory()}
 	executor := operation.NewExecutor(operation.Options{
 		Store: store, Writes: rate.NewLimiter(rate.Limit(writes), 1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -71,7 +73,7 @@
 	running.Wait()
 	elapsed := time.Since(begun).Seconds()
 	executor.Close(context.Background())
-	return Claims{
+	return Row{
 		WritesLimit: writes, Callers: callers, PerSecond: float64(done.Load()) / elapsed, WritesSecond: float64(store.writes.Load()) / elapsed,
 		BytesSecond: float64(store.bytes.Load()) / elapsed, MeanLatencyMS: float64(waited.Load()) / float64(max(done.Load(), 1)) / float64(time.Millisecond),
 	}
--- a/lab/labcommand/labcommand.go
+++ b/lab/labcommand/labcommand.go
@@ -8,15 +8,14 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime/pprof"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/tuliphall/tuliphall/lab/claims"
 	"github.com/tuliphall/tuliphall/lab/datapath"
 	"github.com/tuliphall/tuliphall/lab/experiment"
 	"github.com/tuliphall/tuliphall/lab/rolling"
-	"github.com/tuliphall/tuliphall/lab/scale"
 	"github.com/tuliphall/tuliphall/settings"
 )
 
@@ -33,19 +32,6 @@
 	if _, err := experiments.AddCommand("agree", "Compare the simulator with real daemons", "", &agree{out: out}); err != nil {
 		return err
 	}
-	scaling, err := parser.AddCommand("scale", "Measure control as the fleet grows", "", &struct{}{})
-	if err != nil {
-		return err
-	}
-	if _, err := scaling.AddCommand("run", "Run every size", "", &scaleRun{out: out}); err != nil {
-		return err
-	}
-	if _, err := scaling.AddCommand("claims", "Measure how many operations are claimed", "", &claimsRun{out: out}); err != nil {
-		return err
-	}
-	if _, err := scaling.AddCommand("plot", "Draw the results", "", &scalePlot{}); err != nil {
-		return err
-	}
 	if _, err := experiments.AddCommand("plot", "Draw the results", "", &experimentPlot{}); err != nil {
 		return err
 	}
@@ -59,6 +45,7 @@
 		{"backend", "Serve a stand-in for a back end", &backendServe{}},
 		{"fetch", "Print the whole answer to one request", &fetchRun{out: out}},
 		{"sleep", "Wait", &sleepRun{}},
+		{"claims", "Measure how many operations are claimed", &claimsRun{out: out}},
 		{"data-path", "Measure what the daemon adds to a request", &dataPathRun{out: out}},
 		{"rolling-restart", "Restart a fleet of daemon processes under load", &rollingRun{out: out}},
 		{"load", "Send load", &loadRun{out: out}},
@@ -102,41 +89,6 @@
 	return report.Print(c.out)
 }
 
-type scaleRun struct {
-	out      io.Writer
-	Sizes    []int         `long:"members" default:"18" default:"50" default:"100" default:"200" default:"400" default:"850" description:"number of daemons; may be given several times"`
-	Services []int         `long:"services" default:"5" default:"10" default:"20" description:"number of services at 100 members; may be given several times"`
-	Window   time.Duration `long:"window" default:"15s" description:"how long the quiet fleet is measured"`
-	Changes  int           `long:"changes" default:"5" description:"configuration changes at each size"`
-	Save     string        `long:"save" value-name:"FILE" description:"write the results as JSON"`
-	Profile  string        `long:"profile" value-name:"FILE" description:"write a processor profile"`
-}
-
-// Execute implements flags.Commander.
-func (c *scaleRun) Execute([]string) error {
-	if c.Profile != "" {
-		file, err := os.Create(c.Profile)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		if err := pprof.StartCPUProfile(file); err != nil {
-			return err
-		}
-		defer pprof.StopCPUProfile()
-	}
-	results, err := scale.Run(context.Background(), scale.Options{Sizes: c.Sizes, Services: c.Services, Window: c.Window, Changes: c.Changes}, c.out)
-	if err != nil {
-		return err
-	}
-	if c.Save != "" {
-		if err := saveJSON(c.Save, results); err != nil {
-			return err
-		}
-	}
-	return results.Print(c.out)
-}
-
 type dataPathRun struct {
 	out      io.Writer
 	Duration time.Duration `long:"duration" default:"1s" description:"length of one slice"`
@@ -166,9 +118,9 @@
 
 // Execute implements flags.Commander.
 func (c *claimsRun) Execute([]string) error {
-	var rows []scale.Claims
+	var rows []claims.Row
 	for _, callers := range []int{1, 10, 100, 1000} {
-		row := scale.MeasureClaims(settings.DefaultWritesPerSecond, callers, c.Length)
+		row := claims.Measure(settings.DefaultWritesPerSecond, callers, c.Length)
 		rows = append(rows, row)
 		if _, err := fmt.Fprintf(c.out, "%d callers: %.0f operations/s, %.1f writes/s, %.0f bytes/s, claim %.0f ms\n",
 			callers, row.PerSecond, row.WritesSecond, row.BytesSecond, row.MeanLatencyMS); err != nil {
--- a/lab/labcommand/plot.go
+++ b/lab/labcommand/plot.go
@@ -8,68 +8,24 @@
 
 	"github.com/tuliphall/tuliphall/lab/chart"
 	"github.com/tuliphall/tuliphall/lab/experiment"
-	"github.com/tuliphall/tuliphall/lab/scale"
 	"github.com/tuliphall/tuliphall/lab/simulation"
 )
 
-// plots are the options of commands that draw saved results.
-type plots struct {
-	Results string `long:"results" required:"true" value-name:"FILE" description:"results as saved by run"`
-	Folder  string `long:"folder" default:"docs/results" description:"where the pictures go"`
-}
-
-func (p *plots) read(into any) error {
-	data, err := os.ReadFile(p.Results)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(data, into)
-}
-
-// scalePlot draws what control costs against the number of daemons.
-type scalePlot struct {
-	plots
-}
-
-// Execute implements flags.Commander.
-func (c *scalePlot) Execute([]string) error {
-	var results scale.Results
-	if err := c.read(&results); err != nil {
-		return err
-	}
-	for _, one := range []struct {
-		name, label string
-		value       func(scale.Row) float64
-	}{
-		{"bytes", "bytes a second a daemon", func(r scale.Row) float64 { return r.BytesSecond }},
-		{"core", "% of a core a daemon", func(r scale.Row) float64 { return r.CorePercent }},
-		{"memory", "MB a daemon", func(r scale.Row) float64 { return r.MemoryMB }},
-		{"in-force", "seconds until in force everywhere, slowest of the changes", func(r scale.Row) float64 { return r.InForceMax }},
-	} {
-		line := chart.Line{Name: one.name}
-		for _, row := range results.Rows {
-			if row.Services == scale.ServicesFor {
-				line.Points = append(line.Points, chart.Point{X: float64(row.Members), Y: one.value(row)})
-			}
-		}
-		drawn := chart.Chart{Title: "control, 40 services", XLabel: "daemons", YLabel: one.label, Lines: []chart.Line{line}}
-		if err := drawn.Save(c.Folder, one.name); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // experimentPlot draws p99 against load for each service, and the timeline of one
 // noisy neighbour.
 type experimentPlot struct {
-	plots
+	Results string `long:"results" required:"true" value-name:"FILE" description:"results as saved by run"`
+	Folder  string `long:"folder" default:"docs/results" description:"where the pictures go"`
 }
 
 // Execute implements flags.Commander.
 func (c *experimentPlot) Execute([]string) error {
+	data, err := os.ReadFile(c.Results)
+	if err != nil {
+		return err
+	}
 	var report experiment.Report
-	if err := c.read(&report); err != nil {
+	if err := json.Unmarshal(data, &report); err != nil {
 		return err
 	}
 	charts := make(map[string]*chart.Chart)
--- a/lab/simulation/attempt.go
+++ b/lab/simulation/attempt.go
@@ -25,6 +25,7 @@
 		return
 	}
 	target := sent.worker
+	target.strain()
 	switch {
 	case target.gone:
 		r.after(2*r.pattern.wire(), func() { r.failed(one, sent) })
--- a/lab/simulation/outcome.go
+++ b/lab/simulation/outcome.go
@@ -9,6 +9,18 @@
 // Outcome is what the callers of a pattern got.
 type Outcome struct {
 	Classes map[string]*ClassOutcome
+	// FellOver is how often a cold back end got more than it bears, MostCold the most that
+	// one got within a second, and Intruders how many requests reached evacuated ones.
+	FellOver, MostCold, Intruders int
+}
+
+// seen takes in what the back ends have seen.
+func (o *Outcome) seen(workers []*worker) {
+	for _, one := range workers {
+		o.FellOver += one.fell
+		o.MostCold = max(o.MostCold, one.most)
+		o.Intruders += one.intruders
+	}
 }
 
 // ClassOutcome is what the callers of a class got.
@@ -83,6 +95,9 @@
 	for name, one := range other.Classes {
 		o.Classes[name].add(one)
 	}
+	o.FellOver += other.FellOver
+	o.MostCold = max(o.MostCold, other.MostCold)
+	o.Intruders += other.Intruders
 }
 
 // All sums up the classes.
--- a/lab/simulation/pattern.go
+++ b/lab/simulation/pattern.go
@@ -35,9 +35,15 @@
 	Knee       int     `toml:"knee"`
 	KneeFactor float64 `toml:"knee_factor"`
 	// Slowdown, Noisy and Quiet are the neighbour's; see Noise.
-	Slowdown float64         `toml:"slowdown"`
-	Noisy    config.Duration `toml:"noisy"`
-	Quiet    config.Duration `toml:"quiet"`
+	// WarmUp is how long a back end is cold after its start or its evacuation, and Bears how
+	// many requests it bears in a second then; more than FallsOver of them, and it is gone
+	// for as long. 0: none is ever cold.
+	WarmUp    config.Duration `toml:"warm_up"`
+	Bears     float64         `toml:"bears"`
+	FallsOver int             `toml:"falls_over"`
+	Slowdown  float64         `toml:"slowdown"`
+	Noisy     config.Duration `toml:"noisy"`
+	Quiet     config.Duration `toml:"quiet"`
 }
 
 // PatternClass is one kind of requests.
@@ -70,6 +76,8 @@
 	troubleGone   = "gone"   // a Share of them answers nothing
 	troubleForget = "forget" // the dispatcher is replaced by one that knows nothing
 	troubleJoin   = "join"   // Share more back ends join, slow at first by Factor for For
+	// A Share of the back ends is evacuated for For and comes back cold, slow by Factor.
+	troubleEvacuate = "evacuate"
 )
 
 // PatternTrouble is what happens at a time.
--- a/lab/simulation/replay.go
+++ b/lab/simulation/replay.go
@@ -87,6 +87,7 @@
 	r.run(time.Duration(pattern.Duration))
 	r.burst = 0
 	r.run(2 * time.Duration(pattern.Duration))
+	r.outcome.seen(r.workers)
 	return r.outcome
 }
 
@@ -125,7 +126,10 @@
 func (r *replay) configure() {
 	backends := make([]routing.Backend, 0, len(r.workers))
 	for _, one := range r.workers {
-		backends = append(backends, routing.Backend{ID: one.id, Slots: one.slots, Window: one.slots, Warm: true})
+		backends = append(backends, routing.Backend{
+			ID: one.id, Slots: one.slots, Window: one.slots, Warm: r.clock.now >= one.coldUntil,
+			WarmUp: routing.WarmUp{Lasts: time.Duration(r.pattern.Backends.WarmUp), PerSecond: r.pattern.Backends.Bears},
+		})
 	}
 	r.core.Group.SetBackends(r.time(), backends)
 }
--- a/lab/simulation/replay_test.go
+++ b/lab/simulation/replay_test.go
@@ -37,6 +37,8 @@
 // patterns are all load patterns with what their callers get.
 var patterns = map[string]floors{
 	"burst":     {map[string]float64{"read": 0.835}, 0.15},
+	"cold":      {map[string]float64{"read": 0.88}, 0.1},
+	"evacuated": {map[string]float64{"read": 0.84}, 0.14},
 	"capacity":  {map[string]float64{"read": 0.86}, 0.105},
 	"impatient": {map[string]float64{"read": 0.80}, 0.185},
 	"join":      {map[string]float64{"read": 0.96}, 0.015},
@@ -65,6 +67,18 @@
 	}
 }
 
+// TestColdAndEvacuatedAreSpared plays the patterns in which back ends are cold or evacuated:
+// none falls over, none gets more than comes evenly spaced, and none that is evacuated gets
+// anything.
+func TestColdAndEvacuatedAreSpared(t *testing.T) {
+	for _, name := range []string{"cold", "evacuated"} {
+		outcome := play(t, name)
+		require.Zero(t, outcome.FellOver, name)
+		require.Zero(t, outcome.Intruders, name)
+		require.Equal(t, 3, outcome.MostCold, "%s: 2.5 a second, evenly spaced", name)
+	}
+}
+
 // TestEveryPatternIsPlayed keeps a file from being forgotten, and from not saying what it is
 // for.
 func TestEveryPatternIsPlayed(t *testing.T) {
--- a/lab/simulation/trouble.go
+++ b/lab/simulation/trouble.go
@@ -14,8 +14,11 @@
 			r.forget()
 		case troubleJoin:
 			joined := r.addWorkers(int(trouble.Share * float64(len(r.workers))))
+			r.cool(joined)
 			r.configure()
 			r.slow(joined, trouble)
+		case troubleEvacuate:
+			r.evacuate(struck, trouble)
 		case troubleSlow:
 			r.slow(struck, trouble)
 		case troubleShed:
@@ -32,6 +35,29 @@
 	})
 }
 
+// evacuate empties back ends for a while; then they are cold.
+func (r *replay) evacuate(struck []*worker, trouble PatternTrouble) {
+	r.strike(struck, trouble, func(one *worker, begins bool) {
+		r.core.Group.SetDraining(r.time(), one.id, begins)
+		one.emptied = 0
+		if begins {
+			one.emptied = r.clock.now
+		}
+	})
+	warmUp := r.pattern.Backends.WarmUp
+	r.after(time.Duration(trouble.For), func() {
+		r.cool(struck)
+		r.slow(struck, PatternTrouble{For: warmUp, Factor: trouble.Factor})
+	})
+}
+
+// cool makes back ends cold, as far as the pattern has cold ones.
+func (r *replay) cool(struck []*worker) {
+	for _, one := range struck {
+		one.cool(time.Duration(r.pattern.Backends.WarmUp), r.pattern.Backends.FallsOver)
+	}
+}
+
 func (r *replay) slow(struck []*worker, trouble PatternTrouble) {
 	r.strike(struck, trouble, func(one *worker, begins bool) {
 		slow := 1.0
--- a/lab/simulation/worker.go
+++ b/lab/simulation/worker.go
@@ -37,6 +37,44 @@
 	knee       int
 	kneeFactor float64
 	limit      int // requests that it queues before it refuses more; 0: no bound
+
+	// While it is cold it falls over for as long when more than fallsOver requests come
+	// within a second.
+	coldUntil time.Duration
+	coldFor   time.Duration
+	fallsOver int
+	arrivals  []time.Duration // of the last second, while it is cold
+	fell      int             // how often it fell over
+	emptied   time.Duration   // since when it is to get nothing; 0: it may
+	intruders int             // requests that came all the same
+	most      int             // that came within a second while it was cold
+}
+
+// cool makes it cold from now on.
+func (w *worker) cool(lasts time.Duration, fallsOver int) {
+	w.coldUntil, w.coldFor, w.fallsOver = w.clock.now+lasts, lasts, fallsOver
+}
+
+// underWay is how long a request may be on its way to a back end.
+const underWay = 10 * time.Millisecond
+
+// strain notes a request, which it may fall over by while it is cold.
+func (w *worker) strain() {
+	now := w.clock.now
+	if w.emptied > 0 && now-w.emptied > underWay {
+		w.intruders++
+	}
+	if now >= w.coldUntil {
+		return
+	}
+	w.arrivals = slices.DeleteFunc(w.arrivals, func(at time.Duration) bool { return now-at >= time.Second })
+	w.arrivals = append(w.arrivals, now)
+	w.most = max(w.most, len(w.arrivals))
+	if w.fallsOver > 0 && len(w.arrivals) > w.fallsOver && !w.gone {
+		w.fell++
+		w.gone = true
+		w.clock.after(w.coldFor, func() { w.gone = false })
+	}
 }
 
 func newWorker(c *clock, random *rand.Rand, id string, zone, slots int) *worker {
