A back end that comes into an evacuated zone is never open

Found by reading: a dispatcher was given its back ends, gave out places, and only then was told which of them get none. TestNewInEvacuatedZone failed before: a request that waited got the new back end of an evacuated zone. What is known of a new back end comes with it now.

--- a/backend/short_test.go
+++ b/backend/short_test.go
@@ -18,9 +18,8 @@
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
-// serveCut answers one request with a body of some length, of which it sends a part and
-// then closes the connection.
-func serveCut(t *testing.T, length, sent int) (address string) {
+// serveOnce reads one request, lets answer write what it will, and closes the connection.
+func serveOnce(t *testing.T, answer func(to net.Conn)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
@@ -33,11 +32,19 @@
 		if _, err := http.ReadRequest(bufio.NewReader(accepted)); err != nil {
 			return
 		}
-		fmt.Fprintf(accepted, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", sent))
+		answer(accepted)
 	}()
 	return listener.Addr().String()
 }
 
+// serveCut answers one request with a body of some length, of which it sends a part and
+// then closes the connection.
+func serveCut(t *testing.T, length, sent int) (address string) {
+	return serveOnce(t, func(to net.Conn) {
+		fmt.Fprintf(to, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", sent))
+	})
+}
+
 func get(t *testing.T, address string) (*http.Response, error) {
 	client := backend.NewClient(backend.Options{Network: network.TCP{}, Address: address, Connections: 1})
 	t.Cleanup(client.Close)
@@ -74,26 +81,15 @@
 func TestAnswerWithTwoLengths(t *testing.T) {
 	const ambiguous = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
 	for _, piece := range []int{1, len(ambiguous)} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer listener.Close()
 		closed := make(chan struct{})
-		go func() {
+		address := serveOnce(t, func(to net.Conn) {
 			defer close(closed)
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			defer accepted.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(accepted)); err != nil {
-				return
-			}
 			for rest := ambiguous; len(rest) > 0; rest = rest[min(piece, len(rest)):] {
-				fmt.Fprint(accepted, rest[:min(piece, len(rest))])
+				fmt.Fprint(to, rest[:min(piece, len(rest))])
 			}
-			_, _ = io.Copy(io.Discard, accepted) // until the other side closes
-		}()
-		_, err = get(t, listener.Addr().String())
+			_, _ = io.Copy(io.Discard, to) // until the other side closes
+		})
+		_, err := get(t, address)
 		var failed *backend.Failure
 		require.True(t, errors.As(err, &failed), "%v", err)
 		require.Equal(t, resultcode.AnswerUnverifiable, failed.Code)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -295,3 +295,25 @@
 		require.Equal(t, 100*time.Millisecond, err.(*resultcode.Failure).RetryAfter)
 	})
 }
+
+// TestNewInEvacuatedZone declares a back end in an evacuated zone while requests wait: it is
+// never open, not even between being known and being told that it gets none.
+func TestNewInEvacuatedZone(t *testing.T) {
+	d := dispatch.New(rand.New(rand.NewPCG(1, 1)), 10)
+	held := routing.Backend{ID: "b0", Slots: 1, Window: 1, Warm: true}
+	d.Configure([]routing.Backend{held}, 10)
+	request := dispatch.Request{Weight: 1, Deadline: time.Now().Add(time.Minute)}
+	_, err := d.Acquire(t.Context(), request)
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	got := make(chan error)
+	go func() {
+		_, err := d.Acquire(ctx, request)
+		got <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	d.Configure([]routing.Backend{held, {ID: "b1", Zone: "west", Slots: 1, Window: 1, Warm: true, Drained: true, Evacuated: true}}, 10)
+	require.Error(t, <-got)
+	require.False(t, d.Takes("b1"))
+}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -48,8 +48,8 @@
 	freshTick = 2 * time.Millisecond
 	// refreshTimeout bounds a probe for a fresher report; what comes later is old.
 	refreshTimeout = 100 * time.Millisecond
-	// maxOutstanding bounds such probes of one service that are under way: one each look for
-	// as long as a probe takes three times over at 10 ms.
+	// maxOutstanding bounds such probes of one service that are under way: as many as one
+	// each look makes while a probe takes 32 ms, three times as long as usual.
 	maxOutstanding = 16
 	// maxWarmUpLeft is the longest time that a back end may say it remains cold: an hour, as
 	// what services declare (config.MaxWarmUp).
--- a/routing/group.go
+++ b/routing/group.go
@@ -1,11 +1,9 @@
 package routing
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,7 +66,8 @@
 	for _, backend := range backends {
 		state, known := g.byID[backend.ID]
 		if !known {
-			state = &State{root: math.Sqrt(initialLatency.Seconds())}
+			// It must not get a request before it is said that it gets none.
+			state = &State{root: math.Sqrt(initialLatency.Seconds()), Draining: backend.Drained}
 			state.slowdown.common = &g.common
 		}
 		if state.Slots != backend.Slots || state.Window != backend.Window {
@@ -161,45 +160,6 @@
 	return false
 }
 
-// Phrases of refusals that tell which back ends are left out, by which package explain knows
-// them again.
-const (
-	PhraseEvacuated = "back ends are in evacuated zones"
-	PhraseCold      = "back ends are cold"
-)
-
-// Unavailable says why no back end takes requests.
-func (g *Group) Unavailable() string {
-	evacuated := g.count(func(state *State) bool { return state.Evacuated })
-	if evacuated == 0 {
-		return "every back end is draining or none is placed"
-	}
-	return fmt.Sprintf("%d of %d %s, the others draining", evacuated, len(g.states), PhraseEvacuated)
-}
-
-// LeftOut says how many back ends take no requests, or few, for what they are; empty: none.
-func (g *Group) LeftOut(now time.Time) string {
-	var parts []string
-	if evacuated := g.count(func(state *State) bool { return state.Evacuated }); evacuated > 0 {
-		parts = append(parts, fmt.Sprintf("%d of %d %s", evacuated, len(g.states), PhraseEvacuated))
-	}
-	if cold := g.count(func(state *State) bool { return !state.Draining && state.Cold(now) }); cold > 0 {
-		parts = append(parts, fmt.Sprintf("%d of %d %s", cold, len(g.states), PhraseCold))
-	}
-	return strings.Join(parts, ", ")
-}
-
-// count returns how many back ends are as asked for.
-func (g *Group) count(is func(state *State) bool) int {
-	count := 0
-	for _, state := range g.states {
-		if is(state) {
-			count++
-		}
-	}
-	return count
-}
-
 // Request is what routing needs to know of a request.
 type Request struct {
 	// Session binds requests with the same text to one back end; empty: no
--- /dev/null
+++ b/routing/leftout.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Phrases of refusals that tell which back ends are left out, by which package explain knows
+// them again.
+const (
+	PhraseEvacuated = "back ends are in evacuated zones"
+	PhraseCold      = "back ends are cold"
+)
+
+// Unavailable says why no back end takes requests.
+func (g *Group) Unavailable() string {
+	evacuated := g.count(func(state *State) bool { return state.Evacuated })
+	if evacuated == 0 {
+		return "every back end is draining or none is placed"
+	}
+	return fmt.Sprintf("%d of %d %s, the others draining", evacuated, len(g.states), PhraseEvacuated)
+}
+
+// LeftOut says how many back ends take no requests, or few, for what they are; empty: none.
+func (g *Group) LeftOut(now time.Time) string {
+	var parts []string
+	if evacuated := g.count(func(state *State) bool { return state.Evacuated }); evacuated > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d %s", evacuated, len(g.states), PhraseEvacuated))
+	}
+	if cold := g.count(func(state *State) bool { return !state.Draining && state.Cold(now) }); cold > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d %s", cold, len(g.states), PhraseCold))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// count returns how many back ends are as asked for.
+func (g *Group) count(is func(state *State) bool) int {
+	count := 0
+	for _, state := range g.states {
+		if is(state) {
+			count++
+		}
+	}
+	return count
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -31,7 +31,9 @@
 	Warm bool
 	// WarmUp is what it bears while it is not.
 	WarmUp WarmUp
-	// Evacuated: its zone is to get no requests, which is why it is Draining.
+	// Drained: by declaration it gets no new requests.
+	Drained bool
+	// Evacuated: that is because its zone gets none.
 	Evacuated bool
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -107,7 +107,8 @@
 		options.Connections = probeConnections
 		next.probes[one.ID] = keep(present.probes[one.ID], options)
 		places = append(places, routing.Backend{
-			ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one), Warm: one.Warm, Evacuated: evacuated,
+			ID: one.ID, Zone: one.Zone, Slots: one.Slots, Window: window(target.Service, one), Warm: one.Warm,
+			Drained: closed[one.ID] || s.heardDrained(one.ID), Evacuated: evacuated,
 			WarmUp: routing.WarmUp{Lasts: time.Duration(target.Service.WarmUp), PerSecond: target.Service.WarmUpRate},
 		})
 	}
