--- a/measure/measure.go
+++ b/measure/measure.go
@@ -43,14 +43,14 @@
 	// probeTimeout bounds one probe.
 	probeTimeout = 500 * time.Millisecond
 	storeTimeout = 2 * time.Second
-	// freshTick is how often the prober looks whether a report is too old: about as long as
-	// the shortest way to a back end and back, below which a report tells nothing newer.
-	freshTick = 2 * time.Millisecond
+	// freshTick is how often the prober looks whether a report is too old. At 2 ms a quiet day
+	// of 13 daemons took 8.6 s of processor time, at 5 ms 6.7 s.
+	freshTick = 5 * time.Millisecond
 	// refreshTimeout bounds a probe for a fresher report; what comes later is old.
 	refreshTimeout = 100 * time.Millisecond
 	// maxOutstanding bounds such probes of one service that are under way: as many as one
-	// each look makes while a probe takes 32 ms, three times as long as usual.
-	maxOutstanding = 16
+	// each look makes while a probe takes 40 ms, four times as long as usual.
+	maxOutstanding = 8
 	// maxWarmUpLeft is the longest time that a back end may say it remains cold: an hour, as
 	// what services declare (config.MaxWarmUp).
 	maxWarmUpLeft = time.Duration(config.MaxWarmUp)
--- a/routing/worth.go
+++ b/routing/worth.go
@@ -4,9 +4,8 @@
 
 // Bounds of how old a report may be that a back end is chosen by.
 const (
-	// leastFreshness is what the wire takes for most of the reports: a probe for a fresher
-	// one brings nothing.
-	leastFreshness = 2 * time.Millisecond
+	// leastFreshness is as often as it is looked whether a report is too old.
+	leastFreshness = 5 * time.Millisecond
 	// mostFreshness is for how long a back end that was well a moment ago is taken for well,
 	// where nothing was seen to change.
 	mostFreshness = 250 * time.Millisecond
