--- a/config/document.go
+++ b/config/document.go
@@ -203,7 +203,7 @@
 	change.Revision = d.Revision + 1
 	change.Objects = changed
 	history := append(append([]Change(nil), d.History...), change)
-	return d.changed(change.Revision, content, history), nil
+	return d.changed(change.Revision, content, boundHistory(history)), nil
 }
 
 // boundHistory drops the oldest changes until the history is within its bounds.
@@ -244,12 +244,12 @@
 	if err != nil {
 		return Document{}, err
 	}
-	return d.changed(revision, content, history), nil
+	return d.changed(revision, content, boundHistory(history)), nil
 }
 
 // changed returns the document with other content. What a platform itself keeps stays.
 func (d Document) changed(revision Revision, content Content, history []Change) Document {
-	d.Revision, d.Content, d.History = revision, content, boundHistory(history)
+	d.Revision, d.Content, d.History = revision, content, history
 	return d
 }
 
