Back ends that tell nothing are not asked what requests met

TestNobodyAsksWhoTellsNothing failed before. Nothing changes where load is told, but before the first report.

--- a/dispatch/follow_test.go
+++ b/dispatch/follow_test.go
@@ -64,6 +64,15 @@
 	require.Empty(t, core.Refreshed(epoch.Add(5*time.Millisecond), "a", routing.Report{Slowdown: 5}), "it has ended")
 }
 
+// TestNobodyAsksWhoTellsNothing asks no back end what a request met where none ever told it.
+func TestNobodyAsksWhoTellsNothing(t *testing.T) {
+	core := learned(1)
+	core.Refreshed(epoch, "a", routing.Report{InFlight: 1})
+	offered(t, core, epoch, followedReading(0))
+	_, wanted := core.Group.StaleTarget(epoch.Add(5*time.Millisecond), time.Second, 0)
+	require.False(t, wanted)
+}
+
 // TestFollowedWhereItHelps follows only requests that may get a second attempt in time.
 func TestFollowedWhereItHelps(t *testing.T) {
 	core := learned(4)
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -11,9 +11,9 @@
 const arrival = 3 * time.Millisecond
 
 // Follow lets a back end be asked how it is as soon as a request has reached it. A cold one
-// is spared that.
+// is spared that, and one of a service whose back ends tell nothing of it.
 func (g *Group) Follow(now time.Time, state *State) {
-	if state.Cold(now) {
+	if state.Cold(now) || !state.slowdown.known() {
 		return
 	}
 	g.unfollow(state)
