Sight: what back ends say of how many requests they take is read, logged and counted

Callers saw nothing; back ends that named a limit of 2.5 a second got 52 requests in 4 s. No log and no metric told whether a daemon had heard of the limit. Now each daemon logs what it hears.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -21,6 +21,9 @@
 	// ParseReport reads that header. It returns false when the value has no
 	// usable count.
 	ParseReport func(value string) (Report, bool)
+	// RequestLimit is the header of an answer that holds how many requests a second the back end
+	// takes from all daemons together; see package backendlimit. Empty: none does.
+	RequestLimit string
 	// WarmUpLeft is the header of a health answer that holds for how many milliseconds the
 	// back end remains cold. Empty: none does.
 	WarmUpLeft string
@@ -42,5 +45,5 @@
 
 // DefaultDialect is the project's own.
 func DefaultDialect() Dialect {
-	return Dialect{RequestID: HeaderRequestID, Deadline: HeaderDeadline, Tenant: HeaderTenant, Report: HeaderReport, ParseReport: ParseReport}
+	return Dialect{RequestID: HeaderRequestID, Deadline: HeaderDeadline, Tenant: HeaderTenant, Report: HeaderReport, ParseReport: ParseReport, RequestLimit: HeaderRequestLimit}
 }
--- a/backend/report.go
+++ b/backend/report.go
@@ -15,6 +15,9 @@
 // HeaderDraining is set to "true" by a back end that is leaving.
 const HeaderDraining = "Endpoint-Draining"
 
+// HeaderRequestLimit is set by a back end that takes only so many requests a second.
+const HeaderRequestLimit = "Endpoint-Request-Limit"
+
 // inFlightMetric is the named metric that holds the requests a back end has,
 // those in its queue included.
 const inFlightMetric = "named_metrics.in_flight"
--- /dev/null
+++ b/backendlimit/keeper.go
@@ -0,0 +1,168 @@
+package backendlimit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/wait"
+)
+
+// forgetInterval is how often what is not needed any more is dropped.
+const forgetInterval = 5 * time.Second
+
+// Options are a Keeper's collaborators. No function may block.
+type Options struct {
+	// Declared says whether a back end is declared.
+	Declared func(Key) bool
+	// Apply puts a limit in force where places are given out.
+	Apply func(Word)
+	// Tell tells the other daemons of news that this one has heard.
+	Tell    func(Word)
+	Log     *slog.Logger
+	Metrics tally.Scope
+}
+
+// Keeper is a daemon's table of limits. It is safe for concurrent use; but for Run, no method blocks.
+type Keeper struct {
+	options    Options
+	log        *slog.Logger
+	unreadable tally.Counter
+	gauge      tally.Gauge
+	// limited is how many back ends are limited. Most answers say nothing, and need not look
+	// further while it is 0.
+	limited atomic.Int64
+
+	mutex sync.Mutex
+	table *Table
+	// warned are the back ends of which it was logged that their word cannot be read.
+	warned map[Key]bool
+}
+
+// NewKeeper returns a keeper that has heard nothing.
+func NewKeeper(options Options) *Keeper {
+	return &Keeper{
+		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: make(map[Key]bool),
+		unreadable: options.Metrics.Counter("backend_limits_unreadable"), gauge: options.Metrics.Gauge("backends_limited"),
+	}
+}
+
+// Hear takes in what a back end said with an answer: the values of the header that names its limit.
+// The rest of answer but for its Limit is set. The request path calls it.
+func (k *Keeper) Hear(values []string, answer Answer) {
+	if len(values) == 0 && k.limited.Load() == 0 {
+		return
+	}
+	limit, err := Parse(values)
+	if err != nil {
+		k.noteUnreadable(answer.Key, err)
+		return
+	}
+	answer.Limit = limit
+	k.mutex.Lock()
+	now := time.Now()
+	before, _ := k.table.Word(answer.Key, answer.Started)
+	change := k.table.Hear(now, answer)
+	word, _ := k.table.Word(answer.Key, answer.Started)
+	k.count()
+	k.mutex.Unlock()
+	if change == Nothing {
+		return
+	}
+	k.options.Apply(word)
+	if change == News {
+		k.logChange(before, word, "back end")
+		k.options.Tell(word)
+	}
+}
+
+// noteUnreadable counts a word that cannot be read, and logs the first of each back end.
+func (k *Keeper) noteUnreadable(key Key, err error) {
+	k.unreadable.Inc(1)
+	k.mutex.Lock()
+	warned := k.warned[key] || len(k.warned) >= maxWords
+	if !warned {
+		k.warned[key] = true
+	}
+	k.mutex.Unlock()
+	if !warned {
+		k.log.Warn("limit not understood, what is known stays", "service", key.Service, "backend", key.Backend, "error", err)
+	}
+}
+
+// Take takes in what another daemon tells, and returns what of it is news.
+func (k *Keeper) Take(told []Word) []Word {
+	var news []Word
+	for _, word := range told {
+		k.mutex.Lock()
+		before, _ := k.table.Word(word.Key, word.Started)
+		isNews := k.table.Take(time.Now(), word)
+		k.count()
+		k.mutex.Unlock()
+		if isNews {
+			k.options.Apply(word)
+			k.logChange(before, word, "daemon")
+			news = append(news, word)
+		}
+	}
+	return news
+}
+
+// count publishes how many back ends are limited. The caller holds the mutex.
+func (k *Keeper) count() {
+	k.limited.Store(int64(k.table.Limited()))
+	k.gauge.Update(float64(k.table.Limited()))
+}
+
+func (k *Keeper) logChange(before, word Word, source string) {
+	message := "back end takes fewer requests"
+	if !word.Limited {
+		message = "limit has ended"
+	}
+	k.log.Info(message, "service", word.Service, "backend", word.Backend, "per_second", word.PerSecond,
+		"limited_before", before.Limited, "before", before.PerSecond, "started", word.Started, "source", source)
+}
+
+// Word returns the word on the run of a back end that started at a time; 0: whichever run.
+func (k *Keeper) Word(key Key, started int64) (Word, bool) {
+	if k.limited.Load() == 0 {
+		return Word{}, false
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.table.Word(key, started)
+}
+
+// Newest returns what others are to be told of a back end.
+func (k *Keeper) Newest(key Key) (Word, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.table.Word(key, 0)
+}
+
+// Words returns the limits that are in force, at most so many.
+func (k *Keeper) Words(most int) []Word {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.table.Words(most)
+}
+
+// Run drops what is not needed any more until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for wait.Sleep(ctx, forgetInterval) {
+		k.mutex.Lock()
+		k.table.Forget(time.Now(), k.options.Declared)
+		for key := range k.warned {
+			if !k.options.Declared(key) {
+				delete(k.warned, key)
+			}
+		}
+		k.count()
+		k.mutex.Unlock()
+	}
+}
--- /dev/null
+++ b/backendlimit/table.go
@@ -0,0 +1,226 @@
+package backendlimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// notable is by which part a limit must change for the other daemons to be told again. A tenth
+	// less is what is kept in reserve anyway where places are given out.
+	notable = 0.1
+	// endedMemory is for how long it is remembered that a limit has ended: until older news of the
+	// limit is not passed on any more.
+	endedMemory = time.Minute
+	// undeclaredMemory is for how long words of back ends are kept that are not declared here: a
+	// daemon that has just started hears them before it knows the back ends.
+	undeclaredMemory = 10 * time.Second
+	// maxWords bounds the words that are kept; one takes about 200 bytes.
+	maxWords = 1 << 14
+)
+
+// Key names a back end of a service.
+type Key struct {
+	Service string
+	Backend string
+}
+
+// Word is what is known of a back end's limit.
+type Word struct {
+	Key
+	Limit
+	// Started tells which run of the back end said it, in Unix milliseconds; 0: it does not say.
+	Started int64
+	// At orders words on a back end: the wall clock of the daemon that heard it, or later than what
+	// that one knew before.
+	At time.Time
+}
+
+// entry is a word with what only this daemon knows of it.
+type entry struct {
+	Word
+	// heard is when this daemon last heard that the back end is limited.
+	heard time.Time
+	// changed is when it heard this word first.
+	changed time.Time
+	// byProbe: answers to probes have named the limit.
+	byProbe bool
+}
+
+// Table holds the newest word of each back end that has said one. It is not safe for concurrent use.
+type Table struct {
+	entries map[Key]*entry
+	limited int // entries that are limited
+}
+
+// NewTable returns a table without words.
+func NewTable() *Table {
+	return &Table{entries: make(map[Key]*entry)}
+}
+
+// Answer is an answer of a back end, and what it said.
+type Answer struct {
+	Key
+	Limit
+	Started int64     // of the run that answered; 0: not known
+	Sent    time.Time // when the request was sent, or earlier
+	// Probe: it answered a probe. Some back ends name their limit to requests only.
+	Probe bool
+	// Failed: it is a failure or a refusal. That it names no limit says nothing then.
+	Failed bool
+}
+
+// Change is what a word has changed.
+type Change int
+
+// The changes.
+const (
+	Nothing Change = iota
+	// Slight: the limit is hardly another one, and not worth telling others of.
+	Slight
+	// News: the others are to be told.
+	News
+)
+
+// Hear takes in what an answer said.
+func (t *Table) Hear(now time.Time, answer Answer) Change {
+	known := t.current(answer.Key, answer.Started)
+	if known != nil && known.Started > answer.Started && answer.Started != 0 {
+		return Nothing // an earlier run said it
+	}
+	if answer.Limited {
+		return t.hearLimit(now, known, answer)
+	}
+	if known == nil || !known.Limited || !answer.Sent.After(known.heard) || answer.Failed || answer.Probe && !known.byProbe {
+		return Nothing
+	}
+	t.set(now, Word{Key: answer.Key, Started: known.Started, At: after(now, known)})
+	return News
+}
+
+// hearLimit takes in a limit that an answer named.
+func (t *Table) hearLimit(now time.Time, known *entry, answer Answer) Change {
+	if known == nil && len(t.entries) >= maxWords {
+		return Nothing
+	}
+	change := News
+	if known != nil && known.Limited && math.Abs(known.PerSecond-answer.PerSecond) <= notable*known.PerSecond {
+		change = Slight
+		if known.PerSecond == answer.PerSecond {
+			change = Nothing
+		}
+	}
+	at := after(now, known)
+	if change != News {
+		at = known.At
+	}
+	byProbe := answer.Probe || known != nil && known.byProbe
+	set := t.set(now, Word{Key: answer.Key, Limit: answer.Limit, Started: answer.Started, At: at})
+	set.byProbe = byProbe
+	return change
+}
+
+// after returns a time for a word that replaces a known one.
+func after(now time.Time, known *entry) time.Time {
+	at := now.Round(0) // the wall clock alone
+	if known != nil && !at.After(known.At) {
+		at = known.At.Add(time.Millisecond)
+	}
+	return at
+}
+
+// Take takes in a word that another daemon told, and says whether it is news.
+func (t *Table) Take(now time.Time, word Word) bool {
+	known := t.current(word.Key, word.Started)
+	switch {
+	case known == nil:
+		if !word.Limited || len(t.entries) >= maxWords {
+			return false
+		}
+	case known.Started > word.Started && word.Started != 0, !word.At.After(known.At):
+		return false
+	case known.Limit == word.Limit:
+		known.At = word.At
+		return false
+	}
+	t.set(now, word)
+	return true
+}
+
+// current returns what is known of a back end, unless an earlier run than the named one said it.
+func (t *Table) current(key Key, started int64) *entry {
+	known := t.entries[key]
+	if known == nil || started == 0 || known.Started == 0 || known.Started >= started {
+		return known
+	}
+	t.drop(known)
+	return nil
+}
+
+// set replaces the word on a back end.
+func (t *Table) set(now time.Time, word Word) *entry {
+	known := t.entries[word.Key]
+	if known == nil {
+		known = &entry{}
+		t.entries[word.Key] = known
+	} else if known.Limited {
+		t.limited--
+	}
+	if known.Limit != word.Limit || known.Started != word.Started {
+		known.changed = now
+	}
+	known.Word = word
+	if word.Limited {
+		t.limited++
+		known.heard = now
+	} else {
+		known.byProbe = false
+	}
+	return known
+}
+
+func (t *Table) drop(known *entry) {
+	if known.Limited {
+		t.limited--
+	}
+	delete(t.entries, known.Key)
+}
+
+// Word returns the word on the run of a back end that started at a time, and false where there is
+// none. 0: whichever run.
+func (t *Table) Word(key Key, started int64) (Word, bool) {
+	known := t.entries[key]
+	if known == nil || started != 0 && known.Started != 0 && known.Started != started {
+		return Word{}, false
+	}
+	return known.Word, true
+}
+
+// Limited returns how many back ends are limited.
+func (t *Table) Limited() int {
+	return t.limited
+}
+
+// Words returns the limits that are in force, at most so many.
+func (t *Table) Words(most int) []Word {
+	var words []Word
+	for _, known := range t.entries {
+		if len(words) == most {
+			break
+		}
+		if known.Limited {
+			words = append(words, known.Word)
+		}
+	}
+	return words
+}
+
+// Forget drops what ended long ago, and words on back ends that are not declared.
+func (t *Table) Forget(now time.Time, declared func(Key) bool) {
+	for key, known := range t.entries {
+		age := now.Sub(known.changed)
+		if !known.Limited && age > endedMemory || age > undeclaredMemory && !declared(key) {
+			t.drop(known)
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"github.com/tuliphall/tuliphall/admin"
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/clock"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/dissemination"
@@ -93,6 +94,7 @@
 	prober     *measure.Prober
 	quarantine *quarantine.Keeper
 	rates      *ratelimit.Keeper
+	limits     *backendlimit.Keeper
 	rollouts   *rollout.Keeper
 	recorder   rollout.Recorder
 	editor     *config.Editor
@@ -233,6 +235,7 @@
 		Policy: d.settings.Quarantine.Policy(), Store: d.store, Timeout: time.Duration(d.settings.Platform.Timeout),
 		Reads: d.readsQuarantine, Tell: d.tellCrashingRequest, Log: d.logger, Metrics: scope,
 	})
+	d.limits = backendlimit.NewKeeper(backendlimit.Options{Declared: d.isDeclared, Apply: d.applyLimit, Tell: d.tellLimit, Log: d.logger, Metrics: scope})
 	d.rates = ratelimit.NewKeeper(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
 	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now)
@@ -262,10 +265,10 @@
 	d.handler = frontend.NewHandler(frontend.Options{
 		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
 		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
-		Configured: d.follower.Serving, Quarantine: d.quarantine,
+		Configured: d.follower.Serving, Quarantine: d.quarantine, Limits: d.limits,
 	})
 	d.prober = measure.NewProber(measure.Options{
-		Holder: d.settings.Name + "@" + d.listeners.Peer, Store: d.store, Services: d.services, Dispatches: d.probes, Now: d.now, Dialect: d.dialect, Log: d.logger, Metrics: scope,
+		Holder: d.settings.Name + "@" + d.listeners.Peer, Store: d.store, Services: d.services, Dispatches: d.probes, Now: d.now, Dialect: d.dialect, Limits: d.limits, Log: d.logger, Metrics: scope,
 	})
 }
 
@@ -304,6 +307,7 @@
 	d.running.Go(func() { d.watchMachines(ctx) })
 	d.running.Go(func() { d.quarantine.Run(ctx) })
 	d.running.Go(func() { d.rates.Run(ctx) })
+	d.running.Go(func() { d.limits.Run(ctx) })
 	d.running.Go(func() { d.rollouts.Run(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
 	d.running.Go(func() { d.reportTraffic(ctx, scope) })
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -173,7 +174,9 @@
 		return nil, a.sendFailed(chosen, err)
 	}
 	got := &received{chosen: chosen, response: response, latency: time.Since(chosen.sent), report: a.learn(chosen, response)}
-	if !a.refused(response) {
+	refused := a.refused(response)
+	a.learnLimit(chosen, response, refused)
+	if !refused {
 		return got, nil
 	}
 	response.Body.Close()
@@ -270,6 +273,18 @@
 	return new(routing.Report(report))
 }
 
+// learnLimit takes in what the back end says, or does not say, of how many requests it takes.
+func (a *attempter) learnLimit(chosen *place, response *http.Response, refused bool) {
+	header := a.handler.options.Dialect.RequestLimit
+	if header == "" || response.StatusCode == http.StatusMisdirectedRequest {
+		return // another back end has answered
+	}
+	a.handler.options.Limits.Hear(response.Header.Values(header), backendlimit.Answer{
+		Key: backendlimit.Key{Service: a.call.service.Name(), Backend: chosen.backend}, Started: chosen.started, Sent: chosen.sent,
+		Failed: refused || response.StatusCode >= http.StatusInternalServerError,
+	})
+}
+
 // abort breaks off an answer that has begun, so that the caller cannot take it
 // for whole.
 func (a *attempter) abort(err *passError) {
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/logging"
@@ -39,6 +40,18 @@
 	HeardDraining(service, backend string, draining bool)
 }
 
+// Limits is told what back ends say of how many requests they take. It must not block.
+type Limits interface {
+	// Hear takes in the values of the header by which an answer names a limit.
+	Hear(values []string, answer backendlimit.Answer)
+}
+
+// noLimits hears nothing.
+type noLimits struct{}
+
+// Hear implements Limits.
+func (noLimits) Hear([]string, backendlimit.Answer) {}
+
 // Options are the frontend's collaborators.
 type Options struct {
 	Name     string // the daemon's
@@ -53,8 +66,10 @@
 	Operations *operation.Executor
 	// Quarantine holds back requests under which back ends end; nil: none is held back.
 	Quarantine Quarantine
-	Log        *slog.Logger
-	Metrics    tally.Scope
+	// Limits is told what back ends say of how many requests they take; nil: nobody is.
+	Limits  Limits
+	Log     *slog.Logger
+	Metrics tally.Scope
 	// LogDecisions says whether each routing decision and each answered request
 	// gets a line; nil: none does. It must not block.
 	LogDecisions func() bool
@@ -85,6 +100,9 @@
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
+	if options.Limits == nil {
+		options.Limits = noLimits{}
+	}
 	if options.LogDecisions == nil {
 		options.LogDecisions = func() bool { return false }
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -23,6 +23,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/clock"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/lease"
@@ -59,6 +60,12 @@
 	maxProbeBody = 4 << 10
 )
 
+// Limits is told what back ends say of how many requests they take. It must not block.
+type Limits interface {
+	// Hear takes in the values of the header by which an answer names a limit.
+	Hear(values []string, answer backendlimit.Answer)
+}
+
 // Options are a Prober's collaborators.
 type Options struct {
 	Holder   string // the daemon's name and address, as of a lease
@@ -70,6 +77,8 @@
 	Now clock.Clock
 	// Dialect is how back ends spell their load.
 	Dialect backend.Dialect
+	// Limits is told what back ends say of how many requests they take; nil: nobody is.
+	Limits  Limits
 	Log     *slog.Logger
 	Metrics tally.Scope
 }
@@ -142,14 +151,14 @@
 	if !wanted || !p.allowed(ctx, d, now, declared.ProbesPerSecond) {
 		return
 	}
-	client := running.ProbeClient(target)
-	if client == nil || d.outstanding.Load() > 0 || !d.budget.Spend(time.Now(), declared.ProbesPerSecond) {
+	asked := p.target(name, target, running)
+	if asked.client == nil || d.outstanding.Load() > 0 || !d.budget.Spend(time.Now(), declared.ProbesPerSecond) {
 		return
 	}
 	p.launch(ctx, d, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		report, well, err := p.ask(ctx, client, declared.ProbePath)
+		report, well, err := p.ask(ctx, asked)
 		if err != nil {
 			p.log.Debug("probe failed", "service", name, "backend", target, "error", err)
 		}
@@ -170,15 +179,15 @@
 	if !wanted {
 		return
 	}
-	client := running.ProbeClient(target)
-	if client == nil || !d.budget.Spend(time.Now(), declared.ProbesPerSecond) {
+	asked := p.target(name, target, running)
+	if asked.client == nil || !d.budget.Spend(time.Now(), declared.ProbesPerSecond) {
 		running.Dispatcher.Unprobed(target)
 		return
 	}
 	p.launch(ctx, d, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 		defer cancel()
-		report, _, err := p.ask(ctx, client, declared.ProbePath)
+		report, _, err := p.ask(ctx, asked)
 		if err != nil || report == nil {
 			p.log.Debug("no fresher report", "service", name, "backend", target, "error", err)
 			running.Dispatcher.Unprobed(target)
@@ -241,15 +250,32 @@
 	}
 }
 
+// probeTarget is a back end that is to be probed.
+type probeTarget struct {
+	backend backendlimit.Key
+	started int64 // of its present run; 0: it does not say
+	client  *backend.Client
+	path    string
+}
+
+// target returns what it takes to probe a back end; its client is nil where it is not declared.
+func (p *Prober) target(name, id string, running *service.Service) probeTarget {
+	return probeTarget{
+		backend: backendlimit.Key{Service: name, Backend: id}, started: running.Started(id),
+		client: running.ProbeClient(id), path: running.Target().Service.ProbePath,
+	}
+}
+
 // ask probes one back end. well says whether it takes itself for well; the report is
 // nil where it told none.
-func (p *Prober) ask(ctx context.Context, client *backend.Client, path string) (report *routing.Report, well bool, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+func (p *Prober) ask(ctx context.Context, asked probeTarget) (report *routing.Report, well bool, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, asked.path, nil)
 	if err != nil {
 		return nil, false, errors.Annotate(err, "probe")
 	}
 	request.Header = http.Header{"User-Agent": nil} // nil: none is sent
-	response, err := client.Do(ctx, request)
+	sent := time.Now()
+	response, err := asked.client.Do(ctx, request)
 	if err != nil {
 		return nil, false, err
 	}
@@ -258,6 +284,7 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBody)); err != nil {
 		return nil, false, errors.Annotate(err, "probe")
 	}
+	p.learnLimit(asked, sent, response)
 	if told, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
 		told.WarmUpLeft = p.warmUpLeft(response.Header)
 		report = new(routing.Report(told))
@@ -265,6 +292,17 @@
 	return report, response.StatusCode < http.StatusInternalServerError, nil
 }
 
+// learnLimit takes in what the back end says, or does not say, of how many requests it takes.
+func (p *Prober) learnLimit(asked probeTarget, sent time.Time, response *http.Response) {
+	header := p.options.Dialect.RequestLimit
+	if p.options.Limits == nil || header == "" {
+		return
+	}
+	p.options.Limits.Hear(response.Header.Values(header), backendlimit.Answer{
+		Key: asked.backend, Started: asked.started, Sent: sent, Probe: true, Failed: response.StatusCode >= http.StatusInternalServerError,
+	})
+}
+
 // warmUpLeft reads for how long the back end remains cold; 0 where it does not say.
 func (p *Prober) warmUpLeft(from http.Header) time.Duration {
 	told := from.Get(p.options.Dialect.WarmUpLeft)
--- a/service/service.go
+++ b/service/service.go
@@ -253,6 +253,11 @@
 	source  DrainSource
 }
 
+// Declares says whether a back end is declared.
+func (s *Service) Declares(id string) bool {
+	return s.declared.Load().byID[id] != nil
+}
+
 // Started returns when the present run of a back end started, as it says; 0: it does not say, or is
 // not declared.
 func (s *Service) Started(id string) int64 {
