--- a/lab/objectstub/mortal_test.go
+++ b/lab/objectstub/mortal_test.go
@@ -173,19 +173,23 @@
 			case <-time.After(every):
 			}
 			b.running.Go(func() {
-				got := f.send(number%len(f.daemons), path(number))
-				b.mutex.Lock()
-				defer b.mutex.Unlock()
-				b.sent++
-				if got.status == http.StatusOK {
-					b.answered++
-				}
+				b.count(f.send(number%len(f.daemons), path(number)))
 			})
 		}
 	})
 	return b
 }
 
+// count counts an answer.
+func (b *background) count(got answer) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.sent++
+	if got.status == http.StatusOK {
+		b.answered++
+	}
+}
+
 // share ends it and returns which share of the requests was answered.
 func (b *background) share() float64 {
 	close(b.stop)
--- a/lab/objectstub/worker_test.go
+++ b/lab/objectstub/worker_test.go
@@ -34,6 +34,10 @@
 	silent    bool        // health checks get no answer
 	arrivals  []time.Time // of requests, in order
 	heads     []http.Header
+	// limit is what it says of how many requests a second it takes; empty: nothing. limitInHealth:
+	// it says so in health answers, too.
+	limit         string
+	limitInHealth bool
 }
 
 // disturbedTimes is how much longer work takes that begins while a worker is disturbed.
@@ -54,8 +58,11 @@
 func (w *worker) health(rw http.ResponseWriter) {
 	w.mutex.Lock()
 	w.probes = append(w.probes, time.Now())
-	silent, slowdown := w.silent, w.slowdown()
+	silent, slowdown, named := w.silent, w.slowdown(), w.limitInHealth
 	w.mutex.Unlock()
+	if named {
+		w.nameLimit(rw)
+	}
 	if silent {
 		time.Sleep(time.Minute)
 		return
@@ -64,6 +71,15 @@
 	rw.Header().Set("Server-Load", fmt.Sprintf("0,0,3,%d", 100*slowdown))
 }
 
+// nameLimit says how many requests the worker takes, if it says so now.
+func (w *worker) nameLimit(rw http.ResponseWriter) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.limit != "" {
+		rw.Header().Set("Server-Limit", w.limit)
+	}
+}
+
 func (w *worker) change(apply func()) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -99,10 +115,12 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	case w.fails != nil && w.fails(r):
 		time.Sleep(work)
+		w.nameLimit(rw)
 		rw.Header().Set("Server-Stamp", w.id)
 		rw.WriteHeader(http.StatusInternalServerError)
 	default:
 		time.Sleep(work)
+		w.nameLimit(rw)
 		rw.Header().Set("Server-Stamp", w.id)
 		fmt.Fprint(rw, r.RequestURI)
 	}
