--- a/lab/objectstub/limit_test.go
+++ b/lab/objectstub/limit_test.go
@@ -3,11 +3,17 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/lab/objectstub"
 )
 
 // What is promised to a back end that names a limit.
@@ -65,21 +71,43 @@
 }
 
 // randomLoad sends requests to random daemons at random times, every so often on average.
-func (f *fleet) randomLoad(every time.Duration) *background {
-	random := rand.New(rand.NewPCG(7, 7))
-	b := &background{stop: make(chan struct{})}
-	b.running.Go(func() {
-		for number := 0; ; number++ {
+func (f *fleet) randomLoad(every time.Duration) *randomLoad {
+	load := &randomLoad{fleet: f, every: every, random: rand.New(rand.NewPCG(7, 7))}
+	load.resume()
+	return load
+}
+
+// randomLoad is a load that can be interrupted.
+type randomLoad struct {
+	background
+	fleet  *fleet
+	every  time.Duration
+	random *rand.Rand
+	number int
+}
+
+func (l *randomLoad) resume() {
+	l.stop = make(chan struct{})
+	l.running.Go(func() {
+		for !l.fleet.over.Load() { // a check may have failed meanwhile
 			select {
-			case <-b.stop:
+			case <-l.stop:
 				return
-			case <-time.After(time.Duration(random.ExpFloat64() * float64(every))):
+			case <-time.After(time.Duration(l.random.ExpFloat64() * float64(l.every))):
 			}
-			through := random.IntN(len(f.daemons))
-			b.running.Go(func() { b.count(f.send(through, fmt.Sprintf("/one/safe/%d", number))) })
+			l.number++
+			through, path := l.random.IntN(len(l.fleet.daemons)), fmt.Sprintf("/one/safe/%d", l.number)
+			l.running.Go(func() { l.count(l.fleet.send(through, path)) })
 		}
 	})
-	return b
+}
+
+// without interrupts the load while something is done, for a moment.
+func (l *randomLoad) without(done func()) {
+	close(l.stop)
+	l.running.Wait()
+	done()
+	l.resume()
 }
 
 // A back end that was in need said with each answer that it takes 2.5 requests a second from all
@@ -122,7 +150,216 @@
 
 // requireLimit checks that a worker got no more than it takes, and not much less.
 func (f *fleet) requireLimit(one *worker, limit float64, named, until time.Time) {
+	f.requireNoMore(one, limit, named, until)
 	got := one.fullest(named.Add(limitInForce), until)
-	require.LessOrEqual(f.t, got, most(limit), "%s takes %.1f a second", one.id, limit)
 	require.GreaterOrEqual(f.t, got, int(0.7*limit*limitWindow.Seconds()), "what %s takes is used", one.id)
 }
+
+// requireNoMore checks that a worker got no more than it takes.
+func (f *fleet) requireNoMore(one *worker, limit float64, named, until time.Time) {
+	got := one.fullest(named.Add(limitInForce), until)
+	require.LessOrEqual(f.t, got, most(limit), "%s takes %.1f a second", one.id, limit)
+}
+
+// TestLimitHoldsInTroubles keeps what limited back ends get within what they take, whatever else happens
+// meanwhile.
+func TestLimitHoldsInTroubles(t *testing.T) {
+	for _, one := range []struct {
+		name    string
+		trouble func(f *fleet, load *randomLoad)
+		// choosers is how many daemons choose back ends at the same time, each by itself; 0: one. Each
+		// may send one request beyond its part of a window, as the window may begin with it.
+		choosers int
+	}{
+		{name: "the store is down", trouble: func(f *fleet, _ *randomLoad) { f.store.SetFaults(objectstub.Faults{Down: true}) }},
+		{name: "the daemon that dispatches loses power", trouble: func(f *fleet, load *randomLoad) {
+			host := f.dispatcher()
+			load.without(func() {
+				f.powerOff(func(_ *daemon.Daemon, number int) bool { return hostOf(number) == host })
+			})
+		}},
+		{name: "daemons are replaced one by one", trouble: func(f *fleet, load *randomLoad) {
+			for range daemons {
+				load.without(func() { f.restart(0) })
+				time.Sleep(startTime)
+			}
+		}},
+		{name: "all daemons are killed, and others start", trouble: func(f *fleet, load *randomLoad) {
+			load.without(func() {
+				f.startAnew()
+				time.Sleep(startTime)
+			})
+		}},
+		{name: "daemons choose back ends by themselves", choosers: daemons, trouble: func(f *fleet, load *randomLoad) {
+			load.without(func() {
+				f.direct = true
+				f.startAnew()
+				time.Sleep(startTime)
+			})
+		}},
+		{name: "half of the daemons are cut off from the others", choosers: 2, trouble: func(f *fleet, _ *randomLoad) {
+			f.net.SetRule(func(a, b string) bool { return isLeft(a) && isRight(b) || isRight(a) && isLeft(b) })
+			time.Sleep(8 * time.Second)
+			f.net.SetRule(nil)
+		}},
+		{name: "the daemon that dispatches is frozen, and wakes", trouble: func(f *fleet, _ *randomLoad) {
+			host := f.dispatcher()
+			f.net.SetFrozen(host, true)
+			time.Sleep(4 * time.Second)
+			f.net.SetFrozen(host, false)
+		}},
+		{name: "others fail, so that requests are sent again", trouble: func(f *fleet, _ *randomLoad) {
+			for _, worker := range f.workers[4:] {
+				worker.change(func() { worker.refuse = true })
+			}
+		}},
+		{name: "others are disturbed, so that requests get second attempts", trouble: func(f *fleet, _ *randomLoad) {
+			for _, worker := range f.workers[2:] {
+				worker.change(func() { worker.disturb = 150 * time.Millisecond })
+			}
+		}},
+		{name: "there are more requests than all can take", trouble: func(f *fleet, _ *randomLoad) {
+			extra := f.randomLoad(5 * time.Millisecond)
+			time.Sleep(10 * time.Second)
+			extra.share()
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			run(t, 8, func(f *fleet) {
+				f.workLonger()
+				load := f.randomLoad(limitedLoad)
+				time.Sleep(5 * time.Second)
+				named := time.Now()
+				limits := []float64{3.2, 0.8}
+				names("3.2", f.workers[0])
+				names("0.8", f.workers[1])
+				time.Sleep(3 * time.Second)
+				one.trouble(f, load)
+				time.Sleep(20*time.Second - time.Since(named))
+				until := time.Now()
+				t.Logf("%.3f answered", load.share())
+				for number, limit := range limits {
+					got := f.workers[number].fullest(named.Add(limitInForce), until)
+					t.Logf("%.1f a second named, %d in the fullest 4 s", limit, got)
+					require.LessOrEqual(t, got, most(limit)+max(one.choosers-1, 0))
+				}
+			})
+		})
+	}
+}
+
+// dispatcher returns the host of the daemon that gives out the workers' places.
+func (f *fleet) dispatcher() string {
+	member, other := f.daemons[0].DispatcherOf("board")
+	if !other {
+		return hostOf(0)
+	}
+	return member.Name
+}
+
+// TestAllLimited refuses at once what limited back ends cannot take, with a time to come back that fits,
+// and serves what they can.
+func TestAllLimited(t *testing.T) {
+	run(t, 8, func(f *fleet) {
+		f.workLonger()
+		load := f.randomLoad(limitedLoad)
+		time.Sleep(2 * time.Second)
+		names("2", f.workers...)
+		time.Sleep(3 * time.Second)
+		load.share()
+		const takes, perSecond, seconds = 8 * 2, 80, 10
+		var mutex sync.Mutex
+		var running sync.WaitGroup
+		answered, slowest, unserved := 0, time.Duration(0), 0
+		from := time.Now()
+		for number := range perSecond * seconds {
+			running.Go(func() {
+				begun := time.Now()
+				got := f.send(number%daemons, "/one/safe/")
+				took := time.Since(begun)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if got.status == http.StatusOK {
+					answered++
+					return
+				}
+				unserved++
+				slowest = max(slowest, took)
+				assert.Equal(t, http.StatusServiceUnavailable, got.status)
+				assert.NotEmpty(t, got.header.Get("Retry-After"))
+			})
+			time.Sleep(time.Second / perSecond)
+		}
+		running.Wait()
+		t.Logf("%d answered, %d refused, the slowest after %s", answered, unserved, slowest)
+		require.InDelta(t, takes*seconds, answered, 0.25*takes*seconds)
+		for _, one := range f.workers {
+			f.requireNoMore(one, 2, from, time.Now())
+		}
+	})
+}
+
+// TestLimitLifted uses a back end fully again soon after it stopped naming a limit, and not all at once.
+func TestLimitLifted(t *testing.T) {
+	run(t, 8, func(f *fleet) {
+		f.workLonger()
+		load := f.randomLoad(limitedLoad)
+		defer load.share()
+		time.Sleep(2 * time.Second)
+		names("0.8", f.workers[0])
+		time.Sleep(6 * time.Second)
+		lifted := time.Now()
+		names("", f.workers[0])
+		time.Sleep(10 * time.Second)
+		all := f.workers[0].takes()
+		first := slices.IndexFunc(all, func(at time.Time) bool { return at.After(lifted) })
+		within := func(from, length time.Duration) int {
+			return len(slices.DeleteFunc(slices.Clone(all[first:]), func(at time.Time) bool {
+				return at.Before(lifted.Add(from)) || at.After(lifted.Add(from+length))
+			}))
+		}
+		t.Logf("requests and probes in seconds after: 1st %d, 3rd %d, 10th %d", within(0, time.Second), within(2*time.Second, time.Second), within(9*time.Second, time.Second))
+		require.Less(t, all[first].Sub(lifted), 1500*time.Millisecond)
+		require.Greater(t, within(4*time.Second, time.Second), 5, "as many as the others")
+	})
+}
+
+// TestLimitOfARestartedBackend does not hold a back end that has started again under its id to what its
+// earlier run said.
+func TestLimitOfARestartedBackend(t *testing.T) {
+	run(t, 8, func(f *fleet) {
+		f.workLonger()
+		load := f.randomLoad(limitedLoad)
+		defer load.share()
+		one := f.workers[0]
+		one.born = 1
+		f.announce(one, "ready")
+		time.Sleep(2 * time.Second)
+		names("0.8", one)
+		time.Sleep(4 * time.Second)
+		names("", one)
+		one.born = 2
+		f.announce(one, "ready")
+		time.Sleep(2 * time.Second)
+		before := len(one.takes())
+		time.Sleep(time.Second)
+		require.Greater(t, len(one.takes())-before, 5)
+	})
+}
+
+// TestLimitsThatCannotBeRead uses back ends as before whose word cannot be read, and keeps what was known.
+func TestLimitsThatCannotBeRead(t *testing.T) {
+	run(t, 8, func(f *fleet) {
+		f.workLonger()
+		load := f.randomLoad(limitedLoad)
+		defer load.share()
+		names("NaN", f.workers[0])
+		names("1.5", f.workers[1])
+		time.Sleep(4 * time.Second)
+		named := time.Now()
+		names("-1", f.workers[1])
+		time.Sleep(8 * time.Second)
+		require.Greater(t, f.workers[0].fullest(named, time.Now()), 20)
+		f.requireNoMore(f.workers[1], 1.5, named, time.Now())
+	})
+}
