--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -10,6 +10,9 @@
 	// Instance is the header that names the back end a request is meant for;
 	// any other one refuses it with 421. Empty: it is not sent.
 	Instance string
+	// ProbedInstance is the header of a health answer that names the back end which gives it.
+	// Empty: none does.
+	ProbedInstance string
 	// Tenant is the header that names the tenant whose key a request carries. What a caller
 	// sends under this name is not passed on. Empty: it is not sent.
 	Tenant string
