Health answers of another back end at the same address say nothing of the one that is asked

Callers saw requests go to a back end whose load and health were those of another one that has its address now, until one was refused. Cause: health answers name who gives them, and nobody read it. The prober compares it; such a probe has failed.

--- a/measure/ask_test.go
+++ b/measure/ask_test.go
@@ -28,7 +28,8 @@
 // request was refused with 421.
 //
 // A probe of i-1, answered by i-2 ("Instance-Id: i-2", "Endpoint-Load-Metrics: TEXT
-// named_metrics.in_flight=0"), gave i-1 a load of 0 and the health of i-2.
+// named_metrics.in_flight=0"), gave i-1 a load of 0 and the health of i-2. Now such an answer tells nothing of
+// i-1, and the probe has failed.
 func TestProbeAnsweredByAnotherBackend(t *testing.T) {
 	dialect := backend.DefaultDialect()
 	dialect.ProbedInstance = "Instance-Id"
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -285,6 +285,12 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBody)); err != nil {
 		return nil, false, errors.Annotate(err, "probe")
 	}
+	// The address may have gone to another back end, whose load and health say nothing of this one.
+	if name := p.options.Dialect.ProbedInstance; name != "" {
+		if answered := response.Header.Get(name); answered != "" && answered != asked.backend.Backend {
+			return nil, false, errors.Errorf("probe of %s: answered by %s", asked.backend.Backend, answered)
+		}
+	}
 	p.learnLimit(asked, sent, response)
 	if told, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
 		told.WarmUpLeft = p.warmUpLeft(response.Header)
