What back ends say of themselves and nothing reads is told once; the soak has a back end that asks for fewer requests

Counted (backend_headers_unread) and logged once a name. Soak: LIMIT is checked, and its checker shown to fail.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -1,5 +1,7 @@
 package backend
 
+import "slices"
+
 // Dialect is how callers and back ends spell what travels with a request, and
 // what may be expected of them.
 type Dialect struct {
@@ -30,6 +32,11 @@
 	// WarmUpLeft is the header of a health answer that holds for how many milliseconds the
 	// back end remains cold. Empty: none does.
 	WarmUpLeft string
+	// SelfPrefix begins the headers of answers by which a back end speaks of itself. Those that are
+	// neither read nor among PassedOn are told to operators. Empty: none are looked for.
+	SelfPrefix string
+	// PassedOn are headers with that prefix that are for callers only.
+	PassedOn []string
 	// EchoesRequestID: every answer carries the id of its request. An answer
 	// without it, or with another one, is refused.
 	EchoesRequestID bool
@@ -39,14 +46,25 @@
 	FractionalRetryAfter bool
 }
 
+// Reads says whether anything reads a header of an answer, or need not.
+func (d *Dialect) Reads(name string) bool {
+	switch name {
+	case d.Report, d.RequestLimit, d.NotRun, d.WarmUpLeft, d.ProbedInstance, HeaderDraining:
+		return true
+	}
+	return slices.Contains(d.PassedOn, name)
+}
+
 // Headers of the project's own dialect.
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderDeadline  = "Tuliphall-Deadline-Ms"
 	HeaderTenant    = "Tuliphall-Tenant"
+	// headerSelfPrefix begins what back ends say of themselves.
+	headerSelfPrefix = "Endpoint-"
 )
 
 // DefaultDialect is the project's own.
 func DefaultDialect() Dialect {
-	return Dialect{RequestID: HeaderRequestID, Deadline: HeaderDeadline, Tenant: HeaderTenant, Report: HeaderReport, ParseReport: ParseReport, RequestLimit: HeaderRequestLimit}
+	return Dialect{RequestID: HeaderRequestID, Deadline: HeaderDeadline, Tenant: HeaderTenant, Report: HeaderReport, ParseReport: ParseReport, RequestLimit: HeaderRequestLimit, SelfPrefix: headerSelfPrefix}
 }
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -176,6 +176,7 @@
 	got := &received{chosen: chosen, response: response, latency: time.Since(chosen.sent), report: a.learn(chosen, response)}
 	refused := a.refused(response)
 	a.learnLimit(chosen, response, refused)
+	a.handler.unread.look(&a.handler.options.Dialect, response.Header, a.call.service.Name(), chosen.backend)
 	if !refused {
 		return got, nil
 	}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -90,6 +90,7 @@
 	upgraded  sync.WaitGroup
 	forwarder *forwarder
 	patience  patience
+	unread    *unread
 }
 
 // NewHandler returns a handler.
@@ -114,6 +115,7 @@
 		metrics:   newMetrics(options.Metrics),
 		forwarder: newForwarder(options.Network),
 		phase:     rand.Float64(),
+		unread:    newUnread(logging.Part(options.Log, "frontend"), options.Metrics),
 	}
 	// Ids stay unique when a daemon is restarted under the same name.
 	h.sequence.Store(uint64(time.Now().UnixNano()))
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -122,6 +122,8 @@
 		during(func(on bool) { one.loses = on })
 	case WorkerFull:
 		during(func(on bool) { one.full = on })
+	case WorkerLimit:
+		during(one.setLimit)
 	case WorkerLies:
 		during(func(on bool) { one.lies = on })
 	case WorkerCrash:
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -32,10 +32,11 @@
 	Evacuate     Kind = "evacuate"      // a zone, which is taken back later
 	Crashing     Kind = "crashing"      // a request that ends back ends comes again and again
 	Foreign      Kind = "foreign"       // another writer's entries in the list of back ends
+	WorkerLimit  Kind = "worker-limit"  // says that it takes few requests
 )
 
 // planned kinds are no faults: nothing may be lost by them.
-var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true, Crashing: true, Foreign: true}
+var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true, Crashing: true, Foreign: true, WorkerLimit: true}
 
 var kinds = []Kind{
 	Stop, Kill, Pause, KillAll, StopAll, StoreDown, StoreDeaf, StoreLink, WorkerLink, WorkerSlow, WorkerLoses, WorkerFull, WorkerLies,
@@ -81,7 +82,8 @@
 		}
 	}
 	faults = append(faults, drawOnce(seed, 1, Evacuate, evacuationLength, begin, end),
-		drawOnce(seed, 2, Crashing, crashLength, begin, end), drawOnce(seed, 3, Foreign, foreignLength, begin, end))
+		drawOnce(seed, 2, Crashing, crashLength, begin, end), drawOnce(seed, 3, Foreign, foreignLength, begin, end),
+		drawOnce(seed, 4, WorkerLimit, limitLength, begin, end))
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
 	return faults
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -42,6 +42,7 @@
 		}},
 		"sent to a leaving back end": {"DRAIN", func(r *report) { r.arrivedAtLeaving("i-1", "s-1", drainBound+time.Second) }},
 		"sent to an evacuated zone":  {"EVACUATED", func(r *report) { r.arrivedAtEvacuated("i-1", "s-1", evacuationBound+time.Second) }},
+		"more than a back end takes": {"LIMIT", func(r *report) { r.arrivedAtLimited("i-1", limitBound+1) }},
 		"sent again after it ended three back ends": {"BUDGET", func(r *report) {
 			path := crashPath + "1"
 			for range crashesTold {
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -39,6 +39,7 @@
 	left    time.Time // since when the store says that it leaves; zero: it does not
 	// evacuated is since when the store says that its zone is; zero: it does not.
 	evacuated time.Time
+	limit     limit
 }
 
 func startWorker(id, address, proxyAddress string, report *report) (*worker, error) {
@@ -94,6 +95,8 @@
 	id := r.Header.Get("Request-Id")
 	rw.Header().Set("Request-Id", id)
 	rw.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", len(w.slots), workerSlots))
+	w.countLimited()
+	w.nameLimit(rw.Header())
 	if r.URL.Path == "/health" {
 		rw.Header().Set("Instance-Id", w.id)
 		return
