--- a/backendlimit/keeper.go
+++ b/backendlimit/keeper.go
@@ -37,17 +37,17 @@
 	// limited is how many back ends are limited. Most answers say nothing, and need not look
 	// further while it is 0.
 	limited atomic.Int64
+	// warned are the back ends of which it was logged that their word cannot be read.
+	warned logging.Once[Key]
 
 	mutex sync.Mutex
 	table *Table
-	// warned are the back ends of which it was logged that their word cannot be read.
-	warned map[Key]bool
 }
 
 // NewKeeper returns a keeper that has heard nothing.
 func NewKeeper(options Options) *Keeper {
 	return &Keeper{
-		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: make(map[Key]bool),
+		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(),
 		unreadable: options.Metrics.Counter("backend_limits_unreadable"), gauge: options.Metrics.Gauge("backends_limited"),
 	}
 }
@@ -84,13 +84,7 @@
 // noteUnreadable counts a word that cannot be read, and logs the first of each back end.
 func (k *Keeper) noteUnreadable(key Key, err error) {
 	k.unreadable.Inc(1)
-	k.mutex.Lock()
-	warned := k.warned[key] || len(k.warned) >= maxWords
-	if !warned {
-		k.warned[key] = true
-	}
-	k.mutex.Unlock()
-	if !warned {
+	if k.warned.First(key) {
 		k.log.Warn("limit not understood, what is known stays", "service", key.Service, "backend", key.Backend, "error", err)
 	}
 }
@@ -162,12 +156,8 @@
 	for wait.Sleep(ctx, forgetInterval) {
 		k.mutex.Lock()
 		k.table.Forget(time.Now(), k.options.Declared)
-		for key := range k.warned {
-			if !k.options.Declared(key) {
-				delete(k.warned, key)
-			}
-		}
 		k.count()
 		k.mutex.Unlock()
+		k.warned.Keep(k.options.Declared)
 	}
 }
--- /dev/null
+++ b/logging/once_test.go
@@ -0,0 +1,27 @@
+package logging_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/logging"
+)
+
+// TestOnce says each thing once, until it is forgotten, and not more than can be remembered.
+func TestOnce(t *testing.T) {
+	var once logging.Once[int]
+	require.True(t, once.First(1))
+	require.False(t, once.First(1))
+	require.True(t, once.First(2))
+	once.Keep(func(key int) bool { return key == 2 })
+	require.True(t, once.First(1))
+	require.False(t, once.First(2))
+	said := 0
+	for key := range 100_000 {
+		if once.First(key) {
+			said++
+		}
+	}
+	require.Less(t, said, 20_000)
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -85,7 +85,7 @@
 	fleet := len(n.view.Load().Serving)
 	request := &peerpb.ExchangeRequest{
 		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
-		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(fleet), Digest: n.digest(), CrashingRequests: n.crashingRequestNews(fleet), Limits: n.limitNews(fleet),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(fleet), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
 	}
 	n.mutex.Unlock()
 	return n.call(ctx, purposeExchange, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
@@ -119,8 +119,8 @@
 func (n *Node) take(ctx context.Context, message told) {
 	from := decodeMember(message.GetSender())
 	theirs := decodePosition(message)
-	n.takeCrashingRequests(message.GetCrashingRequests())
-	n.takeLimits(message.GetLimits())
+	hear(n, &n.crashingRequests, decodeCrashingRequests(message.GetCrashingRequests()))
+	hear(n, &n.limits, decodeLimits(message.GetLimits()))
 	var news []Drain
 	sync, expected := false, false
 	n.change(from.Name, func(now time.Time) {
--- a/peer/join.go
+++ b/peer/join.go
@@ -95,8 +95,8 @@
 			n.state.MergeList(now, decodeMembers(list.Members))
 			news = n.drains.take(list.Drains)
 		})
-		n.takeCrashingRequests(list.CrashingRequests)
-		n.takeLimits(list.Limits)
+		hear(n, &n.crashingRequests, decodeCrashingRequests(list.CrashingRequests))
+		hear(n, &n.limits, decodeLimits(list.Limits))
 		for _, drain := range news {
 			n.options.OnDrain(drain)
 		}
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -37,48 +37,17 @@
 }
 func (noLimits) Words(int) []backendlimit.Word { return nil }
 
-// TellLimit spreads what a back end says of how many requests it takes. The daemon that gives out the
-// places of its service is told first. It does not block.
-func (n *Node) TellLimit(word backendlimit.Word) {
-	n.mutex.Lock()
-	n.passOnLimit(word.Key)
-	n.mutex.Unlock()
-	n.tellDispatcher(word.Service)
-}
-
-// passOnLimit lets others be told of a back end. The caller holds the mutex.
-func (n *Node) passOnLimit(key backendlimit.Key) {
-	if len(n.limits) < maxLimitRumors {
-		n.limits.add(key, time.Now())
-	}
-}
-
-// takeLimits takes in what another daemon tells, and passes on what of it is news.
-func (n *Node) takeLimits(told []*peerpb.BackendLimit) {
-	if len(told) == 0 {
-		return
-	}
-	news := n.options.Limits.Take(decodeLimits(told))
-	if len(news) == 0 {
-		return
-	}
-	n.mutex.Lock()
-	for _, word := range news {
-		n.passOnLimit(word.Key)
+// gossipOfLimits is what daemons tell each other of back ends that take fewer requests.
+func gossipOfLimits(known Limits) gossip[backendlimit.Key, backendlimit.Word] {
+	return gossip[backendlimit.Key, backendlimit.Word]{
+		rumors: make(rumors[backendlimit.Key]), most: maxLimits, waiting: maxLimitRumors,
+		key: func(word backendlimit.Word) backendlimit.Key { return word.Key }, newest: known.Newest, take: known.Take,
 	}
-	n.mutex.Unlock()
-	n.spreadSoon()
 }
 
-// limitNews returns what is put into the next message. The caller holds the mutex.
-func (n *Node) limitNews(fleet int) []*peerpb.BackendLimit {
-	var words []backendlimit.Word
-	for _, key := range n.limits.next(fleet, maxLimits) {
-		if word, known := n.options.Limits.Newest(key); known {
-			words = append(words, word)
-		}
-	}
-	return encodeLimits(words)
+// TellLimit spreads what a back end says of how many requests it takes.
+func (n *Node) TellLimit(word backendlimit.Word) {
+	tell(n, &n.limits, word.Key, word.Service)
 }
 
 func encodeLimits(words []backendlimit.Word) []*peerpb.BackendLimit {
--- a/peer/node.go
+++ b/peer/node.go
@@ -127,9 +127,9 @@
 	state  *membership.State
 	drains drainTable
 	// crashingRequests are those of which others are still to be told.
-	crashingRequests rumors[quarantine.Fingerprint]
+	crashingRequests gossip[quarantine.Fingerprint, quarantine.Record]
 	// limits are the back ends of which others are still to be told how many requests they take.
-	limits rumors[backendlimit.Key]
+	limits gossip[backendlimit.Key, backendlimit.Word]
 	// forming is what is known of the others' start.
 	forming forming
 	// expected is what another daemon is handing over.
@@ -152,7 +152,7 @@
 	}
 	n := &Node{
 		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
-		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(), crashingRequests: make(rumors[quarantine.Fingerprint]), limits: make(rumors[backendlimit.Key]),
+		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(), crashingRequests: gossipOfQuarantine(options.Quarantine), limits: gossipOfLimits(options.Limits),
 	}
 	n.forming.started = time.Now()
 	n.refreshView()
--- a/peer/quarantine.go
+++ b/peer/quarantine.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"time"
-
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/quarantine"
 )
@@ -41,48 +39,17 @@
 func (noQuarantine) Records(int) []quarantine.Record { return nil }
 func (noQuarantine) Digest() uint64                  { return 0 }
 
-// TellCrashingRequest spreads what this daemon has noted of a request. The daemon that gives out
-// the places of its service is told first. It does not block.
-func (n *Node) TellCrashingRequest(record quarantine.Record) {
-	n.mutex.Lock()
-	n.passOnCrashingRequest(record.Fingerprint)
-	n.mutex.Unlock()
-	n.tellDispatcher(record.Service)
-}
-
-// passOnCrashingRequest lets others be told of a request. The caller holds the mutex.
-func (n *Node) passOnCrashingRequest(fingerprint quarantine.Fingerprint) {
-	if len(n.crashingRequests) < maxCrashingRumors {
-		n.crashingRequests.add(fingerprint, time.Now())
-	}
-}
-
-// takeCrashingRequests takes in what another daemon tells, and passes on what of it is news.
-func (n *Node) takeCrashingRequests(told []*peerpb.CrashingRequest) {
-	if len(told) == 0 {
-		return
-	}
-	news := n.options.Quarantine.Take(decodeCrashingRequests(told))
-	if len(news) == 0 {
-		return
-	}
-	n.mutex.Lock()
-	for _, record := range news {
-		n.passOnCrashingRequest(record.Fingerprint)
+// gossipOfQuarantine is what daemons tell each other of requests under which back ends ended.
+func gossipOfQuarantine(known Quarantine) gossip[quarantine.Fingerprint, quarantine.Record] {
+	return gossip[quarantine.Fingerprint, quarantine.Record]{
+		rumors: make(rumors[quarantine.Fingerprint]), most: maxCrashingRequests, waiting: maxCrashingRumors,
+		key: func(record quarantine.Record) quarantine.Fingerprint { return record.Fingerprint }, newest: known.Record, take: known.Take,
 	}
-	n.mutex.Unlock()
-	n.spreadSoon()
 }
 
-// crashingRequestNews returns what is put into the next message. The caller holds the mutex.
-func (n *Node) crashingRequestNews(fleet int) []*peerpb.CrashingRequest {
-	var records []quarantine.Record
-	for _, fingerprint := range n.crashingRequests.next(fleet, maxCrashingRequests) {
-		if record, known := n.options.Quarantine.Record(fingerprint); known {
-			records = append(records, record)
-		}
-	}
-	return encodeCrashingRequests(records)
+// TellCrashingRequest spreads what this daemon has noted of a request.
+func (n *Node) TellCrashingRequest(record quarantine.Record) {
+	tell(n, &n.crashingRequests, record.Fingerprint, record.Service)
 }
 
 func encodeCrashingRequests(records []quarantine.Record) []*peerpb.CrashingRequest {
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,7 +46,7 @@
 	fleet := len(n.view.Load().Serving)
 	return &peerpb.ExchangeReply{
 		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
-		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(fleet), Digest: n.digest(), CrashingRequests: n.crashingRequestNews(fleet), Limits: n.limitNews(fleet),
+		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(fleet), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
 	}, nil
 }
 
