A request bound to a limited back end by its session is told at once that it cannot be served in time

It waited until its deadline and was refused then, though it was known when that back end takes the next one. Now refused as it comes, with that time to come back (TestBoundToALimitedBackend: after the whole wait, code 2005, before).

--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -19,7 +19,11 @@
 // after as long as it has waited since its first try. Callers come back the later the
 // longer places are short, and not all at once, as they came at different times.
 func (c *Core) retryAfter(now time.Time, request Request, pace time.Duration) time.Duration {
-	return max(c.Queue.Wait(now, request.Weight, pace), comeBack(now, request))
+	wait := max(c.Queue.Wait(now, request.Weight, pace), comeBack(now, request))
+	if at, bound := c.Group.BoundUntil(request.Routing); bound {
+		return max(wait, min(at.Sub(now), maxComeBack))
+	}
+	return wait
 }
 
 // RetryAfterBackend is after how long a caller is told to come back whose request a back
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -121,6 +121,9 @@
 		return Decision{Refused: resultcode.WaitExpired}
 	}
 	ticket := c.ticket(now, request, payload)
+	if at, bound := c.Group.BoundUntil(request.Routing); bound && at.After(ticket.Expiry) {
+		return Decision{Refused: resultcode.DeadlineTooShort} // no other back end has its session
+	}
 	verdict, displaced := c.Queue.Offer(now, ticket, c.Group.Pace(now))
 	var decision Decision
 	if displaced != nil {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -157,6 +158,27 @@
 }
 
 // BenchmarkMutex is one decision and its end on the request path.
+// TestBoundToALimitedBackend tells a request at once that it cannot be served whose session is bound to a
+// back end that takes nothing in time, and when to come back; one that may wait for long enough waits.
+func TestBoundToALimitedBackend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := dispatch.New(rand.New(rand.NewPCG(1, 1)), 10)
+		d.Configure(declared(routing.Backend{ID: "b0", Slots: 3, Limit: backendlimit.Limit{Limited: true, PerSecond: 0.25}}), 10)
+		bound := request(1, time.Second)
+		bound.Routing.Session = "one"
+		begun := time.Now()
+		_, err := d.Acquire(t.Context(), bound)
+		failure := resultcode.AsFailure(err, resultcode.NoBackend)
+		require.Equal(t, resultcode.DeadlineTooShort, failure.Code)
+		require.Equal(t, 4*time.Second, failure.RetryAfter)
+		require.Zero(t, time.Since(begun))
+		bound.Wait = 0
+		_, err = d.Acquire(t.Context(), bound)
+		require.NoError(t, err)
+		require.InDelta(t, 4, time.Since(begun).Seconds(), 0.05)
+	})
+}
+
 func BenchmarkMutex(b *testing.B) {
 	for _, count := range []int{10, 20, 850} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
--- a/routing/group.go
+++ b/routing/group.go
@@ -324,23 +324,41 @@
 // pickSession chooses by rendezvous hashing, so that every daemon chooses alike
 // without any state. A bound back end may be sent more than its limit.
 func (g *Group) pickSession(now time.Time, request Request) (PickResult, bool) {
-	candidates := g.found.eligible
-	if len(candidates) == 0 {
+	best := g.bound(request.Session)
+	if best == nil {
 		return PickResult{}, false
 	}
+	if !g.bears(best, now, request.sender()) {
+		return PickResult{}, false // the request waits: only this one has its session
+	}
+	g.sent(best, now)
+	return g.result(best, ReasonSession, len(g.found.eligible), now), true
+}
+
+// bound returns the back end that a session is bound to, of those that were found; nil: there is none.
+func (g *Group) bound(session string) *State {
 	var best *State
 	var bestHash uint64
-	for _, state := range candidates {
-		hash := xxhash.Sum64String(request.Session + "\x00" + state.ID)
+	for _, state := range g.found.eligible {
+		hash := xxhash.Sum64String(session + "\x00" + state.ID)
 		if best == nil || hash > bestHash {
 			best, bestHash = state, hash
 		}
 	}
-	if !g.bears(best, now, request.sender()) {
-		return PickResult{}, false // the request waits: only this one has its session
+	return best
+}
+
+// BoundUntil returns when the back end that a request is bound to by its session takes one again, and false
+// where the request is not bound or may be sent now. It is called after Pick has found no place.
+func (g *Group) BoundUntil(request Request) (time.Time, bool) {
+	if request.Session == "" {
+		return time.Time{}, false
 	}
-	g.sent(best, now)
-	return g.result(best, ReasonSession, len(candidates), now), true
+	state := g.bound(request.Session)
+	if state == nil || !state.limit.Limited {
+		return time.Time{}, false
+	}
+	return state.limit.pacing.next(state.limit.takes(), request.sender().limitPart), true
 }
 
 func (g *Group) sent(state *State, now time.Time) {
--- a/routing/pacing.go
+++ b/routing/pacing.go
@@ -37,6 +37,15 @@
 	return now.Sub(p.alone) >= own
 }
 
+// next returns when something may be sent at the earliest; see due.
+func (p *pacing) next(perSecond, part float64) time.Time {
+	at := p.last.Add(spacingOf(perSecond))
+	if own := p.alone.Add(spacingOf(perSecond * part)); part < 1 && !p.alone.IsZero() && own.After(at) {
+		return own
+	}
+	return at
+}
+
 // sent notes that something is sent.
 func (p *pacing) sent(now time.Time) {
 	p.last, p.alone = now, now
