--- a/lab/account/compare.go
+++ b/lab/account/compare.go
@@ -29,9 +29,16 @@
 	return math.Abs(d.Mean) > max(differsFrom*d.Spread, leastDifference)
 }
 
+// Played is a day that was played.
+type Played struct {
+	Report dayreport.Report
+	// Causes are the rows of its account; none where there are no logs of it.
+	Causes []Row
+}
+
 // Compare pairs the days of two builds, in order, and returns the differences of their net worth, of what was
-// earned over the whole day, of each kind's, and of each price.
-func Compare(before, after []dayreport.Report) ([]Difference, error) {
+// earned over the whole day, of each kind's, of each price, and of what was lost for each cause.
+func Compare(before, after []Played) ([]Difference, error) {
 	if len(before) != len(after) || len(before) == 0 {
 		return nil, errors.NotValidf("%d reports before and %d after: as many of each are compared, in the same order; that", len(before), len(after))
 	}
@@ -67,7 +74,8 @@
 	values map[string]float64
 }
 
-func figures(report dayreport.Report) figureSet {
+func figures(day Played) figureSet {
+	report := day.Report
 	set := figureSet{values: make(map[string]float64)}
 	add := func(name string, value float64) {
 		set.names = append(set.names, name)
@@ -81,6 +89,9 @@
 	for _, price := range report.Prices {
 		add(pricePrefix+price.Name, price.Part)
 	}
+	for _, row := range day.Causes {
+		add("lost, "+row.Cause, row.Lost)
+	}
 	return set
 }
 
