--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -49,6 +49,7 @@
 	logs         logs
 	over         atomic.Bool // nothing is to start any more
 	direct       bool        // daemons that start choose back ends by themselves
+	regions      int         // daemons that start are in one of so many by turns; 0: in one
 	// service is the declaration of the workers' services, and split the weights of those
 	// that every route leads to; none: all requests go to one.
 	service map[string]any
@@ -140,7 +141,7 @@
 	name := hostOf(number)
 	address := f.net.Address(name)
 	chosen := settings.Settings{
-		Name: name, Region: "region", Zone: "zone", Peers: seeds,
+		Name: name, Region: f.regionOf(number), Zone: "zone", Peers: seeds,
 		Listen: settings.Listen{Caller: address, Peer: peer, Forward: address, Admin: address},
 		Platform: settings.Platform{
 			Address: "http://" + store, Protocol: settings.ProtocolObjects, Watchers: watchers,
@@ -161,6 +162,14 @@
 	f.daemons = append(f.daemons, running)
 }
 
+// regionOf returns the region of a daemon that starts.
+func (f *fleet) regionOf(number int) string {
+	if f.regions == 0 {
+		return "region"
+	}
+	return fmt.Sprintf("region-%d", number%f.regions)
+}
+
 func (f *fleet) close() {
 	f.over.Store(true)
 	f.client.CloseIdleConnections()
--- a/lab/objectstub/limit_test.go
+++ b/lab/objectstub/limit_test.go
@@ -1,10 +1,12 @@
 package objectstub_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -248,6 +250,28 @@
 	}
 }
 
+// TestRegionsShareALimit keeps a back end within what it takes that daemons of two regions use, each region
+// with a dispatcher of its own.
+func TestRegionsShareALimit(t *testing.T) {
+	runFleetWith(t, 6, 8, func(f *fleet) { f.regions = 2 }, func(f *fleet) {
+		f.workLonger()
+		load := f.randomLoad(limitedLoad)
+		time.Sleep(5 * time.Second)
+		named := time.Now()
+		names("3.2", f.workers[0])
+		names("0.8", f.workers[1])
+		time.Sleep(20 * time.Second)
+		until := time.Now()
+		require.Greater(t, load.share(), 0.99)
+		for number, limit := range []float64{3.2, 0.8} {
+			got := f.workers[number].fullest(named.Add(limitInForce), until)
+			t.Logf("%.1f a second named, %d in the fullest 4 s", limit, got)
+			require.LessOrEqual(t, got, most(limit)+1, "each region's window may begin with one")
+			require.GreaterOrEqual(t, got, int(0.6*limit*limitWindow.Seconds()))
+		}
+	})
+}
+
 // dispatcher returns the host of the daemon that gives out the workers' places.
 func (f *fleet) dispatcher() string {
 	member, other := f.daemons[0].DispatcherOf("board")
@@ -363,3 +387,91 @@
 		f.requireNoMore(f.workers[1], 1.5, named, time.Now())
 	})
 }
+
+// limitSeeds is how many schedules are drawn: some seconds' worth in CI, more by hand.
+var limitSeeds = flag.Uint64("limit-seeds", 6, "schedules of troubles that are drawn beside limited back ends")
+
+// troublesDrawn is how many troubles strike a fleet in a drawn schedule.
+const troublesDrawn = 6
+
+// usersBound is what the users allow a back end with a limit in a window, whatever happens: one and a half
+// times what it takes, and five.
+func usersBound(limit float64) int {
+	return int(1.5*limit*limitWindow.Seconds()) + 5
+}
+
+// drawTroubles strikes the fleet with troubles at random, for as long as a schedule lasts.
+func (f *fleet) drawTroubles(random *rand.Rand, load *randomLoad) {
+	for range troublesDrawn {
+		switch random.IntN(6) {
+		case 0:
+			load.without(func() { f.restart(random.IntN(len(f.daemons))) })
+		case 1:
+			host := f.dispatcher()
+			f.net.SetFrozen(host, true)
+			time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+			f.net.SetFrozen(host, false)
+		case 2:
+			f.store.SetFaults(objectstub.Faults{Down: true})
+			time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+			f.store.SetFaults(objectstub.Faults{})
+		case 3:
+			alone := f.daemons[random.IntN(len(f.daemons))].Addresses().Peer
+			host := f.hostAt(alone)
+			f.net.SetRule(func(a, b string) bool {
+				return (a == host || b == host) && strings.HasPrefix(a, "edge-") && strings.HasPrefix(b, "edge-")
+			})
+			time.Sleep(time.Duration(500+random.IntN(6000)) * time.Millisecond)
+			f.net.SetRule(nil)
+		case 4:
+			one := f.workers[2+random.IntN(len(f.workers)-2)]
+			one.change(func() { one.refuse = true })
+			time.Sleep(time.Second)
+			one.change(func() { one.refuse = false })
+		case 5:
+			extra := f.randomLoad(5 * time.Millisecond)
+			time.Sleep(2 * time.Second)
+			extra.share()
+		}
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	}
+}
+
+// hostAt returns the host that has an address.
+func (f *fleet) hostAt(address string) string {
+	for number := range 100_000 {
+		if host := hostOf(number); strings.Split(f.net.Address(host), ":")[0] == strings.Split(address, ":")[0] {
+			return host
+		}
+	}
+	return ""
+}
+
+// TestLimitsInDrawnTroubles draws troubles and limits that change, and keeps every back end within what the
+// users allow in every window from 3 s after it first named one.
+func TestLimitsInDrawnTroubles(t *testing.T) {
+	for seed := range *limitSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runFleet(t, 6, 8, func(f *fleet) {
+				random := rand.New(rand.NewPCG(seed, 9))
+				f.workLonger()
+				load := f.randomLoad(limitedLoad)
+				time.Sleep(3 * time.Second)
+				limits := []float64{0.5 + 6*random.Float64(), 0.5 + 6*random.Float64()}
+				named := time.Now()
+				for number, limit := range limits {
+					names(fmt.Sprintf("%.2f", limit), f.workers[number])
+				}
+				time.Sleep(3 * time.Second)
+				f.drawTroubles(random, load)
+				until := time.Now()
+				t.Logf("%.3f answered", load.share())
+				for number, limit := range limits {
+					got := f.workers[number].fullest(named.Add(3*time.Second), until)
+					t.Logf("%.2f a second named, %d in the fullest 4 s of %d, %d taken", limit, got, usersBound(limit), most(limit))
+					require.LessOrEqual(t, got, usersBound(limit))
+				}
+			})
+		})
+	}
+}
