--- a/routing/state.go
+++ b/routing/state.go
@@ -41,6 +41,8 @@
 	// Started tells one run of the back end from the next: what was learned of one does not
 	// speak for the other.
 	Started int64
+	// Elsewhere: it stands in another region, whose dispatcher gives out its places, too.
+	Elsewhere bool
 	// Limit is how many requests it says that it takes.
 	Limit backendlimit.Limit
 }
