Regions share the slots of back ends, and borrow only what is known to be free

Callers of a fleet of three regions saw answers late and failures at their deadline under load: each region's dispatcher used all slots of all back ends, so that those of three slots held nine requests. Ruled out: too few places (refused at once where they were all taken, after this change). Now a back end of another region counts more and holds one request of a daemon's while it has told of late that it has a slot to spare; the own ones hold fewer while others have requests there. Deployments of one region have no such back ends: nothing changes there.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -237,7 +237,7 @@
 	})
 	d.limits = backendlimit.NewKeeper(backendlimit.Options{Declared: d.isDeclared, Apply: d.applyLimit, Tell: d.tellLimit, Log: d.logger, Metrics: scope})
 	d.rates = ratelimit.NewKeeper(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
-	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &limits{Keeper: d.limits, daemon: d}, Log: d.logger})
+	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &limits{Keeper: d.limits, daemon: d}, Elsewhere: d.elsewhere, Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
@@ -272,6 +272,12 @@
 	})
 }
 
+// elsewhere says whether a zone lies in another region.
+func (d *Daemon) elsewhere(zone string) bool {
+	region, known := d.settings.Zones[zone]
+	return known && region != d.settings.Region
+}
+
 // echo is the header that answers of back ends must carry back.
 func (d *Daemon) echo() string {
 	if d.dialect.EchoesRequestID {
--- a/routing/group.go
+++ b/routing/group.go
@@ -56,6 +56,9 @@
 	// for a moment, and versionSeen since when each was seen; zero: from the beginning.
 	versionRule   VersionRule
 	holdsVersions bool
+	// shared: some back ends stand in other regions, whose dispatchers use those of this one, too.
+	shared  bool
+	triedAt time.Time // when a back end of another region was last tried
 	// limitPart is the part of what limited back ends take that this daemon may use, as of its last pick.
 	limitPart   float64
 	versionSeen map[string]time.Time
@@ -104,6 +107,7 @@
 		states = append(states, state)
 	}
 	g.states, g.byID = states, byID
+	g.shared = slices.ContainsFunc(states, func(state *State) bool { return state.Elsewhere })
 	g.working.setAll(now, states)
 	g.following = slices.DeleteFunc(g.following, func(state *State) bool { return byID[state.ID] != state })
 	g.boundsStale = true
@@ -225,6 +229,10 @@
 	free := g.found.free
 	g.short = len(free) < 2
 	if len(free) == 0 {
+		if lender := g.lender(now, request.sender()); lender != nil {
+			g.sent(lender, now)
+			return g.result(lender, ReasonLender, 1, now), true
+		}
 		return PickResult{}, false
 	}
 	from := origin{zone: request.Zone, repeatable: request.Repeatable}
@@ -247,8 +255,14 @@
 }
 
 // mostInFlight bounds this daemon's requests at a back end.
-func (g *Group) mostInFlight(state *State) int {
+func (g *Group) mostInFlight(state *State, now time.Time) int {
 	limit := state.mostInFlight(g.options.SlowStart)
+	switch {
+	case state.Elsewhere:
+		limit = min(limit, state.room(now))
+	case g.shared:
+		limit = min(limit, state.ownRoom(now))
+	}
 	if state.Window == 0 {
 		return limit
 	}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -32,6 +32,8 @@
 	ReasonTrial   Reason = "trial" // an ejected back end gets one request to show itself
 	// ReasonNewcomer: a back end gets its first request.
 	ReasonNewcomer Reason = "newcomer"
+	// ReasonLender: a back end of another region is tried, as the own ones have no place.
+	ReasonLender Reason = "lender"
 	// ReasonJudged: a new version of the service is judged by the request.
 	ReasonJudged Reason = "judged-version"
 )
--- a/routing/state.go
+++ b/routing/state.go
@@ -124,7 +124,7 @@
 // latency or, where the back end tells it, by how much longer work takes there now, and
 // then by its zone. Where it would be most or more, anything from most on is returned.
 func (s *State) score(now time.Time, from origin, most float64) float64 {
-	load := s.load(now)
+	load := s.load(now) * s.farther()
 	if !s.slowdown.known() {
 		return load * s.root
 	}
@@ -136,10 +136,11 @@
 
 // nearScore is the score for a request from the back end's own zone.
 func (s *State) nearScore(now time.Time, most float64) float64 {
+	load := s.load(now) * s.farther()
 	if !s.slowdown.known() {
-		return s.load(now) * s.root
+		return load * s.root
 	}
-	return s.slowed(now, s.load(now), most)
+	return s.slowed(now, load, most)
 }
 
 // slowed is a load times the slowdown that is to be expected. Most back ends are known to
@@ -165,6 +166,9 @@
 // and what it bears tell.
 func (s *State) pace(now time.Time) float64 {
 	perSecond := float64(s.Slots) / s.Latency().Seconds()
+	if s.Elsewhere {
+		perSecond = min(float64(s.room(now)), float64(s.Slots)) / s.Latency().Seconds()
+	}
 	if s.spares(now) {
 		perSecond = min(perSecond, s.WarmUp.PerSecond)
 	}
--- a/routing/survey.go
+++ b/routing/survey.go
@@ -58,7 +58,7 @@
 
 // full says whether a back end may not have one more request now.
 func (g *Group) full(state *State, now time.Time, as sender) bool {
-	return state.InFlight >= g.mostInFlight(state) || !g.bears(state, now, as)
+	return state.InFlight >= g.mostInFlight(state, now) || !g.bears(state, now, as)
 }
 
 // look finds out which back ends may have a request that comes now. Where more are
--- a/service/service.go
+++ b/service/service.go
@@ -34,6 +34,7 @@
 	quarantine Quarantine
 	rates      Rates
 	limits     Limits
+	elsewhere  func(zone string) bool
 	declared   atomic.Pointer[declaration]
 	requests   clientPool
 	probes     clientPool
@@ -54,6 +55,7 @@
 		quarantine: options.Quarantine,
 		rates:      options.Rates,
 		limits:     options.Limits,
+		elsewhere:  options.Elsewhere,
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
 		drained:    make(map[drainKey]bool),
 		restored:   make(map[string]time.Time),
@@ -208,7 +210,7 @@
 				ID: one.ID, Zone: one.Zone, Version: one.Version, Slots: one.Slots, Window: window(target.Service, *one),
 				// Its zone may have turned cold while it was evacuated.
 				Warm:    one.Warm && now.Sub(restored[one.Zone]) >= warmUp.Lasts,
-				Drained: declared.closed(one) || drained[one.ID], Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Limit: s.limitOf(target.Service.Name, one),
+				Drained: declared.closed(one) || drained[one.ID], Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(target.Service.Name, one),
 			})
 		}
 		return places
@@ -348,7 +350,9 @@
 	Rates Rates
 	// Limits knows how many requests back ends take; nil: any number.
 	Limits Limits
-	Log    *slog.Logger // nil: nothing is logged
+	// Elsewhere says whether a zone lies in another region; nil: none does. It must not block.
+	Elsewhere func(zone string) bool
+	Log       *slog.Logger // nil: nothing is logged
 }
 
 // Limits knows how many requests back ends take. No method blocks.
@@ -424,6 +428,9 @@
 	if options.Limits == nil {
 		options.Limits = noLimits{}
 	}
+	if options.Elsewhere == nil {
+		options.Elsewhere = func(string) bool { return false }
+	}
 	if options.Rates == nil {
 		options.Rates = noRates{}
 	}
--- a/settings/changes_test.go
+++ b/settings/changes_test.go
@@ -44,6 +44,8 @@
 			field.SetInt(field.Int() + 1)
 		case reflect.Float64:
 			field.SetFloat(field.Float() + 1)
+		case reflect.Map:
+			field.Set(reflect.ValueOf(map[string]string{"other": "other"}))
 		case reflect.Slice:
 			field.Set(reflect.ValueOf([]string{"10.0.0.9:1"}))
 		default:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,10 @@
 	Region string `toml:"region"`
 	Zone   string `toml:"zone"`
 
+	// Zones says in which region each zone lies; one that is not named lies in the own region. Back ends
+	// of other regions are used for what the own ones cannot work on.
+	Zones map[string]string `toml:"zones"`
+
 	// Cores is how much processor time the machine gives the daemon, in cores. What one
 	// daemon does for all is done by those with the most; 0: unknown, as little as any.
 	Cores float64 `toml:"cores"`
@@ -330,6 +334,9 @@
 	check(namePattern.MatchString(s.Name), "name", s.Name, "1 to 63 lower-case letters, digits, inner dots and hyphens")
 	check(namePattern.MatchString(s.Region), "region", s.Region, "a name as for name")
 	check(namePattern.MatchString(s.Zone), "zone", s.Zone, "a name as for name")
+	for zone, region := range s.Zones {
+		check(namePattern.MatchString(zone) && namePattern.MatchString(region), "zones", zone+" = "+region, "names as for name, a region for each zone")
+	}
 	check(isAddress(s.Listen.Caller), "listen.caller", s.Listen.Caller, "IP:port")
 	check(isAddress(s.Listen.Peer), "listen.peer", s.Listen.Peer, "IP:port")
 	check(isAddress(s.Listen.Forward), "listen.forward", s.Listen.Forward, "IP:port")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,6 +48,7 @@
 		{`name = "entry-1"`, ``, "setting name"},
 		{`region = "region-1"`, `region = "R"`, "setting region"},
 		{`zone = "zone-a"`, `zone = 5`, "zone"},
+		{`zone = "zone-a"`, "zone = \"zone-a\"\nzones = { \"zone-b\" = \"R\" }", "setting zones"},
 		{`zone = "zone-a"`, `zoom = "zone-a"`, `unknown key "zoom"`},
 		{`peers = ["10.0.0.2:7000"]`, `peers = ["host"]`, "setting peers"},
 		{`caller = "10.0.0.1:80"`, `caller = "10.0.0.1"`, "setting listen.caller"},
