--- a/backendlimit/table_test.go
+++ b/backendlimit/table_test.go
@@ -169,3 +169,20 @@
 		}
 	})
 }
+
+// A limit that changed by little with each answer was never told, as each change was small against the one
+// before: a daemon that gives out places went on with 3.2 a second where 1 was taken.
+func TestLimitThatCreepsIsTold(t *testing.T) {
+	here, there := backendlimit.NewTable(), backendlimit.NewTable()
+	limit := 3.2
+	for step := range 40 {
+		now := step * 100
+		limit *= 0.97
+		if here.Hear(at(now), limited(limit, now-50)) == backendlimit.News {
+			word, _ := here.Word(key, 1)
+			there.Take(at(now), word)
+		}
+		told, _ := there.Word(key, 1)
+		require.InDelta(t, limit, told.PerSecond, 0.12*limit, "step %d", step)
+	}
+}
