A limit that creeps is told once it has changed by a tenth since it was told last

A back end that lowered its limit by 3 in 100 with each answer got 3.2 a second where it took 1, as no change was told (TestLimitThatCreepsIsTold: 13 in 100 off after five answers).

--- a/backendlimit/table.go
+++ b/backendlimit/table.go
@@ -43,6 +43,8 @@
 	heard time.Time
 	// changed is when it heard this word first.
 	changed time.Time
+	// told is the limit that the other daemons were told of last, or told of.
+	told float64
 	// byProbe: answers to probes have named the limit.
 	byProbe bool
 }
@@ -104,19 +106,19 @@
 		return Nothing
 	}
 	change := News
-	if known != nil && known.Limited && math.Abs(known.PerSecond-answer.PerSecond) <= notable*known.PerSecond {
+	if known != nil && known.Limited && math.Abs(known.told-answer.PerSecond) <= notable*known.told {
 		change = Slight
 		if known.PerSecond == answer.PerSecond {
 			change = Nothing
 		}
 	}
-	at := after(now, known)
+	at, told := after(now, known), answer.PerSecond
 	if change != News {
-		at = known.At
+		at, told = known.At, known.told
 	}
 	byProbe := answer.Probe || known != nil && known.byProbe
 	set := t.set(now, Word{Key: answer.Key, Limit: answer.Limit, Started: answer.Started, At: at})
-	set.byProbe = byProbe
+	set.byProbe, set.told = byProbe, told
 	return change
 }
 
@@ -140,10 +142,10 @@
 	case known.Started > word.Started && word.Started != 0, !word.At.After(known.At):
 		return false
 	case known.Limit == word.Limit:
-		known.At = word.At
+		known.At, known.told = word.At, word.PerSecond
 		return false
 	}
-	t.set(now, word)
+	t.set(now, word).told = word.PerSecond
 	return true
 }
 
--- a/backendlimit/table_test.go
+++ b/backendlimit/table_test.go
@@ -171,7 +171,8 @@
 }
 
 // A limit that changed by little with each answer was never told, as each change was small against the one
-// before: a daemon that gives out places went on with 3.2 a second where 1 was taken.
+// before: a daemon that gives out places went on with 3.2 a second where 1 was taken. Now the change
+// counts from what was told last.
 func TestLimitThatCreepsIsTold(t *testing.T) {
 	here, there := backendlimit.NewTable(), backendlimit.NewTable()
 	limit := 3.2
