--- a/explain/late.go
+++ b/explain/late.go
@@ -26,8 +26,7 @@
 const (
 	// waitedPart is from which part of the objective on a wait, or time at the daemon, is the cause.
 	waitedPart = 0.25
-	// oldReport is the age from which on a report tells no more than chance of what is late: a quarter of
-	// the requests and more (docs/WORTH.md).
+	// oldReport is the age from which on a report is about as old as disturbances of back ends last.
 	oldReport = 100 * time.Millisecond
 	// disturbedFrom is the slowdown from which on routing holds requests back (routing, holdFactor).
 	disturbedFrom = 1.6
