What is logged once is bounded as before: 64 header names, 1,000 resources

Each user of logging.Once gives its own bound now; the assertion is back as it was, and fails on the code before.

--- a/backendlimit/keeper.go
+++ b/backendlimit/keeper.go
@@ -38,7 +38,7 @@
 	// further while it is 0.
 	limited atomic.Int64
 	// warned are the back ends of which it was logged that their word cannot be read.
-	warned logging.Once[Key]
+	warned *logging.Once[Key]
 
 	mutex sync.Mutex
 	table *Table
@@ -47,7 +47,7 @@
 // NewKeeper returns a keeper that has heard nothing.
 func NewKeeper(options Options) *Keeper {
 	return &Keeper{
-		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(),
+		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: logging.NewOnce[Key](maxWords),
 		unreadable: options.Metrics.Counter("backend_limits_unreadable"), gauge: options.Metrics.Gauge("backends_limited"),
 	}
 }
--- a/frontend/unread.go
+++ b/frontend/unread.go
@@ -11,17 +11,20 @@
 	"github.com/tuliphall/tuliphall/logging"
 )
 
+// maxUnread bounds the names of headers that are logged: back ends choose them.
+const maxUnread = 64
+
 // unread notes what back ends say of themselves that nothing here reads, so that it is not dropped in
 // silence: a bound that a back end had named was passed on and forgotten, and nothing told of it. It is
 // safe for concurrent use.
 type unread struct {
 	log     *slog.Logger
 	counter tally.Counter
-	names   logging.Once[string]
+	names   *logging.Once[string]
 }
 
 func newUnread(log *slog.Logger, scope tally.Scope) *unread {
-	return &unread{log: log, counter: scope.Counter("backend_headers_unread")}
+	return &unread{log: log, counter: scope.Counter("backend_headers_unread"), names: logging.NewOnce[string](maxUnread)}
 }
 
 // look counts the headers of an answer by which a back end speaks of itself and which nothing reads,
--- a/frontend/unread_test.go
+++ b/frontend/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -33,4 +34,8 @@
 	}
 	require.Equal(t, 1, strings.Count(logged.String(), "header=Endpoint-Next-Pause"))
 	require.EqualValues(t, 3, scope.Snapshot().Counters()["backend_headers_unread+"].Value())
+	for number := range 2 * maxUnread {
+		noted.look(&dialect, http.Header{fmt.Sprintf("Endpoint-%d", number): {""}}, "board", "b1")
+	}
+	require.Equal(t, maxUnread, strings.Count(logged.String(), "header="), "a back end cannot fill the log")
 }
--- a/logging/once.go
+++ b/logging/once.go
@@ -2,26 +2,27 @@
 
 import "sync"
 
-// maxOnce bounds what a Once remembers: others choose what there is to say.
-const maxOnce = 1 << 14
-
-// Once tells what has been logged before, so that it is logged once. The zero value has logged nothing. It is
-// safe for concurrent use.
+// Once tells what has been logged before, so that it is logged once, and not more than so many things: others
+// choose what there is to say. It is safe for concurrent use.
 type Once[K comparable] struct {
+	most int
+
 	mutex sync.Mutex
 	seen  map[K]bool
 }
 
+// NewOnce returns a Once that has logged nothing, for at most so many things.
+func NewOnce[K comparable](most int) *Once[K] {
+	return &Once[K]{most: most, seen: make(map[K]bool)}
+}
+
 // First says whether something is to be logged: it was not before, and not too much was.
 func (o *Once[K]) First(key K) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.seen[key] || len(o.seen) >= maxOnce {
+	if o.seen[key] || len(o.seen) >= o.most {
 		return false
 	}
-	if o.seen == nil {
-		o.seen = make(map[K]bool)
-	}
 	o.seen[key] = true
 	return true
 }
--- a/logging/once_test.go
+++ b/logging/once_test.go
@@ -10,7 +10,7 @@
 
 // TestOnce says each thing once, until it is forgotten, and not more than can be remembered.
 func TestOnce(t *testing.T) {
-	var once logging.Once[int]
+	once := logging.NewOnce[int](100)
 	require.True(t, once.First(1))
 	require.False(t, once.First(1))
 	require.True(t, once.First(2))
@@ -23,5 +23,5 @@
 			said++
 		}
 	}
-	require.Less(t, said, 20_000)
+	require.Equal(t, 98, said, "two are remembered")
 }
