Explain: one rule for the line that says how a request ended, and routing's own bound of a disturbed back end

Endings took a request's last such line, its cause the first; both take the first now. 1.6 stood twice.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -26,9 +26,15 @@
 // kindOwnFailure is an answer of a back end that says that it failed.
 const kindOwnFailure = "back end's own failure"
 
+// outcomeOf returns which line of a request says how it ended, that of the daemon which it reached first; -1:
+// none does.
+func outcomeOf(story []Line) int {
+	return slices.IndexFunc(story, Line.isOutcome)
+}
+
 // causeOf finds the cause from a request's lines, in order.
 func (l *Log) causeOf(story []Line) Cause {
-	end := slices.IndexFunc(story, Line.isOutcome)
+	end := outcomeOf(story)
 	if end < 0 {
 		return l.unfinished(story[len(story)-1])
 	}
--- a/explain/late.go
+++ b/explain/late.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
+
+	"github.com/tuliphall/tuliphall/routing"
 )
 
 // Kinds of cause of an answer that came after its objective. The first that fits counts: what could have been
@@ -28,8 +31,6 @@
 	waitedPart = 0.25
 	// oldReport is the age from which on a report is about as old as disturbances of back ends last.
 	oldReport = 100 * time.Millisecond
-	// disturbedFrom is the slowdown from which on routing holds requests back (routing, holdFactor).
-	disturbedFrom = 1.6
 )
 
 // Ending is how one request ended.
@@ -52,10 +53,8 @@
 	for _, request := range l.requests {
 		story := l.story(request)
 		ending := Ending{Outcome: story[len(story)-1], Cause: l.causeOf(story)}
-		for _, line := range story {
-			if line.isOutcome() {
-				ending.Outcome = line
-			}
+		if end := outcomeOf(story); end >= 0 {
+			ending.Outcome = story[end]
 		}
 		within := objective(ending.Outcome.Class)
 		if ending.Answered() && within > 0 && time.Duration(ending.Outcome.Total) > within {
@@ -77,7 +76,7 @@
 	patience := Duration(waitedPart * float64(objective))
 	chosen := chosenFor(story, outcome)
 	switch {
-	case hasLine(story, messageAttempt):
+	case slices.ContainsFunc(story, func(line Line) bool { return line.Message == messageAttempt }):
 		return LateAfterFailure
 	case chosen.Waited >= patience:
 		return LateWaited
@@ -91,7 +90,7 @@
 		return LateOldReport
 	case outcome.InFlight > 1:
 		return LateBesideAnother
-	case outcome.Slowdown >= disturbedFrom:
+	case outcome.Slowdown >= routing.HoldFactor:
 		return LateDisturbed
 	case time.Duration(outcome.Latency) >= objective:
 		return LateSlow
@@ -110,12 +109,3 @@
 	}
 	return Line{}
 }
-
-func hasLine(story []Line, message string) bool {
-	for _, line := range story {
-		if line.Message == message {
-			return true
-		}
-	}
-	return false
-}
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -47,5 +47,5 @@
 // Disturbed says whether the last report of a back end tells that what begins there takes
 // much longer than usually.
 func (s *State) Disturbed() bool {
-	return s.slowdown.reports > 0 && s.slowdown.last > holdFactor*s.slowdown.usual()
+	return s.slowdown.reports > 0 && s.slowdown.last > HoldFactor*s.slowdown.usual()
 }
