--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -1,17 +1,21 @@
 package ratelimit
 
-import "time"
+import (
+	"time"
+
+	"github.com/tuliphall/tuliphall/recent"
+)
 
 // bucket is a tenant's token bucket, as this daemon knows it.
 type bucket struct {
 	limit   Limit
 	level   float64 // may be below 0: others have granted more than was left
 	known   bool
-	at      time.Time // until when it is refilled
-	used    uint64    // own grants, all told
-	refused uint64    // own refusals
-	last    time.Time // of the last own grant or refusal
-	pace    pace      // of own grants
+	at      time.Time   // until when it is refilled
+	used    uint64      // own grants, all told
+	refused uint64      // own refusals
+	last    time.Time   // of the last own grant or refusal
+	pace    recent.Rate // of own grants
 
 	round   uint64  // in which spent and allowed hold
 	spent   float64 // own grants of the round
--- a/ratelimit/grantors.go
+++ b/ratelimit/grantors.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/tuliphall/tuliphall/recent"
 )
 
 // other is another grantor.
@@ -12,14 +14,14 @@
 	heard    time.Time // zero: never
 	epoch    uint64
 	used     map[string]uint64
-	paces    map[string]pace   // of its grants, by tenant
-	told     map[string]uint64 // own use that it was told
+	paces    map[string]recent.Rate // of its grants, by tenant
+	told     map[string]uint64      // own use that it was told
 	// unreached: it was never heard from, and the last attempt to tell it failed.
 	unreached bool
 }
 
 func newOther(now time.Time) *other {
-	return &other{since: now, used: make(map[string]uint64), paces: make(map[string]pace), told: make(map[string]uint64)}
+	return &other{since: now, used: make(map[string]uint64), paces: make(map[string]recent.Rate), told: make(map[string]uint64)}
 }
 
 func (o *other) lastSign() time.Time {
@@ -40,7 +42,7 @@
 		return o.expected
 	}
 	used, known := o.paces[tenant]
-	return known && o.heard.Sub(used.at) <= activeTime
+	return known && o.heard.Sub(used.Last()) <= activeTime
 }
 
 // floor is how many requests a grantor lets through for a tenant without hearing from the
@@ -82,7 +84,7 @@
 // they fell silent is left to them; one that was never heard from gets as much as each of
 // the others on average.
 func (l *Limiter) heardShare(now time.Time, tenant string, b *bucket) float64 {
-	heard, silent := b.pace.until(now), 0.0
+	heard, silent := b.pace.At(now, paceTime), 0.0
 	known, unknown := 1, 0
 	for _, one := range l.others {
 		switch {
@@ -90,10 +92,10 @@
 			unknown++
 		case one.silent(now):
 			used := one.paces[tenant]
-			silent += used.until(one.heard)
+			silent += used.At(one.heard, paceTime)
 		default:
 			used := one.paces[tenant]
-			heard += used.until(now)
+			heard += used.At(now, paceTime)
 			known++
 		}
 	}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -40,6 +40,8 @@
 	// retireTime is after how long without being asked a daemon that is no dispatcher any more
 	// tells the others not to reckon with it; it does so until grantorTime is over.
 	retireTime = time.Second
+	// paceTime is over what time requests are averaged to a pace: a few tellings.
+	paceTime = 2 * time.Second
 	// idleTime is after how long without a request a tenant's bucket is forgotten. It is
 	// full by then, unless its burst takes longer to refill.
 	idleTime = time.Minute
@@ -215,7 +217,7 @@
 	b.level--
 	b.spent++
 	b.used++
-	b.pace.add(now, 1)
+	b.pace.Add(now, paceTime, 1)
 	return 0, true
 }
 
@@ -263,7 +265,7 @@
 	}
 	for _, one := range l.others {
 		for tenant, used := range one.paces {
-			if now.Sub(used.at) > idleTime {
+			if now.Sub(used.Last()) > idleTime {
 				delete(one.paces, tenant)
 			}
 		}
--- a/ratelimit/report.go
+++ b/ratelimit/report.go
@@ -101,7 +101,7 @@
 	from.used[use.Tenant] = use.Used
 	if counted && use.Used > before {
 		used := from.paces[use.Tenant]
-		used.add(now, float64(use.Used-before))
+		used.Add(now, paceTime, float64(use.Used-before))
 		from.paces[use.Tenant] = used
 	}
 	if !present {
--- a/routing/limit.go
+++ b/routing/limit.go
@@ -1,10 +1,10 @@
 package routing
 
 import (
-	"math"
 	"time"
 
 	"github.com/tuliphall/tuliphall/backendlimit"
+	"github.com/tuliphall/tuliphall/recent"
 )
 
 // leastAsked is how many requests a second a back end gets that takes fewer, or none: one in 5 s. Only
@@ -19,8 +19,7 @@
 	backendlimit.Limit
 	since  time.Time // when this daemon's picture of the back end got it
 	pacing pacing
-	used   float64 // requests a second, averaged; at last
-	usedAt time.Time
+	used   recent.Rate
 }
 
 // SetLimit notes how many requests a back end takes.
@@ -32,8 +31,8 @@
 
 // setLimit notes how many requests the back end takes. What others sent it until now is not known and
 // counts as all that it takes: the next request goes there a whole spacing later. One that is not
-// limited any more begins with one request at a time, as after a failure: it was in need until now, and
-// all that waits would go there together.
+// limited any more begins with one request at a time, as after a failure: all that waits would go there
+// together.
 func (s *State) setLimit(now time.Time, limit backendlimit.Limit) {
 	switch {
 	case limit.Limited && !s.limit.Limited:
@@ -64,16 +63,7 @@
 		return
 	}
 	l.pacing.sent(now)
-	l.used = l.usedNow(now) + 1/usedSpan.Seconds()
-	l.usedAt = now
-}
-
-// usedNow returns how many requests a second were sent of late.
-func (l *requestLimit) usedNow(now time.Time) float64 {
-	if l.usedAt.IsZero() {
-		return 0
-	}
-	return l.used * math.Exp(-now.Sub(l.usedAt).Seconds()/usedSpan.Seconds())
+	l.used.Add(now, usedSpan, 1)
 }
 
 // LimitStatus is what operators see of a back end's limit.
@@ -88,5 +78,5 @@
 	if !s.limit.Limited {
 		return nil
 	}
-	return &LimitStatus{PerSecond: s.limit.PerSecond, Used: s.limit.usedNow(now), Age: now.Sub(s.limit.since)}
+	return &LimitStatus{PerSecond: s.limit.PerSecond, Used: s.limit.used.At(now, usedSpan), Age: now.Sub(s.limit.since)}
 }
