--- a/backendlimit/keeper.go
+++ b/backendlimit/keeper.go
@@ -23,7 +23,7 @@
 	// Apply puts what is known of a back end in force where places are given out.
 	Apply func(Key)
 	// Tell tells the other daemons of news that this one has heard.
-	Tell    func(Word)
+	Tell    func(Record)
 	Log     *slog.Logger
 	Metrics tally.Scope
 }
@@ -47,7 +47,7 @@
 // NewKeeper returns a keeper that has heard nothing.
 func NewKeeper(options Options) *Keeper {
 	return &Keeper{
-		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: logging.NewOnce[Key](maxWords),
+		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: logging.NewOnce[Key](maxRecords),
 		unreadable: options.Metrics.Counter("backend_limits_unreadable"), gauge: options.Metrics.Gauge("backends_limited"),
 	}
 }
@@ -66,18 +66,18 @@
 	answer.Limit = limit
 	k.mutex.Lock()
 	now := time.Now()
-	before, _ := k.table.Word(answer.Key, answer.Started)
+	before, _ := k.table.OfRun(answer.Key, answer.Started)
 	change := k.table.Hear(now, answer)
-	word, _ := k.table.Word(answer.Key, answer.Started)
+	record, _ := k.table.OfRun(answer.Key, answer.Started)
 	k.count()
 	k.mutex.Unlock()
 	if change == Nothing {
 		return
 	}
-	k.options.Apply(word.Key)
+	k.options.Apply(record.Key)
 	if change == News {
-		k.logChange(before, word, "back end")
-		k.options.Tell(word)
+		k.logChange(before, record, "back end")
+		k.options.Tell(record)
 	}
 }
 
@@ -90,18 +90,18 @@
 }
 
 // Take takes in what another daemon tells, and returns what of it is news.
-func (k *Keeper) Take(told []Word) []Word {
-	var news []Word
-	for _, word := range told {
+func (k *Keeper) Take(told []Record) []Record {
+	var news []Record
+	for _, record := range told {
 		k.mutex.Lock()
-		before, _ := k.table.Word(word.Key, word.Started)
-		isNews := k.table.Take(time.Now(), word)
+		before, _ := k.table.OfRun(record.Key, record.Started)
+		isNews := k.table.Take(time.Now(), record)
 		k.count()
 		k.mutex.Unlock()
 		if isNews {
-			k.options.Apply(word.Key)
-			k.logChange(before, word, "daemon")
-			news = append(news, word)
+			k.options.Apply(record.Key)
+			k.logChange(before, record, "daemon")
+			news = append(news, record)
 		}
 	}
 	return news
@@ -113,23 +113,23 @@
 	k.gauge.Update(float64(k.table.Limited()))
 }
 
-func (k *Keeper) logChange(before, word Word, source string) {
+func (k *Keeper) logChange(before, record Record, source string) {
 	message := "back end takes fewer requests"
-	if !word.Limited {
+	if !record.Limited {
 		message = "limit has ended"
 	}
-	k.log.Info(message, "service", word.Service, "backend", word.Backend, "per_second", word.PerSecond,
-		"limited_before", before.Limited, "before", before.PerSecond, "started", word.Started, "source", source)
+	k.log.Info(message, "service", record.Service, "backend", record.Backend, "per_second", record.PerSecond,
+		"limited_before", before.Limited, "before", before.PerSecond, "started", record.Started, "source", source)
 }
 
-// Word returns the word on the run of a back end that started at a time; 0: whichever run.
-func (k *Keeper) Word(key Key, started int64) (Word, bool) {
+// OfRun returns what is known on the run of a back end that started at a time; 0: whichever run.
+func (k *Keeper) OfRun(key Key, started int64) (Record, bool) {
 	if k.limited.Load() == 0 {
-		return Word{}, false
+		return Record{}, false
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.table.Word(key, started)
+	return k.table.OfRun(key, started)
 }
 
 // Limited returns how many back ends are limited. The request path calls it.
@@ -137,18 +137,18 @@
 	return int(k.limited.Load())
 }
 
-// Newest returns what others are to be told of a back end.
-func (k *Keeper) Newest(key Key) (Word, bool) {
+// Record returns what others are to be told of a back end.
+func (k *Keeper) Record(key Key) (Record, bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.table.Word(key, 0)
+	return k.table.OfRun(key, 0)
 }
 
-// Words returns the limits that are in force, at most so many.
-func (k *Keeper) Words(most int) []Word {
+// Records returns the limits that are in force, at most so many.
+func (k *Keeper) Records(most int) []Record {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.table.Words(most)
+	return k.table.Records(most)
 }
 
 // Run drops what is not needed any more until ctx ends.
--- a/backendlimit/table.go
+++ b/backendlimit/table.go
@@ -15,8 +15,8 @@
 	// undeclaredMemory is for how long words of back ends are kept that are not declared here: a
 	// daemon that has just started hears them before it knows the back ends.
 	undeclaredMemory = 10 * time.Second
-	// maxWords bounds the words that are kept; one takes about 200 bytes.
-	maxWords = 1 << 14
+	// maxRecords bounds the words that are kept; one takes about 200 bytes.
+	maxRecords = 1 << 14
 )
 
 // Key names a back end of a service.
@@ -25,8 +25,8 @@
 	Backend string
 }
 
-// Word is what is known of a back end's limit.
-type Word struct {
+// Record is what is known of a back end's limit.
+type Record struct {
 	Key
 	Limit
 	// Started tells which run of the back end said it, in Unix milliseconds; 0: it does not say.
@@ -38,7 +38,7 @@
 
 // entry is a word with what only this daemon knows of it.
 type entry struct {
-	Word
+	Record
 	// heard is when this daemon last heard that the back end is limited.
 	heard time.Time
 	// changed is when it heard this word first.
@@ -96,13 +96,13 @@
 	if known == nil || !known.Limited || !answer.Sent.After(known.heard) || answer.Failed || answer.Probe && !known.byProbe {
 		return Nothing
 	}
-	t.set(now, Word{Key: answer.Key, Started: known.Started, At: after(now, known)})
+	t.set(now, Record{Key: answer.Key, Started: known.Started, At: after(now, known)})
 	return News
 }
 
 // hearLimit takes in a limit that an answer named.
 func (t *Table) hearLimit(now time.Time, known *entry, answer Answer) Change {
-	if known == nil && len(t.entries) >= maxWords {
+	if known == nil && len(t.entries) >= maxRecords {
 		return Nothing
 	}
 	change := News
@@ -117,7 +117,7 @@
 		at, told = known.At, known.told
 	}
 	byProbe := answer.Probe || known != nil && known.byProbe
-	set := t.set(now, Word{Key: answer.Key, Limit: answer.Limit, Started: answer.Started, At: at})
+	set := t.set(now, Record{Key: answer.Key, Limit: answer.Limit, Started: answer.Started, At: at})
 	set.byProbe, set.told = byProbe, told
 	return change
 }
@@ -132,20 +132,20 @@
 }
 
 // Take takes in a word that another daemon told, and says whether it is news.
-func (t *Table) Take(now time.Time, word Word) bool {
-	known := t.current(word.Key, word.Started)
+func (t *Table) Take(now time.Time, record Record) bool {
+	known := t.current(record.Key, record.Started)
 	switch {
 	case known == nil:
-		if !word.Limited || len(t.entries) >= maxWords {
+		if !record.Limited || len(t.entries) >= maxRecords {
 			return false
 		}
-	case known.Started > word.Started && word.Started != 0, !word.At.After(known.At):
+	case known.Started > record.Started && record.Started != 0, !record.At.After(known.At):
 		return false
-	case known.Limit == word.Limit:
-		known.At, known.told = word.At, word.PerSecond
+	case known.Limit == record.Limit:
+		known.At, known.told = record.At, record.PerSecond
 		return false
 	}
-	t.set(now, word).told = word.PerSecond
+	t.set(now, record).told = record.PerSecond
 	return true
 }
 
@@ -160,19 +160,19 @@
 }
 
 // set replaces the word on a back end.
-func (t *Table) set(now time.Time, word Word) *entry {
-	known := t.entries[word.Key]
+func (t *Table) set(now time.Time, record Record) *entry {
+	known := t.entries[record.Key]
 	if known == nil {
 		known = &entry{}
-		t.entries[word.Key] = known
+		t.entries[record.Key] = known
 	} else if known.Limited {
 		t.limited--
 	}
-	if known.Limit != word.Limit || known.Started != word.Started {
+	if known.Limit != record.Limit || known.Started != record.Started {
 		known.changed = now
 	}
-	known.Word = word
-	if word.Limited {
+	known.Record = record
+	if record.Limited {
 		t.limited++
 		known.heard = now
 	} else {
@@ -188,14 +188,14 @@
 	delete(t.entries, known.Key)
 }
 
-// Word returns the word on the run of a back end that started at a time, and false where there is
+// OfRun returns what is known on the run of a back end that started at a time, and false where there is
 // none. 0: whichever run.
-func (t *Table) Word(key Key, started int64) (Word, bool) {
+func (t *Table) OfRun(key Key, started int64) (Record, bool) {
 	known := t.entries[key]
 	if known == nil || started != 0 && known.Started != 0 && known.Started != started {
-		return Word{}, false
+		return Record{}, false
 	}
-	return known.Word, true
+	return known.Record, true
 }
 
 // Limited returns how many back ends are limited.
@@ -203,18 +203,18 @@
 	return t.limited
 }
 
-// Words returns the limits that are in force, at most so many.
-func (t *Table) Words(most int) []Word {
-	var words []Word
+// Records returns the limits that are in force, at most so many.
+func (t *Table) Records(most int) []Record {
+	var records []Record
 	for _, known := range t.entries {
-		if len(words) == most {
+		if len(records) == most {
 			break
 		}
 		if known.Limited {
-			words = append(words, known.Word)
+			records = append(records, known.Record)
 		}
 	}
-	return words
+	return records
 }
 
 // Forget drops what ended long ago, and words on back ends that are not declared.
--- a/backendlimit/table_test.go
+++ b/backendlimit/table_test.go
@@ -31,8 +31,8 @@
 }
 
 func requireLimit(t require.TestingT, table *backendlimit.Table, want backendlimit.Limit) {
-	word, _ := table.Word(key, 1)
-	require.Equal(t, want, word.Limit)
+	record, _ := table.OfRun(key, 1)
+	require.Equal(t, want, record.Limit)
 }
 
 // TestAnswersInAnyOrder ends a limit by an answer whose request was sent after it was heard of, and by
@@ -72,8 +72,8 @@
 func TestRestartedBackendHasSaidNothing(t *testing.T) {
 	table := backendlimit.NewTable()
 	table.Hear(at(10), limited(3.2, 0))
-	earlier, _ := table.Word(key, 0)
-	_, known := table.Word(key, 2)
+	earlier, _ := table.OfRun(key, 0)
+	_, known := table.OfRun(key, 2)
 	require.False(t, known)
 	again := limited(5, 20)
 	again.Started = 2
@@ -81,8 +81,8 @@
 	require.Equal(t, backendlimit.Nothing, table.Hear(at(40), limited(3.2, 35)), "the earlier run")
 	earlier.At = at(1000)
 	require.False(t, table.Take(at(50), earlier))
-	word, _ := table.Word(key, 2)
-	require.InDelta(t, 5.0, word.PerSecond, 0)
+	record, _ := table.OfRun(key, 2)
+	require.InDelta(t, 5.0, record.PerSecond, 0)
 	require.Equal(t, 1, table.Limited())
 }
 
@@ -91,14 +91,14 @@
 func TestWordsOfOthers(t *testing.T) {
 	here, there := backendlimit.NewTable(), backendlimit.NewTable()
 	here.Hear(at(2000), limited(3.2, 1990)) // its clock is 2 s ahead
-	named, _ := here.Word(key, 1)
+	named, _ := here.OfRun(key, 1)
 	require.True(t, there.Take(at(10), named))
 	require.False(t, there.Take(at(20), named), "known")
 	require.Equal(t, backendlimit.News, there.Hear(at(50), unlimited(40)))
-	ended, known := there.Word(key, 1)
+	ended, known := there.OfRun(key, 1)
 	require.True(t, known)
 	require.True(t, here.Take(at(2060), ended), "it is newer, whatever the clocks say")
-	require.False(t, here.Take(at(2070), named), "an older word does not bring it back")
+	require.False(t, here.Take(at(2070), named), "an older record does not bring it back")
 	require.Zero(t, here.Limited())
 }
 
@@ -112,10 +112,10 @@
 	require.Equal(t, 1, table.Limited(), "for as long as it says so")
 	table.Hear(at(3600_010), unlimited(3600_005))
 	table.Forget(at(3600_020), all)
-	_, known := table.Word(key, 1)
+	_, known := table.OfRun(key, 1)
 	require.True(t, known, "others may still tell of the limit")
 	table.Forget(at(3700_000), all)
-	_, known = table.Word(key, 1)
+	_, known = table.OfRun(key, 1)
 	require.False(t, known)
 	table.Hear(at(3700_010), limited(1, 3700_005))
 	table.Forget(at(3700_020), none)
@@ -133,12 +133,12 @@
 		for index := range tables {
 			tables[index] = backendlimit.NewTable()
 		}
-		var told []backendlimit.Word
+		var told []backendlimit.Record
 		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now := at(step * 100)
 			table := tables[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
 			if len(told) > 0 && rapid.Bool().Draw(t, "told") {
-				table.Take(now, told[rapid.IntRange(0, len(told)-1).Draw(t, "word")])
+				table.Take(now, told[rapid.IntRange(0, len(told)-1).Draw(t, "record")])
 				continue
 			}
 			answer := unlimited(step*100 - 50)
@@ -146,23 +146,23 @@
 				answer = limited(float64(rapid.IntRange(0, 5).Draw(t, "limit")), step*100-50)
 			}
 			if table.Hear(now, answer) == backendlimit.News {
-				word, _ := table.Word(key, 1)
-				told = append(told, word)
+				record, _ := table.OfRun(key, 1)
+				told = append(told, record)
 			}
 		}
 		for _, table := range tables {
 			for range 2 {
-				for _, word := range told {
-					table.Take(at(10_000), word)
+				for _, record := range told {
+					table.Take(at(10_000), record)
 				}
 			}
 		}
-		first, _ := tables[0].Word(key, 1)
+		first, _ := tables[0].OfRun(key, 1)
 		for _, table := range tables {
-			word, _ := table.Word(key, 1)
-			require.Equal(t, first.Limit, word.Limit)
+			record, _ := table.OfRun(key, 1)
+			require.Equal(t, first.Limit, record.Limit)
 			count := 0
-			if word.Limited {
+			if record.Limited {
 				count = 1
 			}
 			require.Equal(t, count, table.Limited())
@@ -180,10 +180,10 @@
 		now := step * 100
 		limit *= 0.97
 		if here.Hear(at(now), limited(limit, now-50)) == backendlimit.News {
-			word, _ := here.Word(key, 1)
-			there.Take(at(now), word)
+			record, _ := here.OfRun(key, 1)
+			there.Take(at(now), record)
 		}
-		told, _ := there.Word(key, 1)
+		told, _ := there.OfRun(key, 1)
 		require.InDelta(t, limit, told.PerSecond, 0.12*limit, "step %d", step)
 	}
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -22,8 +22,8 @@
 }
 
 // tellLimit tells the other daemons of a back end's limit.
-func (d *Daemon) tellLimit(word backendlimit.Word) {
-	d.node.TellLimit(word)
+func (d *Daemon) tellLimit(record backendlimit.Record) {
+	d.node.TellLimit(record)
 }
 
 // partsInterval is how often the parts of limits are reckoned anew, which takes a walk over all
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -2,20 +2,37 @@
 
 import "time"
 
-// gossip is a kind of news that daemons pass on to each other in their exchanges: records with keys, of which
-// each daemon keeps what it knows. It is guarded by the mutex of its Node, but for its functions.
+// Records is a kind of news, as this daemon knows it: records with keys. No method blocks.
+type Records[K comparable, R any] interface {
+	// Take takes in what others tell, and returns what of it is news.
+	Take(told []R) []R
+	// Record returns what others are to be told under a key.
+	Record(key K) (R, bool)
+	// Records returns what a daemon that has just started is told, what matters most first, at most so many.
+	Records(most int) []R
+}
+
+// noRecords knows nothing.
+type noRecords[K comparable, R any] struct{}
+
+func (noRecords[K, R]) Take([]R) []R { return nil }
+func (noRecords[K, R]) Record(K) (R, bool) {
+	var none R
+	return none, false
+}
+func (noRecords[K, R]) Records(int) []R { return nil }
+
+// gossip is what daemons pass on of a kind of news in their exchanges. But for what is known, it is guarded by
+// the mutex of its Node.
 type gossip[K comparable, R any] struct {
+	known   Records[K, R]
+	key     func(R) K // of a record
 	rumors  rumors[K]
 	most    int // records in one message
 	waiting int // most records that wait to be told
-	// key returns what a record is about, newest what is known about that now, and take takes in what
-	// others tell and returns what of it is news. None blocks.
-	key    func(R) K
-	newest func(K) (R, bool)
-	take   func([]R) []R
 }
 
-// passOn lets others be told what is known about something. The caller holds the mutex.
+// passOn lets others be told what is known under a key. The caller holds the mutex.
 func (g *gossip[K, R]) passOn(key K) {
 	if len(g.rumors) < g.waiting {
 		g.rumors.add(key, time.Now())
@@ -26,7 +43,7 @@
 func (g *gossip[K, R]) next(fleet int) []R {
 	var records []R
 	for _, key := range g.rumors.next(fleet, g.most) {
-		if record, known := g.newest(key); known {
+		if record, known := g.known.Record(key); known {
 			records = append(records, record)
 		}
 	}
@@ -34,9 +51,9 @@
 }
 
 // tell spreads a record of a service. The daemon that gives out its places is told first. It does not block.
-func tell[K comparable, R any](n *Node, g *gossip[K, R], key K, service string) {
+func tell[K comparable, R any](n *Node, g *gossip[K, R], record R, service string) {
 	n.mutex.Lock()
-	g.passOn(key)
+	g.passOn(g.key(record))
 	n.mutex.Unlock()
 	n.tellDispatcher(service)
 }
@@ -46,7 +63,7 @@
 	if len(told) == 0 {
 		return
 	}
-	news := g.take(told)
+	news := g.known.Take(told)
 	if len(news) == 0 {
 		return
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -129,7 +129,7 @@
 	// crashingRequests are those of which others are still to be told.
 	crashingRequests gossip[quarantine.Fingerprint, quarantine.Record]
 	// limits are the back ends of which others are still to be told how many requests they take.
-	limits gossip[backendlimit.Key, backendlimit.Word]
+	limits gossip[backendlimit.Key, backendlimit.Record]
 	// forming is what is known of the others' start.
 	forming forming
 	// expected is what another daemon is handing over.
@@ -148,7 +148,7 @@
 		options.Quarantine = noQuarantine{}
 	}
 	if options.Limits == nil {
-		options.Limits = noLimits{}
+		options.Limits = noRecords[backendlimit.Key, backendlimit.Record]{}
 	}
 	n := &Node{
 		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
--- a/peer/quarantine.go
+++ b/peer/quarantine.go
@@ -19,37 +19,29 @@
 // Quarantine is what a Node asks and tells of requests under which back ends ended. No method
 // blocks.
 type Quarantine interface {
-	// Take takes in what others have noted, and returns what of it is news.
-	Take(told []quarantine.Record) []quarantine.Record
-	// Record returns what is noted of a request.
-	Record(fingerprint quarantine.Fingerprint) (quarantine.Record, bool)
-	// Records returns what is noted, what matters most first, at most so many.
-	Records(most int) []quarantine.Record
+	Records[quarantine.Fingerprint, quarantine.Record]
 	// Digest tells daemons apart that hold back other requests.
 	Digest() uint64
 }
 
 // noQuarantine notes nothing.
-type noQuarantine struct{}
-
-func (noQuarantine) Take([]quarantine.Record) []quarantine.Record { return nil }
-func (noQuarantine) Record(quarantine.Fingerprint) (quarantine.Record, bool) {
-	return quarantine.Record{}, false
+type noQuarantine struct {
+	noRecords[quarantine.Fingerprint, quarantine.Record]
 }
-func (noQuarantine) Records(int) []quarantine.Record { return nil }
-func (noQuarantine) Digest() uint64                  { return 0 }
+
+func (noQuarantine) Digest() uint64 { return 0 }
 
 // gossipOfQuarantine is what daemons tell each other of requests under which back ends ended.
 func gossipOfQuarantine(known Quarantine) gossip[quarantine.Fingerprint, quarantine.Record] {
 	return gossip[quarantine.Fingerprint, quarantine.Record]{
+		known: known, key: func(record quarantine.Record) quarantine.Fingerprint { return record.Fingerprint },
 		rumors: make(rumors[quarantine.Fingerprint]), most: maxCrashingRequests, waiting: maxCrashingRumors,
-		key: func(record quarantine.Record) quarantine.Fingerprint { return record.Fingerprint }, newest: known.Record, take: known.Take,
 	}
 }
 
 // TellCrashingRequest spreads what this daemon has noted of a request.
 func (n *Node) TellCrashingRequest(record quarantine.Record) {
-	tell(n, &n.crashingRequests, record.Fingerprint, record.Service)
+	tell(n, &n.crashingRequests, record, record.Service)
 }
 
 func encodeCrashingRequests(records []quarantine.Record) []*peerpb.CrashingRequest {
--- a/peer/server.go
+++ b/peer/server.go
@@ -64,7 +64,7 @@
 	reply, err := encodeList(&peerpb.MemberList{
 		Members: encodeMembers(n.Members()), Drains: encodeDrains(n.Draining()),
 		CrashingRequests: encodeCrashingRequests(n.options.Quarantine.Records(maxListedCrashingRequests)),
-		Limits:           encodeLimits(n.options.Limits.Words(maxListedLimits)),
+		Limits:           encodeLimits(n.options.Limits.Records(maxListedLimits)),
 	})
 	if err != nil {
 		return nil, err
--- a/service/service.go
+++ b/service/service.go
@@ -260,8 +260,8 @@
 
 // limitOf returns how many requests a back end takes.
 func (s *Service) limitOf(service string, one *config.Backend) backendlimit.Limit {
-	word, _ := s.limits.Word(backendlimit.Key{Service: service, Backend: one.ID}, one.Started)
-	return word.Limit
+	record, _ := s.limits.OfRun(backendlimit.Key{Service: service, Backend: one.ID}, one.Started)
+	return record.Limit
 }
 
 // RefreshLimit puts in force what is known now of how many requests a back end takes.
@@ -357,9 +357,9 @@
 
 // Limits knows how many requests back ends take. No method blocks.
 type Limits interface {
-	// Word returns what the run of a back end that started at a time has said, and false where it
+	// OfRun returns what the run of a back end that started at a time has said, and false where it
 	// has said nothing.
-	Word(backend backendlimit.Key, started int64) (backendlimit.Word, bool)
+	OfRun(backend backendlimit.Key, started int64) (backendlimit.Record, bool)
 	// Parts returns which parts of what back ends take daemons may use that this one can reach.
 	Parts() LimitParts
 }
@@ -376,9 +376,9 @@
 // noLimits knows of none.
 type noLimits struct{}
 
-// Word implements Limits.
-func (noLimits) Word(backendlimit.Key, int64) (backendlimit.Word, bool) {
-	return backendlimit.Word{}, false
+// OfRun implements Limits.
+func (noLimits) OfRun(backendlimit.Key, int64) (backendlimit.Record, bool) {
+	return backendlimit.Record{}, false
 }
 
 // Parts implements Limits.
