--- a/backendlimit/keeper.go
+++ b/backendlimit/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,22 @@
 // forgetInterval is how often what is not needed any more is dropped.
 const forgetInterval = 5 * time.Second
 
+// Listener is told what back ends say, or do not say, of how many requests they take. It must not block.
+type Listener interface {
+	// Hear takes in the header of an answer. The rest of answer but for its Limit is set.
+	Hear(header http.Header, answer Answer)
+}
+
+// Deaf hears nothing. It implements Listener.
+type Deaf struct{}
+
+// Hear implements Listener.
+func (Deaf) Hear(http.Header, Answer) {}
+
 // Options are a Keeper's collaborators. No function may block.
 type Options struct {
+	// Header is that by which back ends name their limit; empty: none does.
+	Header string
 	// Declared says whether a back end is declared.
 	Declared func(Key) bool
 	// Apply puts what is known of a back end in force where places are given out.
@@ -52,10 +67,10 @@
 	}
 }
 
-// Hear takes in what a back end said with an answer: the values of the header that names its limit.
-// The rest of answer but for its Limit is set. The request path calls it.
-func (k *Keeper) Hear(values []string, answer Answer) {
-	if len(values) == 0 && k.limited.Load() == 0 {
+// Hear implements Listener. The request path calls it.
+func (k *Keeper) Hear(header http.Header, answer Answer) {
+	values := header.Values(k.options.Header)
+	if k.options.Header == "" || len(values) == 0 && k.limited.Load() == 0 {
 		return
 	}
 	limit, err := Parse(values)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -235,9 +235,9 @@
 		Policy: d.settings.Quarantine.Policy(), Store: d.store, Timeout: time.Duration(d.settings.Platform.Timeout),
 		Reads: d.readsQuarantine, Tell: d.tellCrashingRequest, Log: d.logger, Metrics: scope,
 	})
-	d.limits = backendlimit.NewKeeper(backendlimit.Options{Declared: d.isDeclared, Apply: d.applyLimit, Tell: d.tellLimit, Log: d.logger, Metrics: scope})
+	d.limits = backendlimit.NewKeeper(backendlimit.Options{Header: d.dialect.RequestLimit, Declared: d.isDeclared, Apply: d.applyLimit, Tell: d.tellLimit, Log: d.logger, Metrics: scope})
 	d.rates = ratelimit.NewKeeper(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
-	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &limits{Keeper: d.limits, daemon: d}, Elsewhere: d.elsewhere, Log: d.logger})
+	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &serviceLimits{Keeper: d.limits, daemon: d}, Elsewhere: d.elsewhere, Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -30,8 +30,8 @@
 // members; members are lost and found no faster than heartbeats tell, once a second.
 const partsInterval = 250 * time.Millisecond
 
-// limits is what the daemon's services ask of limits. It implements service.Limits.
-type limits struct {
+// serviceLimits is what the daemon's services ask of limits. It implements service.Limits.
+type serviceLimits struct {
 	*backendlimit.Keeper
 	daemon *Daemon
 
@@ -41,7 +41,7 @@
 }
 
 // Parts implements service.Limits.
-func (l *limits) Parts() service.LimitParts {
+func (l *serviceLimits) Parts() service.LimitParts {
 	if l.Limited() == 0 {
 		return service.LimitParts{Reached: 1, Region: 1}
 	}
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -276,11 +276,10 @@
 
 // learnLimit takes in what the back end says, or does not say, of how many requests it takes.
 func (a *attempter) learnLimit(chosen *place, response *http.Response, refused bool) {
-	header := a.handler.options.Dialect.RequestLimit
-	if header == "" || response.StatusCode == http.StatusMisdirectedRequest {
+	if response.StatusCode == http.StatusMisdirectedRequest {
 		return // another back end has answered
 	}
-	a.handler.options.Limits.Hear(response.Header.Values(header), backendlimit.Answer{
+	a.handler.options.Limits.Hear(response.Header, backendlimit.Answer{
 		Key: backendlimit.Key{Service: a.call.service.Name(), Backend: chosen.backend}, Started: chosen.started, Sent: chosen.sent,
 		Failed: refused || response.StatusCode >= http.StatusInternalServerError,
 	})
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -40,18 +40,6 @@
 	HeardDraining(service, backend string, draining bool)
 }
 
-// Limits is told what back ends say of how many requests they take. It must not block.
-type Limits interface {
-	// Hear takes in the values of the header by which an answer names a limit.
-	Hear(values []string, answer backendlimit.Answer)
-}
-
-// noLimits hears nothing.
-type noLimits struct{}
-
-// Hear implements Limits.
-func (noLimits) Hear([]string, backendlimit.Answer) {}
-
 // Options are the frontend's collaborators.
 type Options struct {
 	Name     string // the daemon's
@@ -67,7 +55,7 @@
 	// Quarantine holds back requests under which back ends end; nil: none is held back.
 	Quarantine Quarantine
 	// Limits is told what back ends say of how many requests they take; nil: nobody is.
-	Limits  Limits
+	Limits  backendlimit.Listener
 	Log     *slog.Logger
 	Metrics tally.Scope
 	// LogDecisions says whether each routing decision and each answered request
@@ -102,7 +90,7 @@
 		options.Quarantine = noQuarantine{}
 	}
 	if options.Limits == nil {
-		options.Limits = noLimits{}
+		options.Limits = backendlimit.Deaf{}
 	}
 	if options.LogDecisions == nil {
 		options.LogDecisions = func() bool { return false }
--- a/measure/ask_test.go
+++ b/measure/ask_test.go
@@ -19,7 +19,7 @@
 type heardLimits []backendlimit.Answer
 
 // Hear implements Limits.
-func (h *heardLimits) Hear(_ []string, answer backendlimit.Answer) {
+func (h *heardLimits) Hear(_ http.Header, answer backendlimit.Answer) {
 	*h = append(*h, answer)
 }
 
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -60,12 +60,6 @@
 	maxProbeBody = 4 << 10
 )
 
-// Limits is told what back ends say of how many requests they take. It must not block.
-type Limits interface {
-	// Hear takes in the values of the header by which an answer names a limit.
-	Hear(values []string, answer backendlimit.Answer)
-}
-
 // Options are a Prober's collaborators.
 type Options struct {
 	Holder   string // the daemon's name and address, as of a lease
@@ -78,7 +72,7 @@
 	// Dialect is how back ends spell their load.
 	Dialect backend.Dialect
 	// Limits is told what back ends say of how many requests they take; nil: nobody is.
-	Limits  Limits
+	Limits  backendlimit.Listener
 	Log     *slog.Logger
 	Metrics tally.Scope
 }
@@ -107,6 +101,9 @@
 
 // NewProber returns a prober.
 func NewProber(options Options) *Prober {
+	if options.Limits == nil {
+		options.Limits = backendlimit.Deaf{}
+	}
 	return &Prober{
 		options: options, log: logging.Part(options.Log, "measure"), duties: make(map[string]*duty),
 		probes: options.Metrics.Counter("probes"), skipped: options.Metrics.Counter("probes_without_lease"),
@@ -291,23 +288,13 @@
 			return nil, false, errors.Errorf("probe of %s: answered by %s", asked.backend.Backend, answered)
 		}
 	}
-	p.learnLimit(asked, sent, response)
+	failed := response.StatusCode >= http.StatusInternalServerError
+	p.options.Limits.Hear(response.Header, backendlimit.Answer{Key: asked.backend, Started: asked.started, Sent: sent, Probe: true, Failed: failed})
 	if told, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
 		told.WarmUpLeft = p.warmUpLeft(response.Header)
 		report = new(routing.Report(told))
 	}
-	return report, response.StatusCode < http.StatusInternalServerError, nil
-}
-
-// learnLimit takes in what the back end says, or does not say, of how many requests it takes.
-func (p *Prober) learnLimit(asked probeTarget, sent time.Time, response *http.Response) {
-	header := p.options.Dialect.RequestLimit
-	if p.options.Limits == nil || header == "" {
-		return
-	}
-	p.options.Limits.Hear(response.Header.Values(header), backendlimit.Answer{
-		Key: asked.backend, Started: asked.started, Sent: sent, Probe: true, Failed: response.StatusCode >= http.StatusInternalServerError,
-	})
+	return report, !failed, nil
 }
 
 // warmUpLeft reads for how long the back end remains cold; 0 where it does not say.
--- a/service/service.go
+++ b/service/service.go
@@ -210,7 +210,7 @@
 				ID: one.ID, Zone: one.Zone, Version: one.Version, Slots: one.Slots, Window: window(target.Service, *one),
 				// Its zone may have turned cold while it was evacuated.
 				Warm:    one.Warm && now.Sub(restored[one.Zone]) >= warmUp.Lasts,
-				Drained: declared.closed(one) || drained[one.ID], Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(target.Service.Name, one),
+				Drained: declared.closed(one) || drained[one.ID], Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(one),
 			})
 		}
 		return places
@@ -259,16 +259,15 @@
 }
 
 // limitOf returns how many requests a back end takes.
-func (s *Service) limitOf(service string, one *config.Backend) backendlimit.Limit {
-	record, _ := s.limits.OfRun(backendlimit.Key{Service: service, Backend: one.ID}, one.Started)
+func (s *Service) limitOf(one *config.Backend) backendlimit.Limit {
+	record, _ := s.limits.OfRun(backendlimit.Key{Service: s.Name(), Backend: one.ID}, one.Started)
 	return record.Limit
 }
 
 // RefreshLimit puts in force what is known now of how many requests a back end takes.
 func (s *Service) RefreshLimit(id string) {
-	declared := s.declared.Load()
-	if one, known := declared.byID[id]; known {
-		s.Dispatcher.SetLimit(id, func() backendlimit.Limit { return s.limitOf(declared.target.Service.Name, one) })
+	if one, known := s.declared.Load().byID[id]; known {
+		s.Dispatcher.SetLimit(id, func() backendlimit.Limit { return s.limitOf(one) })
 	}
 }
 
