Routing: what a region may borrow is reckoned in one place, and nothing is looked for where there is one region

A pick that finds no place walked all back ends once more for a lender that a fleet of one region cannot have.

--- a/routing/region.go
+++ b/routing/region.go
@@ -20,14 +20,14 @@
 	tryInterval = 50 * time.Millisecond
 )
 
-// room is how many requests of this daemon's a back end of another region may hold: as many as it has told
-// of late that it has slots free, but for the reserve. Dispatchers of three regions that each used all slots had
+// room is how many requests of this daemon's a back end of another region may hold: mostBorrowed if it has told
+// of late that it has slots free beyond the reserve, else none. Dispatchers of three regions that each used all slots had
 // nine requests at back ends of three, twice the load that all could bear (TestRegionsShareSlots).
 func (s *State) room(now time.Time) int {
-	if s.unheardOf(now) {
+	if s.unheardOf(now) || s.reported+lendingReserve >= s.Slots {
 		return 0
 	}
-	return min(max(s.Slots-lendingReserve-s.reported, 0), mostBorrowed)
+	return mostBorrowed
 }
 
 // ownRoom is how many requests of this daemon's a back end of the own region may hold: what other regions
@@ -55,6 +55,9 @@
 // lender returns a back end of another region that is tried although nothing is known of its room, as no back
 // end has a place, or nil: now and then, or at any time where the own region has no back ends at all.
 func (g *Group) lender(now time.Time, as sender) *State {
+	if !g.shared {
+		return nil
+	}
 	var chosen *State
 	home, found := false, 0
 	for _, state := range g.found.eligible {
--- a/routing/state.go
+++ b/routing/state.go
@@ -165,10 +165,11 @@
 // pace returns how many requests the back end finishes in a second, as far as its latency
 // and what it bears tell.
 func (s *State) pace(now time.Time) float64 {
-	perSecond := float64(s.Slots) / s.Latency().Seconds()
+	places := s.Slots
 	if s.Elsewhere {
-		perSecond = min(float64(s.room(now)), float64(s.Slots)) / s.Latency().Seconds()
+		places = s.room(now)
 	}
+	perSecond := float64(places) / s.Latency().Seconds()
 	if s.spares(now) {
 		perSecond = min(perSecond, s.WarmUp.PerSecond)
 	}
