--- a/routing/region.go
+++ b/routing/region.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// otherRegion is how much a back end of another region counts more than one of another zone of the own:
@@ -58,23 +61,20 @@
 	if !g.shared {
 		return nil
 	}
+	home := slices.ContainsFunc(g.found.eligible, func(state *State) bool { return !state.Elsewhere })
+	if home && now.Sub(g.triedAt) < tryInterval {
+		return nil
+	}
 	var chosen *State
-	home, found := false, 0
+	found := 0
 	for _, state := range g.found.eligible {
-		if !state.Elsewhere {
-			home = true
-			continue
-		}
-		if state.InFlight > 0 || !state.unheardOf(now) || !g.bears(state, now, as) {
+		if !state.Elsewhere || state.InFlight > 0 || !state.unheardOf(now) || !g.bears(state, now, as) {
 			continue
 		}
 		if found++; g.options.Random.IntN(found) == 0 {
 			chosen = state
 		}
 	}
-	if home && now.Sub(g.triedAt) < tryInterval {
-		return nil
-	}
 	if chosen != nil {
 		g.triedAt = now
 	}
