--- a/routing/region_test.go
+++ b/routing/region_test.go
@@ -146,3 +146,17 @@
 	require.Greater(t, regions[0].borrowed, 20*70)
 	require.Less(t, regions[1].borrowed, regions[1].sent/20, "those with room stay at home")
 }
+
+// A back end of one slot was never lent, as that slot was kept for its own region: a region that had lost its
+// back ends got one request each 250 ms from each of the others, however idle they were.
+func TestOnlySlotIsLent(t *testing.T) {
+	group := warmUpGroup(1, Backend{ID: "far", Slots: 1, Warm: true, Elsewhere: true})
+	now := start
+	for range 10 {
+		picked, ok := group.Pick(now, Request{})
+		require.True(t, ok)
+		now = now.Add(20 * time.Millisecond)
+		group.Report(picked.Backend, Report{InFlight: 1}, false, now)
+		group.Finished(picked, now, Success, 20*time.Millisecond)
+	}
+}
