Regions: an idle back end of one slot is lent, too

A region that had lost its back ends got a request each 250 ms from each back end of one slot elsewhere, as its only slot was kept for its own region (TestOnlySlotIsLent). Back ends of more slots: as before.

--- a/routing/region.go
+++ b/routing/region.go
@@ -13,7 +13,8 @@
 	// lendingTrust is for how long a report says that a back end of another region has room: as long as a
 	// request or two take there. Its own region sends it requests meanwhile that are not known here.
 	lendingTrust = 250 * time.Millisecond
-	// lendingReserve is how many slots are left to the back end's own region.
+	// lendingReserve is how many slots are left to the back end's own region. Of an idle one any is lent: a
+	// region that has lost its back ends would else get next to nothing of those with one slot.
 	lendingReserve = 1
 	// mostBorrowed is how many requests of this daemon's such a back end holds at most: its own region may
 	// fill it while they are on their way.
@@ -24,10 +25,11 @@
 )
 
 // room is how many requests of this daemon's a back end of another region may hold: mostBorrowed if it has told
-// of late that it has slots free beyond the reserve, else none. Dispatchers of three regions that each used all slots had
+// of late that it is idle or has slots free beyond the reserve, else none. Dispatchers of three regions that each used all slots had
 // nine requests at back ends of three, twice the load that all could bear (TestRegionsShareSlots).
 func (s *State) room(now time.Time) int {
-	if s.unheardOf(now) || s.reported+lendingReserve >= s.Slots {
+	idle := s.reported == 0
+	if s.unheardOf(now) || !idle && s.reported+lendingReserve >= s.Slots {
 		return 0
 	}
 	return mostBorrowed
