--- a/lab/objectstub/limit_test.go
+++ b/lab/objectstub/limit_test.go
@@ -112,7 +112,22 @@
 	l.resume()
 }
 
-// A back end that was in need said with each answer that it takes 2.5 requests a second from all
+// twoLimits are what the first two workers name.
+var twoLimits = []float64{3.2, 0.8}
+
+// limitTwo lets the first two workers name limits under a random load, and returns when they began to.
+func (f *fleet) limitTwo() (load *randomLoad, named time.Time) {
+	f.workLonger()
+	load = f.randomLoad(limitedLoad)
+	time.Sleep(5 * time.Second)
+	named = time.Now()
+	for number, limit := range twoLimits {
+		names(fmt.Sprint(limit), f.workers[number])
+	}
+	return load, named
+}
+
+// A back end said with each answer that it takes 2.5 requests a second from all
 // daemons together. It went on getting ten a second, as all others did: no part of the product read
 // what it said. Requests were not all that it got. Fourteen probes a second came from the daemon that
 // gives out its places, who asks most often those that it would choose next.
@@ -126,20 +141,15 @@
 //
 // A word that nobody reads, which binds the sum of what all daemons send, was the cause. Now the daemon that
 // gives out the places spaces all that goes there, whatever it is for, and whoever hears the word tells it.
-// Before: 94 and 88 requests and probes in the fullest 4 s, where 3.2 and 0.8 a second are taken; now 11
-// and 3.
+// Before: 94 and 88 requests and probes in the fullest 4 s, where 3.2 and 0.8 a second are taken; now 13
+// and 4.
 func TestLimitedBackendsGetNoMore(t *testing.T) {
 	run(t, 8, func(f *fleet) {
-		f.workLonger()
-		others := f.randomLoad(limitedLoad)
-		time.Sleep(5 * time.Second)
-		named := time.Now()
-		names("3.2", f.workers[0])
-		names("0.8", f.workers[1])
+		others, named := f.limitTwo()
 		time.Sleep(20 * time.Second)
 		until := time.Now()
 		answered := others.share()
-		for number, limit := range []float64{3.2, 0.8} {
+		for number, limit := range twoLimits {
 			one := f.workers[number]
 			t.Logf("%.1f a second named, %d requests and probes in the fullest 4 s, %d of them probes in all",
 				limit, one.fullest(named.Add(limitInForce), until), len(one.probes))
@@ -228,19 +238,13 @@
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			run(t, 8, func(f *fleet) {
-				f.workLonger()
-				load := f.randomLoad(limitedLoad)
-				time.Sleep(5 * time.Second)
-				named := time.Now()
-				limits := []float64{3.2, 0.8}
-				names("3.2", f.workers[0])
-				names("0.8", f.workers[1])
+				load, named := f.limitTwo()
 				time.Sleep(3 * time.Second)
 				one.trouble(f, load)
 				time.Sleep(20*time.Second - time.Since(named))
 				until := time.Now()
 				t.Logf("%.3f answered", load.share())
-				for number, limit := range limits {
+				for number, limit := range twoLimits {
 					got := f.workers[number].fullest(named.Add(limitInForce), until)
 					t.Logf("%.1f a second named, %d in the fullest 4 s", limit, got)
 					require.LessOrEqual(t, got, most(limit)+max(one.choosers-1, 0))
@@ -254,16 +258,11 @@
 // with a dispatcher of its own.
 func TestRegionsShareALimit(t *testing.T) {
 	runFleetWith(t, 6, 8, func(f *fleet) { f.regions = 2 }, func(f *fleet) {
-		f.workLonger()
-		load := f.randomLoad(limitedLoad)
-		time.Sleep(5 * time.Second)
-		named := time.Now()
-		names("3.2", f.workers[0])
-		names("0.8", f.workers[1])
+		load, named := f.limitTwo()
 		time.Sleep(20 * time.Second)
 		until := time.Now()
 		require.Greater(t, load.share(), 0.99)
-		for number, limit := range []float64{3.2, 0.8} {
+		for number, limit := range twoLimits {
 			got := f.workers[number].fullest(named.Add(limitInForce), until)
 			t.Logf("%.1f a second named, %d in the fullest 4 s", limit, got)
 			require.LessOrEqual(t, got, most(limit)+1, "each region's window may begin with one")
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -283,9 +283,8 @@
 
 // write makes or replaces an object, if its revision is the one that is given.
 func (s *Stub) write(w http.ResponseWriter, r *http.Request) {
-	var object Object
-	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	object, ok := readObject(w, r)
+	if !ok {
 		return
 	}
 	kind := r.PathValue("kind")
@@ -301,6 +300,20 @@
 		return
 	}
 	written := s.put(kind, object)
+	s.acknowledge(w, written)
+}
+
+// readObject reads the object that a call writes, and answers the call where it has none.
+func readObject(w http.ResponseWriter, r *http.Request) (object Object, ok bool) {
+	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return Object{}, false
+	}
+	return object, true
+}
+
+// acknowledge answers a write that was done, unless its answer is to be lost. The caller holds the mutex.
+func (s *Stub) acknowledge(w http.ResponseWriter, written Object) {
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		panic(http.ErrAbortHandler)
@@ -310,9 +323,8 @@
 
 // writeStatus replaces an object's status, if its revision is the one that is given.
 func (s *Stub) writeStatus(w http.ResponseWriter, r *http.Request) {
-	var object Object
-	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	object, ok := readObject(w, r)
+	if !ok {
 		return
 	}
 	kind := r.PathValue("kind")
@@ -329,11 +341,7 @@
 	}
 	present.Status = object.Status
 	written := s.put(kind, present)
-	if s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
-		panic(http.ErrAbortHandler)
-	}
-	answer(w, http.StatusOK, written)
+	s.acknowledge(w, written)
 }
 
 // Status returns an object's status; nil where there is none.
