--- a/lab/objectstub/limit_test.go
+++ b/lab/objectstub/limit_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +87,7 @@
 	every  time.Duration
 	random *rand.Rand
 	number int
+	once   atomic.Bool // its requests must not be repeated
 }
 
 func (l *randomLoad) resume() {
@@ -98,7 +100,11 @@
 			case <-time.After(time.Duration(l.random.ExpFloat64() * float64(l.every))):
 			}
 			l.number++
-			through, path := l.random.IntN(len(l.fleet.daemons)), fmt.Sprintf("/one/safe/%d", l.number)
+			kind := "safe"
+			if l.once.Load() {
+				kind = "unsafe"
+			}
+			through, path := l.random.IntN(len(l.fleet.daemons)), fmt.Sprintf("/one/%s/%d", kind, l.number)
 			l.running.Go(func() { l.count(l.fleet.send(through, path)) })
 		}
 	})
@@ -220,6 +226,14 @@
 			time.Sleep(4 * time.Second)
 			f.net.SetFrozen(host, false)
 		}},
+		{name: "requests must not be repeated", trouble: func(_ *fleet, load *randomLoad) { load.once.Store(true) }},
+		{name: "requests go together on a connection, and wait for places", trouble: func(f *fleet, _ *randomLoad) {
+			f.burst(200)
+			for number := range 20 {
+				go f.pipeline(number%daemons, fmt.Sprintf("/one/safe/together-%d", number), 4)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}},
 		{name: "others fail, so that requests are sent again", trouble: func(f *fleet, _ *randomLoad) {
 			for _, worker := range f.workers[4:] {
 				worker.change(func() { worker.refuse = true })
