Limits: what daemons sent that are found again counts as sent

Cause: a daemon that was cut off reckons with its part of what is taken, and with all again as soon as it finds the others. What those sent meanwhile it doesn't know, and counted as nothing: its own last request was 4.2 s old, theirs 0.36 s, and it sent one at once. Ruled out: two dispatchers at one time (the other had handed over 0.26 s before), parts that add up to more than the whole, probes (none in the window). Now a daemon that finds others again counts as if all that is taken had been sent until then, for limited and for cold back ends alike, requests and probes. Joined by a tenth or more of what it reaches: single members that come and go change nothing.

backendlimit.Parts is pure and replaces service.LimitParts; routing.Share carries it.

--- /dev/null
+++ b/backendlimit/parts.go
@@ -0,0 +1,42 @@
+package backendlimit
+
+import "time"
+
+// joined is by which part what a daemon reaches must grow to count as daemons found again: a cut that has
+// healed. Of two or three of hundreds none can have sent more than a request or so.
+const joined = 0.1
+
+// Parts are which parts of what back ends take the daemons may use that one daemon can reach.
+type Parts struct {
+	// Reached is for the daemons that it takes for alive, of all that may be.
+	Reached float64
+	// Region is for those of its own region, of those that it takes for alive: each region has a
+	// dispatcher of its own.
+	Region float64
+	// Since is when it last found daemons again that it had lost, which may have sent by themselves; zero:
+	// it never has.
+	Since time.Time
+
+	// least is the smallest that Reached was since then.
+	least float64
+}
+
+// Whole are the parts of daemons that reach all others, in one region.
+var Whole = Parts{Reached: 1, Region: 1}
+
+// Next reckons the parts anew: so many daemons are alive, of all that may be, and so many of those are of
+// the own region.
+func (p Parts) Next(now time.Time, alive, all, region int) Parts {
+	alive, all, region = max(alive, 1), max(all, 1), max(region, 1)
+	next := Parts{
+		Reached: float64(alive) / float64(all), Region: min(float64(region)/float64(alive), 1),
+		Since: p.Since, least: p.least,
+	}
+	switch {
+	case next.least == 0 || next.Reached < next.least:
+		next.least = next.Reached
+	case next.Reached > (1+joined)*next.least:
+		next.Since, next.least = now, next.Reached
+	}
+	return next
+}
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/tuliphall/tuliphall/backendlimit"
-	"github.com/tuliphall/tuliphall/service"
 )
 
 // isDeclared says whether a back end is declared.
@@ -36,24 +35,21 @@
 	daemon *Daemon
 
 	mutex    sync.Mutex
-	parts    service.LimitParts
+	parts    backendlimit.Parts
 	reckoned time.Time
 }
 
 // Parts implements service.Limits.
-func (l *serviceLimits) Parts() service.LimitParts {
+func (l *serviceLimits) Parts() backendlimit.Parts {
 	if l.Limited() == 0 {
-		return service.LimitParts{Reached: 1, Region: 1}
+		return backendlimit.Whole
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if now := time.Now(); now.Sub(l.reckoned) >= partsInterval {
 		l.reckoned = now
 		alive, all := l.daemon.node.Alive(lostFor)
-		l.parts = service.LimitParts{
-			Reached: float64(max(alive, 1)) / float64(max(all, 1)),
-			Region:  min(float64(max(l.daemon.node.RegionSize(), 1))/float64(max(alive, 1)), 1),
-		}
+		l.parts = l.parts.Next(now, alive, all, l.daemon.node.RegionSize())
 	}
 	return l.parts
 }
--- a/routing/bearing.go
+++ b/routing/bearing.go
@@ -6,29 +6,34 @@
 type sender struct {
 	// choosers is how many daemons choose at the same time, each by itself.
 	choosers int
-	// limitPart is the part that it may use of what limited back ends take.
-	limitPart float64
+	// ofLimits is what it may use of what limited back ends take.
+	ofLimits Share
 }
 
 // soleSender gives out all places of the service.
-var soleSender = sender{choosers: 1, limitPart: 1}
+var soleSender = sender{choosers: 1, ofLimits: Share{Part: 1}}
 
 // sender returns as what the daemon sends the request.
 func (r *Request) sender() sender {
-	as := sender{choosers: max(r.Choosers, 1), limitPart: r.LimitPart}
-	if as.limitPart == 0 {
-		as.limitPart = 1
+	as := sender{choosers: max(r.Choosers, 1), ofLimits: r.OfLimits}
+	if as.ofLimits.Part == 0 {
+		as.ofLimits.Part = 1
 	}
 	return as
 }
 
+// ofWarmUps is what the sender may use of what cold back ends bear.
+func (s sender) ofWarmUps() Share {
+	return Share{Part: 1 / float64(s.choosers), Since: s.ofLimits.Since}
+}
+
 // bears says whether the back end can take a request now without getting more than it bears while it
 // is cold, or more than it says that it takes.
 func (g *Group) bears(state *State, now time.Time, as sender) bool {
-	if state.spares(now) && !state.warmUp.pacing.due(now, state.WarmUp.PerSecond, 1/float64(as.choosers), g.options.Random) {
+	if state.spares(now) && !state.warmUp.pacing.due(now, state.WarmUp.PerSecond, as.ofWarmUps(), g.options.Random) {
 		return false
 	}
-	return g.permits(state, now, as.limitPart)
+	return g.permits(state, now, as.ofLimits)
 }
 
 // spend notes something that is sent to the back end.
--- a/routing/group.go
+++ b/routing/group.go
@@ -59,14 +59,14 @@
 	// shared: some back ends stand in other regions, whose dispatchers use those of this one, too.
 	shared  bool
 	triedAt time.Time // when a back end of another region was last tried
-	// limitPart is the part of what limited back ends take that this daemon may use, as of its last pick.
-	limitPart   float64
+	// ofLimits is what this daemon may use of what limited back ends take, as of its last pick.
+	ofLimits    Share
 	versionSeen map[string]time.Time
 }
 
 // NewGroup returns a group without back ends.
 func NewGroup(options Options) *Group {
-	return &Group{options: options, byID: make(map[string]*State), limitPart: soleSender.limitPart}
+	return &Group{options: options, byID: make(map[string]*State), ofLimits: soleSender.ofLimits}
 }
 
 // SetBackends replaces the declared back ends. What is known of those that stay
@@ -199,9 +199,9 @@
 	Repeatable bool
 	// Zone is that of the daemon that sends the request.
 	Zone string
-	// LimitPart is the part of what limited back ends take that the daemon may use which chooses;
-	// 0: all of it.
-	LimitPart float64
+	// OfLimits is what the daemon that chooses may use of what limited back ends take; a part of 0:
+	// all of it.
+	OfLimits Share
 	// Choosers is how many daemons may choose for requests of the service just now, each by
 	// itself; 0 or 1: one dispatcher for all.
 	Choosers int
@@ -210,7 +210,7 @@
 // Pick chooses a back end for a request and counts it as sent. It returns false
 // when every back end is full, draining or ejected, and the request must wait.
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
-	g.limitPart = request.sender().limitPart
+	g.ofLimits = request.sender().ofLimits
 	g.look(now, request)
 	if request.Session != "" {
 		return g.pickSession(now, request)
@@ -372,7 +372,7 @@
 	if state == nil || !state.limit.Limited {
 		return time.Time{}, false
 	}
-	return state.limit.pacing.next(state.limit.takes(), request.sender().limitPart), true
+	return state.limit.pacing.next(state.limit.takes(), request.sender().ofLimits), true
 }
 
 func (g *Group) sent(state *State, now time.Time) {
--- a/routing/limit.go
+++ b/routing/limit.go
@@ -52,9 +52,9 @@
 	return max(l.PerSecond, leastAsked)
 }
 
-// permits says whether a daemon that may use a part of the limit may send something now.
-func (g *Group) permits(state *State, now time.Time, part float64) bool {
-	return !state.limit.Limited || state.limit.pacing.due(now, state.limit.takes(), part, g.options.Random)
+// permits says whether a daemon that may use a share of the limit may send something now.
+func (g *Group) permits(state *State, now time.Time, share Share) bool {
+	return !state.limit.Limited || state.limit.pacing.due(now, state.limit.takes(), share, g.options.Random)
 }
 
 // count notes a request or a probe that is sent to the back end.
--- a/routing/limit_test.go
+++ b/routing/limit_test.go
@@ -115,7 +115,7 @@
 				group := warmUpGroup(uint64(daemon), Backend{ID: "limited", Slots: 2, Warm: true})
 				group.SetLimit(start, "limited", takesOnly(limit))
 				for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(10 * time.Millisecond) {
-					if picked, ok := group.Pick(now, Request{Choosers: daemons, LimitPart: parts(daemon)}); ok {
+					if picked, ok := group.Pick(now, Request{Choosers: daemons, OfLimits: Share{Part: parts(daemon)}}); ok {
 						group.Finished(picked, now, Success, work)
 						total++
 						perSecond[int(now.Sub(start)/time.Second)]++
@@ -203,3 +203,27 @@
 	require.False(t, state.Cold(now))
 	require.Zero(t, state.quiet(now))
 }
+
+// TestFoundDaemonsMayHaveSent sends a limited back end nothing for a whole spacing after daemons were
+// found again that may have sent to it meanwhile, neither requests nor probes, and as much as before
+// from then on.
+func TestFoundDaemonsMayHaveSent(t *testing.T) {
+	const limit = 0.8
+	group := warmUpGroup(1, Backend{ID: "limited", Slots: 2, Warm: true})
+	group.SetLimit(start, "limited", takesOnly(limit))
+	_, sent := group.Pick(start.Add(2*time.Second), Request{})
+	require.True(t, sent)
+	found := start.Add(6 * time.Second)
+	request := Request{Session: "a", OfLimits: Share{Part: 1, Since: found}}
+	for now := found; now.Sub(found) < spacingOf(limit); now = now.Add(50 * time.Millisecond) {
+		_, sent := group.Pick(now, request)
+		require.False(t, sent)
+		_, wanted := group.ProbeTarget(now, time.Second)
+		require.False(t, wanted)
+	}
+	next, bound := group.BoundUntil(request)
+	require.True(t, bound)
+	require.Equal(t, found.Add(spacingOf(limit)), next)
+	_, sent = group.Pick(next, request)
+	require.True(t, sent)
+}
--- a/routing/pacing.go
+++ b/routing/pacing.go
@@ -14,23 +14,31 @@
 	alone time.Time
 }
 
+// Share is what a daemon may use of a rate that all daemons have together.
+type Share struct {
+	Part float64 // of the rate, at most 1
+	// Since is when the daemon last found others again that had sent by themselves; zero: it never has.
+	// What they sent is not known, and counts as all that there was.
+	Since time.Time
+}
+
 // spacingOf is the time between two requests at so many a second.
 func spacingOf(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
 // due says whether something may be sent now to a back end that takes so many a second from all
-// daemons, of which this one may use a part. Of several daemons that choose by themselves each sends
+// daemons, of which this one may use a share. Of several daemons that choose by themselves each sends
 // at times of its own: 20 daemons that lost their dispatcher sent a cold back end 15 requests in a
 // second where each decided by chance, and 3 so (TestColdWorkersWithoutDispatcher).
-func (p *pacing) due(now time.Time, perSecond, part float64, random *rand.Rand) bool {
-	if !p.last.IsZero() && now.Sub(p.last) < spacingOf(perSecond) {
+func (p *pacing) due(now time.Time, perSecond float64, share Share, random *rand.Rand) bool {
+	if last := later(p.last, share.Since); !last.IsZero() && now.Sub(last) < spacingOf(perSecond) {
 		return false
 	}
-	if part >= 1 {
+	if share.Part >= 1 {
 		return true
 	}
-	own := spacingOf(perSecond * part)
+	own := spacingOf(perSecond * share.Part)
 	if p.alone.IsZero() {
 		p.alone = now.Add(-time.Duration(random.Float64() * float64(own)))
 	}
@@ -38,14 +46,22 @@
 }
 
 // next returns when something may be sent at the earliest; see due.
-func (p *pacing) next(perSecond, part float64) time.Time {
-	at := p.last.Add(spacingOf(perSecond))
-	if own := p.alone.Add(spacingOf(perSecond * part)); part < 1 && !p.alone.IsZero() && own.After(at) {
+func (p *pacing) next(perSecond float64, share Share) time.Time {
+	at := later(p.last, share.Since).Add(spacingOf(perSecond))
+	if own := p.alone.Add(spacingOf(perSecond * share.Part)); share.Part < 1 && !p.alone.IsZero() && own.After(at) {
 		return own
 	}
 	return at
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // sent notes that something is sent.
 func (p *pacing) sent(now time.Time) {
 	p.last, p.alone = now, now
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -12,7 +12,7 @@
 func (g *Group) ProbeTarget(now time.Time, silence time.Duration) (string, bool) {
 	var quietest *State
 	for _, state := range g.states {
-		if state.Draining || !g.permits(state, now, g.limitPart) {
+		if state.Draining || !g.permits(state, now, g.ofLimits) {
 			continue
 		}
 		if state.health.TrialDue(now) {
--- a/service/acquire.go
+++ b/service/acquire.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/clock"
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/ratelimit"
@@ -60,13 +61,13 @@
 	return Grantor{burstShare: 1 / float64(max(daemons, 1)), choosers: daemons, limitPart: 1 / float64(max(daemons, 1)), role: ratelimit.Alone}
 }
 
-// limitPartOf returns the part of what limited back ends take that the daemon may use.
-func (g Grantor) limitPartOf(parts LimitParts) float64 {
-	part := g.limitPart * parts.Reached
+// shareOf returns what the daemon may use of what limited back ends take.
+func (g Grantor) shareOf(parts backendlimit.Parts) routing.Share {
+	share := routing.Share{Part: g.limitPart * parts.Reached, Since: parts.Since}
 	if g.role == ratelimit.Dispatcher {
-		part *= parts.Region
+		share.Part *= parts.Region
 	}
-	return part
+	return share
 }
 
 // Acquire gives out a place for an attempt of a kind. A first attempt earns for the
@@ -95,7 +96,7 @@
 		return nil, ErrOverBudget
 	}
 	request.Spare = kind == retry.Hedge // it is worth one only while there are free ones
-	request.Routing.Choosers, request.Routing.LimitPart = as.choosers, as.limitPartOf(s.limits.Parts())
+	request.Routing.Choosers, request.Routing.OfLimits = as.choosers, as.shareOf(s.limits.Parts())
 	grant, err := s.Dispatcher.Acquire(ctx, request)
 	if err != nil && kind.Costs() {
 		s.refund()
--- a/service/service.go
+++ b/service/service.go
@@ -360,16 +360,7 @@
 	// has said nothing.
 	OfRun(backend backendlimit.Key, started int64) (backendlimit.Record, bool)
 	// Parts returns which parts of what back ends take daemons may use that this one can reach.
-	Parts() LimitParts
-}
-
-// LimitParts are parts of what limited back ends take.
-type LimitParts struct {
-	// Reached is for the daemons that this one takes for alive, of all that may be.
-	Reached float64
-	// Region is for those of its own region, of those that it takes for alive: each region has a
-	// dispatcher of its own.
-	Region float64
+	Parts() backendlimit.Parts
 }
 
 // noLimits knows of none.
@@ -381,7 +372,7 @@
 }
 
 // Parts implements Limits.
-func (noLimits) Parts() LimitParts { return LimitParts{Reached: 1, Region: 1} }
+func (noLimits) Parts() backendlimit.Parts { return backendlimit.Whole }
 
 // Quarantine says which requests get no place at any back end.
 type Quarantine interface {
