News: a daemon that watches the store tells its members also of what others told it

Cause: four of 20 daemons had not heard, 0.3 s after it was declared, that two of the back ends were cold. Two changes came in one instant; the first sent seven of eight watchers into their pause after news, one heard of the second from the store and told its members. The others heard it from that one, and then passed it on to two members by chance but not to their own members, who rely on them. What is left out so hears by heartbeats, up to 0.8 s later. Ruled out: daemons that know of a cold back end and send it more (each that knew kept its spacing), the power cut itself (the daemon that lost it was no teller of theirs).

TestNewsFromOthersIsAnnounced fails without it.

--- a/dissemination/announce.go
+++ b/dissemination/announce.go
@@ -31,15 +31,25 @@
 		case <-ctx.Done():
 			return
 		case <-f.toAnnounce:
-			switch {
-			case f.placed():
-				f.peers.Announce(ctx, WatchDuty, f.options.Watchers)
-			case f.standIn.active.Load():
+			if !f.announceToOwn(ctx) && f.standIn.active.Load() {
 				f.peers.PassOn(ctx)
 			}
 		case <-f.toPassOn:
+			f.announceToOwn(ctx)
 			f.peers.PassOn(ctx)
 		}
 		wait.Sleep(ctx, announceInterval)
 	}
 }
+
+// announceToOwn tells the members that this daemon is to tell of news from the store, and says whether it is
+// to tell any. It does also where another daemon told it: the store may not tell this one for a while, as it
+// pauses after news. Where only those told theirs that the store had told, the last of 20 daemons heard
+// of a second change up to 0.7 s after the first one had; now within 0.1 s (TestNewsRightAfterNews).
+func (f *Follower) announceToOwn(ctx context.Context) bool {
+	if !f.placed() {
+		return false
+	}
+	f.peers.Announce(ctx, WatchDuty, f.options.Watchers)
+	return true
+}
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -25,6 +25,7 @@
 // unless others are chosen to.
 type lonely struct {
 	announced    atomic.Int32
+	passedOn     atomic.Int32
 	asked        atomic.Int32 // for a document
 	othersChosen bool
 }
@@ -39,6 +40,7 @@
 }
 func (l *lonely) PassOn(context.Context) {
 	l.announced.Add(1)
+	l.passedOn.Add(1)
 }
 func (l *lonely) FetchDocument(context.Context, string, config.Document) (config.Document, error) {
 	l.asked.Add(1)
@@ -194,6 +196,29 @@
 	})
 }
 
+// TestNewsFromOthersIsAnnounced lets a daemon that watches the store tell its members of what another daemon
+// told it, and one that does not only pass it on.
+func TestNewsFromOthersIsAnnounced(t *testing.T) {
+	for name, one := range map[string]struct {
+		othersChosen bool
+		announced    int32
+	}{
+		"it watches":   {announced: 1},
+		"others watch": {othersChosen: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &lonely{othersChosen: one.othersChosen}
+				follower := startFollower(t, &scriptedSource{declared: make(chan config.Document, 1)}, peers, 500*time.Millisecond)
+				require.NoError(t, follower.Offer(config.Document{Revision: 1}, "edge-1"))
+				time.Sleep(time.Millisecond)
+				require.EqualValues(t, 1, peers.passedOn.Load())
+				require.Equal(t, one.announced, peers.announced.Load()-peers.passedOn.Load())
+			})
+		})
+	}
+}
+
 // TestOlderDocumentsArePassedOver offers documents in random orders, with parts that
 // are older and newer: each part in force only ever goes up.
 func TestOlderDocumentsArePassedOver(t *testing.T) {
--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -48,17 +48,11 @@
 // configuration or of the directory.
 func (f *fleet) inForce(revision uint64) time.Duration {
 	begun := time.Now()
-	for _, one := range f.daemons {
-		for {
-			position := one.Document().Position()
-			if uint64(max(position.Revision, position.Directory)) >= revision {
-				break
-			}
-			if time.Since(begun) > time.Minute {
-				f.t.Fatalf("revision %d never reached all", revision)
-			}
-			time.Sleep(time.Millisecond)
+	for f.heard(revision) < len(f.daemons) {
+		if time.Since(begun) > time.Minute {
+			f.t.Fatalf("revision %d never reached all", revision)
 		}
+		time.Sleep(time.Millisecond)
 	}
 	return time.Since(begun)
 }
@@ -78,6 +72,39 @@
 	})
 }
 
+// TestNewsRightAfterNews makes two changes in the same instant, so that some of those who watch the store
+// pause already when they could hear of the second one: once one has, all do as soon as usual.
+func TestNewsRightAfterNews(t *testing.T) {
+	runFleet(t, 20, 2, func(f *fleet) {
+		slowest := time.Duration(0)
+		for number := range 100 {
+			time.Sleep(2 * time.Second)
+			state := []string{"draining", "ready"}[number%2]
+			f.announce(f.workers[0], state)
+			f.announce(f.workers[1], state)
+			revision := f.store.Revision()
+			for f.heard(revision) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			slowest = max(slowest, f.inForce(revision))
+		}
+		t.Logf("in force everywhere %v after the first heard of it, at the latest", slowest)
+		require.Less(t, slowest, 250*time.Millisecond)
+	})
+}
+
+// heard returns how many daemons have a revision of the configuration or of the directory.
+func (f *fleet) heard(revision uint64) int {
+	heard := 0
+	for _, one := range f.daemons {
+		position := one.Document().Position()
+		if uint64(max(position.Revision, position.Directory)) >= revision {
+			heard++
+		}
+	}
+	return heard
+}
+
 // TestNewsWithoutTellers changes the configuration while daemons that watch the
 // store are dead and not yet known to be: the others make up for them.
 func TestNewsWithoutTellers(t *testing.T) {
