--- a/dispatch/rollout.go
+++ b/dispatch/rollout.go
@@ -57,9 +57,11 @@
 	return c.Group.Pick(now, request.Routing)
 }
 
-// judge lets a rollout learn from how a request ended.
+// judge lets a rollout learn from how a request ended. That a back end is tried which has failed before says
+// nothing new: as requests moved to a version of which a quarter of the back ends was gone, the trials of these
+// accused it.
 func (c *Core) judge(now time.Time, place *Place, outcome routing.Outcome, latency time.Duration) {
-	if c.rollout == nil || outcome == routing.Refused {
+	if c.rollout == nil || outcome == routing.Refused || place.Reason == routing.ReasonTrial {
 		return
 	}
 	answer := rollout.Answer{Class: place.class, Backend: place.Backend.ID, Took: latency, Cold: place.Backend.Cold(now)}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -25,8 +25,9 @@
 	// leastJudged is how many answers must have been compared before all requests move.
 	leastJudged = 20
 	// decideEarly is the part of the ordered time that is left as a reserve: the order was given
-	// some time before it was heard of, and the decision must reach the store.
-	decideEarly = 0.1
+	// some time before it was heard of, and the decision must reach the store, which may be slow. Of 14 s
+	// the last 2.2 are left when it is reached.
+	decideEarly = 0.15
 	// moveShare is the part of the ordered time that moving may take, and mostMove its bound: that
 	// is how long requests at the old back ends may take to end.
 	moveShare = 0.3
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -167,6 +167,9 @@
 			w.group.Report(one.picked.Backend, routing.Report{InFlight: one.picked.Backend.InFlight, Slowdown: w.slowdown(one.picked.Backend.ID)}, false, one.ends)
 		}
 		w.group.Finished(one.picked, one.ends, outcome, one.took)
+		if one.picked.Reason == routing.ReasonTrial {
+			continue // as in package dispatch
+		}
 		w.plan.Answered(one.ends, one.picked.Backend.Version, Answer{Class: one.class, Backend: one.picked.Backend.ID, Failed: one.failed && !one.dark, Unserved: one.dark, Took: one.took})
 	}
 }
