--- a/rollout/doubt.go
+++ b/rollout/doubt.go
@@ -16,8 +16,8 @@
 	stillDoubtedBy = 0.02
 	leastDoubted   = 10
 	// doubtedDeviations is by how many standard deviations more answers must be bad than expected: a version
-	// like the old one is so by chance once in 160 times.
-	doubtedDeviations = 2.5
+	// like the old one is so by chance once in 40 times.
+	doubtedDeviations = 2
 )
 
 // doubt is whether answers of the new version are bad more often, in one way, without that being sure.
