Rollouts: a record that could not be written is written again soon

One good version was late as the store lost a write: 2 s passed until the next. A write that failed is made again after 0.5 s now, and a slow one is waited for for 2 s in place of 1.

--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -16,8 +16,11 @@
 	stepInterval = 100 * time.Millisecond
 	// recordAgain is after how long a record is written again that has not come back as news.
 	recordAgain = 2 * time.Second
-	// recordTimeout bounds one write.
-	recordTimeout = time.Second
+	// recordTimeout bounds one write. A store that is slow takes up to two seconds.
+	recordTimeout = 2 * time.Second
+	// recordRetry is after how long a write is made again that failed: what is decided must be on record
+	// when it is due. With 2 s, a store that refused one write had the record 2.1 s later.
+	recordRetry = 500 * time.Millisecond
 )
 
 // Service is a service with a rollout, as a Keeper sees it. No method blocks.
@@ -45,12 +48,14 @@
 type Keeper struct {
 	options Options
 	log     *slog.Logger
-	written map[string]time.Time // when the record of a service was last written
+
+	mutex sync.Mutex
+	next  map[string]time.Time // when the record of a service may be written again
 }
 
 // NewKeeper returns a keeper that has recorded nothing.
 func NewKeeper(options Options) *Keeper {
-	return &Keeper{options: options, log: logging.Part(options.Log, "rollout"), written: make(map[string]time.Time)}
+	return &Keeper{options: options, log: logging.Part(options.Log, "rollout"), next: make(map[string]time.Time)}
 }
 
 // Run lets rollouts go on until ctx ends.
@@ -76,29 +81,40 @@
 // step lets a rollout go on, and says whether its record is to be written now.
 func (k *Keeper) step(name string, service Service) (config.Rollout, bool) {
 	recorded, ordered := service.Recorded()
-	if !ordered {
-		delete(k.written, name)
-		return config.Rollout{}, false
+	var decided config.Rollout
+	if ordered {
+		decided = service.Step()
 	}
-	decided := service.Step()
-	if !recorded.Phase.Before(decided.Phase) {
-		delete(k.written, name)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !ordered || !recorded.Phase.Before(decided.Phase) {
+		delete(k.next, name)
 		return config.Rollout{}, false
 	}
 	now := time.Now()
-	if now.Sub(k.written[name]) < recordAgain {
+	if now.Before(k.next[name]) {
 		return config.Rollout{}, false
 	}
-	k.written[name] = now
+	k.next[name] = now.Add(recordAgain)
 	return decided, true
 }
 
+// writeSoon lets a record be written again soon, unless it is not to be written any more.
+func (k *Keeper) writeSoon(name string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if _, due := k.next[name]; due {
+		k.next[name] = time.Now().Add(recordRetry)
+	}
+}
+
 func (k *Keeper) record(ctx context.Context, rollout config.Rollout) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	attributes := []any{"service", rollout.Service, "version", rollout.Version, "phase", string(rollout.Phase), "reason", rollout.Reason}
 	if err := k.options.Recorder.RecordRollout(ctx, rollout); err != nil {
 		k.log.Warn("phase not recorded, tried again", append(attributes, "error", err)...)
+		k.writeSoon(rollout.Service)
 		return
 	}
 	k.log.Info("phase recorded", attributes...)
