Both attempts of a race count against what a route allows

Cause: attempts were counted by rounds of the loop, and a first attempt with a second one beside it is one round; where both are broken off at once (connections reset) a third followed. Ruled out: redials, which reach no back end and are not counted. Failed exchanges are now noted one by one. TestBothOfARaceCount: 3 of 2 before, 2 of 2 now, 3 of 3.

--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -69,14 +69,13 @@
 // it.
 func (a *attempter) mayRetry(failure *resultcode.Failure, number int) bool {
 	c := a.call
-	if failure.Code == resultcode.ConnectFailed {
-		c.unsent++
-	}
 	if len(c.tried) == 0 {
 		return false // it was never sent
 	}
+	// A second attempt beside the first counts, too.
+	sent := max(len(c.tried), number) - c.unsent
 	verdict := retry.Judge(retry.Attempt{
-		Code: failure.Code, Number: number - c.unsent, Unsent: c.unsent, Most: c.route.Attempts, Repeatable: c.decision.Retry, Upstream: c.attempt > 1,
+		Code: failure.Code, Number: sent, Unsent: c.unsent, Most: c.route.Attempts, Repeatable: c.decision.Retry, Upstream: c.attempt > 1,
 		Rewindable: c.buffered, Remaining: time.Until(c.deadline), Expected: time.Millisecond,
 		Backends: len(c.service.Target().Backends) - len(c.tried), Endings: a.handler.options.Quarantine.Endings(c.fingerprints),
 	})
@@ -100,6 +99,7 @@
 	}
 	got, failure := a.exchange(ctx, first)
 	if failure != nil {
+		a.call.noteFailure(failure)
 		return failure
 	}
 	a.deliver(got)
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -92,6 +92,13 @@
 	depth     int
 }
 
+// noteFailure notes how an exchange with a back end failed. The call's own goroutine calls it.
+func (c *call) noteFailure(failure *resultcode.Failure) {
+	if failure.Code == resultcode.ConnectFailed {
+		c.unsent++
+	}
+}
+
 func parseHeaders(header http.Header, dialect backend.Dialect) (headers, error) {
 	parsed := headers{attempt: 1}
 	milliseconds, err := number(header, dialect.Deadline, 0, 1, int((24 * time.Hour).Milliseconds()))
--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -73,6 +73,7 @@
 				a.deliver(one.got)
 				return nil
 			}
+			a.call.noteFailure(one.failure)
 			r.failure = worse(r.failure, one.failure)
 			if r.running == 0 {
 				return r.failure
--- a/frontend/hedge_test.go
+++ b/frontend/hedge_test.go
@@ -51,3 +51,36 @@
 	require.EqualValues(t, 2, arrivals.Load())
 	require.Equal(t, string(resultcode.Unknown), got.Header().Get(resultcode.HeaderRun), got.Body)
 }
+
+// TestBothOfARaceCount breaks off the first attempt and the one beside it: where a route allows two attempts, none
+// follows, and where it allows three, one does.
+func TestBothOfARaceCount(t *testing.T) {
+	for _, attempts := range []int{2, 3} {
+		var arrivals atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/all/break" {
+				return
+			}
+			arrivals.Add(1)
+			time.Sleep(60 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}))
+		defer server.Close()
+		var backends []config.Backend
+		for _, id := range []string{"b1", "b2", "b3", "b4"} {
+			backends = append(backends, config.Backend{ID: id, Address: server.Listener.Addr().String(), Slots: 2, Warm: true})
+		}
+		services := registryOf(t, &config.Document{Revision: 1, Content: config.Content{
+			Policies:   []config.Policy{{Name: "reads", Source: policy.Source{Retry: "true", Hedge: `duration("20ms")`}}},
+			Services:   []config.Service{{Name: "prices", PathPrefix: "/prices", Policy: "reads", RetryRatio: 1}},
+			Routes:     []config.Route{{Name: "all", PathPrefix: "/all", Shares: []config.Share{{Service: "prices", Weight: 1}}, Attempts: attempts}},
+			Placements: []config.Placement{{Service: "prices", Backends: backends}},
+		}})
+		handler := startHandler(t, services, fixedPeers{})
+		for range 20 {
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/all/earn", nil))
+		}
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/all/break", nil))
+		require.EqualValues(t, attempts, arrivals.Load())
+	}
+}
