--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -32,6 +32,11 @@
 	waiting int // most records that wait to be told
 }
 
+// newGossip returns what daemons tell of a kind of news, of which nothing is to be told yet.
+func newGossip[K comparable, R any](known Records[K, R], key func(R) K, most, waiting int) gossip[K, R] {
+	return gossip[K, R]{known: known, key: key, rumors: make(rumors[K]), most: most, waiting: waiting}
+}
+
 // passOn lets others be told what is known under a key. The caller holds the mutex.
 func (g *gossip[K, R]) passOn(key K) {
 	if len(g.rumors) < g.waiting {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -21,13 +21,7 @@
 // Limits is what a Node asks and tells of back ends that take fewer requests.
 type Limits = Records[backendlimit.Key, backendlimit.Record]
 
-// gossipOfLimits is what daemons tell each other of back ends that take fewer requests.
-func gossipOfLimits(known Limits) gossip[backendlimit.Key, backendlimit.Record] {
-	return gossip[backendlimit.Key, backendlimit.Record]{
-		known: known, key: func(record backendlimit.Record) backendlimit.Key { return record.Key },
-		rumors: make(rumors[backendlimit.Key]), most: maxLimits, waiting: maxLimitRumors,
-	}
-}
+func limitKey(record backendlimit.Record) backendlimit.Key { return record.Key }
 
 // TellLimit spreads what a back end says of how many requests it takes.
 func (n *Node) TellLimit(record backendlimit.Record) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -152,7 +152,9 @@
 	}
 	n := &Node{
 		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
-		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(), crashingRequests: gossipOfQuarantine(options.Quarantine), limits: gossipOfLimits(options.Limits),
+		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(),
+		crashingRequests: newGossip(options.Quarantine, fingerprintOf, maxCrashingRequests, maxCrashingRumors),
+		limits:           newGossip(options.Limits, limitKey, maxLimits, maxLimitRumors),
 	}
 	n.forming.started = time.Now()
 	n.refreshView()
--- a/peer/quarantine.go
+++ b/peer/quarantine.go
@@ -31,13 +31,7 @@
 
 func (noQuarantine) Digest() uint64 { return 0 }
 
-// gossipOfQuarantine is what daemons tell each other of requests under which back ends ended.
-func gossipOfQuarantine(known Quarantine) gossip[quarantine.Fingerprint, quarantine.Record] {
-	return gossip[quarantine.Fingerprint, quarantine.Record]{
-		known: known, key: func(record quarantine.Record) quarantine.Fingerprint { return record.Fingerprint },
-		rumors: make(rumors[quarantine.Fingerprint]), most: maxCrashingRequests, waiting: maxCrashingRumors,
-	}
-}
+func fingerprintOf(record quarantine.Record) quarantine.Fingerprint { return record.Fingerprint }
 
 // TellCrashingRequest spreads what this daemon has noted of a request.
 func (n *Node) TellCrashingRequest(record quarantine.Record) {
