Rollouts: back ends are not counted for an order that is decided

A decided order stays on record, and its step does nothing; yet all back ends were walked for it ten times a second, and since the judge weighs how the old ones are, each walk also made a list of them. Behaviour is as before.

--- a/dispatch/rollout.go
+++ b/dispatch/rollout.go
@@ -35,7 +35,10 @@
 	if c.rollout == nil {
 		return config.Rollout{}
 	}
-	c.rollout.Step(now, rollout.BackendsOf(c.Group.CountVersion(now, c.rollout.Order().Version)))
+	if order := c.rollout.Order(); !order.Phase.Decided() {
+		// A walk over all back ends, which a decided order, that stays on record, does not need.
+		c.rollout.Step(now, rollout.BackendsOf(c.Group.CountVersion(now, order.Version)))
+	}
 	c.Group.SetVersionRule(c.rollout.Rule(now))
 	return c.rollout.Order()
 }
