--- a/routing/bearing.go
+++ b/routing/bearing.go
@@ -22,7 +22,8 @@
 	return as
 }
 
-// ofWarmUps is what the sender may use of what cold back ends bear.
+// ofWarmUps is what the sender may use of what cold back ends bear. Since when is reckoned only while some back
+// end is limited.
 func (s sender) ofWarmUps() Share {
 	return Share{Part: 1 / float64(s.choosers), Since: s.ofLimits.Since}
 }
