One formula for what counts less with age, one for the later of two times

The exponential weight of age stood in five places, one of them new (recent, the judge's frequencies and doubts, slowdowns, the working set's peak), and the later of two times in two: recent.Left, clock.Later.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -24,6 +24,14 @@
 	return later.Round(0).Sub(earlier.Round(0)) > more
 }
 
+// Later returns the later one of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // OrSteady returns the clock, and Steady where there is none.
 func OrSteady(chosen Clock) Clock {
 	if chosen == nil {
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -8,7 +8,11 @@
 // request at a time; a success lets it back in, a failure ejects it for longer.
 package outlier
 
-import "time"
+import (
+	"time"
+
+	"github.com/tuliphall/tuliphall/clock"
+)
 
 // Tuning of ejection.
 const (
@@ -72,14 +76,7 @@
 	d.consecutive++
 	d.rate += (1 - d.rate) * rateWeight
 	d.eject(now)
-	d.ended, d.until = true, later(d.until, now.Add(endedEjection))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	d.ended, d.until = true, clock.Later(d.until, now.Add(endedEjection))
 }
 
 // Refused notes that a connection was refused: nothing listens there. A few in a row mean that
--- a/recent/rate.go
+++ b/recent/rate.go
@@ -24,7 +24,12 @@
 	if r.at.IsZero() {
 		return 0
 	}
-	return r.value * math.Exp(-now.Sub(r.at).Seconds()/span.Seconds())
+	return r.value * Left(now.Sub(r.at), span)
+}
+
+// Left is how much something counts that is so old, where it counts 1/e after a span.
+func Left(age, span time.Duration) float64 {
+	return math.Exp(-age.Seconds() / span.Seconds())
 }
 
 // Last returns when something was counted last; zero: never.
--- a/rollout/doubt.go
+++ b/rollout/doubt.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/tuliphall/tuliphall/recent"
 )
 
 // What leaves a version in doubt.
@@ -62,7 +64,7 @@
 // fade lets what was longer ago count less.
 func (t *tally) fade(now time.Time) {
 	if !t.at.IsZero() {
-		left := math.Exp(-now.Sub(t.at).Seconds() / longSpan.Seconds())
+		left := recent.Left(now.Sub(t.at), longSpan)
 		t.answers, t.bad, t.expected, t.variance = t.answers*left, t.bad*left, t.expected*left, t.variance*left
 	}
 	t.at = now
--- a/rollout/frequency.go
+++ b/rollout/frequency.go
@@ -1,8 +1,9 @@
 package rollout
 
 import (
-	"math"
 	"time"
+
+	"github.com/tuliphall/tuliphall/recent"
 )
 
 // Spans over which the old version is observed.
@@ -45,7 +46,7 @@
 // fade lets what was seen count the less the longer ago that is.
 func (f *frequency) fade(now time.Time, span time.Duration) {
 	if !f.at.IsZero() {
-		left := math.Exp(-now.Sub(f.at).Seconds() / span.Seconds())
+		left := recent.Left(now.Sub(f.at), span)
 		f.count, f.hits = f.count*left, f.hits*left
 	}
 	f.at = now
--- a/routing/pacing.go
+++ b/routing/pacing.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/tuliphall/tuliphall/clock"
 )
 
 // pacing spaces what is sent to one back end evenly: several requests that come together would have
@@ -32,7 +34,7 @@
 // at times of its own: 20 daemons that lost their dispatcher sent a cold back end 15 requests in a
 // second where each decided by chance, and 3 so (TestColdWorkersWithoutDispatcher).
 func (p *pacing) due(now time.Time, perSecond float64, share Share, random *rand.Rand) bool {
-	if last := later(p.last, share.Since); !last.IsZero() && now.Sub(last) < spacingOf(perSecond) {
+	if last := clock.Later(p.last, share.Since); !last.IsZero() && now.Sub(last) < spacingOf(perSecond) {
 		return false
 	}
 	if share.Part >= 1 {
@@ -47,21 +49,13 @@
 
 // next returns when something may be sent at the earliest; see due.
 func (p *pacing) next(perSecond float64, share Share) time.Time {
-	at := later(p.last, share.Since).Add(spacingOf(perSecond))
+	at := clock.Later(p.last, share.Since).Add(spacingOf(perSecond))
 	if own := p.alone.Add(spacingOf(perSecond * share.Part)); share.Part < 1 && !p.alone.IsZero() && own.After(at) {
 		return own
 	}
 	return at
 }
 
-// later returns the later one of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // sent notes that something is sent.
 func (p *pacing) sent(now time.Time) {
 	p.last, p.alone = now, now
--- a/routing/slowdown.go
+++ b/routing/slowdown.go
@@ -1,8 +1,9 @@
 package routing
 
 import (
-	"math"
 	"time"
+
+	"github.com/tuliphall/tuliphall/recent"
 )
 
 // Tuning of the estimate of a back end's slowdown.
@@ -89,7 +90,7 @@
 	if age > slowdownForgotten {
 		return usual
 	}
-	weight := math.Exp(-age.Seconds() / slowdownMemory.Seconds())
+	weight := recent.Left(age, slowdownMemory)
 	return usual + weight*(s.last-usual)
 }
 
--- a/routing/working.go
+++ b/routing/working.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tuliphall/tuliphall/recent"
 )
 
 // Sizes of the working set: the back ends that requests go to while there are many more than it
@@ -90,7 +92,7 @@
 	if w.peakAt.IsZero() {
 		return 0
 	}
-	return w.peak * math.Exp(-now.Sub(w.peakAt).Seconds()/peakSpan.Seconds())
+	return w.peak * recent.Left(now.Sub(w.peakAt), peakSpan)
 }
 
 // set returns the back ends that a request may go to now, without the newcomers.
