--- a/lab/objectstub/worker_test.go
+++ b/lab/objectstub/worker_test.go
@@ -33,11 +33,25 @@
 	probes    []time.Time
 	silent    bool        // health checks get no answer
 	arrivals  []time.Time // of requests, in order
+	senders   []string    // of the same requests, the daemons' addresses
 	heads     []http.Header
 	// limit is what it says of how many requests a second it takes; empty: nothing. limitInHealth:
 	// it says so in health answers, too.
 	limit         string
 	limitInHealth bool
+	// leaving: it says with each answer that it leaves.
+	leaving bool
+	// pause is the Retry-After with which it turns requests away, each of pauseEvery; empty: it takes them.
+	pause      string
+	pauseEvery int
+	// told are the answers to each daemon's requests by which it said one of the two.
+	told []word
+}
+
+// word is what a worker said with an answer to a daemon.
+type word struct {
+	to string // the daemon's address
+	at time.Time
 }
 
 // disturbedTimes is how much longer work takes that begins while a worker is disturbed.
@@ -71,6 +85,22 @@
 	rw.Header().Set("Server-Load", fmt.Sprintf("0,0,3,%d", 100*slowdown))
 }
 
+// say says that the worker leaves, if it does, and with a refusal that it wants a pause.
+func (w *worker) say(rw http.ResponseWriter, r *http.Request, refuses bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.leaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
+	pauses := refuses && w.pause != ""
+	if pauses {
+		rw.Header().Set("Retry-After", w.pause)
+	}
+	if w.leaving || pauses {
+		w.told = append(w.told, word{to: r.RemoteAddr, at: time.Now()})
+	}
+}
+
 // nameLimit says how many requests the worker takes, if it says so now.
 func (w *worker) nameLimit(rw http.ResponseWriter) {
 	w.mutex.Lock()
@@ -94,9 +124,11 @@
 	id := r.Header.Get("Request-Id")
 	w.mutex.Lock()
 	w.arrivals = append(w.arrivals, time.Now())
+	w.senders = append(w.senders, r.RemoteAddr)
 	w.heads = append(w.heads, r.Header.Clone())
 	slowdown := w.slowdown()
-	work, refuse, echo := w.work*time.Duration(slowdown), w.refuse, w.echo
+	paused := w.pause != "" && len(w.arrivals)%max(w.pauseEvery, 1) == 0
+	work, refuse, echo := w.work*time.Duration(slowdown), w.refuse || paused, w.echo
 	misdirected := r.Header.Get("Expected-Instance") != w.instance
 	if !refuse && !misdirected {
 		w.runs[id]++
@@ -111,15 +143,18 @@
 	case misdirected:
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 	case refuse:
+		w.say(rw, r, true)
 		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	case w.fails != nil && w.fails(r):
 		time.Sleep(work)
+		w.say(rw, r, false)
 		w.nameLimit(rw)
 		rw.Header().Set("Server-Stamp", w.id)
 		rw.WriteHeader(http.StatusInternalServerError)
 	default:
 		time.Sleep(work)
+		w.say(rw, r, false)
 		w.nameLimit(rw)
 		rw.Header().Set("Server-Stamp", w.id)
 		fmt.Fprint(rw, r.RequestURI)
