--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -29,6 +29,10 @@
 	// RequestLimit is the header of an answer that holds how many requests a second the back end
 	// takes from all daemons together; see package backendlimit. Empty: none does.
 	RequestLimit string
+	// Draining is the header of an answer by which a back end says that it is leaving, or is back.
+	Draining string
+	// ParseDraining reads the values of that header. The error says why none of them could be read.
+	ParseDraining func(values []string) (Draining, error)
 	// WarmUpLeft is the header of a health answer that holds for how many milliseconds the
 	// back end remains cold. Empty: none does.
 	WarmUpLeft string
@@ -49,7 +53,7 @@
 // Reads says whether anything reads a header of an answer, or need not.
 func (d *Dialect) Reads(name string) bool {
 	switch name {
-	case d.Report, d.RequestLimit, d.NotRun, d.WarmUpLeft, d.ProbedInstance, HeaderDraining:
+	case d.Report, d.RequestLimit, d.NotRun, d.WarmUpLeft, d.ProbedInstance, d.Draining:
 		return true
 	}
 	return slices.Contains(d.PassedOn, name)
@@ -66,5 +70,8 @@
 
 // DefaultDialect is the project's own.
 func DefaultDialect() Dialect {
-	return Dialect{RequestID: HeaderRequestID, Deadline: HeaderDeadline, Tenant: HeaderTenant, Report: HeaderReport, ParseReport: ParseReport, RequestLimit: HeaderRequestLimit, SelfPrefix: headerSelfPrefix}
+	return Dialect{
+		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Tenant: HeaderTenant, Report: HeaderReport, ParseReport: ParseReport,
+		Draining: HeaderDraining, ParseDraining: ParseDraining, RequestLimit: HeaderRequestLimit, SelfPrefix: headerSelfPrefix,
+	}
 }
--- a/backend/report.go
+++ b/backend/report.go
@@ -12,7 +12,7 @@
 // "JSON {...}".
 const HeaderReport = "Endpoint-Load-Metrics"
 
-// HeaderDraining is set to "true" by a back end that is leaving.
+// HeaderDraining is set to "true" by a back end that is leaving, and to "false" by one that is not any more.
 const HeaderDraining = "Endpoint-Draining"
 
 // HeaderRequestLimit is set by a back end that takes only so many requests a second.
--- a/backendlimit/keeper.go
+++ b/backendlimit/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/wait"
 )
@@ -17,26 +18,14 @@
 // forgetInterval is how often what is not needed any more is dropped.
 const forgetInterval = 5 * time.Second
 
-// Listener is told what back ends say, or do not say, of how many requests they take. It must not block.
-type Listener interface {
-	// Hear takes in the header of an answer. The rest of answer but for its Limit is set.
-	Hear(header http.Header, answer Answer)
-}
-
-// Deaf hears nothing. It implements Listener.
-type Deaf struct{}
-
-// Hear implements Listener.
-func (Deaf) Hear(http.Header, Answer) {}
-
 // Options are a Keeper's collaborators. No function may block.
 type Options struct {
 	// Header is that by which back ends name their limit; empty: none does.
 	Header string
 	// Declared says whether a back end is declared.
-	Declared func(Key) bool
+	Declared func(backend.Key) bool
 	// Apply puts what is known of a back end in force where places are given out.
-	Apply func(Key)
+	Apply func(backend.Key)
 	// Tell tells the other daemons of news that this one has heard.
 	Tell    func(Record)
 	Log     *slog.Logger
@@ -53,7 +42,7 @@
 	// further while it is 0.
 	limited atomic.Int64
 	// warned are the back ends of which it was logged that their word cannot be read.
-	warned *logging.Once[Key]
+	warned *logging.Once[backend.Key]
 
 	mutex sync.Mutex
 	table *Table
@@ -62,12 +51,12 @@
 // NewKeeper returns a keeper that has heard nothing.
 func NewKeeper(options Options) *Keeper {
 	return &Keeper{
-		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: logging.NewOnce[Key](maxRecords),
+		options: options, log: logging.Part(options.Log, "limits"), table: NewTable(), warned: logging.NewOnce[backend.Key](maxRecords),
 		unreadable: options.Metrics.Counter("backend_limits_unreadable"), gauge: options.Metrics.Gauge("backends_limited"),
 	}
 }
 
-// Hear implements Listener. The request path calls it.
+// Hear takes in the header of an answer, of which all but its Limit is set. The request path calls it.
 func (k *Keeper) Hear(header http.Header, answer Answer) {
 	values := header.Values(k.options.Header)
 	if k.options.Header == "" || len(values) == 0 && k.limited.Load() == 0 {
@@ -97,7 +86,7 @@
 }
 
 // noteUnreadable counts a word that cannot be read, and logs the first of each back end.
-func (k *Keeper) noteUnreadable(key Key, err error) {
+func (k *Keeper) noteUnreadable(key backend.Key, err error) {
 	k.unreadable.Inc(1)
 	if k.warned.First(key) {
 		k.log.Warn("limit not understood, what is known stays", "service", key.Service, "backend", key.Backend, "error", err)
@@ -138,7 +127,7 @@
 }
 
 // OfRun returns what is known on the run of a back end that started at a time; 0: whichever run.
-func (k *Keeper) OfRun(key Key, started int64) (Record, bool) {
+func (k *Keeper) OfRun(key backend.Key, started int64) (Record, bool) {
 	if k.limited.Load() == 0 {
 		return Record{}, false
 	}
@@ -153,7 +142,7 @@
 }
 
 // Record returns what others are to be told of a back end.
-func (k *Keeper) Record(key Key) (Record, bool) {
+func (k *Keeper) Record(key backend.Key) (Record, bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.table.OfRun(key, 0)
--- a/backendlimit/table.go
+++ b/backendlimit/table.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/tuliphall/tuliphall/backend"
 )
 
 const (
@@ -19,15 +21,9 @@
 	maxRecords = 1 << 14
 )
 
-// Key names a back end of a service.
-type Key struct {
-	Service string
-	Backend string
-}
-
 // Record is what is known of a back end's limit.
 type Record struct {
-	Key
+	backend.Key
 	Limit
 	// Started tells which run of the back end said it, in Unix milliseconds; 0: it does not say.
 	Started int64
@@ -51,18 +47,18 @@
 
 // Table holds the newest word of each back end that has said one. It is not safe for concurrent use.
 type Table struct {
-	entries map[Key]*entry
+	entries map[backend.Key]*entry
 	limited int // entries that are limited
 }
 
 // NewTable returns a table without words.
 func NewTable() *Table {
-	return &Table{entries: make(map[Key]*entry)}
+	return &Table{entries: make(map[backend.Key]*entry)}
 }
 
 // Answer is an answer of a back end, and what it said.
 type Answer struct {
-	Key
+	backend.Key
 	Limit
 	Started int64     // of the run that answered; 0: not known
 	Sent    time.Time // when the request was sent, or earlier
@@ -150,7 +146,7 @@
 }
 
 // current returns what is known of a back end, unless an earlier run than the named one said it.
-func (t *Table) current(key Key, started int64) *entry {
+func (t *Table) current(key backend.Key, started int64) *entry {
 	known := t.entries[key]
 	if known == nil || started == 0 || known.Started == 0 || known.Started >= started {
 		return known
@@ -190,7 +186,7 @@
 
 // OfRun returns what is known on the run of a back end that started at a time, and false where there is
 // none. 0: whichever run.
-func (t *Table) OfRun(key Key, started int64) (Record, bool) {
+func (t *Table) OfRun(key backend.Key, started int64) (Record, bool) {
 	known := t.entries[key]
 	if known == nil || started != 0 && known.Started != 0 && known.Started != started {
 		return Record{}, false
@@ -218,7 +214,7 @@
 }
 
 // Forget drops what ended long ago, and words on back ends that are not declared.
-func (t *Table) Forget(now time.Time, declared func(Key) bool) {
+func (t *Table) Forget(now time.Time, declared func(backend.Key) bool) {
 	for key, known := range t.entries {
 		age := now.Sub(known.changed)
 		if !known.Limited && age > endedMemory || age > undeclaredMemory && !declared(key) {
--- a/backendlimit/table_test.go
+++ b/backendlimit/table_test.go
@@ -7,11 +7,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/backendlimit"
 )
 
 var (
-	key   = backendlimit.Key{Service: "board", Backend: "i-1"}
+	key   = backend.Key{Service: "board", Backend: "i-1"}
 	start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
@@ -106,8 +107,8 @@
 func TestForget(t *testing.T) {
 	table := backendlimit.NewTable()
 	table.Hear(at(0), limited(3.2, 0))
-	all := func(backendlimit.Key) bool { return true }
-	none := func(backendlimit.Key) bool { return false }
+	all := func(backend.Key) bool { return true }
+	none := func(backend.Key) bool { return false }
 	table.Forget(at(3600_000), all)
 	require.Equal(t, 1, table.Limited(), "for as long as it says so")
 	table.Hear(at(3600_010), unlimited(3600_005))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/tuliphall/tuliphall/clock"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/dissemination"
+	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/frontend"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/measure"
@@ -37,6 +38,7 @@
 	"github.com/tuliphall/tuliphall/rollout"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
+	"github.com/tuliphall/tuliphall/signals"
 	"github.com/tuliphall/tuliphall/slots"
 	"github.com/tuliphall/tuliphall/wait"
 )
@@ -95,6 +97,8 @@
 	quarantine *quarantine.Keeper
 	rates      *ratelimit.Keeper
 	limits     *backendlimit.Keeper
+	drains     *drain.Keeper
+	signals    *signals.Reader
 	rollouts   *rollout.Keeper
 	recorder   rollout.Recorder
 	editor     *config.Editor
@@ -236,14 +240,16 @@
 		Reads: d.readsQuarantine, Tell: d.tellCrashingRequest, Log: d.logger, Metrics: scope,
 	})
 	d.limits = backendlimit.NewKeeper(backendlimit.Options{Header: d.dialect.RequestLimit, Declared: d.isDeclared, Apply: d.applyLimit, Tell: d.tellLimit, Log: d.logger, Metrics: scope})
+	d.drains = drain.NewKeeper(drain.Options{Declared: d.isDeclared, Apply: d.applyDrain, Tell: d.tellDrain, Log: d.logger, Metrics: scope})
+	d.signals = signals.NewReader(signals.Options{Dialect: d.dialect, Limits: d.limits, Drains: d.drains, Log: d.logger, Metrics: scope})
 	d.rates = ratelimit.NewKeeper(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
-	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &serviceLimits{Keeper: d.limits, daemon: d}, Elsewhere: d.elsewhere, Log: d.logger})
+	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &serviceLimits{Keeper: d.limits, daemon: d}, Drains: d.drains, Elsewhere: d.elsewhere, Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
 		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff),
 		WatchInterval: time.Duration(d.settings.Platform.WatchInterval), WatchGap: time.Duration(d.settings.Platform.WatchGap), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
-		OnInForce: d.applyDrains, FirstStart: d.settings.Platform.FirstStart,
+		FirstStart: d.settings.Platform.FirstStart,
 	})
 	d.node = peer.NewNode(peer.Options{
 		Self: membership.Member{
@@ -252,8 +258,8 @@
 			Cores: d.settings.Cores, Incarnation: uint64(d.started.UnixMilli()),
 		},
 		Meter: d.meter, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
-		Configuration: d.follower, Slots: slots.NewServer(d.services, d.rates), Seeds: d.seeds, OnDrain: d.onDrain,
-		Quarantine: d.quarantine, Limits: d.limits, OnNoAnswer: d.follower.Doubt,
+		Configuration: d.follower, Slots: slots.NewServer(d.services, d.rates), Seeds: d.seeds,
+		Quarantine: d.quarantine, Limits: d.limits, Drains: d.drains, OnNoAnswer: d.follower.Doubt,
 	})
 	d.follower.SetPeers(d.node)
 	d.operations = operation.NewExecutor(operation.Options{
@@ -265,10 +271,10 @@
 	d.handler = frontend.NewHandler(frontend.Options{
 		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
 		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
-		Configured: d.follower.Serving, Quarantine: d.quarantine, Limits: d.limits,
+		Configured: d.follower.Serving, Quarantine: d.quarantine, Signals: d.signals,
 	})
 	d.prober = measure.NewProber(measure.Options{
-		Holder: d.settings.Name + "@" + d.listeners.Peer, Store: d.store, Services: d.services, Dispatches: d.probes, Now: d.now, Dialect: d.dialect, Limits: d.limits, Log: d.logger, Metrics: scope,
+		Holder: d.settings.Name + "@" + d.listeners.Peer, Store: d.store, Services: d.services, Dispatches: d.probes, Now: d.now, Dialect: d.dialect, Signals: d.signals, Log: d.logger, Metrics: scope,
 	})
 }
 
@@ -314,6 +320,7 @@
 	d.running.Go(func() { d.quarantine.Run(ctx) })
 	d.running.Go(func() { d.rates.Run(ctx) })
 	d.running.Go(func() { d.limits.Run(ctx) })
+	d.running.Go(func() { d.drains.Run(ctx) })
 	d.running.Go(func() { d.rollouts.Run(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
 	d.running.Go(func() { d.reportTraffic(ctx, scope) })
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -9,11 +9,11 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/admin"
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/objectstore"
-	"github.com/tuliphall/tuliphall/peer"
-	"github.com/tuliphall/tuliphall/service"
 )
 
 // Timing of the daemon's own duties.
@@ -76,42 +76,14 @@
 		}
 	}
 	for name, running := range d.services.All() {
-		for _, backend := range running.Target().Backends {
+		for _, one := range running.Target().Backends {
 			// A back end that is not on the list is not known to leave.
-			d.drained(peer.Drain{Service: name, Backend: backend.ID, Source: service.FromMachineList, Draining: leaving[backend.Address], At: time.Now(), Started: backend.Started})
+			key := drain.WordKey{Key: backend.Key{Service: name, Backend: one.ID}, Source: drain.FromMachineList}
+			d.drains.Hear(drain.Word{WordKey: key, Draining: leaving[one.Address], Started: one.Started, Sent: time.Now()})
 		}
 	}
 }
 
-// drained takes in a drain heard by this daemon and tells the others.
-func (d *Daemon) drained(drain peer.Drain) {
-	if d.applyDrain(drain) {
-		d.node.TellDrain(drain)
-	}
-}
-
-// onDrain takes in a drain told by another daemon.
-func (d *Daemon) onDrain(drain peer.Drain) {
-	d.applyDrain(drain)
-}
-
-// applyDrains takes in the drains heard so far for services that have just come into
-// force.
-func (d *Daemon) applyDrains() {
-	for _, drain := range d.node.Draining() {
-		d.applyDrain(drain)
-	}
-}
-
-func (d *Daemon) applyDrain(drain peer.Drain) bool {
-	running, ok := d.services.Find(drain.Service)
-	if !ok || !running.SetDraining(drain.Backend, drain.Started, drain.Source, drain.Draining) {
-		return false
-	}
-	d.log.Info("back end drain", "service", drain.Service, "backend", drain.Backend, "draining", drain.Draining)
-	return true
-}
-
 // DispatcherOf implements frontend.Peers.
 func (d *Daemon) DispatcherOf(name string) (membership.Member, bool) {
 	return d.node.DispatcherOf(name)
@@ -127,15 +99,6 @@
 	d.node.Suspect(name)
 }
 
-// HeardDraining implements frontend.Peers.
-func (d *Daemon) HeardDraining(name, backend string, draining bool) {
-	running, ok := d.services.Find(name)
-	if !ok {
-		return
-	}
-	d.drained(peer.Drain{Service: name, Backend: backend, Source: service.FromBackend, Draining: draining, At: time.Now(), Started: running.Started(backend)})
-}
-
 // Ready implements admin.Backend.
 func (d *Daemon) Ready() error {
 	if d.stopping.Load() {
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -4,17 +4,18 @@
 	"sync"
 	"time"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/backendlimit"
 )
 
 // isDeclared says whether a back end is declared.
-func (d *Daemon) isDeclared(key backendlimit.Key) bool {
+func (d *Daemon) isDeclared(key backend.Key) bool {
 	running, ok := d.services.Find(key.Service)
 	return ok && running.Declares(key.Backend)
 }
 
 // applyLimit puts a back end's limit in force.
-func (d *Daemon) applyLimit(key backendlimit.Key) {
+func (d *Daemon) applyLimit(key backend.Key) {
 	if running, ok := d.services.Find(key.Service); ok {
 		running.RefreshLimit(key.Backend)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -133,11 +133,17 @@
 
 // TestDraining gives nothing to a back end that leaves.
 func TestDraining(t *testing.T) {
-	d := newDispatcher(2, 10)
-	d.SetDraining("b0", true)
+	list := backends(2)
+	d := dispatch.New(rand.New(rand.NewPCG(1, 1)), 10)
+	d.Configure(declared(list...), 10)
+	leave := func(number int) {
+		list[number].Drained = true
+		d.SetDraining(list[number].ID, func() bool { return list[number].Drained })
+	}
+	leave(0)
 	grant := fill(t, d)
 	require.Equal(t, "b1", grant.Backend.ID)
-	d.SetDraining("b1", true)
+	leave(1)
 	_, err := d.Acquire(t.Context(), request(1, 0))
 	require.Equal(t, resultcode.NoBackend, err.(*resultcode.Failure).Code)
 }
--- a/dispatch/standby.go
+++ b/dispatch/standby.go
@@ -18,10 +18,8 @@
 	random *rand.Rand
 	// backends returns the back ends as they were last declared; nil: the group has them.
 	backends func(now time.Time) []routing.Backend
-	// drains are what was heard since of back ends that leave, or are back.
-	drains map[string]bool
-	advice advice
-	used   time.Time // when a place was last asked for
+	advice   advice
+	used     time.Time // when a place was last asked for
 }
 
 // advice is what another daemon has learned of a back end.
@@ -36,13 +34,12 @@
 	})
 }
 
-// Configure sets the back ends and the bound of the queue. backends may be called later, and must
-// return the same then.
+// Configure sets the back ends and the bound of the queue. backends may be called later, and returns them as they
+// are known then.
 func (d *Dispatcher) Configure(backends func(now time.Time) []routing.Backend, queueLimit int) {
 	d.change(func() {
 		now := time.Now()
 		d.core.Queue.SetLimit(queueLimit)
-		d.standby.drains = nil
 		if d.standby.backends == nil && d.core.idle() && now.Sub(d.standby.used) >= standbyAfter {
 			d.core.Group = newGroup(d.standby.random)
 			d.standby.backends = backends
@@ -64,7 +61,7 @@
 		return
 	}
 	d.standby.fill(d.core.Group, now)
-	d.standby.backends, d.standby.drains = nil, nil
+	d.standby.backends = nil
 }
 
 // shown returns the group that operators see: on standby one that is made for them. The caller holds
@@ -81,25 +78,18 @@
 // fill makes a group know the back ends.
 func (s *standby) fill(group *routing.Group, now time.Time) {
 	group.SetBackends(now, s.backends(now))
-	for id, draining := range s.drains {
-		group.SetDraining(now, id, draining)
-	}
 	if s.advice.id != "" {
 		group.Advise(s.advice.id, s.advice.inFlight)
 	}
 }
 
-// SetDraining notes that a back end is leaving, or is back.
-func (d *Dispatcher) SetDraining(id string, draining bool) {
+// SetDraining puts in force whether a back end is leaving: what draining returns when it is called, which must
+// not block. On standby it is asked when the back ends are.
+func (d *Dispatcher) SetDraining(id string, draining func() bool) {
 	d.change(func() {
 		if d.standby.backends == nil {
-			d.core.Group.SetDraining(time.Now(), id, draining)
-			return
-		}
-		if d.standby.drains == nil {
-			d.standby.drains = make(map[string]bool)
+			d.core.Group.SetDraining(time.Now(), id, draining())
 		}
-		d.standby.drains[id] = draining
 	})
 }
 
--- a/dispatch/standby_test.go
+++ b/dispatch/standby_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -15,8 +16,12 @@
 func TestStandbyShowsBackends(t *testing.T) {
 	d := dispatch.New(rand.New(rand.NewPCG(1, 1)), 10)
 	evacuated := routing.Backend{ID: "b1", Zone: "west", Slots: 1, Window: 1, Warm: true, Drained: true, Evacuated: true}
-	d.Configure(declared(routing.Backend{ID: "b0", Slots: 1, Window: 1, Warm: true}, evacuated, routing.Backend{ID: "b2", Slots: 1, Window: 1, Warm: true}), 10)
-	d.SetDraining("b2", true)
+	leaving := false
+	d.Configure(func(time.Time) []routing.Backend {
+		return []routing.Backend{{ID: "b0", Slots: 1, Window: 1, Warm: true}, evacuated, {ID: "b2", Slots: 1, Window: 1, Warm: true, Drained: leaving}}
+	}, 10)
+	leaving = true
+	d.SetDraining("b2", func() bool { return leaving })
 	for range 2 { // looking changes nothing
 		states, waiting := d.Status()
 		require.Zero(t, waiting)
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -95,9 +95,6 @@
 	Seeds func(ctx context.Context) []string
 	// FirstStart says that nothing can have been declared yet when the daemon starts.
 	FirstStart bool
-	// OnInForce is called when a document has been put in force. It must not
-	// block.
-	OnInForce func()
 }
 
 // Follower keeps a daemon at the newest configuration. It is safe for
@@ -223,7 +220,6 @@
 	}
 	f.options.Services.Put(snapshot)
 	f.document.Store(&document)
-	f.options.OnInForce()
 	if f.isConfigured(document) {
 		f.once.Do(func() { close(f.configured) })
 	}
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -87,7 +87,7 @@
 	t.Helper()
 	options.Services = service.NewRegistry(service.Options{Network: network.TCP{}})
 	options.Timeout, options.Log, options.Random = time.Second, slog.New(slog.DiscardHandler), rand.New(rand.NewPCG(1, 1))
-	options.Seeds, options.OnInForce = func(context.Context) []string { return nil }, func() {}
+	options.Seeds = func(context.Context) []string { return nil }
 	follower := NewFollower(options)
 	follower.SetPeers(peers)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -225,7 +225,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		follower := NewFollower(Options{
 			Sources: make([]Source, 2), Services: service.NewRegistry(service.Options{Network: network.TCP{}}),
-			Log: slog.New(slog.DiscardHandler), OnInForce: func() {},
+			Log: slog.New(slog.DiscardHandler),
 		})
 		var highest config.Position
 		for range rapid.IntRange(1, 30).Draw(t, "offers") {
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -9,13 +9,13 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/backend"
-	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/signals"
 )
 
 // attempter sees one call through its attempts.
@@ -133,7 +133,7 @@
 func (a *attempter) prepare(chosen *place) (*outbound, *resultcode.Failure) {
 	a.logDecision(chosen)
 	c := a.call
-	client := c.service.Client(chosen.backend)
+	client, started := c.service.Client(chosen.backend)
 	if client == nil {
 		chosen.done(routing.Canceled, 0, nil)
 		return nil, &resultcode.Failure{Code: resultcode.NoBackend, Detail: "the back end was taken out of the placement", RetryAfter: dispatch.RetryAfterBackend(chosen.waited)}
@@ -153,7 +153,7 @@
 		return nil, &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim lapsed before the request could be sent"}
 	}
 	c.tried = append(c.tried, chosen.backend)
-	chosen.started = c.service.Started(chosen.backend)
+	chosen.started = started
 	return &outbound{chosen: chosen, client: client, request: c.toBackend(chosen.backend, a.handler.options.Dialect)}, nil
 }
 
@@ -173,18 +173,16 @@
 	if err != nil {
 		return nil, a.sendFailed(chosen, err)
 	}
-	got := &received{chosen: chosen, response: response, latency: time.Since(chosen.sent), report: a.learn(chosen, response)}
+	got := &received{chosen: chosen, response: response, latency: time.Since(chosen.sent), report: a.load(response)}
 	refused := a.refused(response)
-	a.learnLimit(chosen, response, refused)
-	a.handler.unread.look(&a.handler.options.Dialect, response.Header, a.call.service.Name(), chosen.backend)
+	a.handler.options.Signals.Take(signals.Answer{
+		Key: backend.Key{Service: a.call.service.Name(), Backend: chosen.backend}, Started: chosen.started, Sent: chosen.sent,
+		Request: a.call.id, Status: response.StatusCode, Header: response.Header, Refused: refused,
+	})
 	if !refused {
 		return got, nil
 	}
 	response.Body.Close()
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		// Another back end has the address: this one is gone.
-		a.handler.options.Peers.HeardDraining(a.call.service.Name(), chosen.backend, true)
-	}
 	chosen.done(routing.Unserved, 0, got.report)
 	return nil, &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + chosen.backend, RetryAfter: dispatch.RetryAfterBackend(chosen.waited)}
 }
@@ -256,16 +254,8 @@
 	return &resultcode.Failure{Code: failed.Code, Detail: "back end " + chosen.backend + ": " + failed.Cause.Error()}
 }
 
-// learn takes in what the back end says of itself on an answer, and returns its
-// load; nil where it told none.
-func (a *attempter) learn(chosen *place, response *http.Response) *routing.Report {
-	peers, name := a.handler.options.Peers, a.call.service.Name()
-	switch response.Header.Get(backend.HeaderDraining) {
-	case "true":
-		peers.HeardDraining(name, chosen.backend, true)
-	case "false":
-		peers.HeardDraining(name, chosen.backend, false)
-	}
+// load returns the load that the back end tells with an answer; nil where it tells none.
+func (a *attempter) load(response *http.Response) *routing.Report {
 	dialect := a.handler.options.Dialect
 	report, ok := dialect.ParseReport(response.Header.Get(dialect.Report))
 	if !ok {
@@ -274,17 +264,6 @@
 	return new(routing.Report(report))
 }
 
-// learnLimit takes in what the back end says, or does not say, of how many requests it takes.
-func (a *attempter) learnLimit(chosen *place, response *http.Response, refused bool) {
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return // another back end has answered
-	}
-	a.handler.options.Limits.Hear(response.Header, backendlimit.Answer{
-		Key: backendlimit.Key{Service: a.call.service.Name(), Backend: chosen.backend}, Started: chosen.started, Sent: chosen.sent,
-		Failed: refused || response.StatusCode >= http.StatusInternalServerError,
-	})
-}
-
 // abort breaks off an answer that has begun, so that the caller cannot take it
 // for whole.
 func (a *attempter) abort(err *passError) {
--- a/frontend/ending.go
+++ b/frontend/ending.go
@@ -61,7 +61,7 @@
 // endedUnder says whether the back end of a place ended under the request, whose connection to it
 // broke. It blocks for at most livenessWait; the look goes on behind it.
 func (a *attempter) endedUnder(chosen *place) bool {
-	client := a.call.service.Client(chosen.backend)
+	client, _ := a.call.service.Client(chosen.backend)
 	if client == nil {
 		return false
 	}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
-	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/logging"
@@ -23,6 +22,7 @@
 	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/signals"
 	"github.com/tuliphall/tuliphall/slots"
 )
 
@@ -36,8 +36,6 @@
 	Daemons() int
 	// Suspect notes that a daemon could not be reached.
 	Suspect(name string)
-	// HeardDraining notes that a back end says it is leaving, or is back.
-	HeardDraining(service, backend string, draining bool)
 }
 
 // Options are the frontend's collaborators.
@@ -54,8 +52,8 @@
 	Operations *operation.Executor
 	// Quarantine holds back requests under which back ends end; nil: none is held back.
 	Quarantine Quarantine
-	// Limits is told what back ends say of how many requests they take; nil: nobody is.
-	Limits  backendlimit.Listener
+	// Signals takes in what back ends say of themselves with their answers; nil: nobody does.
+	Signals signals.Listener
 	Log     *slog.Logger
 	Metrics tally.Scope
 	// LogDecisions says whether each routing decision and each answered request
@@ -78,7 +76,6 @@
 	upgraded  sync.WaitGroup
 	forwarder *forwarder
 	patience  patience
-	unread    *unread
 }
 
 // NewHandler returns a handler.
@@ -89,8 +86,8 @@
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
-	if options.Limits == nil {
-		options.Limits = backendlimit.Deaf{}
+	if options.Signals == nil {
+		options.Signals = signals.Deaf{}
 	}
 	if options.LogDecisions == nil {
 		options.LogDecisions = func() bool { return false }
@@ -103,7 +100,6 @@
 		metrics:   newMetrics(options.Metrics),
 		forwarder: newForwarder(options.Network),
 		phase:     rand.Float64(),
-		unread:    newUnread(logging.Part(options.Log, "frontend"), options.Metrics),
 	}
 	// Ids stay unique when a daemon is restarted under the same name.
 	h.sequence.Store(uint64(time.Now().UnixNano()))
--- a/frontend/place_test.go
+++ b/frontend/place_test.go
@@ -38,9 +38,8 @@
 	}
 	return *p.dispatcher, true
 }
-func (fixedPeers) Daemons() int                       { return 2 }
-func (fixedPeers) Suspect(string)                     {}
-func (fixedPeers) HeardDraining(string, string, bool) {}
+func (fixedPeers) Daemons() int   { return 2 }
+func (fixedPeers) Suspect(string) {}
 
 // registryOf returns the services of a daemon that has a document in force; nil:
 // it has none.
--- a/measure/ask_test.go
+++ b/measure/ask_test.go
@@ -12,14 +12,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/backend"
-	"github.com/tuliphall/tuliphall/backendlimit"
+	"github.com/tuliphall/tuliphall/signals"
 )
 
-// heardLimits are the back ends of which an answer was heard.
-type heardLimits []backendlimit.Answer
+// heard are the answers of back ends that were taken in.
+type heard []signals.Answer
 
-// Hear implements Limits.
-func (h *heardLimits) Hear(_ http.Header, answer backendlimit.Answer) {
+// Take implements signals.Listener.
+func (h *heard) Take(answer signals.Answer) {
 	*h = append(*h, answer)
 }
 
@@ -49,13 +49,13 @@
 				w.Header().Set(backend.HeaderReport, "TEXT named_metrics.in_flight=0")
 			}))
 			defer server.Close()
-			heard := new(heardLimits)
-			prober := &Prober{options: Options{Dialect: dialect, Limits: heard}, log: slog.New(slog.DiscardHandler)}
+			heard := new(heard)
+			prober := &Prober{options: Options{Dialect: dialect, Signals: heard}, log: slog.New(slog.DiscardHandler)}
 			client := backend.NewClient(backend.Options{Address: strings.TrimPrefix(server.URL, "http://")})
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			report, well, err := prober.ask(ctx, probeTarget{backend: backendlimit.Key{Service: "board", Backend: "i-1"}, client: client, path: "/health"})
+			report, well, err := prober.ask(ctx, probeTarget{backend: backend.Key{Service: "board", Backend: "i-1"}, client: client, path: "/health"})
 			if one.speaks {
 				require.NoError(t, err)
 				require.True(t, well)
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -23,7 +23,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
-	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/clock"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/lease"
@@ -31,6 +30,7 @@
 	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
+	"github.com/tuliphall/tuliphall/signals"
 	"github.com/tuliphall/tuliphall/wait"
 )
 
@@ -71,8 +71,8 @@
 	Now clock.Clock
 	// Dialect is how back ends spell their load.
 	Dialect backend.Dialect
-	// Limits is told what back ends say of how many requests they take; nil: nobody is.
-	Limits  backendlimit.Listener
+	// Signals takes in what back ends say of themselves with their answers; nil: nobody does.
+	Signals signals.Listener
 	Log     *slog.Logger
 	Metrics tally.Scope
 }
@@ -101,8 +101,8 @@
 
 // NewProber returns a prober.
 func NewProber(options Options) *Prober {
-	if options.Limits == nil {
-		options.Limits = backendlimit.Deaf{}
+	if options.Signals == nil {
+		options.Signals = signals.Deaf{}
 	}
 	return &Prober{
 		options: options, log: logging.Part(options.Log, "measure"), duties: make(map[string]*duty),
@@ -250,7 +250,7 @@
 
 // probeTarget is a back end that is to be probed.
 type probeTarget struct {
-	backend backendlimit.Key
+	backend backend.Key
 	started int64 // of its present run; 0: it does not say
 	client  *backend.Client
 	path    string
@@ -258,10 +258,8 @@
 
 // target returns what it takes to probe a back end; its client is nil where it is not declared.
 func (p *Prober) target(name, id string, running *service.Service) probeTarget {
-	return probeTarget{
-		backend: backendlimit.Key{Service: name, Backend: id}, started: running.Started(id),
-		client: running.ProbeClient(id), path: running.Target().Service.ProbePath,
-	}
+	client, started := running.ProbeClient(id)
+	return probeTarget{backend: backend.Key{Service: name, Backend: id}, started: started, client: client, path: running.Target().Service.ProbePath}
 }
 
 // ask probes one back end. well says whether it takes itself for well; the report is
@@ -289,7 +287,7 @@
 		}
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
-	p.options.Limits.Hear(response.Header, backendlimit.Answer{Key: asked.backend, Started: asked.started, Sent: sent, Probe: true, Failed: failed})
+	p.options.Signals.Take(signals.Answer{Key: asked.backend, Started: asked.started, Sent: sent, Status: response.StatusCode, Header: response.Header})
 	if told, ok := p.options.Dialect.ParseReport(response.Header.Get(p.options.Dialect.Report)); ok {
 		told.WarmUpLeft = p.warmUpLeft(response.Header)
 		report = new(routing.Report(told))
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -85,7 +85,7 @@
 	fleet := len(n.view.Load().Serving)
 	request := &peerpb.ExchangeRequest{
 		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
-		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(fleet), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
+		Updates: encodeMembers(n.state.Updates()), Drains: encodeDrains(n.drains.next(fleet)), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
 	}
 	n.mutex.Unlock()
 	return n.call(ctx, purposeExchange, target.PeerAddress, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
@@ -121,21 +121,14 @@
 	theirs := decodePosition(message)
 	hear(n, &n.crashingRequests, decodeCrashingRequests(message.GetCrashingRequests()))
 	hear(n, &n.limits, decodeLimits(message.GetLimits()))
-	var news []Drain
+	hear(n, &n.drains, decodeDrains(message.GetDrains()))
 	sync, expected := false, false
 	n.change(from.Name, func(now time.Time) {
 		expected = n.expects(now, theirs)
 		n.state.Merge(now, decodeMembers(message.GetUpdates()))
 		n.state.Heard(now, from)
-		news = n.drains.take(message.GetDrains())
 		sync = n.state.SyncDue(now, message.GetDigest()^n.options.Quarantine.Digest())
 	})
-	for _, drain := range news {
-		n.options.OnDrain(drain)
-	}
-	if len(news) > 0 {
-		n.spreadSoon()
-	}
 	if !expected && n.options.Configuration.Position().Behind(theirs) {
 		n.options.Configuration.Behind(from, theirs)
 	}
--- a/peer/join.go
+++ b/peer/join.go
@@ -90,16 +90,12 @@
 			return err
 		}
 		itsForming = reply.GetForming()
-		var news []Drain
 		n.change(address, func(now time.Time) {
 			n.state.MergeList(now, decodeMembers(list.Members))
-			news = n.drains.take(list.Drains)
 		})
 		hear(n, &n.crashingRequests, decodeCrashingRequests(list.CrashingRequests))
 		hear(n, &n.limits, decodeLimits(list.Limits))
-		for _, drain := range news {
-			n.options.OnDrain(drain)
-		}
+		hear(n, &n.drains, decodeDrains(list.Drains))
 		return nil
 	})
 	return itsForming, err
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
@@ -19,9 +20,9 @@
 )
 
 // Limits is what a Node asks and tells of back ends that take fewer requests.
-type Limits = Records[backendlimit.Key, backendlimit.Record]
+type Limits = Records[backend.Key, backendlimit.Record]
 
-func limitKey(record backendlimit.Record) backendlimit.Key { return record.Key }
+func limitKey(record backendlimit.Record) backend.Key { return record.Key }
 
 // TellLimit spreads what a back end says of how many requests it takes.
 func (n *Node) TellLimit(record backendlimit.Record) {
@@ -42,7 +43,7 @@
 	records := make([]backendlimit.Record, 0, len(encoded))
 	for _, one := range encoded {
 		records = append(records, backendlimit.Record{
-			Key: backendlimit.Key{Service: one.Service, Backend: one.Backend}, Limit: backendlimit.Limit{Limited: one.Limited, PerSecond: one.PerSecond},
+			Key: backend.Key{Service: one.Service, Backend: one.Backend}, Limit: backendlimit.Limit{Limited: one.Limited, PerSecond: one.PerSecond},
 			Started: one.Started, At: time.UnixMilli(one.At),
 		})
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -16,14 +16,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/quarantine"
-	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/wait"
 )
 
@@ -80,17 +81,6 @@
 	Offer(document config.Document, source string) error
 }
 
-// Drain is news that a back end is leaving, or is back.
-type Drain struct {
-	Service  string
-	Backend  string
-	Source   service.DrainSource
-	Draining bool
-	At       time.Time
-	// Started tells which run of the back end; 0: it does not say.
-	Started int64
-}
-
 // Options are a Node's collaborators.
 type Options struct {
 	Self          membership.Member
@@ -105,8 +95,8 @@
 	// OnNoAnswer is told when a member has not answered soon, before others are asked
 	// whether they reach it; nil: nobody is. It must not block.
 	OnNoAnswer func()
-	// OnDrain is told of each drain that is news. It must not block.
-	OnDrain func(Drain)
+	// Drains knows which back ends are leaving; nil: none is.
+	Drains Drains
 	// Quarantine has noted under which requests back ends ended; nil: nothing is noted.
 	Quarantine Quarantine
 	// Limits knows how many requests back ends take; nil: any number.
@@ -123,13 +113,14 @@
 	syncs     sync.WaitGroup
 	periods   int // heartbeats so far; of Run
 
-	mutex  sync.Mutex
-	state  *membership.State
-	drains drainTable
+	mutex sync.Mutex
+	state *membership.State
+	// drains are the back ends of which others are still to be told that they are leaving, or are back.
+	drains gossip[drain.WordKey, drain.Record]
 	// crashingRequests are those of which others are still to be told.
 	crashingRequests gossip[quarantine.Fingerprint, quarantine.Record]
 	// limits are the back ends of which others are still to be told how many requests they take.
-	limits gossip[backendlimit.Key, backendlimit.Record]
+	limits gossip[backend.Key, backendlimit.Record]
 	// forming is what is known of the others' start.
 	forming forming
 	// expected is what another daemon is handing over.
@@ -147,12 +138,15 @@
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
+	if options.Drains == nil {
+		options.Drains = noRecords[drain.WordKey, drain.Record]{}
+	}
 	if options.Limits == nil {
-		options.Limits = noRecords[backendlimit.Key, backendlimit.Record]{}
+		options.Limits = noRecords[backend.Key, backendlimit.Record]{}
 	}
 	n := &Node{
 		options: options, log: logging.Part(options.Log, "membership"), spread: make(chan struct{}, 1),
-		state: membership.NewState(options.Self, options.Random), drains: newDrainTable(),
+		state: membership.NewState(options.Self, options.Random), drains: newGossip(options.Drains, drainKey, maxDrains, maxDrainRumors),
 		crashingRequests: newGossip(options.Quarantine, fingerprintOf, maxCrashingRequests, maxCrashingRumors),
 		limits:           newGossip(options.Limits, limitKey, maxLimits, maxLimitRumors),
 	}
@@ -196,18 +190,6 @@
 	}
 }
 
-// TellDrain spreads that a back end is leaving, or is back. The daemon that gives
-// out its places is told first.
-func (n *Node) TellDrain(drain Drain) {
-	n.mutex.Lock()
-	news := n.drains.add(drain)
-	n.mutex.Unlock()
-	if !news {
-		return
-	}
-	n.tellDispatcher(drain.Service)
-}
-
 // tellDispatcher tells the news to the daemon that gives out the places of a service at once,
 // and to a few others soon. It does not block.
 func (n *Node) tellDispatcher(service string) {
@@ -221,13 +203,6 @@
 	n.spreadSoon()
 }
 
-// Draining returns the back ends that are known to be leaving.
-func (n *Node) Draining() []Drain {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.drains.draining()
-}
-
 // Run joins the other daemons and exchanges news until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer n.syncs.Wait()
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,7 +46,7 @@
 	fleet := len(n.view.Load().Serving)
 	return &peerpb.ExchangeReply{
 		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
-		Updates: encodeMembers(n.state.Updates()), Drains: n.drains.news(fleet), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
+		Updates: encodeMembers(n.state.Updates()), Drains: encodeDrains(n.drains.next(fleet)), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
 	}, nil
 }
 
@@ -62,7 +62,7 @@
 	sender := decodeMember(request.Sender)
 	n.change(sender.Name, func(now time.Time) { n.state.Heard(now, sender) })
 	reply, err := encodeList(&peerpb.MemberList{
-		Members: encodeMembers(n.Members()), Drains: encodeDrains(n.Draining()),
+		Members: encodeMembers(n.Members()), Drains: encodeDrains(n.options.Drains.Records(maxListedDrains)),
 		CrashingRequests: encodeCrashingRequests(n.options.Quarantine.Records(maxListedCrashingRequests)),
 		Limits:           encodeLimits(n.options.Limits.Records(maxListedLimits)),
 	})
--- a/service/service.go
+++ b/service/service.go
@@ -16,6 +16,7 @@
 	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/quarantine"
@@ -34,15 +35,15 @@
 	quarantine Quarantine
 	rates      Rates
 	limits     Limits
+	drains     Drains
 	elsewhere  func(zone string) bool
 	declared   atomic.Pointer[declaration]
 	requests   clientPool
 	probes     clientPool
 
-	mutex   sync.Mutex
-	budget  retry.Budget
-	earned  time.Time // of the last request that earned for it
-	drained map[drainKey]bool
+	mutex  sync.Mutex
+	budget retry.Budget
+	earned time.Time // of the last request that earned for it
 	// evacuated are the zones that are, and restored when others were last.
 	evacuated map[string]bool
 	restored  map[string]time.Time
@@ -55,9 +56,9 @@
 		quarantine: options.Quarantine,
 		rates:      options.Rates,
 		limits:     options.Limits,
+		drains:     options.Drains,
 		elsewhere:  options.Elsewhere,
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
-		drained:    make(map[drainKey]bool),
 		restored:   make(map[string]time.Time),
 	}
 	outliers, routed := logging.Part(options.Log, "outlier"), logging.Part(options.Log, "routing")
@@ -117,40 +118,31 @@
 	return one.Drained || d.target.Evacuated[one.Zone]
 }
 
-// started returns when the present run of a back end started, as it says; 0: it does not say, or
-// is not declared.
-func (d *declaration) started(id string) int64 {
-	if one, known := d.byID[id]; known {
-		return one.Started
-	}
-	return 0
-}
-
-// Client returns the client of a back end, or nil when it is no longer declared. It does not
-// block on the network.
-func (s *Service) Client(id string) *backend.Client {
+// Client returns the client of a back end, and when its present run started, as it says (0: it does not); the
+// client is nil when the back end is no longer declared. It does not block on the network.
+func (s *Service) Client(id string) (client *backend.Client, started int64) {
 	declared := s.declared.Load()
 	one, known := declared.byID[id]
 	if !known {
-		return nil
+		return nil, 0
 	}
-	return s.requests.get(time.Now(), id, s.optionsFor(declared.target, one))
+	return s.requests.get(time.Now(), id, s.optionsFor(declared.target, one)), one.Started
 }
 
-// ProbeClient returns the client for probes of a back end, or nil when it is no longer declared.
+// ProbeClient is Client for probes.
 // They open a connection for each probe: one that is written to a kept connection while the network
 // stalls would arrive later, together with others. Where probes bring fresher reports, connections
 // are kept: each back end has at most one such probe under way.
-func (s *Service) ProbeClient(id string) *backend.Client {
+func (s *Service) ProbeClient(id string) (client *backend.Client, started int64) {
 	declared := s.declared.Load()
 	one, known := declared.byID[id]
 	if !known {
-		return nil
+		return nil, 0
 	}
 	options := s.optionsFor(declared.target, one)
 	options.NoReuse, options.Echo = declared.target.Service.ProbeFreshness == 0, ""
 	options.Connections = probeConnections
-	return s.probes.get(time.Now(), id, options)
+	return s.probes.get(time.Now(), id, options), one.Started
 }
 
 // optionsFor are the options of the client for requests to a back end.
@@ -187,19 +179,10 @@
 	s.evacuated = target.Evacuated
 }
 
-// placesOf returns what makes the places of a declaration, with the drains that were heard until
-// now. The caller holds the mutex.
+// placesOf returns what makes the places of a declaration, with what is known of its back ends when it is called.
+// The caller holds the mutex.
 func (s *Service) placesOf(declared *declaration) func(now time.Time) []routing.Backend {
 	target := declared.target
-	var drained map[string]bool
-	for key := range s.drained {
-		if key.started == declared.started(key.backend) {
-			if drained == nil {
-				drained = make(map[string]bool)
-			}
-			drained[key.backend] = true
-		}
-	}
 	restored := maps.Clone(s.restored)
 	warmUp := routing.WarmUp{Lasts: time.Duration(target.Service.WarmUp), PerSecond: target.Service.WarmUpRate}
 	return func(now time.Time) []routing.Backend {
@@ -210,7 +193,7 @@
 				ID: one.ID, Zone: one.Zone, Version: one.Version, Slots: one.Slots, Window: window(target.Service, *one),
 				// Its zone may have turned cold while it was evacuated.
 				Warm:    one.Warm && now.Sub(restored[one.Zone]) >= warmUp.Lasts,
-				Drained: declared.closed(one) || drained[one.ID], Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(one),
+				Drained: declared.closed(one) || s.isLeaving(one), Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(one),
 			})
 		}
 		return places
@@ -225,9 +208,7 @@
 	if !known || declared.closed(one) || s.Dispatcher.Excludes(one.Version) {
 		return false
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return !s.heardDrained(id)
+	return !s.isLeaving(one)
 }
 
 // probeConnections bounds the connections to one back end for probes.
@@ -241,26 +222,9 @@
 	return max(int(declared.MaxLoad*float64(one.Slots)+0.5), 1)
 }
 
-// DrainSource says whose word it is that a back end is leaving.
-type DrainSource int
-
-// The sources, besides the operator's declaration. A back end is drained while
-// any source says so.
-const (
-	FromBackend DrainSource = iota
-	FromMachineList
-	drainSources
-)
-
-type drainKey struct {
-	backend string
-	started int64
-	source  DrainSource
-}
-
 // limitOf returns how many requests a back end takes.
 func (s *Service) limitOf(one *config.Backend) backendlimit.Limit {
-	record, _ := s.limits.OfRun(backendlimit.Key{Service: s.Name(), Backend: one.ID}, one.Started)
+	record, _ := s.limits.OfRun(backend.Key{Service: s.Name(), Backend: one.ID}, one.Started)
 	return record.Limit
 }
 
@@ -276,49 +240,18 @@
 	return s.declared.Load().byID[id] != nil
 }
 
-// Started returns when the present run of a back end started, as it says; 0: it does not say, or is
-// not declared.
-func (s *Service) Started(id string) int64 {
-	return s.declared.Load().started(id)
-}
-
-// SetDraining notes that the run of a back end that started at a time is leaving, or is back, by
-// the word of one source. It says whether that is news.
-func (s *Service) SetDraining(id string, started int64, source DrainSource, draining bool) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	key := drainKey{backend: id, started: started, source: source}
-	if s.drained[key] == draining {
-		return false
-	}
-	if draining {
-		s.drained[key] = true
-	} else {
-		delete(s.drained, key)
-	}
-	s.Dispatcher.SetDraining(id, s.heardDrained(id) || s.closedByDeclaration(id))
-	return true
+// isLeaving says whether a back end is known to be leaving, by its own word or the machine list's.
+func (s *Service) isLeaving(one *config.Backend) bool {
+	_, leaving := s.drains.Leaving(backend.Key{Service: s.Name(), Backend: one.ID}, one.Started)
+	return leaving
 }
 
-// closedByDeclaration says whether a back end by declaration gets no new requests.
-func (s *Service) closedByDeclaration(id string) bool {
+// RefreshDrain puts in force what is known now of whether a back end is leaving.
+func (s *Service) RefreshDrain(id string) {
 	declared := s.declared.Load()
-	one, known := declared.byID[id]
-	return known && declared.closed(one)
-}
-
-// heardDrained says whether any source says that the back end is leaving. The
-// caller holds the mutex.
-func (s *Service) heardDrained(id string) bool {
-	if len(s.drained) == 0 {
-		return false
-	}
-	for source := range drainSources {
-		if s.drained[drainKey{backend: id, started: s.declared.Load().started(id), source: source}] {
-			return true
-		}
+	if one, known := declared.byID[id]; known {
+		s.Dispatcher.SetDraining(id, func() bool { return s.isLeaving(one) || declared.closed(one) })
 	}
-	return false
 }
 
 // Registry holds the running services. It is safe for concurrent use; Match and
@@ -349,16 +282,31 @@
 	Rates Rates
 	// Limits knows how many requests back ends take; nil: any number.
 	Limits Limits
+	// Drains knows which back ends are leaving; nil: none is.
+	Drains Drains
 	// Elsewhere says whether a zone lies in another region; nil: none does. It must not block.
 	Elsewhere func(zone string) bool
 	Log       *slog.Logger // nil: nothing is logged
 }
 
+// Drains knows which back ends are leaving. It must not block.
+type Drains interface {
+	// Leaving returns on whose word the run of a back end that started at a time is leaving, and false where
+	// nobody says so.
+	Leaving(key backend.Key, started int64) (drain.Notice, bool)
+}
+
+// noDrains knows of none.
+type noDrains struct{}
+
+// Leaving implements Drains.
+func (noDrains) Leaving(backend.Key, int64) (drain.Notice, bool) { return drain.Notice{}, false }
+
 // Limits knows how many requests back ends take. No method blocks.
 type Limits interface {
 	// OfRun returns what the run of a back end that started at a time has said, and false where it
 	// has said nothing.
-	OfRun(backend backendlimit.Key, started int64) (backendlimit.Record, bool)
+	OfRun(backend backend.Key, started int64) (backendlimit.Record, bool)
 	// Parts returns which parts of what back ends take daemons may use that this one can reach.
 	Parts() backendlimit.Parts
 }
@@ -367,7 +315,7 @@
 type noLimits struct{}
 
 // OfRun implements Limits.
-func (noLimits) OfRun(backendlimit.Key, int64) (backendlimit.Record, bool) {
+func (noLimits) OfRun(backend.Key, int64) (backendlimit.Record, bool) {
 	return backendlimit.Record{}, false
 }
 
@@ -418,6 +366,9 @@
 	if options.Limits == nil {
 		options.Limits = noLimits{}
 	}
+	if options.Drains == nil {
+		options.Drains = noDrains{}
+	}
 	if options.Elsewhere == nil {
 		options.Elsewhere = func(string) bool { return false }
 	}
--- /dev/null
+++ b/signals/reader.go
@@ -0,0 +1,135 @@
+package signals
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/backendlimit"
+	"github.com/tuliphall/tuliphall/drain"
+	"github.com/tuliphall/tuliphall/logging"
+)
+
+// Answer is an answer of a back end.
+type Answer struct {
+	backend.Key
+	Started int64     // of the run that was asked, in Unix milliseconds; 0: not known
+	Sent    time.Time // when the request was sent, or earlier
+	Request string    // id of the request; empty: a probe was answered
+	Status  int
+	Header  http.Header
+	Refused bool // the back end says that it did not run the request
+}
+
+// isProbe says whether a probe was answered.
+func (a *Answer) isProbe() bool {
+	return a.Request == ""
+}
+
+// Listener takes in answers of back ends. It must not block.
+type Listener interface {
+	Take(answer Answer)
+}
+
+// Deaf takes in nothing. It implements Listener.
+type Deaf struct{}
+
+// Take implements Listener.
+func (Deaf) Take(Answer) {}
+
+// Limits is told what back ends say, or do not say, of how many requests they take. It must not block.
+type Limits interface {
+	Hear(header http.Header, answer backendlimit.Answer)
+}
+
+// Drains is told of back ends that are leaving, or are back. It must not block.
+type Drains interface {
+	Hear(word drain.Word)
+}
+
+// Options are a Reader's collaborators.
+type Options struct {
+	// Dialect is how back ends spell their signals.
+	Dialect backend.Dialect
+	Limits  Limits
+	Drains  Drains
+	Log     *slog.Logger
+	Metrics tally.Scope
+}
+
+// Reader reads the signals of answers. It implements Listener and is safe for concurrent use.
+type Reader struct {
+	options    Options
+	log        *slog.Logger
+	unread     *unread
+	unreadable tally.Counter
+	// warned are the back ends and headers of which it was logged that a value cannot be read.
+	warned *logging.Once[badValue]
+}
+
+// badValue is a header of a back end whose value cannot be read.
+type badValue struct {
+	backend.Key
+	header string
+}
+
+// maxBadValues bounds those that are remembered, and so logged.
+const maxBadValues = 256
+
+// NewReader returns a reader.
+func NewReader(options Options) *Reader {
+	log := logging.Part(options.Log, "signals")
+	return &Reader{
+		options: options, log: log, unread: newUnread(log, options.Metrics),
+		unreadable: options.Metrics.Counter("backend_signals_unreadable"), warned: logging.NewOnce[badValue](maxBadValues),
+	}
+}
+
+// Take implements Listener.
+func (r *Reader) Take(answer Answer) {
+	if answer.Status == http.StatusMisdirectedRequest && !answer.isProbe() {
+		// Another back end has answered. Where requests name the one that they are meant for, that one is gone.
+		if r.options.Dialect.Instance != "" {
+			r.tellDrain(answer, true)
+		}
+		return
+	}
+	r.readDraining(answer)
+	r.options.Limits.Hear(answer.Header, backendlimit.Answer{
+		Key: answer.Key, Started: answer.Started, Sent: answer.Sent, Probe: answer.isProbe(),
+		Failed: answer.Refused || answer.Status >= http.StatusInternalServerError,
+	})
+	r.unread.look(&r.options.Dialect, answer.Header, answer.Service, answer.Backend)
+}
+
+// readDraining reads whether the back end is leaving.
+func (r *Reader) readDraining(answer Answer) {
+	dialect := &r.options.Dialect
+	if dialect.Draining == "" {
+		return
+	}
+	said, err := dialect.ParseDraining(answer.Header.Values(dialect.Draining))
+	switch {
+	case err != nil:
+		r.noteUnreadable(answer.Key, dialect.Draining, err)
+	case said != backend.DrainingUnsaid:
+		r.tellDrain(answer, said == backend.Leaving)
+	}
+}
+
+func (r *Reader) tellDrain(answer Answer, draining bool) {
+	r.options.Drains.Hear(drain.Word{
+		WordKey: drain.WordKey{Key: answer.Key, Source: drain.FromBackend}, Draining: draining, Started: answer.Started, Sent: answer.Sent, Request: answer.Request,
+	})
+}
+
+// noteUnreadable counts a value that cannot be read, and logs the first of each back end's header.
+func (r *Reader) noteUnreadable(key backend.Key, header string, err error) {
+	r.unreadable.Inc(1)
+	if r.warned.First(badValue{Key: key, header: header}) {
+		r.log.Warn("signal not understood, what is known stays", "service", key.Service, "backend", key.Backend, "error", err)
+	}
+}
--- /dev/null
+++ b/signals/reader_test.go
@@ -0,0 +1,98 @@
+package signals_test
+
+import (
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/backendlimit"
+	"github.com/tuliphall/tuliphall/drain"
+	"github.com/tuliphall/tuliphall/signals"
+)
+
+// heard is what a reader handed on.
+type heard struct {
+	words  []drain.Word
+	limits []backendlimit.Answer
+}
+
+func (h *heard) Hear(word drain.Word) { h.words = append(h.words, word) }
+
+type heardLimits struct{ *heard }
+
+func (h heardLimits) Hear(_ http.Header, answer backendlimit.Answer) {
+	h.limits = append(h.limits, answer)
+}
+
+func newReader(dialect backend.Dialect) (*signals.Reader, *heard, tally.TestScope) {
+	got, scope := new(heard), tally.NewTestScope("", nil)
+	return signals.NewReader(signals.Options{
+		Dialect: dialect, Limits: heardLimits{got}, Drains: got, Log: slog.New(slog.DiscardHandler), Metrics: scope,
+	}), got, scope
+}
+
+var sent = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func answered(request string, status int, header ...string) signals.Answer {
+	answer := signals.Answer{Key: backend.Key{Service: "board", Backend: "i-1"}, Started: 5, Sent: sent, Request: request, Status: status, Header: make(http.Header)}
+	for index := 0; index < len(header); index += 2 {
+		answer.Header.Add(header[index], header[index+1])
+	}
+	return answer
+}
+
+// TestDrainingIsReadOfEveryAnswer guards against a back end whose word that it leaves is passed over, whatever
+// else the answer says.
+func TestDrainingIsReadOfEveryAnswer(t *testing.T) {
+	said := drain.Word{WordKey: drain.WordKey{Key: backend.Key{Service: "board", Backend: "i-1"}, Source: drain.FromBackend}, Draining: true, Started: 5, Sent: sent, Request: "r"}
+	back, probed := said, said
+	back.Draining, probed.Request = false, ""
+	for name, one := range map[string]struct {
+		answer signals.Answer
+		want   []drain.Word
+	}{
+		"an answer":                 {answer: answered("r", 200, backend.HeaderDraining, "true"), want: []drain.Word{said}},
+		"a failure":                 {answer: answered("r", 500, backend.HeaderDraining, "true"), want: []drain.Word{said}},
+		"a refusal":                 {answer: answered("r", 503, backend.HeaderDraining, "true"), want: []drain.Word{said}},
+		"an answer to a probe":      {answer: answered("", 503, backend.HeaderDraining, "true"), want: []drain.Word{probed}},
+		"twice":                     {answer: answered("r", 200, backend.HeaderDraining, "false", backend.HeaderDraining, "true"), want: []drain.Word{said}},
+		"back":                      {answer: answered("r", 200, backend.HeaderDraining, "false"), want: []drain.Word{back}},
+		"nothing":                   {answer: answered("r", 200)},
+		"not readable":              {answer: answered("r", 200, backend.HeaderDraining, "soon")},
+		"not its own answer":        {answer: answered("r", http.StatusMisdirectedRequest, backend.HeaderDraining, "true")},
+		"unreadable beside a value": {answer: answered("r", 200, backend.HeaderDraining, "soon", backend.HeaderDraining, "true"), want: []drain.Word{said}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader, got, _ := newReader(backend.DefaultDialect())
+			reader.Take(one.answer)
+			require.Equal(t, one.want, got.words)
+		})
+	}
+}
+
+// TestAnotherBackendAtTheAddress takes an answer of another back end for the end of the one that was meant, and
+// nothing else of it for its word.
+func TestAnotherBackendAtTheAddress(t *testing.T) {
+	dialect := backend.DefaultDialect()
+	dialect.Instance = "Expected"
+	reader, got, _ := newReader(dialect)
+	reader.Take(answered("r", http.StatusMisdirectedRequest, backend.HeaderRequestLimit, "3"))
+	require.Len(t, got.words, 1)
+	require.True(t, got.words[0].Draining)
+	require.Empty(t, got.limits)
+}
+
+// TestUnreadableSignalsAreCounted counts each, and keeps what is known.
+func TestUnreadableSignalsAreCounted(t *testing.T) {
+	reader, got, scope := newReader(backend.DefaultDialect())
+	for range 3 {
+		reader.Take(answered("r", 200, backend.HeaderDraining, "soon"))
+	}
+	require.Empty(t, got.words)
+	require.EqualValues(t, 3, scope.Snapshot().Counters()["backend_signals_unreadable+"].Value())
+}
--- a/frontend/unread.go
+++ b/signals/unread.go
@@ -1,4 +1,4 @@
-package frontend
+package signals
 
 import (
 	"log/slog"
