--- a/admin/api.go
+++ b/admin/api.go
@@ -79,6 +79,10 @@
 	Quarantined int `json:"quarantined,omitempty"`
 	// Limited is how many back ends ask for fewer requests, as the asked daemon has heard.
 	Limited int `json:"limited,omitempty"`
+	// Leaving is how many back ends are leaving by their own word or the machine list's, and Paused how many have asked
+	// the asked daemon for a pause.
+	Leaving int `json:"leaving,omitempty"`
+	Paused  int `json:"paused,omitempty"`
 }
 
 // ServiceStatus is what a daemon knows of one service.
--- a/admission/admission.go
+++ b/admission/admission.go
@@ -214,6 +214,24 @@
 	return q.tickets[0]
 }
 
+// Foremost returns the tickets that go first, in order, at most so many, without taking them out.
+func (q *Queue) Foremost(most int) []*Ticket {
+	var foremost []*Ticket
+	var next []*Ticket // may come next: the children of those that were returned, which go before all others
+	if len(q.tickets) > 0 {
+		next = append(next, q.tickets[0])
+	}
+	for len(next) > 0 && len(foremost) < most {
+		first := slices.MinFunc(next, order)
+		next = slices.DeleteFunc(next, func(ticket *Ticket) bool { return ticket == first })
+		foremost = append(foremost, first)
+		for child := 2*first.index + 1; child <= 2*first.index+2 && child < len(q.tickets); child++ {
+			next = append(next, q.tickets[child])
+		}
+	}
+	return foremost
+}
+
 // Remove takes out a ticket whose caller left or whose wait is over, and says
 // whether it was still waiting.
 func (q *Queue) Remove(ticket *Ticket) bool {
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -1,7 +1,5 @@
 package backend
 
-import "slices"
-
 // Dialect is how callers and back ends spell what travels with a request, and
 // what may be expected of them.
 type Dialect struct {
@@ -50,15 +48,6 @@
 	FractionalRetryAfter bool
 }
 
-// Reads says whether anything reads a header of an answer, or need not.
-func (d *Dialect) Reads(name string) bool {
-	switch name {
-	case d.Report, d.RequestLimit, d.NotRun, d.WarmUpLeft, d.ProbedInstance, d.Draining:
-		return true
-	}
-	return slices.Contains(d.PassedOn, name)
-}
-
 // Headers of the project's own dialect.
 const (
 	HeaderRequestID = "X-Request-Id"
--- a/command/show.go
+++ b/command/show.go
@@ -14,6 +14,8 @@
 	"github.com/tuliphall/tuliphall/admin"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/routing"
 )
 
@@ -183,15 +185,34 @@
 		if c.global.Output == outputJSON {
 			return c.global.printJSON(s)
 		}
-		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "BEST", "DRAINING", "EVACUATED", "COLD", "EJECTED", "LATENCY", "LIMIT"}}
+		rows := [][]string{{"dispatched by " + s.Dispatcher, fmt.Sprintf("waiting %d", s.Waiting)}, {"BACKEND", "ZONE", "SLOTS", "IN-FLIGHT", "BEST", "DRAINING", "EVACUATED", "COLD", "EJECTED", "LATENCY", "LIMIT", "SAYS"}}
 		for _, b := range s.Backends {
-			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.BestInFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Evacuated), fmt.Sprint(b.Cold), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String(), describeLimit(b.Limit)})
+			rows = append(rows, []string{b.ID, b.Zone, fmt.Sprint(b.Slots), fmt.Sprint(b.InFlight), fmt.Sprint(b.BestInFlight), fmt.Sprint(b.Draining), fmt.Sprint(b.Evacuated), fmt.Sprint(b.Cold), fmt.Sprint(b.Ejected), b.Latency.Round(time.Microsecond).String(), describeLimit(b.Limit), describeSignals(b)})
 		}
 		return c.global.printTable(rows)
 	}
 	return nil
 }
 
+// describeSignals says what a back end says of leaving and of pauses; empty: nothing.
+func describeSignals(b dispatch.BackendStatus) string {
+	var says []string
+	if leaving := b.Leaving; leaving != nil {
+		by := "by its own word"
+		if leaving.Source != drain.FromBackend.String() {
+			by = "by the " + leaving.Source
+		}
+		if leaving.Told {
+			by += ", told by another daemon"
+		}
+		says = append(says, "leaving for "+leaving.Since.Round(100*time.Millisecond).String()+", "+by)
+	}
+	if b.PauseLeft > 0 {
+		says = append(says, "asked for a pause, "+b.PauseLeft.Round(time.Second).String()+" left")
+	}
+	return strings.Join(says, "; ")
+}
+
 // describeLimit says how many requests a back end takes; empty: any number.
 func describeLimit(limit *routing.LimitStatus) string {
 	if limit == nil {
@@ -275,6 +296,12 @@
 	if status.Quarantined > 0 {
 		rows = append(rows, nil, []string{fmt.Sprintf("requests held back, as back ends ended under them: %d (tuliphall quarantined)", status.Quarantined)})
 	}
+	if status.Leaving > 0 {
+		rows = append(rows, nil, []string{fmt.Sprintf("back ends that are leaving: %d (tuliphall describe service NAME)", status.Leaving)})
+	}
+	if status.Paused > 0 {
+		rows = append(rows, nil, []string{fmt.Sprintf("back ends that asked this daemon for a pause: %d (tuliphall describe service NAME)", status.Paused)})
+	}
 	if status.Limited > 0 {
 		rows = append(rows, nil, []string{fmt.Sprintf("back ends that ask for fewer requests: %d (tuliphall describe service NAME)", status.Limited)})
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/tuliphall/tuliphall/operation"
 	"github.com/tuliphall/tuliphall/peer"
 	"github.com/tuliphall/tuliphall/pipelining"
+	"github.com/tuliphall/tuliphall/pushback"
 	"github.com/tuliphall/tuliphall/quarantine"
 	"github.com/tuliphall/tuliphall/ratelimit"
 	"github.com/tuliphall/tuliphall/rollout"
@@ -98,6 +99,7 @@
 	rates      *ratelimit.Keeper
 	limits     *backendlimit.Keeper
 	drains     *drain.Keeper
+	pauses     *pushback.Keeper
 	signals    *signals.Reader
 	rollouts   *rollout.Keeper
 	recorder   rollout.Recorder
@@ -241,9 +243,10 @@
 	})
 	d.limits = backendlimit.NewKeeper(backendlimit.Options{Header: d.dialect.RequestLimit, Declared: d.isDeclared, Apply: d.applyLimit, Tell: d.tellLimit, Log: d.logger, Metrics: scope})
 	d.drains = drain.NewKeeper(drain.Options{Declared: d.isDeclared, Apply: d.applyDrain, Tell: d.tellDrain, Log: d.logger, Metrics: scope})
-	d.signals = signals.NewReader(signals.Options{Dialect: d.dialect, Limits: d.limits, Drains: d.drains, Log: d.logger, Metrics: scope})
+	d.pauses = pushback.NewKeeper(pushback.Options{Apply: d.applyPause, Log: d.logger, Metrics: scope})
+	d.signals = signals.NewReader(signals.Options{Dialect: d.dialect, Limits: d.limits, Drains: d.drains, Pauses: d.pauses, Log: d.logger, Metrics: scope})
 	d.rates = ratelimit.NewKeeper(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
-	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &serviceLimits{Keeper: d.limits, daemon: d}, Drains: d.drains, Elsewhere: d.elsewhere, Log: d.logger})
+	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &serviceLimits{Keeper: d.limits, daemon: d}, Drains: d.drains, Pauses: d.pauses, Elsewhere: d.elsewhere, Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now)
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
@@ -321,6 +324,7 @@
 	d.running.Go(func() { d.rates.Run(ctx) })
 	d.running.Go(func() { d.limits.Run(ctx) })
 	d.running.Go(func() { d.drains.Run(ctx) })
+	d.running.Go(func() { d.pauses.Run(ctx) })
 	d.running.Go(func() { d.rollouts.Run(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
 	d.running.Go(func() { d.reportTraffic(ctx, scope) })
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -141,6 +141,7 @@
 	status := admin.Status{
 		Daemon: d.settings.Name, Version: Version, Head: d.follower.Head(), Uptime: time.Since(d.started), Watching: d.follower.Watching(),
 		Evacuated: d.follower.Document().Evacuated(), Quarantined: d.quarantine.Held(), Limited: d.limits.Limited(),
+		Leaving: d.drains.Draining(), Paused: d.pauses.Kept(),
 	}
 	var waiting sync.WaitGroup
 	members := d.node.Members()
@@ -185,6 +186,7 @@
 	var rows []admin.ServiceStatus
 	for name, running := range d.services.All() {
 		backends, waiting := running.Dispatcher.Status()
+		running.AddSignals(backends)
 		dispatcher, other := d.node.DispatcherOf(name)
 		if !other {
 			dispatcher.Name = d.settings.Name
--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -20,7 +20,10 @@
 // longer places are short, and not all at once, as they came at different times.
 func (c *Core) retryAfter(now time.Time, request Request, pace time.Duration) time.Duration {
 	wait := max(c.Queue.Wait(now, request.Weight, pace), comeBack(now, request))
-	if at, bound := c.Group.BoundUntil(request.Routing); bound {
+	if until, all := c.Group.AllExcluded(now, request.Routing); all && !until.IsZero() {
+		return max(wait, min(until.Sub(now), maxComeBack))
+	}
+	if at, bound := c.Group.BoundUntil(now, request.Routing); bound {
 		return max(wait, min(at.Sub(now), maxComeBack))
 	}
 	return wait
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -109,10 +109,15 @@
 	if !c.work.of(request.Class).servable(now, request) {
 		return Decision{Refused: resultcode.DeadlineTooShort}
 	}
+	if until, all := c.Group.AllExcluded(now, request.Routing); all {
+		if refused := c.refusedUntil(now, request, until); refused != 0 {
+			return Decision{Refused: refused}
+		}
+	}
 	if !request.Spare {
 		c.Queue.Arrived(now, request.Weight)
 	}
-	if first := c.Queue.Peek(); first == nil || first.Weight < request.Weight {
+	if first := c.Queue.Peek(); first == nil || first.Weight < request.Weight || restricted(first) {
 		if result, ok := c.pick(now, request); ok {
 			return Decision{Place: c.place(now, now, request, result)}
 		}
@@ -121,7 +126,7 @@
 		return Decision{Refused: resultcode.WaitExpired}
 	}
 	ticket := c.ticket(now, request, payload)
-	if at, bound := c.Group.BoundUntil(request.Routing); bound && at.After(ticket.Expiry) {
+	if at, bound := c.Group.BoundUntil(now, request.Routing); bound && at.After(ticket.Expiry) {
 		return Decision{Refused: resultcode.DeadlineTooShort} // no other back end has its session
 	}
 	verdict, displaced := c.Queue.Offer(now, ticket, c.Group.Pace(now))
@@ -190,16 +195,52 @@
 	if first == nil {
 		return nil, nil
 	}
-	waiter := first.Payload.(*waiting)
 	c.applyVersionRule(now)
+	if place, payload := c.give(now, first); place != nil || !restricted(first) {
+		return place, payload
+	}
+	// What is left out for the first may be free for those behind it.
+	for _, ticket := range c.Queue.Foremost(mostPassing)[1:] {
+		if place, payload := c.give(now, ticket); place != nil || !restricted(ticket) {
+			return place, payload
+		}
+	}
+	return nil, nil
+}
+
+// mostPassing bounds how many waiting requests are looked at for a free place that the first must not use.
+const mostPassing = 8
+
+// restricted says whether a waiting request must not use some of the places that others may.
+func restricted(ticket *admission.Ticket) bool {
+	return ticket.Payload.(*waiting).request.Routing.IsRestricted()
+}
+
+// give gives a free place to a waiting request, and returns it with the request's payload; nil where there is none
+// that it may use.
+func (c *Core) give(now time.Time, ticket *admission.Ticket) (*Place, any) {
+	waiter := ticket.Payload.(*waiting)
 	result, ok := c.Group.Pick(now, waiter.request.Routing)
 	if !ok {
 		return nil, nil
 	}
-	c.Queue.Next()
+	c.Queue.Remove(ticket)
 	return c.place(now, waiter.since, waiter.request, result), waiter.payload
 }
 
+// refusedUntil returns as what a request is refused that must not reach any back end until a time, zero: not while
+// it waits; 0: it may wait, as a place is of use to it then.
+func (c *Core) refusedUntil(now time.Time, request Request, until time.Time) resultcode.Code {
+	if until.IsZero() {
+		return resultcode.NoBackend
+	}
+	ticket := c.ticket(now, request, nil)
+	if until.After(ticket.Expiry) || !ticket.Useful.IsZero() && until.After(ticket.Useful) {
+		return resultcode.BackendsPaused
+	}
+	return 0
+}
+
 // Report takes in a load report of a back end.
 func (c *Core) Report(now time.Time, state *routing.State, report routing.Report) {
 	c.Group.Report(state, report, c.Queue.Len() > 0, now)
@@ -236,6 +277,8 @@
 	switch {
 	case code == resultcode.NoBackend:
 		return c.Group.Unavailable()
+	case code == resultcode.BackendsPaused:
+		return fmt.Sprintf("%d of %d %s", len(request.Routing.Excluded), len(c.Group.States()), routing.PhrasePaused)
 	case !c.work.of(request.Class).servable(now, request):
 		return fmt.Sprintf("%s are left, the fastest answers take %s",
 			request.Deadline.Sub(now).Round(time.Millisecond), c.work.of(request.Class).fastest.Round(time.Millisecond))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -327,7 +327,18 @@
 	// Limit is what it says of how many requests it takes; absent: it takes any number.
 	Limit   *routing.LimitStatus `json:"limit,omitempty"`
 	Ejected bool                 `json:"ejected"`
-	Latency time.Duration        `json:"latency_ns"`
+	// Leaving is on whose word it is leaving; absent: nobody's but a declaration's.
+	Leaving *LeavingStatus `json:"leaving,omitempty"`
+	// PauseLeft is for how long it wants nothing from the asked daemon.
+	PauseLeft time.Duration `json:"pause_left_ns,omitempty"`
+	Latency   time.Duration `json:"latency_ns"`
+}
+
+// LeavingStatus is what the asked daemon knows of a back end that is leaving.
+type LeavingStatus struct {
+	Source string        `json:"source"`
+	Told   bool          `json:"told"` // by another daemon
+	Since  time.Duration `json:"since_ns"`
 }
 
 // Looks returns how often all back ends were looked at for a request, which is most of
--- a/dispatch/rollout.go
+++ b/dispatch/rollout.go
@@ -71,7 +71,7 @@
 	switch outcome {
 	case routing.Failed:
 		answer.Failed = true
-	case routing.Unserved, routing.Ended:
+	case routing.Unserved, routing.PushedBack, routing.Ended:
 		answer.Unserved = true
 	case routing.Canceled:
 		answer.GivenUp, answer.Took = true, now.Sub(place.Sent)
--- a/dispatch/standby.go
+++ b/dispatch/standby.go
@@ -103,6 +103,16 @@
 	})
 }
 
+// SetPause puts in force until when this daemon must not probe a back end: what until returns when it is called, which
+// must not block. On standby it is asked when the back ends are.
+func (d *Dispatcher) SetPause(id string, until func() time.Time) {
+	d.change(func() {
+		if d.standby.backends == nil {
+			d.core.Group.SetPause(id, until())
+		}
+	})
+}
+
 // Excludes says whether a version of the service gets no requests, not even to be judged by.
 func (d *Dispatcher) Excludes(version string) bool {
 	d.mutex.Lock()
--- a/drain/keeper.go
+++ b/drain/keeper.go
@@ -108,6 +108,11 @@
 	return k.table.Leaving(key, started)
 }
 
+// Draining returns how many words say that a back end is leaving.
+func (k *Keeper) Draining() int {
+	return int(k.draining.Load())
+}
+
 // Record implements peer.Records.
 func (k *Keeper) Record(key WordKey) (Record, bool) {
 	k.mutex.Lock()
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -159,6 +159,7 @@
 
 // received is an answer whose body is still to be read.
 type received struct {
+	refused  bool // the back end says that it did not run the request
 	chosen   *place
 	response *http.Response
 	latency  time.Duration
@@ -174,22 +175,27 @@
 		return nil, a.sendFailed(chosen, err)
 	}
 	got := &received{chosen: chosen, response: response, latency: time.Since(chosen.sent), report: a.load(response)}
-	refused := a.refused(response)
+	got.refused = a.refused(response)
 	a.handler.options.Signals.Take(signals.Answer{
 		Key: backend.Key{Service: a.call.service.Name(), Backend: chosen.backend}, Started: chosen.started, Sent: chosen.sent,
-		Request: a.call.id, Status: response.StatusCode, Header: response.Header, Refused: refused,
+		Request: a.call.id, Status: response.StatusCode, Header: response.Header, Refused: got.refused,
 	})
-	if !refused {
+	if !got.refused {
 		return got, nil
 	}
 	response.Body.Close()
-	chosen.done(routing.Unserved, 0, got.report)
+	chosen.done(got.outcome(), 0, got.report)
 	return nil, &resultcode.Failure{Code: resultcode.BackendRefused, Detail: "back end " + chosen.backend, RetryAfter: dispatch.RetryAfterBackend(chosen.waited)}
 }
 
 // outcome says what the answer tells of the back end.
 func (r *received) outcome() routing.Outcome {
-	if r.response.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case signals.AsksForPause(r.response):
+		return routing.PushedBack
+	case r.refused:
+		return routing.Unserved
+	case r.response.StatusCode >= http.StatusInternalServerError:
 		return routing.Failed
 	}
 	return routing.Success
--- a/frontend/place.go
+++ b/frontend/place.go
@@ -11,6 +11,7 @@
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/policy"
+	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
 	"github.com/tuliphall/tuliphall/service"
@@ -54,11 +55,53 @@
 	return class
 }
 
-// acquire gets a place for an attempt: from the daemon that dispatches the service,
+// mostAsked is how often a place is asked for where this daemon must not use what it was given, before it chooses by
+// itself.
+const mostAsked = 2
+
+// acquire gets a place for an attempt that this daemon may use. Who gave it may not know yet that the back end is
+// leaving, or that it asked this daemon for a pause, also while the request waited. The error is service.ErrOverBudget,
+// or a *resultcode.Failure. It blocks for as long as the request may wait.
+func (a *attempter) acquire(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
+	var unusable []routing.Exclusion
+	paidAs := kind
+	for asked := 0; ; asked++ {
+		request.Routing.Excluded = append(a.call.service.Excluded(), unusable...)
+		chosen, err := a.placeFor(ctx, paidAs, request, asked < mostAsked)
+		if err != nil {
+			return nil, err
+		}
+		barred := a.call.service.Bars(chosen.backend)
+		if barred == "" {
+			chosen.kind = kind
+			return chosen, nil
+		}
+		chosen.done(routing.Canceled, 0, nil)
+		a.handler.log.Info("place not used", "request", a.call.id, "service", a.call.service.Name(), "dispatcher", chosen.dispatcher,
+			"backend", chosen.backend, "reason", barred)
+		if asked == mostAsked || kind == retry.Hedge {
+			return nil, &resultcode.Failure{
+				Code: resultcode.NoBackend, Detail: "back end " + chosen.backend + ": " + barred, RetryAfter: dispatch.RetryAfterBackend(chosen.waited),
+			}
+		}
+		unusable = append(unusable, routing.Exclusion{Backend: chosen.backend})
+		paidAs = retry.Redial // what the attempt costs has been paid
+	}
+}
+
+// placeFor gets a place for an attempt, from this daemon's own picture of the back ends unless others are asked.
+func (a *attempter) placeFor(ctx context.Context, kind retry.Kind, request dispatch.Request, askOthers bool) (*place, error) {
+	if !askOthers {
+		return a.acquireHere(ctx, service.Substitute(a.handler.options.Peers.Daemons()), kind, request)
+	}
+	return a.askForPlace(ctx, kind, request)
+}
+
+// askForPlace gets a place for an attempt: from the daemon that dispatches the service,
 // or here if that is this one or it cannot be reached. It blocks for as long as the
 // request may wait. The error is service.ErrOverBudget, or a *resultcode.Failure. A
 // hedge calls it beside the attempt that is under way.
-func (a *attempter) acquire(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
+func (a *attempter) askForPlace(ctx context.Context, kind retry.Kind, request dispatch.Request) (*place, error) {
 	c := a.call
 	peers := a.handler.options.Peers
 	if c.service.Target().Service.Direct {
@@ -111,11 +154,6 @@
 	case err != nil:
 		a.noteRefusal(kind, dispatcher.Name)
 		return nil, err
-	case !c.service.Takes(granted.Backend):
-		// This daemon has heard that the back end leaves, or is gone.
-		granted.Done(routing.Canceled, 0, nil)
-		a.logAsked(slog.LevelInfo, "place not used", dispatcher, slog.String("backend", granted.Backend))
-		return nil, nil
 	}
 	c.service.Dispatcher.Advise(granted.Backend, granted.BestInFlight)
 	return placeOf(granted, kind, dispatcher.Name), nil
--- a/lab/backendstub/stub.go
+++ b/lab/backendstub/stub.go
@@ -73,6 +73,7 @@
 	draining bool
 	lie      int    // added to the reported load
 	limit    string // what it says of how many requests a second it takes; empty: nothing
+	pushback pushback
 	inFlight int
 	runs     map[string]int
 	keys     map[string]int
@@ -128,6 +129,28 @@
 	s.limit = perSecond
 }
 
+// pushback is how a back end turns requests away and asks for a pause.
+type pushback struct {
+	retryAfter string
+	every      int // it turns away each of so many; 0: none
+	requests   int
+}
+
+// SetPushback makes the back end turn away each of so many requests and ask for a pause; 0: none.
+func (s *Stub) SetPushback(retryAfter string, every int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pushback = pushback{retryAfter: retryAfter, every: every}
+}
+
+// pushesBack returns the Retry-After with which a request is turned away, and false where it is not.
+func (s *Stub) pushesBack() (retryAfter string, pushes bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pushback.requests++
+	return s.pushback.retryAfter, s.pushback.every > 0 && s.pushback.requests%s.pushback.every == 0
+}
+
 // Total returns how many requests ran.
 func (s *Stub) Total() int {
 	s.mutex.Lock()
@@ -268,6 +291,11 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
+	if retryAfter, pushes := s.pushesBack(); pushes {
+		w.Header().Set("Retry-After", retryAfter)
+		http.Error(w, "come back later", http.StatusServiceUnavailable)
+		return
+	}
 	if !s.enter(r.Context()) {
 		return
 	}
--- a/lab/labcommand/serve.go
+++ b/lab/labcommand/serve.go
@@ -54,6 +54,8 @@
 	Fault  string        `long:"fault" description:"a way to misbehave, such as reject-all"`
 	Drain  bool          `long:"drain" description:"say that this back end is leaving"`
 	Limit  string        `long:"request-limit" value-name:"N" description:"say that this back end takes only N requests a second"`
+	Pause  string        `long:"retry-after" value-name:"SECONDS" description:"turn requests away and ask for a pause of so long"`
+	Every  int           `long:"turn-away-every" value-name:"N" default:"1" description:"with --retry-after: turn away only each of so many requests"`
 	Ends   string        `long:"ends-under" value-name:"PATH" description:"end as soon as a request with this path is run"`
 }
 
@@ -63,6 +65,9 @@
 	stub.SetFault(backendstub.Fault(c.Fault))
 	stub.SetDraining(c.Drain)
 	stub.SetLimit(c.Limit)
+	if c.Pause != "" {
+		stub.SetPushback(c.Pause, c.Every)
+	}
 	return serveUntilSignal(c.Listen, c.mortal(stub.Handler()))
 }
 
--- a/lab/objectstub/pause_test.go
+++ b/lab/objectstub/pause_test.go
@@ -1,10 +1,17 @@
 package objectstub_test
 
 import (
+	"fmt"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/lab/objectstub"
+	"github.com/tuliphall/tuliphall/resultcode"
 )
 
 // What is promised to a back end that turns a request away with 503 and Retry-After.
@@ -56,3 +63,176 @@
 		require.Greater(t, load.share(), 0.95)
 	})
 }
+
+// TestPauseHoldsInTroubles guards against requests in a pause that a back end asked for, whatever else happens and by
+// whichever way requests reach back ends.
+func TestPauseHoldsInTroubles(t *testing.T) {
+	for _, one := range []struct {
+		name    string
+		prepare func(f *fleet)
+		trouble func(f *fleet, load *randomLoad)
+	}{
+		{name: "requests must not be repeated", trouble: func(_ *fleet, load *randomLoad) { load.once.Store(true) }},
+		{name: "daemons choose back ends by themselves", prepare: func(f *fleet) { f.direct = true }},
+		{name: "the daemon that dispatches loses power", trouble: func(f *fleet, load *randomLoad) {
+			host := f.dispatcher()
+			load.without(func() {
+				f.powerOff(func(_ *daemon.Daemon, number int) bool { return hostOf(number) == host })
+			})
+		}},
+		{name: "the store is down", trouble: func(f *fleet, _ *randomLoad) { f.store.SetFaults(objectstub.Faults{Down: true}) }},
+		{name: "its entry changes, and configurations come", trouble: func(f *fleet, _ *randomLoad) {
+			for range 5 {
+				f.announce(f.workers[0], "draining")
+				f.announce(f.workers[0], "ready")
+				f.configure("/one/")
+				time.Sleep(500 * time.Millisecond)
+			}
+		}},
+		{name: "half of the daemons are cut off from the others", trouble: func(f *fleet, _ *randomLoad) {
+			f.net.SetRule(func(a, b string) bool { return isLeft(a) && isRight(b) || isRight(a) && isLeft(b) })
+			time.Sleep(8 * time.Second)
+			f.net.SetRule(nil)
+		}},
+		{name: "requests go together on a connection, and wait for places", trouble: func(f *fleet, _ *randomLoad) {
+			f.burst(200)
+			for number := range 20 {
+				go f.pipeline(number%daemons, fmt.Sprintf("/one/safe/together-%d", number), 4)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}},
+		{name: "others refuse, so that requests are sent again", trouble: func(f *fleet, _ *randomLoad) {
+			for _, worker := range f.workers[2:] {
+				worker.change(func() { worker.refuse = true })
+			}
+		}},
+		{name: "others are disturbed, so that requests get second attempts", trouble: func(f *fleet, _ *randomLoad) {
+			for _, worker := range f.workers[1:] {
+				worker.change(func() { worker.disturb = 150 * time.Millisecond })
+			}
+		}},
+		{name: "there are more requests than all can take", trouble: func(f *fleet, _ *randomLoad) {
+			extra := f.randomLoad(2 * time.Millisecond)
+			time.Sleep(5 * time.Second)
+			extra.share()
+		}},
+		{name: "several ask for pauses", trouble: func(f *fleet, _ *randomLoad) {
+			for _, worker := range f.workers[1:3] {
+				worker.change(func() { worker.pauseEvery = 3 })
+			}
+			askForPause("4", f.workers[1:3]...)
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			prepare, trouble := one.prepare, one.trouble
+			if prepare == nil {
+				prepare = func(*fleet) {}
+			}
+			if trouble == nil {
+				trouble = func(*fleet, *randomLoad) {}
+			}
+			runFleetWith(t, daemons, 6, prepare, func(f *fleet) {
+				load := f.randomLoad(limitedLoad)
+				time.Sleep(2 * time.Second)
+				f.workers[0].change(func() { f.workers[0].pauseEvery = 2 })
+				askForPause("4", f.workers[0])
+				begun := time.Now()
+				trouble(f, load)
+				time.Sleep(15*time.Second - time.Since(begun))
+				most := 0
+				for _, worker := range f.workers {
+					most = max(most, worker.mostInPause(4*time.Second))
+				}
+				t.Logf("%.3f answered; at most %d requests of one daemon in a pause of 4 s", load.share(), most)
+				require.LessOrEqual(t, most, pauseMost)
+				require.NotEmpty(t, f.workers[0].told)
+			})
+		})
+	}
+}
+
+// TestPauseBindsWhoWasAsked lets the daemons that a back end did not ask go on sending to it.
+func TestPauseBindsWhoWasAsked(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.earnRetries()
+		one := f.workers[0]
+		askForPause("8", one)
+		for one.askedBy() == 0 {
+			f.send(0, "/one/safe/")
+		}
+		askForPause("", one)
+		asked, before := f.net.Address(hostOf(0)), one.total()
+		bound := one.sentBy(asked)
+		load := f.randomLoad(limitedLoad)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, bound, one.sentBy(asked))
+		require.Greater(t, one.total(), before+80, "of 400 requests 300 are the other daemons'")
+		time.Sleep(8 * time.Second)
+		require.Greater(t, one.sentBy(asked), bound+20, "nothing is owed once the pause is over")
+		require.Greater(t, load.share(), 0.99)
+	})
+}
+
+// askedBy returns how often a worker asked for a pause.
+func (w *worker) askedBy() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.told)
+}
+
+// sentBy returns how many requests a worker got from a daemon.
+func (w *worker) sentBy(address string) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	count := 0
+	for _, sender := range w.senders {
+		if ipOf(sender) == ipOf(address) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestAllAskForAPause refuses at once, with the time until the first pause is over, while all back ends want nothing
+// of the daemon, and serves again then.
+func TestAllAskForAPause(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.earnRetries()
+		askForPause("4", f.workers...)
+		begun := time.Now()
+		for range 3 {
+			require.Equal(t, http.StatusServiceUnavailable, f.send(0, "/one/safe/").status)
+		}
+		askForPause("", f.workers...)
+		for _, path := range []string{"/one/safe/", "/one/unsafe/"} {
+			sent := time.Now()
+			got := f.send(0, path)
+			require.Less(t, time.Since(sent), 50*time.Millisecond)
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.Equal(t, strconv.Itoa(int(resultcode.BackendsPaused)), got.header.Get(resultcode.HeaderCode))
+			seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.InDelta(t, 4-time.Since(begun).Seconds(), seconds, 0.5)
+		}
+		require.Equal(t, http.StatusOK, f.send(1, "/one/safe/").status, "the others were not asked")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, http.StatusOK, f.send(0, "/one/safe/").status)
+	})
+}
+
+// TestPausesThatCannotBeRead changes nothing by words that name no pause, and tells of them once.
+func TestPausesThatCannotBeRead(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		load := f.randomLoad(limitedLoad)
+		time.Sleep(2 * time.Second)
+		for number, value := range []string{"soon", "-4", "0"} {
+			f.workers[number].change(func() { f.workers[number].pauseEvery = 10 })
+			askForPause(value, f.workers[number])
+		}
+		time.Sleep(10 * time.Second)
+		require.Greater(t, load.share(), 0.95)
+		logged := f.logs.String()
+		require.Contains(t, logged, `header Retry-After: value \"soon\"`)
+		require.NotContains(t, logged, "asks for a pause")
+	})
+}
--- /dev/null
+++ b/pushback/pushback_test.go
@@ -0,0 +1,126 @@
+package pushback_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/pushback"
+)
+
+var (
+	start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	key   = backend.Key{Service: "board", Backend: "i-1"}
+)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestParseRetryAfter reads small and odd figures each in a stated way.
+func TestParseRetryAfter(t *testing.T) {
+	for name, one := range map[string]struct {
+		values []string
+		want   time.Duration
+		fails  string
+	}{
+		"seconds":                 {values: []string{"4"}, want: 4 * time.Second},
+		"fractions":               {values: []string{"0.25"}, want: 250 * time.Millisecond},
+		"blanks around":           {values: []string{" 4 "}, want: 4 * time.Second},
+		"at once":                 {values: []string{"0"}},
+		"absent":                  {},
+		"a date":                  {values: []string{"Tue, 01 Jan 2030 00:00:07 GMT"}, want: 7 * time.Second},
+		"a date that is past":     {values: []string{"Tue, 01 Jan 2019 00:00:07 GMT"}},
+		"a date far away":         {values: []string{"Tue, 01 Jan 2099 00:00:07 GMT"}, want: pushback.MaxPause},
+		"huge":                    {values: []string{"1e300"}, want: pushback.MaxPause},
+		"twice: the longer":       {values: []string{"2", "4"}, want: 4 * time.Second},
+		"one of them unreadable":  {values: []string{"soon", "4"}, want: 4 * time.Second},
+		"empty":                   {values: []string{""}, fails: `value ""`},
+		"a word":                  {values: []string{"soon"}, fails: `value "soon"`},
+		"negative":                {values: []string{"-1"}, fails: `value "-1"`},
+		"not a number":            {values: []string{"NaN"}, fails: `value "NaN"`},
+		"infinite":                {values: []string{"Inf"}, fails: `value "Inf"`},
+		"beyond what a float has": {values: []string{"1e309"}, fails: `value "1e309"`},
+		"hexadecimal":             {values: []string{"0x10"}, fails: `value "0x10"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := pushback.ParseRetryAfter(one.values, start)
+			if one.fails != "" {
+				require.ErrorContains(t, err, one.fails)
+			} else {
+				require.NoError(t, err)
+			}
+			require.Equal(t, one.want, got)
+		})
+	}
+}
+
+// FuzzParseRetryAfter never reads a pause that is negative or longer than the longest.
+func FuzzParseRetryAfter(f *testing.F) {
+	for _, seed := range []string{"4", "0", "-0", "1e309", "Tue, 01 Jan 2030 00:00:07 GMT", ".5", "5e-324"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		got, err := pushback.ParseRetryAfter([]string{value}, start)
+		if err != nil {
+			require.Zero(t, got)
+		}
+		require.GreaterOrEqual(t, got, time.Duration(0))
+		require.LessOrEqual(t, got, pushback.MaxPause)
+	})
+}
+
+func isPaused(table *pushback.Table, now time.Time, started int64) bool {
+	_, paused := table.Of(now, key, started)
+	return paused
+}
+
+// TestPauseLasts keeps to the longest pause that was asked for, and to none once it is over.
+func TestPauseLasts(t *testing.T) {
+	table := pushback.NewTable()
+	require.True(t, table.Ask(at(0), key, 4*time.Second, 1, "r1", 0))
+	require.False(t, table.Ask(at(1), key, time.Second, 1, "r2", 0), "a shorter one after a longer one")
+	require.True(t, isPaused(table, at(3.9), 1))
+	require.False(t, isPaused(table, at(4), 1))
+	require.False(t, table.Ask(at(3), key, 4*time.Second, 1, "r3", 0), "it goes on")
+	pause, paused := table.Of(at(6.9), key, 1)
+	require.True(t, paused)
+	require.Equal(t, at(0), pause.Since)
+	require.Equal(t, "r3", pause.Request)
+	require.Equal(t, []string{"i-1"}, table.Paused(at(6.9), "board"))
+	require.Empty(t, table.Paused(at(7), "board"))
+	require.Zero(t, table.Forget(at(7)))
+	require.True(t, table.Ask(at(9), key, time.Second, 1, "r4", 0), "another one")
+}
+
+// TestPauseIsOfOneRun lets the run that started later take requests, whatever the earlier one asked for.
+func TestPauseIsOfOneRun(t *testing.T) {
+	table := pushback.NewTable()
+	table.Ask(at(0), key, time.Minute, 1, "r1", 0)
+	require.False(t, isPaused(table, at(1), 2))
+	require.True(t, table.Ask(at(2), key, 4*time.Second, 2, "r2", 0))
+	require.False(t, table.Ask(at(3), key, time.Minute, 1, "r3", 0), "a late answer of the earlier run")
+	require.True(t, isPaused(table, at(5), 2))
+	require.False(t, isPaused(table, at(6), 2))
+}
+
+// TestPausesEndApart draws pauses out by a little, never shorter, so that daemons do not all come back together.
+func TestPausesEndApart(t *testing.T) {
+	for name, one := range map[string]struct{ lasts, longest time.Duration }{
+		"short": {lasts: time.Second, longest: 1100 * time.Millisecond},
+		"long":  {lasts: time.Minute, longest: time.Minute + 500*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, draw := range []float64{0, 0.5, 0.999} {
+				table := pushback.NewTable()
+				table.Ask(at(0), key, one.lasts, 1, "", draw)
+				pause, paused := table.Of(at(0), key, 1)
+				require.True(t, paused)
+				require.GreaterOrEqual(t, pause.Until.Sub(at(0)), one.lasts)
+				require.LessOrEqual(t, pause.Until.Sub(at(0)), one.longest)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/exclusion_test.go
@@ -0,0 +1,131 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestExcludedBackendsAreNotReached guards against a request at a back end that its daemon must not use, by every way in
+// which a back end is chosen.
+func TestExcludedBackendsAreNotReached(t *testing.T) {
+	excluded := Backend{ID: "excluded", Slots: 2, Warm: true}
+	other := Backend{ID: "other", Slots: 2, Warm: true}
+	for name, one := range map[string]struct {
+		backends []Backend
+		request  Request
+		prepare  func(group *Group)
+	}{
+		"beside another":        {backends: []Backend{other, excluded}},
+		"the only one":          {backends: []Backend{excluded}},
+		"a retry":               {backends: []Backend{other, excluded}, request: Request{Tried: []string{"other"}, Repeatable: true}},
+		"bound to it":           {backends: []Backend{excluded}, request: Request{Session: "a"}},
+		"it has had no request": {backends: []Backend{other, excluded}, prepare: func(group *Group) { group.State("excluded").met = false }},
+		"its trial is due": {backends: []Backend{excluded}, request: Request{Repeatable: true}, prepare: func(group *Group) {
+			group.State("excluded").health.Ended(start)
+		}},
+		"many are ejected": {backends: []Backend{other, excluded}, prepare: func(group *Group) {
+			for _, state := range group.States() {
+				for range 5 {
+					state.health.Failure(start)
+				}
+			}
+		}},
+		"of another region": {backends: []Backend{{ID: "excluded", Slots: 2, Warm: true, Elsewhere: true}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			group := warmUpGroup(1, one.backends...)
+			if one.prepare != nil {
+				one.prepare(group)
+			}
+			const lasts = 10 * time.Second
+			request := one.request
+			request.Excluded = []Exclusion{{Backend: "excluded", Until: start.Add(lasts)}, {Backend: "not known"}}
+			total, _ := countPicks(group, "excluded", lasts, request)
+			require.Zero(t, total)
+			if picked, ok := group.PickOfVersion(start, request, "", 0); ok {
+				require.NotEqual(t, "excluded", picked.Backend.ID)
+				group.Finished(picked, start, Success, work)
+			}
+			request.Excluded = nil
+			total, _ = countPicks(group, "excluded", 15*time.Second, request)
+			require.Positive(t, total, "others may reach it")
+		})
+	}
+}
+
+// TestExclusionEnds lets a request that waits have the back end once the exclusion is over.
+func TestExclusionEnds(t *testing.T) {
+	group := warmUpGroup(1, Backend{ID: "a", Slots: 2, Warm: true})
+	request := Request{Excluded: []Exclusion{{Backend: "a", Until: start.Add(time.Second)}}}
+	_, picked := group.Pick(start, request)
+	require.False(t, picked)
+	until, all := group.AllExcluded(start, request)
+	require.True(t, all)
+	require.Equal(t, start.Add(time.Second), until)
+	_, picked = group.Pick(start.Add(time.Second), request)
+	require.True(t, picked)
+	_, all = group.AllExcluded(start.Add(time.Second), request)
+	require.False(t, all)
+}
+
+// TestAllExcluded tells when the first back end may be reached again, of those that take requests.
+func TestAllExcluded(t *testing.T) {
+	group := warmUpGroup(1, Backend{ID: "a", Slots: 2}, Backend{ID: "b", Slots: 2}, Backend{ID: "leaves", Slots: 2, Drained: true})
+	after := func(id string, seconds int) Exclusion {
+		return Exclusion{Backend: id, Until: start.Add(time.Duration(seconds) * time.Second)}
+	}
+	for name, one := range map[string]struct {
+		excluded []Exclusion
+		all      bool
+		until    time.Time
+	}{
+		"none":                 {},
+		"one of two":           {excluded: []Exclusion{after("a", 3)}},
+		"both":                 {excluded: []Exclusion{after("a", 5), after("b", 3), after("leaves", 1)}, all: true, until: start.Add(3 * time.Second)},
+		"one of them for good": {excluded: []Exclusion{{Backend: "a"}, after("b", 3)}, all: true, until: start.Add(3 * time.Second)},
+		"both for good":        {excluded: []Exclusion{{Backend: "a"}, {Backend: "b"}}, all: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			until, all := group.AllExcluded(start, Request{Excluded: one.excluded})
+			require.Equal(t, one.all, all)
+			require.Equal(t, one.until, until)
+		})
+	}
+}
+
+// TestPausedBackendsAreNotProbed leaves a back end alone that wants nothing of this daemon.
+func TestPausedBackendsAreNotProbed(t *testing.T) {
+	group := warmUpGroup(1, Backend{ID: "a", Slots: 2, Warm: true})
+	group.SetPause("a", start.Add(time.Minute))
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		group.probeCredit = probeCredit
+		_, wanted := group.ProbeTarget(now, time.Second)
+		require.False(t, wanted)
+		group.earnProbes(origin{zone: "zone"})
+		_, wanted = group.StaleTarget(now, time.Millisecond, time.Millisecond)
+		require.False(t, wanted)
+	}
+	_, wanted := group.ProbeTarget(start.Add(time.Minute), time.Second)
+	require.True(t, wanted)
+}
+
+// BenchmarkPickWithExclusions is a choice of a request that must not reach 64 of 256 back ends.
+func BenchmarkPickWithExclusions(b *testing.B) {
+	var backends []Backend
+	request := Request{}
+	for number := range 256 {
+		backends = append(backends, Backend{ID: fmt.Sprint(number), Slots: 3, Warm: true})
+		if number%4 == 0 {
+			request.Excluded = append(request.Excluded, Exclusion{Backend: fmt.Sprint(number)})
+		}
+	}
+	group := warmUpGroup(1, backends...)
+	for b.Loop() {
+		picked, _ := group.Pick(start, request)
+		group.Finished(picked, start, Success, work)
+	}
+}
--- a/routing/follow.go
+++ b/routing/follow.go
@@ -28,7 +28,7 @@
 		if now.Sub(state.followed) < arrival {
 			return nil // later ones came later
 		}
-		if !state.probing && !state.Draining && !state.limit.Limited && !state.Ejected(now) && now.Sub(state.probedAt) >= interval {
+		if !state.probing && !state.Draining && !state.spared(now) && !state.Ejected(now) && now.Sub(state.probedAt) >= interval {
 			return state
 		}
 	}
--- a/routing/group.go
+++ b/routing/group.go
@@ -38,6 +38,7 @@
 	zones   []string // of the back ends, each once
 	found   survey   // of the last request, kept for its memory
 	looks   int
+	asked   uint64 // requests for which a back end was looked for, to mark those that they must not reach
 	learned concurrency
 	short   bool // at the last pick at most one back end had a place
 	// boundsStale says that bounds may have been chosen since places were last short, which
@@ -202,6 +203,8 @@
 	// OfLimits is what the daemon that chooses may use of what limited back ends take; a part of 0:
 	// all of it.
 	OfLimits Share
+	// Excluded are the back ends that it must not reach, though others may.
+	Excluded []Exclusion
 	// Choosers is how many daemons may choose for requests of the service just now, each by
 	// itself; 0 or 1: one dispatcher for all.
 	Choosers int
@@ -211,6 +214,7 @@
 // when every back end is full, draining or ejected, and the request must wait.
 func (g *Group) Pick(now time.Time, request Request) (PickResult, bool) {
 	g.ofLimits = request.sender().ofLimits
+	g.markExcluded(now, &request)
 	g.look(now, request)
 	if request.Session != "" {
 		return g.pickSession(now, request)
@@ -347,7 +351,7 @@
 	if best == nil {
 		return PickResult{}, false
 	}
-	if !g.bears(best, now, request.sender()) {
+	if g.excludes(best) || !g.bears(best, now, request.sender()) {
 		return PickResult{}, false // the request waits: only this one has its session
 	}
 	g.sent(best, now)
@@ -369,12 +373,18 @@
 
 // BoundUntil returns when the back end that a request is bound to by its session takes one again, and false
 // where the request is not bound or may be sent now. It is called after Pick has found no place.
-func (g *Group) BoundUntil(request Request) (time.Time, bool) {
+func (g *Group) BoundUntil(now time.Time, request Request) (time.Time, bool) {
 	if request.Session == "" {
 		return time.Time{}, false
 	}
 	state := g.bound(request.Session)
-	if state == nil || !state.limit.Limited {
+	if state == nil {
+		return time.Time{}, false
+	}
+	if index := slices.IndexFunc(request.Excluded, func(e Exclusion) bool { return e.Backend == state.ID && e.inForce(now) }); index >= 0 {
+		return request.Excluded[index].Until, true
+	}
+	if !state.limit.Limited {
 		return time.Time{}, false
 	}
 	return state.limit.pacing.next(state.limit.takes(), request.sender().ofLimits), true
--- a/routing/leftout.go
+++ b/routing/leftout.go
@@ -12,6 +12,7 @@
 	PhraseEvacuated = "back ends are in evacuated zones"
 	PhraseCold      = "back ends are cold"
 	PhraseLimited   = "back ends ask for fewer requests"
+	PhrasePaused    = "back ends have asked the daemon for a pause"
 )
 
 // Unavailable says why no back end takes requests.
--- a/routing/limit_test.go
+++ b/routing/limit_test.go
@@ -221,7 +221,7 @@
 		_, wanted := group.ProbeTarget(now, time.Second)
 		require.False(t, wanted)
 	}
-	next, bound := group.BoundUntil(request)
+	next, bound := group.BoundUntil(start, request)
 	require.True(t, bound)
 	require.Equal(t, found.Add(spacingOf(limit)), next)
 	_, sent = group.Pick(next, request)
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -22,6 +22,8 @@
 	Refused
 	// Unserved: no answer, part of one, or that the request was not run.
 	Unserved
+	// PushedBack: the back end turned the request away and asked for a pause.
+	PushedBack
 )
 
 // Finished notes the end of a request that Pick counted as sent.
@@ -47,6 +49,9 @@
 		g.learn(picked)
 	case Failed, Unserved:
 		state.health.Failure(now)
+	case PushedBack:
+		state.health.Failure(now)
+		state.warmth = 0 // it begins with one request at a time, so that not all come back together
 	case Ended:
 		// Where one back end after another ended, ten a service and one each 300 ms,
 		// 0.84 of the requests were answered while those that had ended were tried on
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -12,7 +12,7 @@
 func (g *Group) ProbeTarget(now time.Time, silence time.Duration) (string, bool) {
 	var quietest *State
 	for _, state := range g.states {
-		if state.Draining || !g.permits(state, now, g.ofLimits) {
+		if state.Draining || state.PausedUntil.After(now) || !g.permits(state, now, g.ofLimits) {
 			continue
 		}
 		if state.health.TrialDue(now) {
@@ -123,7 +123,7 @@
 // unintroduced returns a back end that has told nothing yet and may be asked, or nil.
 func (g *Group) unintroduced(now time.Time, interval time.Duration) *State {
 	for _, state := range g.working.set(now) {
-		if state.reportAt.IsZero() && state.introduced < introductions && !state.Draining && !state.limit.Limited && !state.Ejected(now) &&
+		if state.reportAt.IsZero() && state.introduced < introductions && !state.Draining && !state.spared(now) && !state.Ejected(now) &&
 			!state.probing && now.Sub(state.probedAt) >= interval {
 			return state
 		}
--- a/routing/region.go
+++ b/routing/region.go
@@ -70,7 +70,7 @@
 	var chosen *State
 	found := 0
 	for _, state := range g.found.eligible {
-		if !state.Elsewhere || state.InFlight > 0 || !state.unheardOf(now) || !g.bears(state, now, as) {
+		if !state.Elsewhere || g.excludes(state) || state.InFlight > 0 || !state.unheardOf(now) || !g.bears(state, now, as) {
 			continue
 		}
 		if found++; g.options.Random.IntN(found) == 0 {
--- a/routing/state.go
+++ b/routing/state.go
@@ -45,6 +45,9 @@
 	Elsewhere bool
 	// Limit is how many requests it says that it takes.
 	Limit backendlimit.Limit
+	// PausedUntil is until when it wants no probes of this daemon. Requests of each daemon say by themselves which back
+	// ends they must not reach.
+	PausedUntil time.Time
 }
 
 // State is what one daemon knows of one back end.
@@ -80,9 +83,10 @@
 	followed   time.Time // when the last request began of which it is to be learned what it met; zero: none
 	probedAt   time.Time
 	// introduced is how often it was asked for its first report.
-	introduced int
-	seenAt     time.Time // when it could first have got a request; zero: never yet
-	met        bool      // it has got one
+	introduced  int
+	seenAt      time.Time // when it could first have got a request; zero: never yet
+	met         bool      // it has got one
+	excludedFor uint64    // the request, by its number in the group, that must not reach it
 	// quietSince is since when the back end holds requests and has answered
 	// none; zero: it holds none.
 	quietSince time.Time
--- a/routing/survey.go
+++ b/routing/survey.go
@@ -97,22 +97,22 @@
 			if !state.health.HasEnded() {
 				found.ejected = append(found.ejected, state)
 			}
-			if found.trial == nil && !tried && state.health.TrialDue(trialAsOf) && g.bears(state, now, as) {
+			if found.trial == nil && !tried && !g.excludes(state) && state.health.TrialDue(trialAsOf) && g.bears(state, now, as) {
 				found.trial = state
 			}
 		case !tried:
-			found.add(state, now, g.full(state, now, as))
+			found.add(state, now, g.excludes(state) || g.full(state, now, as))
 		}
 	}
 	for _, state := range newcomers {
-		if !state.met && !slices.Contains(found.unmet, state) && !g.out(state, now) && !state.Ejected(now) && !g.full(state, now, as) {
+		if !state.met && !g.excludes(state) && !slices.Contains(found.unmet, state) && !g.out(state, now) && !state.Ejected(now) && !g.full(state, now, as) {
 			found.unmet = append(found.unmet, state)
 		}
 	}
 	if len(found.ejected) > outlier.MaxEjected(len(states)) {
 		for _, state := range found.ejected {
 			if !contains(request.Tried, state.ID) {
-				found.add(state, now, g.full(state, now, as))
+				found.add(state, now, g.excludes(state) || g.full(state, now, as))
 			}
 		}
 	}
@@ -147,7 +147,7 @@
 var noneScored = scored{score: math.Inf(1)}
 
 // lookForBests finds, in one walk, the back ends that requests from any zone would get
-// now. A limited one is left out: a probe would take the place of a request there. A walk for each zone and kind of request took 148 µs for 415 back ends in 6 zones,
+// now. One that is limited, or in a pause, is left out: a probe would take the place of a request there. A walk for each zone and kind of request took 148 µs for 415 back ends in 6 zones,
 // 150 times a second; one takes 21 µs (BenchmarkStaleTarget, beside other load).
 func (g *Group) lookForBests(now time.Time) {
 	g.bests = bests{byZone: g.bests.byZone[:0], any: noneScored}
@@ -155,7 +155,7 @@
 		g.bests.byZone = append(g.bests.byZone, noneScored)
 	}
 	for _, state := range g.working.set(now) {
-		if g.out(state, now) || state.Ejected(now) || state.limit.Limited || g.full(state, now, soleSender) {
+		if g.out(state, now) || state.Ejected(now) || state.spared(now) || g.full(state, now, soleSender) {
 			continue
 		}
 		near := &g.bests.byZone[state.zoneNumber]
--- a/routing/version.go
+++ b/routing/version.go
@@ -105,8 +105,9 @@
 	var best *State
 	var bestHash uint64
 	candidates := 0
+	g.markExcluded(now, &request)
 	for _, state := range g.states {
-		if state.Version != version || state.Draining || state.Ejected(now) || contains(request.Tried, state.ID) ||
+		if state.Version != version || state.Draining || g.excludes(state) || state.Ejected(now) || contains(request.Tried, state.ID) ||
 			state.InFlight >= g.mostWithin(state, now, max(state.bound, state.Slots)) || !g.bears(state, now, request.sender()) {
 			continue
 		}
--- a/service/service.go
+++ b/service/service.go
@@ -19,6 +19,7 @@
 	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/pushback"
 	"github.com/tuliphall/tuliphall/quarantine"
 	"github.com/tuliphall/tuliphall/ratelimit"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -36,6 +37,7 @@
 	rates      Rates
 	limits     Limits
 	drains     Drains
+	pauses     Pauses
 	elsewhere  func(zone string) bool
 	declared   atomic.Pointer[declaration]
 	requests   clientPool
@@ -57,6 +59,7 @@
 		rates:      options.Rates,
 		limits:     options.Limits,
 		drains:     options.Drains,
+		pauses:     options.Pauses,
 		elsewhere:  options.Elsewhere,
 		Dispatcher: dispatch.New(rand.New(rand.NewPCG(seed, seed)), config.DefaultQueueLimit),
 		restored:   make(map[string]time.Time),
@@ -193,7 +196,7 @@
 				ID: one.ID, Zone: one.Zone, Version: one.Version, Slots: one.Slots, Window: window(target.Service, *one),
 				// Its zone may have turned cold while it was evacuated.
 				Warm:    one.Warm && now.Sub(restored[one.Zone]) >= warmUp.Lasts,
-				Drained: declared.closed(one) || s.isLeaving(one), Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(one),
+				Drained: declared.closed(one) || s.isLeaving(one), Evacuated: target.Evacuated[one.Zone], WarmUp: warmUp, Started: one.Started, Elsewhere: s.elsewhere(one.Zone), Limit: s.limitOf(one), PausedUntil: s.pausedUntil(one),
 			})
 		}
 		return places
@@ -211,6 +214,79 @@
 	return !s.isLeaving(one)
 }
 
+// Bars says why this daemon must not send a new request to a back end, whoever gave the place; empty: it may.
+func (s *Service) Bars(id string) string {
+	declared := s.declared.Load()
+	one, known := declared.byID[id]
+	switch {
+	case !known:
+		return "it is not declared"
+	case declared.closed(one):
+		return "it is drained by declaration"
+	case s.Dispatcher.Excludes(one.Version):
+		return "its version gets no requests"
+	}
+	if notice, leaving := s.drains.Leaving(s.keyOf(id), one.Started); leaving {
+		return "it is leaving, known for " + time.Since(notice.Since).Round(time.Millisecond).String()
+	}
+	if pause, paused := s.pauses.Of(s.keyOf(id), one.Started); paused {
+		return "it asked for a pause, " + time.Until(pause.Until).Round(time.Millisecond).String() + " of which are left"
+	}
+	return ""
+}
+
+// keyOf names a back end of the service.
+func (s *Service) keyOf(id string) backend.Key {
+	return backend.Key{Service: s.Name(), Backend: id}
+}
+
+// Excluded returns the back ends that have asked this daemon for a pause.
+func (s *Service) Excluded() []routing.Exclusion {
+	ids := s.pauses.Paused(s.Name())
+	if len(ids) == 0 {
+		return nil
+	}
+	declared := s.declared.Load()
+	var excluded []routing.Exclusion
+	for _, id := range ids {
+		if one, known := declared.byID[id]; known {
+			if until := s.pausedUntil(one); !until.IsZero() {
+				excluded = append(excluded, routing.Exclusion{Backend: id, Until: until})
+			}
+		}
+	}
+	return excluded
+}
+
+// AddSignals adds to the back ends' states what is known here of their leaving and of pauses.
+func (s *Service) AddSignals(backends []dispatch.BackendStatus) {
+	declared, now := s.declared.Load(), time.Now()
+	for index := range backends {
+		status := &backends[index]
+		one, known := declared.byID[status.ID]
+		if !known {
+			continue
+		}
+		if notice, leaving := s.drains.Leaving(s.keyOf(one.ID), one.Started); leaving {
+			status.Leaving = &dispatch.LeavingStatus{Source: notice.Source.String(), Told: notice.Told, Since: now.Sub(notice.Since)}
+		}
+		status.PauseLeft = max(s.pausedUntil(one).Sub(now), 0)
+	}
+}
+
+// pausedUntil returns until when a back end has asked this daemon for a pause; zero: it has not.
+func (s *Service) pausedUntil(one *config.Backend) time.Time {
+	pause, _ := s.pauses.Of(s.keyOf(one.ID), one.Started)
+	return pause.Until
+}
+
+// RefreshPause puts in force for this daemon's probes what a back end has asked it for.
+func (s *Service) RefreshPause(id string) {
+	if one, known := s.declared.Load().byID[id]; known {
+		s.Dispatcher.SetPause(id, func() time.Time { return s.pausedUntil(one) })
+	}
+}
+
 // probeConnections bounds the connections to one back end for probes.
 const probeConnections = 2
 
@@ -224,7 +300,7 @@
 
 // limitOf returns how many requests a back end takes.
 func (s *Service) limitOf(one *config.Backend) backendlimit.Limit {
-	record, _ := s.limits.OfRun(backend.Key{Service: s.Name(), Backend: one.ID}, one.Started)
+	record, _ := s.limits.OfRun(s.keyOf(one.ID), one.Started)
 	return record.Limit
 }
 
@@ -242,7 +318,7 @@
 
 // isLeaving says whether a back end is known to be leaving, by its own word or the machine list's.
 func (s *Service) isLeaving(one *config.Backend) bool {
-	_, leaving := s.drains.Leaving(backend.Key{Service: s.Name(), Backend: one.ID}, one.Started)
+	_, leaving := s.drains.Leaving(s.keyOf(one.ID), one.Started)
 	return leaving
 }
 
@@ -284,6 +360,8 @@
 	Limits Limits
 	// Drains knows which back ends are leaving; nil: none is.
 	Drains Drains
+	// Pauses knows which back ends have asked this daemon for a pause; nil: none has.
+	Pauses Pauses
 	// Elsewhere says whether a zone lies in another region; nil: none does. It must not block.
 	Elsewhere func(zone string) bool
 	Log       *slog.Logger // nil: nothing is logged
@@ -302,6 +380,23 @@
 // Leaving implements Drains.
 func (noDrains) Leaving(backend.Key, int64) (drain.Notice, bool) { return drain.Notice{}, false }
 
+// Pauses knows which back ends have asked this daemon for a pause. No method blocks.
+type Pauses interface {
+	// Of returns the pause that the run of a back end that started at a time is in, and false where it is in none.
+	Of(key backend.Key, started int64) (pushback.Pause, bool)
+	// Paused returns the ids of a service's back ends that are in one, whichever their run.
+	Paused(service string) []string
+}
+
+// noPauses knows of none.
+type noPauses struct{}
+
+// Of implements Pauses.
+func (noPauses) Of(backend.Key, int64) (pushback.Pause, bool) { return pushback.Pause{}, false }
+
+// Paused implements Pauses.
+func (noPauses) Paused(string) []string { return nil }
+
 // Limits knows how many requests back ends take. No method blocks.
 type Limits interface {
 	// OfRun returns what the run of a back end that started at a time has said, and false where it
@@ -366,6 +461,9 @@
 	if options.Limits == nil {
 		options.Limits = noLimits{}
 	}
+	if options.Pauses == nil {
+		options.Pauses = noPauses{}
+	}
 	if options.Drains == nil {
 		options.Drains = noDrains{}
 	}
--- /dev/null
+++ b/signals/list_test.go
@@ -0,0 +1,46 @@
+package signals_test
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/signals"
+)
+
+// ofRequests are the fields of a dialect that name headers of requests, or no header.
+var ofRequests = []string{"Deadline", "Instance", "Tenant", "SelfPrefix"}
+
+// TestEveryHeaderOfADialectIsListed guards against a signal that a dialect knows and nothing reads.
+func TestEveryHeaderOfADialectIsListed(t *testing.T) {
+	var dialect backend.Dialect
+	fields := reflect.ValueOf(&dialect).Elem()
+	for number := range fields.NumField() {
+		name, field := fields.Type().Field(number).Name, fields.Field(number)
+		if field.Kind() != reflect.String || slices.Contains(ofRequests, name) {
+			continue
+		}
+		field.SetString("X-" + name)
+		listed := slices.ContainsFunc(signals.List(), func(signal signals.Signal) bool { return signal.Header(&dialect) == "X-"+name })
+		require.True(t, listed, "field %s of backend.Dialect", name)
+	}
+}
+
+// TestListInDocs keeps docs/back-end-signals.md equal to the code.
+func TestListInDocs(t *testing.T) {
+	text, err := os.ReadFile("../docs/back-end-signals.md")
+	require.NoError(t, err)
+	rows := regexp.MustCompile(`(?m)^\| [^|]+ \| `+"`"+`[^|]*\|.*$`).FindAllString(string(text), -1)
+	dialect := backend.DefaultDialect()
+	var wanted []string
+	for _, signal := range signals.List() {
+		wanted = append(wanted, fmt.Sprintf("| %s | `%s` | %s | %s |", signal.Says, signal.Header(&dialect), signal.ReadBy, signal.Effect))
+	}
+	require.Equal(t, wanted, rows)
+}
--- a/signals/reader.go
+++ b/signals/reader.go
@@ -11,8 +11,12 @@
 	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/pushback"
 )
 
+// headerRetryAfter holds, of a refusal, for how long the back end wants nothing more (RFC 9110, 10.2.3).
+const headerRetryAfter = "Retry-After"
+
 // Answer is an answer of a back end.
 type Answer struct {
 	backend.Key
@@ -50,12 +54,18 @@
 	Hear(word drain.Word)
 }
 
+// Pauses is told of back ends that ask this daemon for a pause. It must not block.
+type Pauses interface {
+	Ask(key backend.Key, lasts time.Duration, started int64, request string)
+}
+
 // Options are a Reader's collaborators.
 type Options struct {
 	// Dialect is how back ends spell their signals.
 	Dialect backend.Dialect
 	Limits  Limits
 	Drains  Drains
+	Pauses  Pauses
 	Log     *slog.Logger
 	Metrics tally.Scope
 }
@@ -83,7 +93,7 @@
 func NewReader(options Options) *Reader {
 	log := logging.Part(options.Log, "signals")
 	return &Reader{
-		options: options, log: log, unread: newUnread(log, options.Metrics),
+		options: options, log: log, unread: newUnread(&options.Dialect, log, options.Metrics),
 		unreadable: options.Metrics.Counter("backend_signals_unreadable"), warned: logging.NewOnce[badValue](maxBadValues),
 	}
 }
@@ -98,11 +108,12 @@
 		return
 	}
 	r.readDraining(answer)
+	r.readPause(answer)
 	r.options.Limits.Hear(answer.Header, backendlimit.Answer{
 		Key: answer.Key, Started: answer.Started, Sent: answer.Sent, Probe: answer.isProbe(),
 		Failed: answer.Refused || answer.Status >= http.StatusInternalServerError,
 	})
-	r.unread.look(&r.options.Dialect, answer.Header, answer.Service, answer.Backend)
+	r.unread.look(answer.Header, answer.Refused || answer.isProbe(), answer.Service, answer.Backend)
 }
 
 // readDraining reads whether the back end is leaving.
@@ -120,6 +131,31 @@
 	}
 }
 
+// readPause reads whether the back end turned the request away and wants nothing more from this daemon for a while.
+func (r *Reader) readPause(answer Answer) {
+	lasts, err := pauseOf(answer.Status, answer.Header)
+	switch {
+	case err != nil:
+		r.noteUnreadable(answer.Key, headerRetryAfter, err)
+	case lasts > 0:
+		r.options.Pauses.Ask(answer.Key, lasts, answer.Started, answer.Request)
+	}
+}
+
+// AsksForPause says whether a back end turned a request away and wants nothing more for a while.
+func AsksForPause(response *http.Response) bool {
+	lasts, err := pauseOf(response.StatusCode, response.Header)
+	return err == nil && lasts > 0
+}
+
+// pauseOf returns for how long the back end that gave an answer wants nothing more; 0: it does not say so.
+func pauseOf(status int, header http.Header) (time.Duration, error) {
+	if status != http.StatusServiceUnavailable {
+		return 0, nil
+	}
+	return pushback.ParseRetryAfter(header.Values(headerRetryAfter), time.Now())
+}
+
 func (r *Reader) tellDrain(answer Answer, draining bool) {
 	r.options.Drains.Hear(drain.Word{
 		WordKey: drain.WordKey{Key: answer.Key, Source: drain.FromBackend}, Draining: draining, Started: answer.Started, Sent: answer.Sent, Request: answer.Request,
--- a/signals/reader_test.go
+++ b/signals/reader_test.go
@@ -19,6 +19,11 @@
 type heard struct {
 	words  []drain.Word
 	limits []backendlimit.Answer
+	pauses []time.Duration
+}
+
+func (h *heard) Ask(_ backend.Key, lasts time.Duration, _ int64, _ string) {
+	h.pauses = append(h.pauses, lasts)
 }
 
 func (h *heard) Hear(word drain.Word) { h.words = append(h.words, word) }
@@ -32,7 +37,7 @@
 func newReader(dialect backend.Dialect) (*signals.Reader, *heard, tally.TestScope) {
 	got, scope := new(heard), tally.NewTestScope("", nil)
 	return signals.NewReader(signals.Options{
-		Dialect: dialect, Limits: heardLimits{got}, Drains: got, Log: slog.New(slog.DiscardHandler), Metrics: scope,
+		Dialect: dialect, Limits: heardLimits{got}, Drains: got, Pauses: got, Log: slog.New(slog.DiscardHandler), Metrics: scope,
 	}), got, scope
 }
 
@@ -96,3 +101,27 @@
 	require.Empty(t, got.words)
 	require.EqualValues(t, 3, scope.Snapshot().Counters()["backend_signals_unreadable+"].Value())
 }
+
+// TestPausesAreReadOfRefusals guards against a back end that asks for a pause in vain, and against one left alone for
+// what an answer tells its caller.
+func TestPausesAreReadOfRefusals(t *testing.T) {
+	for name, one := range map[string]struct {
+		answer signals.Answer
+		want   []time.Duration
+	}{
+		"a refusal":              {answer: answered("r", 503, "Retry-After", "4"), want: []time.Duration{4 * time.Second}},
+		"an answer to a probe":   {answer: answered("", 503, "Retry-After", "4"), want: []time.Duration{4 * time.Second}},
+		"no time":                {answer: answered("r", 503)},
+		"at once":                {answer: answered("r", 503, "Retry-After", "0")},
+		"not readable":           {answer: answered("r", 503, "Retry-After", "soon")},
+		"too many requests":      {answer: answered("r", 429, "Retry-After", "4")},
+		"a success":              {answer: answered("r", 200, "Retry-After", "4")},
+		"another back end's own": {answer: answered("r", 421, "Retry-After", "4")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader, got, _ := newReader(backend.DefaultDialect())
+			reader.Take(one.answer)
+			require.Equal(t, one.want, got.pauses)
+		})
+	}
+}
--- a/signals/unread.go
+++ b/signals/unread.go
@@ -21,20 +21,20 @@
 	log     *slog.Logger
 	counter tally.Counter
 	names   *logging.Once[string]
+	prefix  string          // of headers by which back ends speak of themselves; empty: there is none
+	known   map[string]bool // headers that are read, or need not be
 }
 
-func newUnread(log *slog.Logger, scope tally.Scope) *unread {
-	return &unread{log: log, counter: scope.Counter("backend_headers_unread"), names: logging.NewOnce[string](maxUnread)}
+func newUnread(dialect *backend.Dialect, log *slog.Logger, scope tally.Scope) *unread {
+	return &unread{prefix: dialect.SelfPrefix, known: namesOf(dialect), log: log, counter: scope.Counter("backend_headers_unread"), names: logging.NewOnce[string](maxUnread)}
 }
 
-// look counts the headers of an answer by which a back end speaks of itself and which nothing reads,
-// and logs each name once.
-func (u *unread) look(dialect *backend.Dialect, header http.Header, service, backend string) {
-	if dialect.SelfPrefix == "" {
-		return
-	}
+// look counts the headers of an answer by which a back end speaks of itself and which nothing reads, and logs each
+// name once. ours says that the answer is not passed on, so that all that it says is for this daemon.
+func (u *unread) look(header http.Header, ours bool, service, backend string) {
 	for name := range header {
-		if strings.HasPrefix(name, dialect.SelfPrefix) && !dialect.Reads(name) {
+		ofItself := ours && !ordinary[name] || u.prefix != "" && strings.HasPrefix(name, u.prefix)
+		if ofItself && !u.known[name] {
 			u.note(name, service, backend)
 		}
 	}
--- a/slots/server.go
+++ b/slots/server.go
@@ -207,10 +207,22 @@
 	return dispatch.Request{
 		Weight: int(from.Weight), Wait: microseconds(from.WaitUs), Deadline: now.Add(microseconds(from.RemainingUs)), FirstTry: now.Add(-microseconds(from.AgeUs)),
 		Class: from.Class, Tenant: from.Tenant, Objective: microseconds(from.ObjectiveUs), Fingerprints: quarantine.Fingerprints{Exact: quarantine.Fingerprint(from.Fingerprint), Broad: quarantine.Fingerprint(from.Broad)},
-		Routing: routing.Request{Session: from.Session, Tried: from.Tried, Repeatable: from.Repeatable, Zone: from.Zone},
+		Routing: routing.Request{Session: from.Session, Tried: from.Tried, Repeatable: from.Repeatable, Zone: from.Zone, Excluded: decodeExclusions(now, from.Excluded)},
 	}
 }
 
+func decodeExclusions(now time.Time, encoded []*peerpb.Exclusion) []routing.Exclusion {
+	exclusions := make([]routing.Exclusion, 0, len(encoded))
+	for _, one := range encoded {
+		exclusion := routing.Exclusion{Backend: one.Backend}
+		if one.LeftUs > 0 {
+			exclusion.Until = now.Add(microseconds(one.LeftUs))
+		}
+		exclusions = append(exclusions, exclusion)
+	}
+	return exclusions
+}
+
 func refusal(id uint64, err error) *peerpb.SlotReply {
 	if errors.Is(err, service.ErrOverBudget) {
 		return &peerpb.SlotReply{Id: id, Refusal: &peerpb.Refusal{OverBudget: true}}
--- a/slots/session.go
+++ b/slots/session.go
@@ -319,9 +319,22 @@
 		Tried: request.Routing.Tried, Repeatable: request.Routing.Repeatable, Zone: request.Routing.Zone,
 		AgeUs: age(now, request.FirstTry).Microseconds(), Class: request.Class, ObjectiveUs: request.Objective.Microseconds(),
 		Fingerprint: uint64(request.Fingerprints.Exact), Broad: uint64(request.Fingerprints.Broad), Tenant: request.Tenant,
+		Excluded: encodeExclusions(now, request.Routing.Excluded),
 	}
 }
 
+func encodeExclusions(now time.Time, exclusions []routing.Exclusion) []*peerpb.Exclusion {
+	encoded := make([]*peerpb.Exclusion, 0, len(exclusions))
+	for _, exclusion := range exclusions {
+		one := &peerpb.Exclusion{Backend: exclusion.Backend}
+		if !exclusion.Until.IsZero() {
+			one.LeftUs = max(exclusion.Until.Sub(now).Microseconds(), 1)
+		}
+		encoded = append(encoded, one)
+	}
+	return encoded
+}
+
 // age returns for how long the caller has waited; 0 where that is not known.
 func age(now, firstTry time.Time) time.Duration {
 	if firstTry.IsZero() {
