--- a/drain/keeper.go
+++ b/drain/keeper.go
@@ -87,14 +87,14 @@
 	k.gauge.Update(float64(k.table.Draining()))
 }
 
-// logChange logs what is known from now on. request is the id of the one whose answer said it; empty: none did.
+// logChange logs what is known from now on. request is the id of the request whose answer said it; empty: none did.
 func (k *Keeper) logChange(record Record, heardFrom, request string) {
 	message := "back end is leaving"
 	if !record.Draining {
 		message = "back end is back"
 	}
 	k.log.Info(message, "service", record.Service, "backend", record.Backend, "started", record.Started, "source", record.Source.String(),
-		"heard_from", heardFrom, "request", request)
+		"heard_from", heardFrom, "by_request", request)
 }
 
 // Leaving returns on whose word the run of a back end that started at a time is leaving, and false where nobody
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -57,6 +57,12 @@
 		return l.overloaded(outcome)
 	case resultcode.NoBackend:
 		return l.noBackend(outcome)
+	case resultcode.BackendsPaused:
+		return Cause{
+			Kind: "back ends asked for a pause", At: outcome.Service,
+			Sentence: fmt.Sprintf("Every back end of %s had turned requests of %s away and asked it for a pause (%s); the request has not run, and may come back after %s. See the lines 'back end asks for a pause' of %s.",
+				outcome.Service, outcome.Daemon, outcome.Cause, outcome.RetryAfter, outcome.Daemon),
+		}
 	case resultcode.CrashingRequest:
 		return Cause{
 			Kind: "back ends ended under the request", At: outcome.Service,
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -13,6 +13,8 @@
 	Request string
 	Story   []Line
 	Cause   Cause
+	// Known is what daemons knew of the back ends that the request was sent to, where that might have kept it away.
+	Known []string
 }
 
 // Explain explains a request. The error is errors.NotFound where no line has its id.
@@ -21,7 +23,7 @@
 	if len(story) == 0 {
 		return Explanation{}, errors.NotFoundf("request %s in %d lines: it never reached a daemon whose log this is, or its lines were left out; it", request, l.lines)
 	}
-	return Explanation{Request: request, Story: story, Cause: l.causeOf(story)}, nil
+	return Explanation{Request: request, Story: story, Cause: l.causeOf(story), Known: l.knownOf(story)}, nil
 }
 
 // Print writes the explanation for a person.
@@ -35,6 +37,11 @@
 	if err == nil && e.Cause.Belief != "" {
 		_, err = fmt.Fprintf(out, "Believed: %s\n", e.Cause.Belief)
 	}
+	for _, known := range e.Known {
+		if err == nil {
+			_, err = fmt.Fprintf(out, "Known: %s\n", known)
+		}
+	}
 	return err
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -89,6 +89,8 @@
 			"back end too slow", "b1", "before b1 gave up with status 504 of its own after 1s; b1 answered others meanwhile", "d2 chose b1"},
 		{"silent", []string{`0.9s|d3|frontend: answered|"request":"r0","service":"s","backend":"b1"`, "1s|d1|routing: chosen|" + chosen, "2s|d1|frontend: failed|" + failed + `"code":3006,"sent":1,"backends":"b1","total":1000000000`},
 			"back end silent", "b1", "the caller left after 1s; b1 answered nobody after 12:00:00.900", "by a report 5ms old"},
+		{"back ends paused", []string{"1.1s|d1|frontend: failed|" + failed + `"code":2021,"run":"not-run","cause":"2 of 2 back ends have asked the daemon for a pause","retry_after":3000000000`},
+			"back ends asked for a pause", "s", "may come back after 3s", ""},
 		{"caller gone", []string{"1s|d1|frontend: failed|" + failed + `"code":2015,"total":30000000`}, "caller left while it waited", "s", "30ms", ""},
 		{"caller gone before a connection", []string{"1s|d1|frontend: failed|" + failed + `"code":2015,"sent":1,"backends":"b1","total":1000000000`}, "back end not reached", "b1", "before the caller left after 1s; it has not run", ""},
 		{"broken off by the caller", []string{`1s|d1|frontend: answer broken off|"request":"r1","service":"s","side":"caller","cause":"write: broken pipe","backends":"b1"`},
@@ -164,3 +166,39 @@
 	require.Equal(t, 2*time.Second, groups[0].Last.Time.Sub(groups[0].First.Time))
 	require.Equal(t, "caller left while it waited", groups[1].Kind)
 }
+
+// TestWhatWasKnownOfABackend tells from a request's id whether its daemon knew that the back end was leaving, since when
+// and from whom, and of a pause that it had asked for.
+func TestWhatWasKnownOfABackend(t *testing.T) {
+	const answered = `1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200`
+	heard := func(at, daemon, backend, from, request string) string {
+		return fmt.Sprintf(`%s|%s|drains: back end is leaving|"service":"s","backend":%q,"source":"back end","heard_from":%q,"by_request":%q`, at, daemon, backend, from, request)
+	}
+	for name, one := range map[string]struct {
+		lines []string
+		known string
+	}{
+		"nobody said so":        {},
+		"of another back end":   {lines: []string{heard("0.5s", "d1", "b2", "daemon", "")}},
+		"another daemon knew":   {lines: []string{heard("0.5s", "d2", "b1", "back end", "r0")}},
+		"it knew by an answer":  {lines: []string{heard("0.5s", "d1", "b1", "back end", "r0")}, known: "d1 knew since 12:00:00.500 that b1 was leaving, by the back end, heard from a back end, with the answer to request r0."},
+		"it knew by a daemon":   {lines: []string{heard("0.5s", "d1", "b1", "daemon", "")}, known: "d1 knew since 12:00:00.500 that b1 was leaving, by the back end, heard from a daemon."},
+		"it heard so later":     {lines: []string{heard("1.5s", "d1", "b1", "daemon", "")}, known: "d1 did not know yet that b1 was leaving; it heard so at 12:00:01.500, by the back end, from a daemon."},
+		"the back end was back": {lines: []string{heard("0.5s", "d1", "b1", "daemon", ""), `0.7s|d1|drains: back end is back|"service":"s","backend":"b1"`}},
+		"in a pause":            {lines: []string{`0.5s|d1|pushback: back end asks for a pause|"service":"s","backend":"b1","lasts":4000000000,"by_request":"r0"`}, known: "d1 had been asked by b1 at 12:00:00.500 for a pause of 4s, with the answer to request r0."},
+		"after a pause":         {lines: []string{`0.5s|d1|pushback: back end asks for a pause|"service":"s","backend":"b1","lasts":400000000,"by_request":"r0"`}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			explained, err := read(t, text(append(one.lines, "1s|d1|routing: chosen|"+chosen, answered)...)).Explain("r1")
+			require.NoError(t, err)
+			if one.known == "" {
+				require.Empty(t, explained.Known)
+				return
+			}
+			require.Equal(t, []string{one.known}, explained.Known)
+			var printed bytes.Buffer
+			require.NoError(t, explained.Print(&printed))
+			require.Contains(t, printed.String(), "Known: "+one.known)
+		})
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -58,6 +58,10 @@
 	BeforeRevision Text   `json:"before"`
 	Source         Text   `json:"source"`
 	Error          string `json:"error"`
+	// Of what a back end says of itself: who told the daemon, the request whose answer said it, and how long a pause lasts.
+	HeardFrom string   `json:"heard_from"`
+	ByRequest string   `json:"by_request"`
+	Lasts     Duration `json:"lasts"`
 
 	// Text is the line as it was written.
 	Text string `json:"-"`
--- a/explain/log.go
+++ b/explain/log.go
@@ -22,6 +22,9 @@
 	messageDispatcher = "membership: dispatcher chosen"
 	messageEjected    = "outlier: back end ejected"
 	messageSourceLost = "configuration: source lost"
+	messageLeaving    = "drains: back end is leaving"
+	messageBack       = "drains: back end is back"
+	messagePause      = "pushback: back end asks for a pause"
 )
 
 // Log holds the lines of many daemons.
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -99,7 +99,7 @@
 	if kept {
 		client = c.client
 	}
-	c.fleet.report.sent(id, unsafe)
+	c.fleet.report.sent(id, target.currentLife(), unsafe)
 	response, got, err := c.exchange(client, target, method, id, path)
 	if err == nil {
 		c.fleet.report.answered(id, path, response, got)
@@ -145,7 +145,7 @@
 	calm := c.fleet.calmFor()
 	id := c.nextID()
 	path := fmt.Sprintf("/change-%d/%s", route, id)
-	c.fleet.report.sent(id, false)
+	c.fleet.report.sent(id, target.currentLife(), false)
 	begun := time.Now()
 	response, got, err := c.exchange(c.fresh, target, http.MethodGet, id, path)
 	if err != nil {
--- a/lab/soak/crashing.go
+++ b/lab/soak/crashing.go
@@ -97,7 +97,7 @@
 		target := c.fleet.daemons[rand.IntN(len(c.fleet.daemons))]
 		sending.Go(func() {
 			id := c.nextID()
-			c.fleet.report.sent(id, false)
+			c.fleet.report.sent(id, target.currentLife(), false)
 			response, got, err := c.exchange(c.fresh, target, http.MethodGet, id, path)
 			if err == nil {
 				c.fleet.report.answered(id, path, response, got)
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -93,6 +93,13 @@
 
 func (p *process) at(port string) string { return p.address + ":" + port }
 
+// currentLife names the present life of the daemon.
+func (p *process) currentLife() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return fmt.Sprintf("%s life %d", p.name, p.life)
+}
+
 // start starts the daemon. It does not wait until it is ready.
 func (p *process) start() error {
 	p.mutex.Lock()
--- a/lab/soak/pipeline.go
+++ b/lab/soak/pipeline.go
@@ -36,7 +36,7 @@
 	for range count {
 		id := c.nextID()
 		ids = append(ids, id)
-		c.fleet.report.sent(id, false)
+		c.fleet.report.sent(id, target.currentLife(), false)
 		fmt.Fprintf(&sent, "GET /safe/%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n", id, host, id)
 	}
 	// Where the daemon takes no more, the answers tell: it has closed the connection.
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -124,6 +124,17 @@
 		during(func(on bool) { one.full = on })
 	case WorkerLimit:
 		during(one.setLimit)
+	case WorkerPause:
+		during(one.setPushback)
+	case WorkerWord:
+		if leaving := f.removeWorker(fault.Target); leaving != nil {
+			f.replace()
+			leaving.change(func() { leaving.leaves = true })
+			time.Sleep(fault.Length)
+			f.store.Remove("servers", leaving.id)
+			time.Sleep(drainMore)
+			leaving.end()
+		}
 	case WorkerLies:
 		during(func(on bool) { one.lies = on })
 	case WorkerCrash:
@@ -137,7 +148,7 @@
 		if leaving := f.removeWorker(fault.Target); leaving != nil {
 			f.replace()
 			f.list(leaving, "draining")
-			leaving.change(func() { leaving.left = time.Now() })
+			leaving.change(func() { leaving.left, leaving.leaves = time.Now(), true })
 			time.Sleep(drainTime + drainMore)
 			f.store.Remove("servers", leaving.id)
 			time.Sleep(drainMore)
--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -40,10 +40,11 @@
 
 // request is one request of a caller.
 type request struct {
-	unsafe bool
-	sent   time.Time
-	runs   int
-	notRun bool // the caller was told so
+	unsafe  bool
+	through string // life of the daemon
+	sent    time.Time
+	runs    int
+	notRun  bool // the caller was told so
 }
 
 func newReport(progress io.Writer) *report {
@@ -93,11 +94,11 @@
 	return time.Since(r.faultEnded)
 }
 
-// sent notes a request before it is sent.
-func (r *report) sent(id string, unsafe bool) {
+// sent notes a request before it is sent through a life of a daemon.
+func (r *report) sent(id, through string, unsafe bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.requests[id] = &request{unsafe: unsafe, sent: time.Now()}
+	r.requests[id] = &request{unsafe: unsafe, through: through, sent: time.Now()}
 	r.counts["sent"]++
 }
 
@@ -124,6 +125,7 @@
 func (r *report) arrivedAtLeaving(worker, id string, age time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.counts["at a leaving back end"]++
 	if age > drainBound && r.calmFor() > age+settleTime {
 		r.violated("DRAIN: %s reached %s %s after it said that it leaves", id, worker, age)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -43,6 +43,7 @@
 		"sent to a leaving back end": {"DRAIN", func(r *report) { r.arrivedAtLeaving("i-1", "s-1", drainBound+time.Second) }},
 		"sent to an evacuated zone":  {"EVACUATED", func(r *report) { r.arrivedAtEvacuated("i-1", "s-1", evacuationBound+time.Second) }},
 		"more than a back end takes": {"LIMIT", func(r *report) { r.arrivedAtLimited("i-1", limitBound+1) }},
+		"sent in a pause":            {"PAUSE", func(r *report) { r.arrivedInPause("i-1", "d-1 life 1", pauseBound+1) }},
 		"sent again after it ended three back ends": {"BUDGET", func(r *report) {
 			path := crashPath + "1"
 			for range crashesTold {
@@ -63,8 +64,8 @@
 		t.Run(name, func(t *testing.T) {
 			r := newReport(io.Discard)
 			r.faultEnded = time.Now().Add(-time.Minute)
-			r.sent("u-1", true)
-			r.sent("s-1", false)
+			r.sent("u-1", "d-1 life 1", true)
+			r.sent("s-1", "d-1 life 1", false)
 			one.breaks(r)
 			require.Len(t, r.violations, 1)
 			require.Contains(t, r.violations[0], one.want)
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -36,10 +36,14 @@
 	loses   bool
 	full    bool
 	lies    bool
+	leaves  bool      // its answers say so
 	left    time.Time // since when the store says that it leaves; zero: it does not
 	// evacuated is since when the store says that its zone is; zero: it does not.
 	evacuated time.Time
 	limit     limit
+	pushback  pushback
+	// leaving is since when its answers say that it leaves; zero: they do not.
+	leaving time.Time
 }
 
 func startWorker(id, address, proxyAddress string, report *report) (*worker, error) {
@@ -79,6 +83,20 @@
 	return strings.Repeat(hex.EncodeToString(sum[:]), 8)
 }
 
+// sayLeaving says that the back end leaves, if it does, and returns since when an answer says so; zero: none does.
+func (w *worker) sayLeaving(header http.Header) (since time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.leaves {
+		return time.Time{}
+	}
+	if w.leaving.IsZero() {
+		w.leaving = time.Now()
+	}
+	header.Set("Server-Leaving", "1")
+	return w.leaving
+}
+
 // enter takes a place in the queue, and says whether there was one.
 func (w *worker) enter() bool {
 	w.mutex.Lock()
@@ -111,6 +129,14 @@
 	if !left.IsZero() {
 		w.report.arrivedAtLeaving(w.id, id, time.Since(left))
 	}
+	if since := w.sayLeaving(rw.Header()); !since.IsZero() {
+		w.report.arrivedAtLeaving(w.id, id, time.Since(since))
+	}
+	if w.pushesBack(rw.Header(), id) {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !evacuated.IsZero() {
 		w.report.arrivedAtEvacuated(w.id, id, time.Since(evacuated))
 	}
--- a/pushback/keeper.go
+++ b/pushback/keeper.go
@@ -57,7 +57,7 @@
 	k.mutex.Unlock()
 	k.options.Apply(key)
 	if begins {
-		k.log.Info("back end asks for a pause", "service", key.Service, "backend", key.Backend, "started", started, "lasts", lasts, "request", request)
+		k.log.Info("back end asks for a pause", "service", key.Service, "backend", key.Backend, "started", started, "lasts", lasts, "by_request", request)
 	}
 }
 
