A good version is not taken back as all back ends turn slow while requests move to it

Cause: the slowness of its answers was weighed against that of the old version's of the last seconds, which has hardly any left then; those that it has are of before, or are its fastest. The mend: while requests move, they are weighed against old requests that were sent in the same quarter of a second, those under way counted as slow.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -149,7 +149,7 @@
 func (c *Core) place(now, since time.Time, request Request, result routing.PickResult) *Place {
 	known := c.work.of(request.Class)
 	if c.rollout != nil {
-		c.rollout.Granted(now)
+		c.rollout.Granted(now, result.Backend.Version)
 	}
 	place := &Place{
 		PickResult: result, Since: since, Sent: now, class: request.Class,
--- a/dispatch/rollout.go
+++ b/dispatch/rollout.go
@@ -64,10 +64,14 @@
 // nothing new: as requests moved to a version of which a quarter of the back ends was gone, the trials of these
 // accused it.
 func (c *Core) judge(now time.Time, place *Place, outcome routing.Outcome, latency time.Duration) {
-	if c.rollout == nil || outcome == routing.Refused || place.Reason == routing.ReasonTrial {
+	if c.rollout == nil {
+		return
+	}
+	if outcome == routing.Refused || place.Reason == routing.ReasonTrial {
+		c.rollout.Untold(place.Sent, place.Backend.Version)
 		return
 	}
-	answer := rollout.Answer{Class: place.class, Backend: place.Backend.ID, Took: latency, Cold: place.Backend.Cold(now)}
+	answer := rollout.Answer{Class: place.class, Backend: place.Backend.ID, Took: latency, Sent: place.Sent, Cold: place.Backend.Cold(now)}
 	switch outcome {
 	case routing.Failed:
 		answer.Failed = true
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -16,12 +16,22 @@
 	// long the answer took.
 	Failed, Unserved bool
 	Took             time.Duration
+	// Sent is when the place was given for the request; zero: so long before the answer as it took.
+	Sent time.Time
 	// GivenUp: nobody waited for the answer any more after Took.
 	GivenUp bool
 	// Cold: the back end has just started, so that it may be slow whatever its version.
 	Cold bool
 }
 
+// sent returns when the request of an answer that came at a time was sent.
+func (a *Answer) sent(at time.Time) time.Time {
+	if a.Sent.IsZero() {
+		return at.Add(-a.Took)
+	}
+	return a.Sent
+}
+
 // What makes an answer bad, and what makes a version worse.
 const (
 	// slowTimes and verySlowTimes are how many times the median of the old version's answers of a
@@ -71,8 +81,11 @@
 	chance  Chance
 	// fromOne bounds what one back end adds to the evidence, and slowFromOne what its slow answers do.
 	fromOne, slowFromOne float64
+	// contemporaries are the old version's requests by when they were sent.
+	contemporaries contemporaries
 	// after is how much later answers are weighed.
 	after   time.Duration
+	moving  bool          // requests move to the new version
 	pending []observation // answers of the new version that are still to be weighed, oldest first
 }
 
@@ -122,9 +135,10 @@
 	return &Judge{classes: make(map[string]*class), fromOne: accuseAt / accusers, slowFromOne: accuseAt / slowAccusers, after: judgeAfter}
 }
 
-// Hasten lets answers be weighed sooner.
-func (j *Judge) Hasten() {
-	j.after = judgeMovingAfter
+// Moving notes that requests move to the new version: answers are weighed sooner, and against requests that were sent to
+// the old one in the same moment.
+func (j *Judge) Moving() {
+	j.after, j.moving = judgeMovingAfter, true
 }
 
 // SetBackends tells how many back ends of the new version there are.
@@ -168,15 +182,27 @@
 	return comparison{exceeds: exceeds, known: exceeds || !answer.GivenUp}
 }
 
+// SentOld notes a request that is sent to the old version now.
+func (j *Judge) SentOld(now time.Time) {
+	j.contemporaries.sent(now)
+}
+
+// UntoldOld notes that a request which was sent to the old version at a time tells nothing of it.
+func (j *Judge) UntoldOld(sent time.Time) {
+	j.contemporaries.answered(sent, comparison{}, comparison{})
+}
+
 // Old takes in an answer of the old version.
 func (j *Judge) Old(now time.Time, answer Answer) {
 	one := j.class(answer.Class)
-	if slow := one.compare(answer, slowTimes); slow.known {
+	slow, verySlow := one.compare(answer, slowTimes), one.compare(answer, verySlowTimes)
+	if slow.known {
 		one.slow.add(now, slow.exceeds)
 	}
-	if slow := one.compare(answer, verySlowTimes); slow.known {
-		one.verySlow.add(now, slow.exceeds)
+	if verySlow.known {
+		one.verySlow.add(now, verySlow.exceeds)
 	}
+	j.contemporaries.answered(answer.sent(now), slow, verySlow)
 	if answer.GivenUp {
 		return
 	}
@@ -219,12 +245,18 @@
 
 func (j *Judge) weighOne(now time.Time, seen observation) {
 	one, answer, later := seen.class, seen.answer, j.usual(now, seen.class)
+	slow, verySlow := max(seen.usual.slow, later.slow), max(seen.usual.verySlow, later.verySlow)
+	if j.moving {
+		// The old version's last answers are of other moments, and the fewer the further requests have moved.
+		slowThen, verySlowThen := j.contemporaries.around(answer.sent(seen.at))
+		slow, verySlow = max(slow, slowThen), max(verySlow, verySlowThen)
+	}
 	if seen.slow.known {
-		j.weigh(answer.Backend, seen.slow.exceeds, max(seen.usual.slow, later.slow), j.slowFromOne, &one.against.slow, &j.all.slow)
+		j.weigh(answer.Backend, seen.slow.exceeds, slow, j.slowFromOne, &one.against.slow, &j.all.slow)
 	}
 	if seen.verySlow.known {
-		one.slowness.add(now, seen.verySlow.exceeds, max(seen.usual.verySlow, later.verySlow))
-		j.weigh(answer.Backend, seen.verySlow.exceeds, max(seen.usual.verySlow, later.verySlow), j.slowFromOne, &one.against.verySlow, &j.all.verySlow)
+		one.slowness.add(now, seen.verySlow.exceeds, verySlow)
+		j.weigh(answer.Backend, seen.verySlow.exceeds, verySlow, j.slowFromOne, &one.against.verySlow, &j.all.verySlow)
 	}
 	if answer.GivenUp {
 		return
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -159,11 +159,14 @@
 	return 0
 }
 
-// Granted notes that a request was given to a back end, whatever its version.
-func (p *Plan) Granted(now time.Time) {
+// Granted notes that a request was given to a back end of a version.
+func (p *Plan) Granted(now time.Time, version string) {
 	if p.order.Phase.Decided() {
 		return
 	}
+	if version != p.order.Version {
+		p.judge.SentOld(now)
+	}
 	p.total++
 	if p.saved < mostSaved {
 		p.saved += p.shareOf(now)
@@ -194,6 +197,13 @@
 	p.saved--
 }
 
+// Untold notes that a request which was given to a back end of a version at a time says nothing of it.
+func (p *Plan) Untold(sent time.Time, version string) {
+	if !p.order.Phase.Decided() && version != p.order.Version {
+		p.judge.UntoldOld(sent)
+	}
+}
+
 // Answered takes in how a request ended.
 func (p *Plan) Answered(now time.Time, version string, answer Answer) {
 	switch {
@@ -260,7 +270,7 @@
 // beginMoving lets requests move, as slowly as there is time for.
 func (p *Plan) beginMoving(now time.Time) {
 	p.movedAt = now
-	p.judge.Hasten()
+	p.judge.Moving()
 	p.ramp = min(time.Duration(rampPart*float64(p.moveTime())), max(p.order.DecisionTime().Sub(now)-settleFor, leastRamp))
 }
 
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -122,7 +122,7 @@
 			return
 		}
 	}
-	w.plan.Granted(w.now)
+	w.plan.Granted(w.now, picked.Backend.Version)
 	w.total++
 	isNew := picked.Backend.Version == "v2"
 	if isNew {
@@ -175,8 +175,9 @@
 			w.group.Report(one.picked.Backend, routing.Report{InFlight: one.picked.Backend.InFlight, Slowdown: w.slowdown(one.picked.Backend.ID)}, false, one.ends)
 		}
 		w.group.Finished(one.picked, one.ends, outcome, one.took)
-		if one.picked.Reason == routing.ReasonTrial {
-			continue // as in package dispatch
+		if one.picked.Reason == routing.ReasonTrial { // as in package dispatch
+			w.plan.Untold(one.ends.Add(-one.took), one.picked.Backend.Version)
+			continue
 		}
 		w.plan.Answered(one.ends, one.picked.Backend.Version, Answer{Class: one.class, Backend: one.picked.Backend.ID, Failed: one.failed && !one.dark, Unserved: one.dark, Took: one.took})
 	}
@@ -483,8 +484,32 @@
 			p.Exposed()
 			exposed++
 		}
-		p.Granted(now)
+		p.Granted(now, "v1")
 		require.LessOrEqual(t, float64(exposed), Share*float64(number)+FirstFew)
 	}
 	require.Greater(t, exposed, 500)
 }
+
+// TestSlowAsRequestsMove guards against taking back a good version because all back ends turn slow while requests move to
+// it, when hardly any at the old ones are left to compare with.
+func TestSlowAsRequestsMove(t *testing.T) {
+	played, taken := 0, 0
+	for _, perSec := range []float64{100, 200, 400} {
+		for name, begins := range map[string]time.Duration{
+			"as they begin to move": 7800 * time.Millisecond, "as half have moved": 9 * time.Second, "as nearly all have moved": 10 * time.Second,
+		} {
+			for seed := range uint64(*rollouts) {
+				w := newWorld(seed, good, perSec, 60)
+				w.trouble = trouble{meets: func(_ *world, since time.Duration, _ string) (bool, float64) {
+					return false, map[bool]float64{true: 6, false: 1}[since > begins]
+				}}
+				played++
+				if phase, _ := w.run(); phase != config.RolloutCompleted {
+					taken++
+					t.Logf("%s, %.0f a second, seed %d: %s", name, perSec, seed, w.plan.Order().Reason)
+				}
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(taken), 0.01*float64(played), "good versions that were taken back, of %d", played)
+}
