--- a/config/route_test.go
+++ b/config/route_test.go
@@ -39,46 +39,60 @@
 // requests each service has its part, to within what the daemons' turns can be off.
 func TestSharesAreKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		weights := rapid.SliceOfN(rapid.IntRange(1, 100), 2, 4).Draw(t, "weights")
-		phases := rapid.SliceOfN(rapid.Float64Range(0, 0.999), 1, 18).Draw(t, "phases")
-		content := config.Content{Routes: []config.Route{{Name: "split", PathPrefix: "/"}}}
-		total := 0
-		for number, weight := range weights {
-			name := fmt.Sprintf("s%d", number)
-			content.Services = append(content.Services, config.Service{Name: name, RoutesOnly: true})
-			content.Routes[0].Shares = append(content.Routes[0].Shares, config.Share{Service: name, Weight: weight})
-			total += weight
+		checkShares(t, rapid.SliceOfN(rapid.IntRange(1, 100), 2, 4).Draw(t, "weights"), rapid.SliceOfN(rapid.Float64Range(0, 0.999), 1, 18).Draw(t, "phases"))
+	})
+}
+
+// TestSharesOfOneDaemonAtTheEndOfATurn guards against a part that is off by more than one daemon's turns can be.
+func TestSharesOfOneDaemonAtTheEndOfATurn(t *testing.T) {
+	checkShares(t, []int{2, 3, 16, 75}, []float64{0.999})
+}
+
+// failer is what checkShares needs of a test.
+type failer interface {
+	Fatal(arguments ...any)
+	Fatalf(format string, arguments ...any)
+}
+
+// checkShares divides requests of daemons, each with a phase of its own, by weights.
+func checkShares(t failer, weights []int, phases []float64) {
+	content := config.Content{Routes: []config.Route{{Name: "split", PathPrefix: "/"}}}
+	total := 0
+	for number, weight := range weights {
+		name := fmt.Sprintf("s%d", number)
+		content.Services = append(content.Services, config.Service{Name: name, RoutesOnly: true})
+		content.Routes[0].Shares = append(content.Routes[0].Shares, config.Share{Service: name, Weight: weight})
+		total += weight
+	}
+	var routes []*config.RunningRoute
+	for range phases { // each daemon has its own
+		snapshot, err := config.NewSnapshot(config.Document{Revision: 1, Content: content})
+		if err != nil {
+			t.Fatal(err)
 		}
-		var routes []*config.RunningRoute
-		for range phases { // each daemon has its own
-			snapshot, err := config.NewSnapshot(config.Document{Revision: 1, Content: content})
-			if err != nil {
-				t.Fatal(err)
-			}
-			route, _ := snapshot.Match("any", "/x")
-			routes = append(routes, route)
+		route, _ := snapshot.Match("any", "/x")
+		routes = append(routes, route)
+	}
+	const span, spans = 300, 10
+	allowed := 0.0
+	for daemon := range phases {
+		turns := span / len(phases)
+		if daemon < span%len(phases) {
+			turns++
 		}
-		const span, spans = 300, 10
-		allowed := 0.0
-		for daemon := range phases {
-			turns := span / len(phases)
-			if daemon < span%len(phases) {
-				turns++
-			}
-			allowed += largestError(turns) / span
+		allowed += largestError(turns) / span
+	}
+	for range spans {
+		chosen := make(map[string]int)
+		for turn := range span {
+			daemon := turn % len(routes)
+			chosen[routes[daemon].Choose(phases[daemon]).Service.Name]++
 		}
-		for range spans {
-			chosen := make(map[string]int)
-			for turn := range span {
-				daemon := turn % len(routes)
-				chosen[routes[daemon].Choose(phases[daemon]).Service.Name]++
-			}
-			for number, weight := range weights {
-				part := float64(chosen[fmt.Sprintf("s%d", number)]) / span
-				if off := math.Abs(part - float64(weight)/float64(total)); off > allowed {
-					t.Fatalf("service %d: part %.4f, off by %.4f, allowed %.4f", number, part, off, allowed)
-				}
+		for number, weight := range weights {
+			part := float64(chosen[fmt.Sprintf("s%d", number)]) / span
+			if off := math.Abs(part - float64(weight)/float64(total)); off > allowed {
+				t.Fatalf("service %d: part %.4f, off by %.4f, allowed %.4f", number, part, off, allowed)
 			}
 		}
-	})
+	}
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -138,13 +138,24 @@
 // number of times, believe the same.
 func TestOrderOfNewsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b, c := records.Draw(t, "a"), records.Draw(t, "b"), records.Draw(t, "c")
-		require.True(t, same(merge(a, b), merge(b, a)), "either order")
-		require.True(t, same(merge(merge(a, b), b), merge(a, b)), "twice")
-		require.True(t, same(merge(merge(a, b), c), merge(a, merge(b, c))), "any grouping")
+		checkOrder(t, records.Draw(t, "a"), records.Draw(t, "b"), records.Draw(t, "c"))
 	})
 }
 
+// TestOrderOfNewsOfTheSameEndings guards against records that differ by which of two times of an ending they keep.
+func TestOrderOfNewsOfTheSameEndings(t *testing.T) {
+	early := Record{Fingerprint: 7, Endings: []Ending{{Backend: 1, At: 1}, {Backend: 2, At: 1}}}
+	late := Record{Fingerprint: 7, Endings: []Ending{{Backend: 1, At: 1}, {Backend: 2, At: 9}}}
+	checkOrder(t, early, late, Record{Fingerprint: 7, Cleared: 1})
+}
+
+// checkOrder merges three records in several orders.
+func checkOrder(t require.TestingT, a, b, c Record) {
+	require.True(t, same(merge(a, b), merge(b, a)), "either order")
+	require.True(t, same(merge(merge(a, b), b), merge(a, b)), "twice")
+	require.True(t, same(merge(merge(a, b), c), merge(a, merge(b, c))), "any grouping")
+}
+
 // TestFloodOfDistinctRequests notes 100,000 distinct requests, each of which ended a back end:
 // the memory stays bounded, what is held back is not forgotten for those that are not, and a
 // look-up takes no longer.
