Service: what back ends say has a file of its own; troubles of the fleet are one list for three tests

What is known of a back end is put in force by the declaration at that moment, not by the one from before: a word on a run that has ended could have been put on the next one (by reading; not seen).

--- a/lab/objectstub/leaving_test.go
+++ b/lab/objectstub/leaving_test.go
@@ -1,7 +1,6 @@
 package objectstub_test
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/tuliphall/tuliphall/daemon"
 	"github.com/tuliphall/tuliphall/lab/objectstub"
 )
 
@@ -91,27 +89,21 @@
 // TestLeavingBackendInTroubles guards against requests to a back end that said with its answers that it leaves,
 // whatever happens meanwhile and by whichever way requests reach back ends.
 func TestLeavingBackendInTroubles(t *testing.T) {
-	down := objectstub.Faults{Down: true}
-	for _, one := range []struct {
-		name    string
-		trouble func(f *fleet, load *randomLoad)
-		// apart: some daemons do not hear of it from others for a while, or all forget it.
-		apart bool
-	}{
-		{name: "none, and the store never says it", trouble: func(*fleet, *randomLoad) {}},
-		{name: "the store is down, and back", trouble: func(f *fleet, _ *randomLoad) {
-			f.store.SetFaults(down)
+	troubles := []trouble{
+		{name: "none, and the store never says it", plays: func(*fleet, *randomLoad) {}},
+		{name: "the store is down, and back", plays: func(f *fleet, _ *randomLoad) {
+			f.store.SetFaults(objectstub.Faults{Down: true})
 			time.Sleep(5 * time.Second)
 			f.store.SetFaults(objectstub.Faults{})
 		}},
-		{name: "watches of the store are deaf", trouble: func(f *fleet, _ *randomLoad) { f.store.SetFaults(objectstub.Faults{Deaf: true}) }},
-		{name: "the store says again that it is ready", trouble: func(f *fleet, _ *randomLoad) {
+		{name: "watches of the store are deaf", plays: func(f *fleet, _ *randomLoad) { f.store.SetFaults(objectstub.Faults{Deaf: true}) }},
+		{name: "the store says again that it is ready", plays: func(f *fleet, _ *randomLoad) {
 			for range 3 {
 				f.announce(f.workers[0], "ready")
 				time.Sleep(time.Second)
 			}
 		}},
-		{name: "its entry lapses and comes back", trouble: func(f *fleet, _ *randomLoad) {
+		{name: "its entry lapses and comes back", plays: func(f *fleet, _ *randomLoad) {
 			for range 3 {
 				f.store.Remove("servers", f.workers[0].id)
 				time.Sleep(1500 * time.Millisecond)
@@ -119,17 +111,17 @@
 				time.Sleep(1500 * time.Millisecond)
 			}
 		}},
-		{name: "the store forgets its history", trouble: func(f *fleet, _ *randomLoad) {
+		{name: "the store forgets its history", plays: func(f *fleet, _ *randomLoad) {
 			f.announce(f.workers[1], "ready")
 			f.store.Compact()
 		}},
-		{name: "configurations come", trouble: func(f *fleet, _ *randomLoad) {
+		{name: "configurations come", plays: func(f *fleet, _ *randomLoad) {
 			for range 5 {
 				f.configure("/one/")
 				time.Sleep(500 * time.Millisecond)
 			}
 		}},
-		{name: "the service is taken out of the configuration, and put back", trouble: func(f *fleet, load *randomLoad) {
+		{name: "the service is taken out of the configuration, and put back", plays: func(f *fleet, load *randomLoad) {
 			load.without(func() {
 				f.split = map[string]int{"other": 1}
 				f.configure("/one/")
@@ -139,66 +131,8 @@
 				time.Sleep(2 * time.Second)
 			})
 		}},
-		{name: "the daemon that dispatches loses power", trouble: func(f *fleet, load *randomLoad) {
-			host := f.dispatcher()
-			load.without(func() {
-				f.powerOff(func(_ *daemon.Daemon, number int) bool { return hostOf(number) == host })
-			})
-		}},
-		{name: "daemons are replaced one by one", trouble: func(f *fleet, load *randomLoad) {
-			for range daemons {
-				load.without(func() { f.restart(0) })
-				time.Sleep(startTime)
-			}
-		}},
-		{name: "all daemons are killed, and others start", apart: true, trouble: func(f *fleet, load *randomLoad) {
-			load.without(func() {
-				f.startAnew()
-				time.Sleep(startTime)
-			})
-		}},
-		{name: "daemons choose back ends by themselves", apart: true, trouble: func(f *fleet, load *randomLoad) {
-			load.without(func() {
-				f.direct = true
-				f.startAnew()
-				time.Sleep(startTime)
-			})
-		}},
-		{name: "half of the daemons are cut off from the others", apart: true, trouble: func(f *fleet, _ *randomLoad) {
-			f.net.SetRule(func(a, b string) bool { return isLeft(a) && isRight(b) || isRight(a) && isLeft(b) })
-			time.Sleep(8 * time.Second)
-			f.net.SetRule(nil)
-		}},
-		{name: "the daemon that dispatches is frozen, and wakes", apart: true, trouble: func(f *fleet, _ *randomLoad) {
-			host := f.dispatcher()
-			f.net.SetFrozen(host, true)
-			time.Sleep(4 * time.Second)
-			f.net.SetFrozen(host, false)
-		}},
-		{name: "requests must not be repeated", trouble: func(_ *fleet, load *randomLoad) { load.once.Store(true) }},
-		{name: "requests go together on a connection, and wait for places", trouble: func(f *fleet, _ *randomLoad) {
-			f.burst(200)
-			for number := range 20 {
-				go f.pipeline(number%daemons, fmt.Sprintf("/one/safe/together-%d", number), 4)
-				time.Sleep(200 * time.Millisecond)
-			}
-		}},
-		{name: "others refuse, so that requests are sent again", trouble: func(f *fleet, _ *randomLoad) {
-			for _, worker := range f.workers[2:] {
-				worker.change(func() { worker.refuse = true })
-			}
-		}},
-		{name: "others are disturbed, so that requests get second attempts", trouble: func(f *fleet, _ *randomLoad) {
-			for _, worker := range f.workers[1:] {
-				worker.change(func() { worker.disturb = 150 * time.Millisecond })
-			}
-		}},
-		{name: "there are more requests than all can take", trouble: func(f *fleet, _ *randomLoad) {
-			extra := f.randomLoad(2 * time.Millisecond)
-			time.Sleep(5 * time.Second)
-			extra.share()
-		}},
-	} {
+	}
+	for _, one := range append(troubles, commonTroubles...) {
 		t.Run(one.name, func(t *testing.T) {
 			run(t, 6, func(f *fleet) {
 				load := f.randomLoad(limitedLoad)
@@ -206,7 +140,7 @@
 				f.workers[0].leave()
 				said := time.Now()
 				time.Sleep(500 * time.Millisecond) // a daemon has heard it
-				one.trouble(f, load)
+				one.plays(f, load)
 				time.Sleep(15*time.Second - time.Since(said))
 				t.Logf("%.3f answered", load.share())
 				late, after := f.workers[0].lateArrivals(leavingBound), f.workers[0].arrivedAfter(said.Add(leavingKnown))
--- a/lab/objectstub/limit_test.go
+++ b/lab/objectstub/limit_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/tuliphall/tuliphall/daemon"
 	"github.com/tuliphall/tuliphall/lab/objectstub"
 )
 
@@ -180,81 +179,15 @@
 }
 
 // TestLimitHoldsInTroubles keeps what limited back ends get within what they take, whatever else happens
-// meanwhile.
+// meanwhile. Each daemon that chooses by itself may send one request beyond its part of a window, as the window may
+// begin with it.
 func TestLimitHoldsInTroubles(t *testing.T) {
-	for _, one := range []struct {
-		name    string
-		trouble func(f *fleet, load *randomLoad)
-		// choosers is how many daemons choose back ends at the same time, each by itself; 0: one. Each
-		// may send one request beyond its part of a window, as the window may begin with it.
-		choosers int
-	}{
-		{name: "the store is down", trouble: func(f *fleet, _ *randomLoad) { f.store.SetFaults(objectstub.Faults{Down: true}) }},
-		{name: "the daemon that dispatches loses power", trouble: func(f *fleet, load *randomLoad) {
-			host := f.dispatcher()
-			load.without(func() {
-				f.powerOff(func(_ *daemon.Daemon, number int) bool { return hostOf(number) == host })
-			})
-		}},
-		{name: "daemons are replaced one by one", trouble: func(f *fleet, load *randomLoad) {
-			for range daemons {
-				load.without(func() { f.restart(0) })
-				time.Sleep(startTime)
-			}
-		}},
-		{name: "all daemons are killed, and others start", trouble: func(f *fleet, load *randomLoad) {
-			load.without(func() {
-				f.startAnew()
-				time.Sleep(startTime)
-			})
-		}},
-		{name: "daemons choose back ends by themselves", choosers: daemons, trouble: func(f *fleet, load *randomLoad) {
-			load.without(func() {
-				f.direct = true
-				f.startAnew()
-				time.Sleep(startTime)
-			})
-		}},
-		{name: "half of the daemons are cut off from the others", choosers: 2, trouble: func(f *fleet, _ *randomLoad) {
-			f.net.SetRule(func(a, b string) bool { return isLeft(a) && isRight(b) || isRight(a) && isLeft(b) })
-			time.Sleep(8 * time.Second)
-			f.net.SetRule(nil)
-		}},
-		{name: "the daemon that dispatches is frozen, and wakes", trouble: func(f *fleet, _ *randomLoad) {
-			host := f.dispatcher()
-			f.net.SetFrozen(host, true)
-			time.Sleep(4 * time.Second)
-			f.net.SetFrozen(host, false)
-		}},
-		{name: "requests must not be repeated", trouble: func(_ *fleet, load *randomLoad) { load.once.Store(true) }},
-		{name: "requests go together on a connection, and wait for places", trouble: func(f *fleet, _ *randomLoad) {
-			f.burst(200)
-			for number := range 20 {
-				go f.pipeline(number%daemons, fmt.Sprintf("/one/safe/together-%d", number), 4)
-				time.Sleep(200 * time.Millisecond)
-			}
-		}},
-		{name: "others fail, so that requests are sent again", trouble: func(f *fleet, _ *randomLoad) {
-			for _, worker := range f.workers[4:] {
-				worker.change(func() { worker.refuse = true })
-			}
-		}},
-		{name: "others are disturbed, so that requests get second attempts", trouble: func(f *fleet, _ *randomLoad) {
-			for _, worker := range f.workers[2:] {
-				worker.change(func() { worker.disturb = 150 * time.Millisecond })
-			}
-		}},
-		{name: "there are more requests than all can take", trouble: func(f *fleet, _ *randomLoad) {
-			extra := f.randomLoad(5 * time.Millisecond)
-			time.Sleep(10 * time.Second)
-			extra.share()
-		}},
-	} {
+	for _, one := range commonTroubles {
 		t.Run(one.name, func(t *testing.T) {
 			run(t, 8, func(f *fleet) {
 				load, named := f.limitTwo()
 				time.Sleep(3 * time.Second)
-				one.trouble(f, load)
+				one.plays(f, load)
 				time.Sleep(20*time.Second - time.Since(named))
 				until := time.Now()
 				t.Logf("%.3f answered", load.share())
--- a/lab/objectstub/pause_test.go
+++ b/lab/objectstub/pause_test.go
@@ -1,7 +1,6 @@
 package objectstub_test
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -9,8 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/tuliphall/tuliphall/daemon"
-	"github.com/tuliphall/tuliphall/lab/objectstub"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
@@ -67,21 +64,8 @@
 // TestPauseHoldsInTroubles guards against requests in a pause that a back end asked for, whatever else happens and by
 // whichever way requests reach back ends.
 func TestPauseHoldsInTroubles(t *testing.T) {
-	for _, one := range []struct {
-		name    string
-		prepare func(f *fleet)
-		trouble func(f *fleet, load *randomLoad)
-	}{
-		{name: "requests must not be repeated", trouble: func(_ *fleet, load *randomLoad) { load.once.Store(true) }},
-		{name: "daemons choose back ends by themselves", prepare: func(f *fleet) { f.direct = true }},
-		{name: "the daemon that dispatches loses power", trouble: func(f *fleet, load *randomLoad) {
-			host := f.dispatcher()
-			load.without(func() {
-				f.powerOff(func(_ *daemon.Daemon, number int) bool { return hostOf(number) == host })
-			})
-		}},
-		{name: "the store is down", trouble: func(f *fleet, _ *randomLoad) { f.store.SetFaults(objectstub.Faults{Down: true}) }},
-		{name: "its entry changes, and configurations come", trouble: func(f *fleet, _ *randomLoad) {
+	troubles := []trouble{
+		{name: "its entry changes, and configurations come", plays: func(f *fleet, _ *randomLoad) {
 			for range 5 {
 				f.announce(f.workers[0], "draining")
 				f.announce(f.workers[0], "ready")
@@ -89,55 +73,22 @@
 				time.Sleep(500 * time.Millisecond)
 			}
 		}},
-		{name: "half of the daemons are cut off from the others", trouble: func(f *fleet, _ *randomLoad) {
-			f.net.SetRule(func(a, b string) bool { return isLeft(a) && isRight(b) || isRight(a) && isLeft(b) })
-			time.Sleep(8 * time.Second)
-			f.net.SetRule(nil)
-		}},
-		{name: "requests go together on a connection, and wait for places", trouble: func(f *fleet, _ *randomLoad) {
-			f.burst(200)
-			for number := range 20 {
-				go f.pipeline(number%daemons, fmt.Sprintf("/one/safe/together-%d", number), 4)
-				time.Sleep(200 * time.Millisecond)
-			}
-		}},
-		{name: "others refuse, so that requests are sent again", trouble: func(f *fleet, _ *randomLoad) {
-			for _, worker := range f.workers[2:] {
-				worker.change(func() { worker.refuse = true })
-			}
-		}},
-		{name: "others are disturbed, so that requests get second attempts", trouble: func(f *fleet, _ *randomLoad) {
-			for _, worker := range f.workers[1:] {
-				worker.change(func() { worker.disturb = 150 * time.Millisecond })
-			}
-		}},
-		{name: "there are more requests than all can take", trouble: func(f *fleet, _ *randomLoad) {
-			extra := f.randomLoad(2 * time.Millisecond)
-			time.Sleep(5 * time.Second)
-			extra.share()
-		}},
-		{name: "several ask for pauses", trouble: func(f *fleet, _ *randomLoad) {
+		{name: "several ask for pauses", plays: func(f *fleet, _ *randomLoad) {
 			for _, worker := range f.workers[1:3] {
 				worker.change(func() { worker.pauseEvery = 3 })
 			}
 			askForPause("4", f.workers[1:3]...)
 		}},
-	} {
+	}
+	for _, one := range append(troubles, commonTroubles...) {
 		t.Run(one.name, func(t *testing.T) {
-			prepare, trouble := one.prepare, one.trouble
-			if prepare == nil {
-				prepare = func(*fleet) {}
-			}
-			if trouble == nil {
-				trouble = func(*fleet, *randomLoad) {}
-			}
-			runFleetWith(t, daemons, 6, prepare, func(f *fleet) {
+			run(t, 6, func(f *fleet) {
 				load := f.randomLoad(limitedLoad)
 				time.Sleep(2 * time.Second)
 				f.workers[0].change(func() { f.workers[0].pauseEvery = 2 })
 				askForPause("4", f.workers[0])
 				begun := time.Now()
-				trouble(f, load)
+				one.plays(f, load)
 				time.Sleep(15*time.Second - time.Since(begun))
 				most := 0
 				for _, worker := range f.workers {
--- a/service/service.go
+++ b/service/service.go
@@ -13,13 +13,10 @@
 	"time"
 
 	"github.com/tuliphall/tuliphall/backend"
-	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/dispatch"
-	"github.com/tuliphall/tuliphall/drain"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/network"
-	"github.com/tuliphall/tuliphall/pushback"
 	"github.com/tuliphall/tuliphall/quarantine"
 	"github.com/tuliphall/tuliphall/ratelimit"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -203,90 +200,6 @@
 	}
 }
 
-// Takes says whether a back end is declared, is not known to leave, and is of a version that gets
-// requests.
-func (s *Service) Takes(id string) bool {
-	declared := s.declared.Load()
-	one, known := declared.byID[id]
-	if !known || declared.closed(one) || s.Dispatcher.Excludes(one.Version) {
-		return false
-	}
-	return !s.isLeaving(one)
-}
-
-// Bars says why this daemon must not send a new request to a back end, whoever gave the place; empty: it may.
-func (s *Service) Bars(id string) string {
-	declared := s.declared.Load()
-	one, known := declared.byID[id]
-	switch {
-	case !known:
-		return "it is not declared"
-	case declared.closed(one):
-		return "it is drained by declaration"
-	case s.Dispatcher.Excludes(one.Version):
-		return "its version gets no requests"
-	}
-	if notice, leaving := s.drains.Leaving(s.keyOf(id), one.Started); leaving {
-		return "it is leaving, known for " + time.Since(notice.Since).Round(time.Millisecond).String()
-	}
-	if pause, paused := s.pauses.Of(s.keyOf(id), one.Started); paused {
-		return "it asked for a pause, " + time.Until(pause.Until).Round(time.Millisecond).String() + " of which are left"
-	}
-	return ""
-}
-
-// keyOf names a back end of the service.
-func (s *Service) keyOf(id string) backend.Key {
-	return backend.Key{Service: s.Name(), Backend: id}
-}
-
-// Excluded returns the back ends that have asked this daemon for a pause.
-func (s *Service) Excluded() []routing.Exclusion {
-	ids := s.pauses.Paused(s.Name())
-	if len(ids) == 0 {
-		return nil
-	}
-	declared := s.declared.Load()
-	var excluded []routing.Exclusion
-	for _, id := range ids {
-		if one, known := declared.byID[id]; known {
-			if until := s.pausedUntil(one); !until.IsZero() {
-				excluded = append(excluded, routing.Exclusion{Backend: id, Until: until})
-			}
-		}
-	}
-	return excluded
-}
-
-// AddSignals adds to the back ends' states what is known here of their leaving and of pauses.
-func (s *Service) AddSignals(backends []dispatch.BackendStatus) {
-	declared, now := s.declared.Load(), time.Now()
-	for index := range backends {
-		status := &backends[index]
-		one, known := declared.byID[status.ID]
-		if !known {
-			continue
-		}
-		if notice, leaving := s.drains.Leaving(s.keyOf(one.ID), one.Started); leaving {
-			status.Leaving = &dispatch.LeavingStatus{Source: notice.Source.String(), Told: notice.Told, Since: now.Sub(notice.Since)}
-		}
-		status.PauseLeft = max(s.pausedUntil(one).Sub(now), 0)
-	}
-}
-
-// pausedUntil returns until when a back end has asked this daemon for a pause; zero: it has not.
-func (s *Service) pausedUntil(one *config.Backend) time.Time {
-	pause, _ := s.pauses.Of(s.keyOf(one.ID), one.Started)
-	return pause.Until
-}
-
-// RefreshPause puts in force for this daemon's probes what a back end has asked it for.
-func (s *Service) RefreshPause(id string) {
-	if one, known := s.declared.Load().byID[id]; known {
-		s.Dispatcher.SetPause(id, func() time.Time { return s.pausedUntil(one) })
-	}
-}
-
 // probeConnections bounds the connections to one back end for probes.
 const probeConnections = 2
 
@@ -298,38 +211,11 @@
 	return max(int(declared.MaxLoad*float64(one.Slots)+0.5), 1)
 }
 
-// limitOf returns how many requests a back end takes.
-func (s *Service) limitOf(one *config.Backend) backendlimit.Limit {
-	record, _ := s.limits.OfRun(s.keyOf(one.ID), one.Started)
-	return record.Limit
-}
-
-// RefreshLimit puts in force what is known now of how many requests a back end takes.
-func (s *Service) RefreshLimit(id string) {
-	if one, known := s.declared.Load().byID[id]; known {
-		s.Dispatcher.SetLimit(id, func() backendlimit.Limit { return s.limitOf(one) })
-	}
-}
-
 // Declares says whether a back end is declared.
 func (s *Service) Declares(id string) bool {
 	return s.declared.Load().byID[id] != nil
 }
 
-// isLeaving says whether a back end is known to be leaving, by its own word or the machine list's.
-func (s *Service) isLeaving(one *config.Backend) bool {
-	_, leaving := s.drains.Leaving(s.keyOf(one.ID), one.Started)
-	return leaving
-}
-
-// RefreshDrain puts in force what is known now of whether a back end is leaving.
-func (s *Service) RefreshDrain(id string) {
-	declared := s.declared.Load()
-	if one, known := declared.byID[id]; known {
-		s.Dispatcher.SetDraining(id, func() bool { return s.isLeaving(one) || declared.closed(one) })
-	}
-}
-
 // Registry holds the running services. It is safe for concurrent use; Match and
 // Find do not block.
 type Registry struct {
@@ -367,56 +253,6 @@
 	Log       *slog.Logger // nil: nothing is logged
 }
 
-// Drains knows which back ends are leaving. It must not block.
-type Drains interface {
-	// Leaving returns on whose word the run of a back end that started at a time is leaving, and false where
-	// nobody says so.
-	Leaving(key backend.Key, started int64) (drain.Notice, bool)
-}
-
-// noDrains knows of none.
-type noDrains struct{}
-
-// Leaving implements Drains.
-func (noDrains) Leaving(backend.Key, int64) (drain.Notice, bool) { return drain.Notice{}, false }
-
-// Pauses knows which back ends have asked this daemon for a pause. No method blocks.
-type Pauses interface {
-	// Of returns the pause that the run of a back end that started at a time is in, and false where it is in none.
-	Of(key backend.Key, started int64) (pushback.Pause, bool)
-	// Paused returns the ids of a service's back ends that are in one, whichever their run.
-	Paused(service string) []string
-}
-
-// noPauses knows of none.
-type noPauses struct{}
-
-// Of implements Pauses.
-func (noPauses) Of(backend.Key, int64) (pushback.Pause, bool) { return pushback.Pause{}, false }
-
-// Paused implements Pauses.
-func (noPauses) Paused(string) []string { return nil }
-
-// Limits knows how many requests back ends take. No method blocks.
-type Limits interface {
-	// OfRun returns what the run of a back end that started at a time has said, and false where it
-	// has said nothing.
-	OfRun(backend backend.Key, started int64) (backendlimit.Record, bool)
-	// Parts returns which parts of what back ends take daemons may use that this one can reach.
-	Parts() backendlimit.Parts
-}
-
-// noLimits knows of none.
-type noLimits struct{}
-
-// OfRun implements Limits.
-func (noLimits) OfRun(backend.Key, int64) (backendlimit.Record, bool) {
-	return backendlimit.Record{}, false
-}
-
-// Parts implements Limits.
-func (noLimits) Parts() backendlimit.Parts { return backendlimit.Whole }
-
 // Quarantine says which requests get no place at any back end.
 type Quarantine interface {
 	// Refuse returns why a request gets none; nil: it may. It must not block.
--- /dev/null
+++ b/service/signals_test.go
@@ -0,0 +1,53 @@
+package service_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/drain"
+	"github.com/tuliphall/tuliphall/retry"
+	"github.com/tuliphall/tuliphall/service"
+)
+
+// firstRunLeaves knows that the first run of a back end is leaving.
+type firstRunLeaves struct{}
+
+// Leaving implements service.Drains.
+func (firstRunLeaves) Leaving(_ backend.Key, started int64) (drain.Notice, bool) {
+	return drain.Notice{}, started == 1
+}
+
+// TestWordOnARunThatHasEnded guards against a back end that started again being left out by the word of its earlier run.
+func TestWordOnARunThatHasEnded(t *testing.T) {
+	document := func(revision config.Revision, started int64) config.Document {
+		return config.Document{Revision: revision, Content: config.Content{
+			Services:   []config.Service{{Name: "work", Slots: 2}},
+			Placements: []config.Placement{{Service: "work", Backends: []config.Backend{{ID: "b1", Address: "127.0.0.1:1", Started: started}}}},
+		}}
+	}
+	put := func(registry *service.Registry, made config.Document) {
+		snapshot, err := config.NewSnapshot(made)
+		require.NoError(t, err)
+		require.True(t, registry.Put(snapshot))
+	}
+	registry := service.NewRegistry(service.Options{Drains: firstRunLeaves{}, Seed: 1})
+	put(registry, document(1, 1))
+	running, _ := registry.Find("work")
+	acquire := func() error {
+		grant, err := running.Acquire(t.Context(), service.Dispatching(), retry.First, dispatch.Request{Weight: 1, Deadline: time.Now().Add(time.Second)})
+		if err == nil {
+			grant.Done(0, time.Millisecond, nil)
+		}
+		return err
+	}
+	require.Error(t, acquire(), "the first run is leaving")
+	put(registry, document(2, 2))
+	running.RefreshDrain("b1")
+	require.NoError(t, acquire())
+	require.True(t, running.Takes("b1"))
+}
