--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -337,8 +337,9 @@
 			completed++
 			t.Logf("a bad version was completed: %s, %v, %.0f a second, seed %d: %s", bad, names, w.perSec, seed, w.plan.Order().Reason)
 		}
-		if float64(w.exposed) > allowedShare*float64(w.total)+allowedSlack {
+		if bound := allowedShare*float64(w.total) + allowedSlack; float64(w.exposed) > bound {
 			over++
+			t.Logf("more than its share: %s, %v, %.0f a second, seed %d: %d of %.0f: %s", bad, names, w.perSec, seed, w.exposed, bound, w.plan.Order().Reason)
 		}
 	}
 	t.Logf("%d played of each: %d good ones taken back, %d bad ones completed, %d over their share", *drawnRollouts, wrongly, completed, over)
