--- a/command/show.go
+++ b/command/show.go
@@ -198,7 +198,7 @@
 func describeSignals(b dispatch.BackendStatus) string {
 	var says []string
 	if leaving := b.Leaving; leaving != nil {
-		by := "by its own word"
+		by := "as it says itself"
 		if leaving.Source != drain.FromBackend.String() {
 			by = "by the " + leaving.Source
 		}
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -78,8 +78,8 @@
 	for name, running := range d.services.All() {
 		for _, one := range running.Target().Backends {
 			// A back end that is not on the list is not known to leave.
-			key := drain.WordKey{Key: backend.Key{Service: name, Backend: one.ID}, Source: drain.FromMachineList}
-			d.drains.Hear(drain.Word{WordKey: key, Draining: leaving[one.Address], Started: one.Started, Sent: time.Now()})
+			key := drain.SignalKey{Key: backend.Key{Service: name, Backend: one.ID}, Source: drain.FromMachineList}
+			d.drains.Hear(drain.Signal{SignalKey: key, Draining: leaving[one.Address], Started: one.Started, Sent: time.Now()})
 		}
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -327,7 +327,7 @@
 	// Limit is what it says of how many requests it takes; absent: it takes any number.
 	Limit   *routing.LimitStatus `json:"limit,omitempty"`
 	Ejected bool                 `json:"ejected"`
-	// Leaving is on whose word it is leaving; absent: nobody's but a declaration's.
+	// Leaving says from which source it is known to be leaving; absent: from none but a declaration.
 	Leaving *LeavingStatus `json:"leaving,omitempty"`
 	// PauseLeft is for how long it wants nothing from the asked daemon.
 	PauseLeft time.Duration `json:"pause_left_ns,omitempty"`
--- a/drain/keeper.go
+++ b/drain/keeper.go
@@ -34,7 +34,7 @@
 	options Options
 	log     *slog.Logger
 	gauge   tally.Gauge
-	// draining is how many words say that a back end is leaving. Requests need not look further while it is 0.
+	// draining is how many signals say that a back end is leaving. Requests need not look further while it is 0.
 	draining atomic.Int64
 
 	mutex sync.Mutex
@@ -47,20 +47,20 @@
 }
 
 // Hear takes in what this daemon hears. The request path calls it.
-func (k *Keeper) Hear(word Word) {
-	if !word.Draining && k.draining.Load() == 0 {
+func (k *Keeper) Hear(signal Signal) {
+	if !signal.Draining && k.draining.Load() == 0 {
 		return
 	}
 	k.mutex.Lock()
-	news := k.table.Hear(time.Now(), word)
-	record, _ := k.table.Record(word.WordKey)
+	news := k.table.Hear(time.Now(), signal)
+	record, _ := k.table.Record(signal.SignalKey)
 	k.count()
 	k.mutex.Unlock()
 	if !news {
 		return
 	}
-	k.options.Apply(word.Key)
-	k.logChange(record, word.Source.String(), word.Request)
+	k.options.Apply(signal.Key)
+	k.logChange(record, signal.Source.String(), signal.Request)
 	k.options.Tell(record)
 }
 
@@ -81,7 +81,7 @@
 	return news
 }
 
-// count publishes how many words say that a back end is leaving. The caller holds the mutex.
+// count publishes how many signals say that a back end is leaving. The caller holds the mutex.
 func (k *Keeper) count() {
 	k.draining.Store(int64(k.table.Draining()))
 	k.gauge.Update(float64(k.table.Draining()))
@@ -97,7 +97,7 @@
 		"heard_from", heardFrom, "by_request", request)
 }
 
-// Leaving returns on whose word the run of a back end that started at a time is leaving, and false where nobody
+// Leaving returns from which source the run of a back end that started at a time is leaving, and false where nobody
 // says so. 0: whichever run. The request path calls it.
 func (k *Keeper) Leaving(key backend.Key, started int64) (Notice, bool) {
 	if k.draining.Load() == 0 {
@@ -108,13 +108,13 @@
 	return k.table.Leaving(key, started)
 }
 
-// Draining returns how many words say that a back end is leaving.
+// Draining returns how many signals say that a back end is leaving.
 func (k *Keeper) Draining() int {
 	return int(k.draining.Load())
 }
 
 // Record implements peer.Records.
-func (k *Keeper) Record(key WordKey) (Record, bool) {
+func (k *Keeper) Record(key SignalKey) (Record, bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.table.Record(key)
--- a/drain/table.go
+++ b/drain/table.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	// endedMemory is for how long it is remembered that a word was taken back: until older news of the word
+	// endedMemory is for how long it is remembered that a signal was taken back: until older news of the signal
 	// is not passed on any more.
 	endedMemory = time.Minute
-	// undeclaredMemory is for how long words on back ends are kept that are not declared: their entries may
+	// undeclaredMemory is for how long signals on back ends are kept that are not declared: their entries may
 	// lapse and come back while a directory is away.
 	undeclaredMemory = 10 * time.Minute
-	// maxRecords bounds the words of other daemons that are kept; one takes about 250 bytes. What this daemon
+	// maxRecords bounds the signals of other daemons that are kept; one takes about 250 bytes. What this daemon
 	// hears itself is always kept.
 	maxRecords = 1 << 14
 )
 
-// Source says whose word it is that a back end is leaving.
+// Source says who says that a back end is leaving.
 type Source int
 
 // The sources, besides an operator's declaration. A back end is drained while any of them says so.
@@ -39,27 +39,27 @@
 	return "back end"
 }
 
-// WordKey names the word of one source on one back end.
-type WordKey struct {
+// SignalKey names the signal of one source on one back end.
+type SignalKey struct {
 	backend.Key
 	Source Source
 }
 
-// Record is what is known of a word.
+// Record is what is known of a signal.
 type Record struct {
-	WordKey
+	SignalKey
 	Draining bool
 	// Started tells which run of the back end, in Unix milliseconds; 0: it does not say, which is another run than
 	// any that does.
 	Started int64
-	// At orders words under the same key: the wall clock of the daemon that heard it, or later than what that
+	// At orders signals under the same key: the wall clock of the daemon that heard it, or later than what that
 	// one knew before.
 	At time.Time
 }
 
-// Word is what this daemon itself hears.
-type Word struct {
-	WordKey
+// Signal is what this daemon itself hears.
+type Signal struct {
+	SignalKey
 	Draining bool
 	Started  int64     // of the run that says it; 0: not known
 	Sent     time.Time // when the request was sent whose answer says it
@@ -77,29 +77,29 @@
 	declared time.Time // when the back end was last seen declared; zero: not since it is known
 }
 
-// Table holds the newest word under each key. It is not safe for concurrent use.
+// Table holds the newest signal under each key. It is not safe for concurrent use.
 type Table struct {
-	entries  map[WordKey]*Notice
+	entries  map[SignalKey]*Notice
 	draining int // entries that say that a back end is leaving
 }
 
-// NewTable returns a table without words.
+// NewTable returns a table without signals.
 func NewTable() *Table {
-	return &Table{entries: make(map[WordKey]*Notice)}
+	return &Table{entries: make(map[SignalKey]*Notice)}
 }
 
 // Hear takes in what this daemon hears, and says whether it is news.
-func (t *Table) Hear(now time.Time, word Word) bool {
-	known := t.current(word.WordKey, word.Started)
+func (t *Table) Hear(now time.Time, signal Signal) bool {
+	known := t.current(signal.SignalKey, signal.Started)
 	switch {
-	case known != nil && isEarlier(word.Started, known.Started):
+	case known != nil && isEarlier(signal.Started, known.Started):
 		return false
-	case known == nil && !word.Draining, known != nil && known.Draining == word.Draining:
+	case known == nil && !signal.Draining, known != nil && known.Draining == signal.Draining:
 		return false
-	case known != nil && !word.Draining && !word.Sent.After(known.Since):
+	case known != nil && !signal.Draining && !signal.Sent.After(known.Since):
 		return false // it may have been said before
 	}
-	record := Record{WordKey: word.WordKey, Draining: word.Draining, Started: word.Started, At: after(now, known)}
+	record := Record{SignalKey: signal.SignalKey, Draining: signal.Draining, Started: signal.Started, At: after(now, known)}
 	if known != nil {
 		record.Started = known.Started
 	}
@@ -109,7 +109,7 @@
 
 // Take takes in what another daemon tells, and says whether it is news.
 func (t *Table) Take(now time.Time, record Record) bool {
-	known := t.current(record.WordKey, record.Started)
+	known := t.current(record.SignalKey, record.Started)
 	switch {
 	case known == nil:
 		if len(t.entries) >= maxRecords {
@@ -133,7 +133,7 @@
 	return started != 0 && started < than
 }
 
-// after returns a time for a word that replaces a known one.
+// after returns a time for a signal that replaces a known one.
 func after(now time.Time, known *Notice) time.Time {
 	at := now.Round(0) // the wall clock alone
 	if known != nil && !at.After(known.At) {
@@ -143,7 +143,7 @@
 }
 
 // current returns what is known under a key, unless it is of an earlier run than the named one.
-func (t *Table) current(key WordKey, started int64) *Notice {
+func (t *Table) current(key SignalKey, started int64) *Notice {
 	known := t.entries[key]
 	if known != nil && known.Started < started {
 		t.drop(known)
@@ -153,10 +153,10 @@
 }
 
 func (t *Table) set(now time.Time, record Record, told bool) {
-	if known := t.entries[record.WordKey]; known != nil {
+	if known := t.entries[record.SignalKey]; known != nil {
 		t.drop(known)
 	}
-	t.entries[record.WordKey] = &Notice{Record: record, Since: now, Told: told}
+	t.entries[record.SignalKey] = &Notice{Record: record, Since: now, Told: told}
 	if record.Draining {
 		t.draining++
 	}
@@ -166,14 +166,14 @@
 	if known.Draining {
 		t.draining--
 	}
-	delete(t.entries, known.WordKey)
+	delete(t.entries, known.SignalKey)
 }
 
-// Leaving returns on whose word the run of a back end that started at a time is leaving, and false where nobody
+// Leaving returns from which source the run of a back end that started at a time is leaving, and false where nobody
 // says so. 0: whichever run.
 func (t *Table) Leaving(key backend.Key, started int64) (Notice, bool) {
 	for source := range sources {
-		known := t.entries[WordKey{Key: key, Source: source}]
+		known := t.entries[SignalKey{Key: key, Source: source}]
 		if known != nil && known.Draining && (started == 0 || known.Started == started) {
 			return *known, true
 		}
@@ -181,20 +181,20 @@
 	return Notice{}, false
 }
 
-// Draining returns how many words say that a back end is leaving.
+// Draining returns how many signals say that a back end is leaving.
 func (t *Table) Draining() int {
 	return t.draining
 }
 
 // Record returns what is known under a key.
-func (t *Table) Record(key WordKey) (Record, bool) {
+func (t *Table) Record(key SignalKey) (Record, bool) {
 	if known := t.entries[key]; known != nil {
 		return known.Record, true
 	}
 	return Record{}, false
 }
 
-// Records returns the words that back ends are leaving, at most so many.
+// Records returns the signals that back ends are leaving, at most so many.
 func (t *Table) Records(most int) []Record {
 	var records []Record
 	for _, known := range t.entries {
@@ -208,7 +208,7 @@
 	return records
 }
 
-// Forget drops what was taken back long ago, and words on back ends that have not been declared for long.
+// Forget drops what was taken back long ago, and signals on back ends that have not been declared for long.
 // declared must not call the table.
 func (t *Table) Forget(now time.Time, declared func(backend.Key) bool) {
 	for key, known := range t.entries {
--- a/drain/table_test.go
+++ b/drain/table_test.go
@@ -12,9 +12,9 @@
 )
 
 var (
-	start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	key   = backend.Key{Service: "board", Backend: "i-1"}
-	word  = drain.WordKey{Key: key, Source: drain.FromBackend}
+	start  = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	key    = backend.Key{Service: "board", Backend: "i-1"}
+	signal = drain.SignalKey{Key: key, Source: drain.FromBackend}
 )
 
 func at(seconds float64) time.Time {
@@ -22,13 +22,13 @@
 }
 
 // says is what the run of a back end that started at a time says with an answer to a request of a time.
-func says(draining bool, started int64, sent float64) drain.Word {
-	return drain.Word{WordKey: word, Draining: draining, Started: started, Sent: at(sent)}
+func says(draining bool, started int64, sent float64) drain.Signal {
+	return drain.Signal{SignalKey: signal, Draining: draining, Started: started, Sent: at(sent)}
 }
 
 // told is the same as another daemon tells it.
 func told(draining bool, started int64, when float64) drain.Record {
-	return drain.Record{WordKey: word, Draining: draining, Started: started, At: at(when)}
+	return drain.Record{SignalKey: signal, Draining: draining, Started: started, At: at(when)}
 }
 
 func leaves(table *drain.Table, started int64) bool {
@@ -42,8 +42,8 @@
 	for name, later := range map[string]func(table *drain.Table){
 		"an answer to a request sent before":            func(table *drain.Table) { table.Hear(at(11), says(false, 1, 9)) },
 		"an answer of the earlier run":                  func(table *drain.Table) { table.Hear(at(11), says(false, -1, 10.5)) },
-		"another daemon's older word":                   func(table *drain.Table) { table.Take(at(11), told(false, 1, 9)) },
-		"another daemon's word on an earlier run":       func(table *drain.Table) { table.Take(at(11), told(false, -1, 11)) },
+		"another daemon's older signal":                 func(table *drain.Table) { table.Take(at(11), told(false, 1, 9)) },
+		"another daemon's signal on an earlier run":     func(table *drain.Table) { table.Take(at(11), told(false, -1, 11)) },
 		"the machine list, which does not say so":       func(table *drain.Table) { hearList(table, false) },
 		"the machine list, which said so, and does not": func(table *drain.Table) { hearList(table, true); hearList(table, false) },
 		"a directory without it, for a while": func(table *drain.Table) {
@@ -67,11 +67,11 @@
 }
 
 func hearList(table *drain.Table, draining bool) {
-	list := drain.WordKey{Key: key, Source: drain.FromMachineList}
-	table.Hear(at(11), drain.Word{WordKey: list, Draining: draining, Started: 1, Sent: at(11)})
+	list := drain.SignalKey{Key: key, Source: drain.FromMachineList}
+	table.Hear(at(11), drain.Signal{SignalKey: list, Draining: draining, Started: 1, Sent: at(11)})
 }
 
-// TestRunsAreToldApart lets a run that started later take requests, and keeps the earlier one's word from it.
+// TestRunsAreToldApart lets a run that started later take requests, and keeps the earlier one's signal from it.
 func TestRunsAreToldApart(t *testing.T) {
 	table := drain.NewTable()
 	table.Hear(at(10), says(true, 1, 9))
@@ -90,11 +90,11 @@
 func TestBackAgain(t *testing.T) {
 	table, other := drain.NewTable(), drain.NewTable()
 	table.Hear(at(10), says(true, 1, 9))
-	record, _ := table.Record(word)
+	record, _ := table.Record(signal)
 	require.True(t, other.Take(at(10), record))
 	require.True(t, leaves(other, 1))
 	require.True(t, table.Hear(at(5), says(false, 1, 10.5)), "the wall clock went back")
-	record, _ = table.Record(word)
+	record, _ = table.Record(signal)
 	require.True(t, other.Take(at(10.6), record))
 	require.False(t, leaves(table, 1))
 	require.False(t, leaves(other, 1))
@@ -102,7 +102,7 @@
 	require.Zero(t, other.Draining())
 }
 
-// TestForgets drops words on back ends that are gone for good, and nothing sooner.
+// TestForgets drops signals on back ends that are gone for good, and nothing sooner.
 func TestForgets(t *testing.T) {
 	table := drain.NewTable()
 	table.Hear(at(10), says(true, 1, 9))
@@ -114,7 +114,7 @@
 	require.Empty(t, table.Records(10))
 }
 
-// TestTablesAgree lets daemons with clocks that differ hear and tell words in any order, and expects that all know
+// TestTablesAgree lets daemons with clocks that differ hear and tell signals in any order, and expects that all know
 // the same in the end.
 func TestTablesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -135,8 +135,8 @@
 				continue
 			}
 			started := rapid.Int64Range(1, 2).Draw(t, "run")
-			if tables[number].Hear(local, drain.Word{WordKey: word, Draining: true, Started: started, Sent: local}) {
-				record, _ := tables[number].Record(word)
+			if tables[number].Hear(local, drain.Signal{SignalKey: signal, Draining: true, Started: started, Sent: local}) {
+				record, _ := tables[number].Record(signal)
 				news = append(news, record)
 			}
 		}
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -126,7 +126,7 @@
 		during(one.setLimit)
 	case WorkerPause:
 		during(one.setPushback)
-	case WorkerWord:
+	case WorkerSays:
 		if leaving := f.removeWorker(fault.Target); leaving != nil {
 			f.replace()
 			leaving.change(func() { leaving.leaves = true })
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -34,11 +34,11 @@
 	Foreign      Kind = "foreign"       // another writer's entries in the list of back ends
 	WorkerLimit  Kind = "worker-limit"  // says that it takes few requests
 	WorkerPause  Kind = "worker-pause"  // turns requests away and asks for a pause
-	WorkerWord   Kind = "worker-word"   // says with its answers that it leaves, while the store lists it as ready
+	WorkerSays   Kind = "worker-says"   // says with its answers that it leaves, while the store lists it as ready
 )
 
 // planned kinds are no faults: nothing may be lost by them.
-var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true, Crashing: true, Foreign: true, WorkerLimit: true, WorkerPause: true, WorkerWord: true}
+var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true, Crashing: true, Foreign: true, WorkerLimit: true, WorkerPause: true, WorkerSays: true}
 
 var kinds = []Kind{
 	Stop, Kill, Pause, KillAll, StopAll, StoreDown, StoreDeaf, StoreLink, WorkerLink, WorkerSlow, WorkerLoses, WorkerFull, WorkerLies,
@@ -86,7 +86,7 @@
 	faults = append(faults, drawOnce(seed, 1, Evacuate, evacuationLength, begin, end),
 		drawOnce(seed, 2, Crashing, crashLength, begin, end), drawOnce(seed, 3, Foreign, foreignLength, begin, end),
 		drawOnce(seed, 4, WorkerLimit, limitLength, begin, end), drawOnce(seed, 5, WorkerPause, pauseLength, begin, end),
-		drawOnce(seed, 6, WorkerWord, wordLength, begin, end))
+		drawOnce(seed, 6, WorkerSays, sayLength, begin, end))
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
 	return faults
 }
@@ -97,8 +97,8 @@
 // foreignLength is how long entries of another writer stay.
 const foreignLength = 3 * time.Second
 
-// wordLength is for how long a back end says that it leaves before the store knows it: longer than the bound.
-const wordLength = drainBound + 3*time.Second
+// sayLength is for how long a back end says that it leaves before the store knows it: longer than the bound.
+const sayLength = drainBound + 3*time.Second
 
 // drawOnce draws when a kind is played that each run has once. It leaves what else is drawn from
 // the seed as it was, so that seeds that were kept still play the same.
--- a/peer/drains.go
+++ b/peer/drains.go
@@ -21,9 +21,9 @@
 )
 
 // Drains is what a Node asks and tells of back ends that are leaving.
-type Drains = Records[drain.WordKey, drain.Record]
+type Drains = Records[drain.SignalKey, drain.Record]
 
-func drainKey(record drain.Record) drain.WordKey { return record.WordKey }
+func drainKey(record drain.Record) drain.SignalKey { return record.SignalKey }
 
 // TellDrain spreads that a back end is leaving, or is back.
 func (n *Node) TellDrain(record drain.Record) {
@@ -44,8 +44,8 @@
 func decodeDrains(encoded []*peerpb.Drain) []drain.Record {
 	records := make([]drain.Record, 0, len(encoded))
 	for _, one := range encoded {
-		key := drain.WordKey{Key: backend.Key{Service: one.Service, Backend: one.Backend}, Source: drain.Source(one.Source)}
-		records = append(records, drain.Record{WordKey: key, Draining: one.Draining, Started: one.Started, At: time.UnixMilli(one.At)})
+		key := drain.SignalKey{Key: backend.Key{Service: one.Service, Backend: one.Backend}, Source: drain.Source(one.Source)}
+		records = append(records, drain.Record{SignalKey: key, Draining: one.Draining, Started: one.Started, At: time.UnixMilli(one.At)})
 	}
 	return records
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -116,7 +116,7 @@
 	mutex sync.Mutex
 	state *membership.State
 	// drains are the back ends of which others are still to be told that they are leaving, or are back.
-	drains gossip[drain.WordKey, drain.Record]
+	drains gossip[drain.SignalKey, drain.Record]
 	// crashingRequests are those of which others are still to be told.
 	crashingRequests gossip[quarantine.Fingerprint, quarantine.Record]
 	// limits are the back ends of which others are still to be told how many requests they take.
@@ -139,7 +139,7 @@
 		options.Quarantine = noQuarantine{}
 	}
 	if options.Drains == nil {
-		options.Drains = noRecords[drain.WordKey, drain.Record]{}
+		options.Drains = noRecords[drain.SignalKey, drain.Record]{}
 	}
 	if options.Limits == nil {
 		options.Limits = noRecords[backend.Key, backendlimit.Record]{}
--- a/service/signals.go
+++ b/service/signals.go
@@ -14,7 +14,7 @@
 
 // Drains knows which back ends are leaving. It must not block.
 type Drains interface {
-	// Leaving returns on whose word the run of a back end that started at a time is leaving, and false where
+	// Leaving returns from which source it is known that the run of a back end that started at a time is leaving, and false where
 	// nobody says so.
 	Leaving(key backend.Key, started int64) (drain.Notice, bool)
 }
@@ -170,7 +170,7 @@
 	})
 }
 
-// isLeaving says whether a back end is known to be leaving, by its own word or the machine list's.
+// isLeaving says whether a back end is known to be leaving, as it says itself or the machine list does.
 func (s *Service) isLeaving(one *config.Backend) bool {
 	_, leaving := s.drains.Leaving(s.keyOf(one.ID), one.Started)
 	return leaving
--- a/signals/reader.go
+++ b/signals/reader.go
@@ -51,7 +51,7 @@
 
 // Drains is told of back ends that are leaving, or are back. It must not block.
 type Drains interface {
-	Hear(word drain.Word)
+	Hear(signal drain.Signal)
 }
 
 // Pauses is told of back ends that ask this daemon for a pause. It must not block.
@@ -157,8 +157,8 @@
 }
 
 func (r *Reader) tellDrain(answer Answer, draining bool) {
-	r.options.Drains.Hear(drain.Word{
-		WordKey: drain.WordKey{Key: answer.Key, Source: drain.FromBackend}, Draining: draining, Started: answer.Started, Sent: answer.Sent, Request: answer.Request,
+	r.options.Drains.Hear(drain.Signal{
+		SignalKey: drain.SignalKey{Key: answer.Key, Source: drain.FromBackend}, Draining: draining, Started: answer.Started, Sent: answer.Sent, Request: answer.Request,
 	})
 }
 
--- a/signals/reader_test.go
+++ b/signals/reader_test.go
@@ -17,16 +17,16 @@
 
 // heard is what a reader handed on.
 type heard struct {
-	words  []drain.Word
-	limits []backendlimit.Answer
-	pauses []time.Duration
+	signals []drain.Signal
+	limits  []backendlimit.Answer
+	pauses  []time.Duration
 }
 
 func (h *heard) Ask(_ backend.Key, lasts time.Duration, _ int64, _ string) {
 	h.pauses = append(h.pauses, lasts)
 }
 
-func (h *heard) Hear(word drain.Word) { h.words = append(h.words, word) }
+func (h *heard) Hear(signal drain.Signal) { h.signals = append(h.signals, signal) }
 
 type heardLimits struct{ *heard }
 
@@ -54,28 +54,28 @@
 // TestDrainingIsReadOfEveryAnswer guards against a back end whose word that it leaves is passed over, whatever
 // else the answer says.
 func TestDrainingIsReadOfEveryAnswer(t *testing.T) {
-	said := drain.Word{WordKey: drain.WordKey{Key: backend.Key{Service: "board", Backend: "i-1"}, Source: drain.FromBackend}, Draining: true, Started: 5, Sent: sent, Request: "r"}
+	said := drain.Signal{SignalKey: drain.SignalKey{Key: backend.Key{Service: "board", Backend: "i-1"}, Source: drain.FromBackend}, Draining: true, Started: 5, Sent: sent, Request: "r"}
 	back, probed := said, said
 	back.Draining, probed.Request = false, ""
 	for name, one := range map[string]struct {
 		answer signals.Answer
-		want   []drain.Word
+		want   []drain.Signal
 	}{
-		"an answer":                 {answer: answered("r", 200, backend.HeaderDraining, "true"), want: []drain.Word{said}},
-		"a failure":                 {answer: answered("r", 500, backend.HeaderDraining, "true"), want: []drain.Word{said}},
-		"a refusal":                 {answer: answered("r", 503, backend.HeaderDraining, "true"), want: []drain.Word{said}},
-		"an answer to a probe":      {answer: answered("", 503, backend.HeaderDraining, "true"), want: []drain.Word{probed}},
-		"twice":                     {answer: answered("r", 200, backend.HeaderDraining, "false", backend.HeaderDraining, "true"), want: []drain.Word{said}},
-		"back":                      {answer: answered("r", 200, backend.HeaderDraining, "false"), want: []drain.Word{back}},
+		"an answer":                 {answer: answered("r", 200, backend.HeaderDraining, "true"), want: []drain.Signal{said}},
+		"a failure":                 {answer: answered("r", 500, backend.HeaderDraining, "true"), want: []drain.Signal{said}},
+		"a refusal":                 {answer: answered("r", 503, backend.HeaderDraining, "true"), want: []drain.Signal{said}},
+		"an answer to a probe":      {answer: answered("", 503, backend.HeaderDraining, "true"), want: []drain.Signal{probed}},
+		"twice":                     {answer: answered("r", 200, backend.HeaderDraining, "false", backend.HeaderDraining, "true"), want: []drain.Signal{said}},
+		"back":                      {answer: answered("r", 200, backend.HeaderDraining, "false"), want: []drain.Signal{back}},
 		"nothing":                   {answer: answered("r", 200)},
 		"not readable":              {answer: answered("r", 200, backend.HeaderDraining, "soon")},
 		"not its own answer":        {answer: answered("r", http.StatusMisdirectedRequest, backend.HeaderDraining, "true")},
-		"unreadable beside a value": {answer: answered("r", 200, backend.HeaderDraining, "soon", backend.HeaderDraining, "true"), want: []drain.Word{said}},
+		"unreadable beside a value": {answer: answered("r", 200, backend.HeaderDraining, "soon", backend.HeaderDraining, "true"), want: []drain.Signal{said}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			reader, got, _ := newReader(backend.DefaultDialect())
 			reader.Take(one.answer)
-			require.Equal(t, one.want, got.words)
+			require.Equal(t, one.want, got.signals)
 		})
 	}
 }
@@ -87,8 +87,8 @@
 	dialect.Instance = "Expected"
 	reader, got, _ := newReader(dialect)
 	reader.Take(answered("r", http.StatusMisdirectedRequest, backend.HeaderRequestLimit, "3"))
-	require.Len(t, got.words, 1)
-	require.True(t, got.words[0].Draining)
+	require.Len(t, got.signals, 1)
+	require.True(t, got.signals[0].Draining)
 	require.Empty(t, got.limits)
 }
 
@@ -98,7 +98,7 @@
 	for range 3 {
 		reader.Take(answered("r", 200, backend.HeaderDraining, "soon"))
 	}
-	require.Empty(t, got.words)
+	require.Empty(t, got.signals)
 	require.EqualValues(t, 3, scope.Snapshot().Counters()["backend_signals_unreadable+"].Value())
 }
 
