--- a/signals/list.go
+++ b/signals/list.go
@@ -53,6 +53,8 @@
 
 // ordinary are the headers that any answer may have and by which a back end says nothing of itself.
 var ordinary = map[string]bool{
-	"Content-Length": true, "Content-Type": true, "Date": true, "Server": true, "Transfer-Encoding": true, "Vary": true, "Cache-Control": true,
-	"X-Content-Type-Options": true,
+	"Accept-Ranges": true, "Age": true, "Alt-Svc": true, "Cache-Control": true, "Content-Encoding": true, "Content-Length": true, "Content-Type": true,
+	"Date": true, "Etag": true, "Expires": true, "Last-Modified": true, "Pragma": true, "Server": true, "Set-Cookie": true,
+	"Strict-Transport-Security": true, "Transfer-Encoding": true, "Vary": true, "Via": true, "Www-Authenticate": true,
+	"X-Content-Type-Options": true, "X-Powered-By": true,
 }
