Soak: a daemon is started only once its earlier life is over

Cause: two faults ended one daemon; the first to come back started it again while the second's SIGTERM was still at work, and the end of the earlier life was taken for that of the later one, which nobody ended any more.

--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -100,8 +100,12 @@
 	return fmt.Sprintf("%s life %d", p.name, p.life)
 }
 
-// start starts the daemon. It does not wait until it is ready.
+// start starts the daemon once its earlier life is over: two faults may end it, and the one that starts it again need not be
+// the one that waited. It does not wait until the daemon is ready.
 func (p *process) start() error {
+	if exited := p.end(); exited != nil {
+		<-exited
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var peers []string
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,3 +117,23 @@
 	require.Empty(t, result.Violations)
 	require.Positive(t, result.Counts["status 200"])
 }
+
+// TestStartWaitsForTheEarlierLife guards against taking the end of a daemon's earlier life, which another fault is still
+// stopping, for that of the one that was started in its place.
+func TestStartWaitsForTheEarlierLife(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "slow-to-stop")
+	script := "#!/bin/sh\ntrap 'sleep 0.3; exit 0' TERM\nwhile :; do sleep 0.05; done\n"
+	require.NoError(t, os.WriteFile(binary, []byte(script), 0o700))
+	r := newReport(io.Discard)
+	one := &process{name: "edge-1", address: "127.0.0.1", folder: t.TempDir(), binary: binary, report: r}
+	require.NoError(t, one.start())
+	time.Sleep(200 * time.Millisecond) // the script has set its trap
+	require.True(t, one.signal(syscall.SIGTERM, stopping))
+	require.NoError(t, one.start())
+	require.False(t, one.isStopping())
+	time.Sleep(500 * time.Millisecond)
+	r.mutex.Lock()
+	require.Empty(t, r.violations)
+	r.mutex.Unlock()
+	one.kill()
+}
