explain: one search of a daemon's last line serves both uses

lastOf walked a daemon's lines as last does, with one more condition. Both now call lastWhere. The comment of signals.unread no longer tells its history. Behaviour is unchanged; the tests of explain and signals pass as they were.

--- a/explain/log.go
+++ b/explain/log.go
@@ -153,10 +153,15 @@
 
 // last returns the last line of one kind that a daemon wrote up to a time.
 func (l *Log) last(daemon string, at time.Time, message string) (Line, bool) {
+	return l.lastWhere(daemon, at, func(line Line) bool { return line.Message == message })
+}
+
+// lastWhere returns the last line that a daemon wrote up to a time and that matches.
+func (l *Log) lastWhere(daemon string, at time.Time, matches func(Line) bool) (Line, bool) {
 	var found Line
 	known := false
 	for _, line := range l.byDaemon[daemon] {
-		if line.Message == message && !line.Time.After(at) {
+		if !line.Time.After(at) && matches(line) {
 			found, known = line, true
 		}
 	}
--- a/explain/signals.go
+++ b/explain/signals.go
@@ -38,14 +38,9 @@
 
 // lastOf returns the last line of one kind on the back end of a choice that its daemon wrote before it.
 func (l *Log) lastOf(chosen Line, message string) (Line, bool) {
-	var found Line
-	known := false
-	for _, line := range l.byDaemon[chosen.Daemon] {
-		if line.Message == message && line.Backend == chosen.Backend && !line.Time.After(chosen.Time) {
-			found, known = line, true
-		}
-	}
-	return found, known
+	return l.lastWhere(chosen.Daemon, chosen.Time, func(line Line) bool {
+		return line.Message == message && line.Backend == chosen.Backend
+	})
 }
 
 // byWhich names the request whose answer said something; empty: none did.
--- a/signals/unread.go
+++ b/signals/unread.go
@@ -15,8 +15,7 @@
 const maxUnread = 64
 
 // unread notes what back ends say of themselves that nothing here reads, so that it is not dropped in
-// silence: a bound that a back end had named was passed on and forgotten, and nothing told of it. It is
-// safe for concurrent use.
+// silence. It is safe for concurrent use.
 type unread struct {
 	log     *slog.Logger
 	counter tally.Counter
