--- a/lab/objectstub/fleet_test.go
+++ b/lab/objectstub/fleet_test.go
@@ -60,6 +60,8 @@
 	public  bool
 	// rollouts: daemons that start follow them.
 	rollouts bool
+	// version is that of the configuration that was written last.
+	version uint64
 
 	mutex   sync.Mutex
 	answers map[string]answer // by the request's id
@@ -207,8 +209,19 @@
 	Spec     map[string]any `json:"spec"`
 }
 
-// configure writes a configuration with a safe and an unsafe route under prefix.
-func (f *fleet) configure(prefix string) {
+// versionStep is by how much versions of the configuration rise.
+const versionStep = 3
+
+// configure writes the next configuration, with a safe and an unsafe route under prefix, and returns its
+// version.
+func (f *fleet) configure(prefix string) uint64 {
+	f.version += versionStep
+	f.configureVersion(f.version, prefix)
+	return f.version
+}
+
+// configureVersion is configure of a given version.
+func (f *fleet) configureVersion(version uint64, prefix string) {
 	route := func(kind string) resource {
 		spec := map[string]any{
 			"host": "a.example", "pathPrefix": prefix + kind + "/", "kind": kind, "timeoutS": 2, "targetLatencyS": 0.4,
@@ -227,7 +240,7 @@
 		}
 	}
 	resources = append(resources, f.tenants...)
-	f.store.Set("config", "main", map[string]any{"version": 1, "resources": resources})
+	f.store.Set("config", "main", map[string]any{"version": version, "resources": resources})
 }
 
 // shares returns the split as routes declare it.
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -36,6 +37,9 @@
 	LoseAnswers int
 }
 
+// headerEra tells in each answer how often the store has come back older.
+const headerEra = "Store-Era"
+
 // pageLength is how many objects one answer to a list holds.
 const pageLength = 20
 
@@ -49,6 +53,7 @@
 // Stub is the stand-in. It is safe for concurrent use.
 type Stub struct {
 	mutex    sync.Mutex
+	era      uint64
 	revision uint64
 	kinds    map[string]map[string]Object
 	history  []event
@@ -107,6 +112,46 @@
 	s.history, s.floor = nil, s.revision
 }
 
+// Copy is what the store held at a moment.
+type Copy struct {
+	revision, floor uint64
+	kinds           map[string]map[string]Object
+	history         []event
+}
+
+// Copy returns what the store holds now.
+func (s *Stub) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{revision: s.revision, floor: s.floor, kinds: cloneKinds(s.kinds), history: slices.Clone(s.history)}
+}
+
+func cloneKinds(kinds map[string]map[string]Object) map[string]map[string]Object {
+	cloned := make(map[string]map[string]Object, len(kinds))
+	for kind, objects := range kinds {
+		cloned[kind] = maps.Clone(objects)
+	}
+	return cloned
+}
+
+// ComeBackOlder loses what was written since the copy was taken, and begins the next era: revisions go back, and
+// are given out again. Watches that wait are cut.
+func (s *Stub) ComeBackOlder(from Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.revision, s.floor, s.kinds, s.history = from.revision, from.floor, cloneKinds(from.kinds), slices.Clone(from.history)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Era returns how often the store has come back older.
+func (s *Stub) Era() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
 // Set writes an object whatever its revision, as the operator and the workers do,
 // and returns the new revision.
 func (s *Stub) Set(kind, name string, spec any) uint64 {
@@ -166,6 +211,7 @@
 		s.mutex.Lock()
 		s.calls++
 		down := s.faults.Down
+		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 		s.mutex.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -229,14 +275,19 @@
 	}
 	s.mutex.Lock()
 	s.watches[r.PathValue("kind")]++
+	era := s.era
 	s.mutex.Unlock()
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
 		s.mutex.Lock()
-		changed, at, forgotten := s.changed, s.revision, after < s.floor
+		changed, at, forgotten := s.changed, s.revision, after < s.floor || after > s.revision
 		events := s.since(r.PathValue("kind"), after)
+		cut := s.era != era
 		s.mutex.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
 		if forgotten {
 			w.WriteHeader(http.StatusGone)
 			return
