Configurations are ordered by their own version, what the store orders by era and revision

Callers: after the store had come back from an older copy, a route that had been moved by an acknowledged version was served by the old service for 2.7 s, until a version got a store revision above that in force.

Cause: daemons ordered configurations, and all else that the store keeps, by the store's revision. A revision orders what one history holds. The store came back at revision 46, gave out 47 to 50 again, and daemons with revision 50 in force took version 29 (revision 49) for older than version 25 (revision 50), and 32 (again 50) for the same.

A configuration now has the version that its writer gives it, with the store's version only where two are the same. What has no version of its own (directory, evacuations, rollouts, objects of ours) has a store version that holds the era before the revision: all that is written after a return is higher than all before it. The era comes from the answers of the store; one that is missing or cannot be read says nothing, and an answer of an earlier era is an error. Whole configurations are handed over between daemons where the eras differ, as the same revisions may stand for other changes. Between daemons the revision has another number in messages: one of before and one of after must not be compared.

A watch that ends without news no longer logs an older document passed over.

--- a/config/directory.go
+++ b/config/directory.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // Directory holds the back ends that a platform itself keeps a list of, beside
@@ -15,24 +17,25 @@
 // for a while, so that any daemon can tell another what changed after the
 // revision that the other one has.
 type Directory struct {
-	Revision Revision   `json:"revision"`
-	Listed   []Listed   `json:"listed,omitempty"`   // in the order of ids
-	Departed []Departed `json:"departed,omitempty"` // oldest first
+	Revision objectstore.Version `json:"revision"`
+	Listed   []Listed            `json:"listed,omitempty"`   // in the order of ids
+	Departed []Departed          `json:"departed,omitempty"` // oldest first
 	// Since is the revision after which every departure is remembered.
-	Since Revision `json:"since,omitempty"`
+	Since objectstore.Version `json:"since,omitempty"`
 }
 
 // Listed is a back end on the platform's list.
 type Listed struct {
 	Backend
-	Service  string   `json:"service"`
-	Revision Revision `json:"revision"` // of its last change
+	Service  string              `json:"service"`
+	Revision objectstore.Version `json:"revision"` // of its last change
 }
 
 // Departed is a back end that was taken from the list.
 type Departed struct {
-	ID       string   `json:"id"`
-	Revision Revision `json:"revision"` // at which it was known to be gone
+	ID       string              `json:"id"`
+	Revision objectstore.Version `json:"revision"`          // at which it was known to be gone
+	Started  int64               `json:"started,omitempty"` // of the run that is gone, in Unix milliseconds; 0: not told
 }
 
 // MaxDeparted bounds the departures that are remembered. The oldest go first.
@@ -40,15 +43,15 @@
 
 // DirectoryChange is what changed in a directory after a revision.
 type DirectoryChange struct {
-	After    Revision   `json:"after"`
-	Revision Revision   `json:"revision"`
-	Listed   []Listed   `json:"listed,omitempty"`   // new ones and changed ones
-	Departed []Departed `json:"departed,omitempty"` // oldest first
+	After    objectstore.Version `json:"after"`
+	Revision objectstore.Version `json:"revision"`
+	Listed   []Listed            `json:"listed,omitempty"`   // new ones and changed ones
+	Departed []Departed          `json:"departed,omitempty"` // oldest first
 }
 
 // ChangesAfter returns what changed after a revision, and false when departures
 // since then may be forgotten.
-func (d Directory) ChangesAfter(revision Revision) (DirectoryChange, bool) {
+func (d Directory) ChangesAfter(revision objectstore.Version) (DirectoryChange, bool) {
 	if revision == 0 || revision < d.Since {
 		return DirectoryChange{}, false
 	}
@@ -173,8 +176,9 @@
 func (d Document) Newest(other Document) (Document, bool) {
 	newer := d.Position().Behind(other.Position())
 	newest := d
-	if other.Revision > d.Revision {
+	if d.Position().BehindInConfiguration(other.Position()) {
 		newest = newest.changed(other.Revision, other.Content, other.History)
+		newest.Stored = other.Stored
 	}
 	if other.Directory.Revision > d.Directory.Revision {
 		newest.Directory = other.Directory
@@ -187,21 +191,3 @@
 	}
 	return newest, newer
 }
-
-// Position is the revision of each part of a document.
-type Position struct {
-	Revision    Revision
-	Directory   Revision
-	Evacuations Revision
-	Rollouts    Revision
-}
-
-// Position returns the revisions of the document's parts.
-func (d Document) Position() Position {
-	return Position{Revision: d.Revision, Directory: d.Directory.Revision, Evacuations: d.Evacuations.Revision, Rollouts: d.Rollouts.Revision}
-}
-
-// Behind says whether another position is higher in any part.
-func (p Position) Behind(other Position) bool {
-	return other.Revision > p.Revision || other.Directory > p.Directory || other.Evacuations > p.Evacuations || other.Rollouts > p.Rollouts
-}
--- a/config/directory_test.go
+++ b/config/directory_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tuliphall/tuliphall/config"
 	_ "github.com/tuliphall/tuliphall/internal/testseed"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // listEvent is one change of a platform's list; a slot count of 0 takes the back
@@ -24,7 +25,7 @@
 type listHistory []listEvent
 
 // at returns the slots of each back end on the list at a revision.
-func (h listHistory) at(revision config.Revision) map[string]int {
+func (h listHistory) at(revision objectstore.Version) map[string]int {
 	slots := make(map[string]int)
 	for _, one := range h[:revision] {
 		if one.slots == 0 {
@@ -38,11 +39,11 @@
 
 // read returns the list as a daemon that lists it now sees it.
 func (h listHistory) read() config.Directory {
-	revision := config.Revision(len(h))
+	revision := objectstore.Version(len(h))
 	change := config.DirectoryChange{Revision: revision}
-	last := make(map[string]config.Revision)
+	last := make(map[string]objectstore.Version)
 	for index, one := range h {
-		last[one.id] = config.Revision(index + 1)
+		last[one.id] = objectstore.Version(index + 1)
 	}
 	for id, slots := range h.at(revision) {
 		change.Listed = append(change.Listed, listedBackend(id, slots, last[id]))
@@ -55,14 +56,14 @@
 }
 
 // since returns the events after a revision, as a daemon that watches gets them.
-func (h listHistory) since(revision config.Revision) config.DirectoryChange {
-	change := config.DirectoryChange{After: revision, Revision: config.Revision(len(h))}
+func (h listHistory) since(revision objectstore.Version) config.DirectoryChange {
+	change := config.DirectoryChange{After: revision, Revision: objectstore.Version(len(h))}
 	last := make(map[string]int)
 	for index := int(revision); index < len(h); index++ {
 		last[h[index].id] = index
 	}
 	for id, index := range last {
-		at := config.Revision(index + 1)
+		at := objectstore.Version(index + 1)
 		if h[index].slots == 0 {
 			change.Departed = append(change.Departed, config.Departed{ID: id, Revision: change.Revision})
 			continue
@@ -72,7 +73,7 @@
 	return change
 }
 
-func listedBackend(id string, slots int, revision config.Revision) config.Listed {
+func listedBackend(id string, slots int, revision objectstore.Version) config.Listed {
 	return config.Listed{Service: "prices", Revision: revision, Backend: config.Backend{ID: id, Slots: slots}}
 }
 
--- a/config/document.go
+++ b/config/document.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // Revision orders documents. 0 means that nothing was ever declared.
@@ -40,8 +42,10 @@
 // (oldest first).
 type Document struct {
 	Revision Revision `json:"revision"`
-	Content  Content  `json:"content"`
-	History  []Change `json:"history,omitempty"`
+	// Stored is the version at which the store has it; 0: it was not read from there.
+	Stored  objectstore.Version `json:"stored,omitempty"`
+	Content Content             `json:"content"`
+	History []Change            `json:"history,omitempty"`
 	// Directory, Evacuations and Rollouts are not part of the revision, nor of the history.
 	Directory   Directory   `json:"directory,omitzero"`
 	Evacuations Evacuations `json:"evacuations,omitzero"`
--- a/config/evacuation.go
+++ b/config/evacuation.go
@@ -1,13 +1,17 @@
 package config
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/tuliphall/tuliphall/objectstore"
+)
 
 // Evacuations are the zones that a platform's operators have evacuated, beside those that
 // are declared with the product's own Zone objects. They have a revision of their own, as
 // the Directory has, because the platform keeps them apart from all else.
 type Evacuations struct {
-	Revision Revision `json:"revision"`
-	Zones    []string `json:"zones,omitempty"` // sorted
+	Revision objectstore.Version `json:"revision"`
+	Zones    []string            `json:"zones,omitempty"` // sorted
 }
 
 // Evacuated returns the zones whose back ends get no new requests, whoever said so, sorted.
--- a/config/evacuation_test.go
+++ b/config/evacuation_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // TestEvacuatedZones joins what operators declare and what the platform keeps.
@@ -31,18 +32,25 @@
 // force is ever older than before, and all end with the newest of each.
 func TestPartsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		revision := func(name string) config.Revision { return config.Revision(rapid.IntRange(0, 6).Draw(t, name)) }
+		version := func(name string) objectstore.Version {
+			return objectstore.NewVersion(rapid.Uint64Range(0, 2).Draw(t, name+" era"), rapid.Uint64Range(0, 6).Draw(t, name))
+		}
 		var inForce config.Document
 		var highest config.Position
 		for range rapid.IntRange(1, 20).Draw(t, "documents") {
 			told := config.Document{
-				Revision: revision("revision"), Directory: config.Directory{Revision: revision("directory")},
-				Evacuations: config.Evacuations{Revision: revision("evacuations")},
+				Revision: config.Revision(rapid.IntRange(0, 6).Draw(t, "revision")), Stored: version("stored"),
+				Directory:   config.Directory{Revision: version("directory")},
+				Evacuations: config.Evacuations{Revision: version("evacuations")},
 			}
-			highest = config.Position{
-				Revision: max(highest.Revision, told.Revision), Directory: max(highest.Directory, told.Directory.Revision),
-				Evacuations: max(highest.Evacuations, told.Evacuations.Revision),
+			switch {
+			case told.Revision > highest.Revision:
+				highest.Revision, highest.Stored = told.Revision, told.Stored
+			case told.Revision == highest.Revision:
+				highest.Stored = max(highest.Stored, told.Stored)
 			}
+			highest.Directory = max(highest.Directory, told.Directory.Revision)
+			highest.Evacuations = max(highest.Evacuations, told.Evacuations.Revision)
 			before := inForce.Position()
 			next, newer := inForce.Newest(told)
 			require.Equal(t, newer, next.Position() != before)
--- a/config/rollout.go
+++ b/config/rollout.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tuliphall/tuliphall/objectstore"
 )
 
 // Rollout asks that the requests of a service move to back ends of another version, and says how
@@ -22,8 +24,8 @@
 	DecideBy int64 `toml:"-" json:"decide_by,omitempty"`
 	// Reason is why it is in its phase, for operators.
 	Reason string `toml:"-" json:"reason,omitempty"`
-	// Recorded is the revision of the record in the platform's store; 0: it is not kept there.
-	Recorded Revision `toml:"-" json:"recorded,omitempty"`
+	// Recorded is the version of the record in the platform's store; 0: it is not kept there.
+	Recorded objectstore.Version `toml:"-" json:"recorded,omitempty"`
 }
 
 // RolloutPhase says how far a rollout is. It only goes on, from one phase to a later one.
@@ -71,8 +73,8 @@
 // Rollouts are the rollouts that a platform's operators have ordered, beside those that are declared
 // as objects of the product's own. They have a revision of their own, as the Directory has.
 type Rollouts struct {
-	Revision Revision  `json:"revision"`
-	Orders   []Rollout `json:"orders,omitempty"` // by service
+	Revision objectstore.Version `json:"revision"`
+	Orders   []Rollout           `json:"orders,omitempty"` // by service
 }
 
 // RolloutsByService returns the rollouts by service, whoever ordered them.
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -240,8 +240,8 @@
 // again is usual: several daemons tell of it.
 func (f *Follower) notePassedOver(present, offered config.Position, source string) {
 	if present.Revision > offered.Revision && offered.Revision > 0 || present.Directory > offered.Directory && offered.Directory > 0 {
-		f.log.Info("older document passed over", "revision", uint64(present.Revision), "directory", uint64(present.Directory),
-			"offered_revision", uint64(offered.Revision), "offered_directory", uint64(offered.Directory), "source", source)
+		f.log.Info("older document passed over", "revision", uint64(present.Revision), "stored", present.Stored.String(), "directory", present.Directory.String(),
+			"offered_revision", uint64(offered.Revision), "offered_stored", offered.Stored.String(), "offered_directory", offered.Directory.String(), "source", source)
 	}
 }
 
--- a/dissemination/follower_test.go
+++ b/dissemination/follower_test.go
@@ -18,6 +18,7 @@
 	_ "github.com/tuliphall/tuliphall/internal/testseed"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/service"
 )
 
@@ -231,7 +232,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "offers") {
 			offered := config.Document{
 				Revision:  config.Revision(rapid.IntRange(0, 6).Draw(t, "revision")),
-				Directory: config.Directory{Revision: config.Revision(rapid.IntRange(0, 6).Draw(t, "directory"))},
+				Directory: config.Directory{Revision: objectstore.Version(rapid.IntRange(0, 6).Draw(t, "directory"))},
 			}
 			// A document says by a service's name which revision it is of.
 			if offered.Revision > 0 {
--- a/dissemination/log.go
+++ b/dissemination/log.go
@@ -20,8 +20,9 @@
 	}
 	attributes := []slog.Attr{
 		slog.Uint64("revision", uint64(now.Revision)), slog.Uint64("before", uint64(before.Revision)),
+		slog.String("stored", now.Stored.String()), slog.String("stored_before", before.Stored.String()),
 		slog.Int("routes", len(now.Content.Routes)), slog.Int("services", len(now.Content.Services)),
-		slog.Uint64("directory", uint64(now.Directory.Revision)), slog.Uint64("directory_before", uint64(before.Directory.Revision)),
+		slog.String("directory", now.Directory.Revision.String()), slog.String("directory_before", before.Directory.Revision.String()),
 		slog.Int("backends", len(now.Directory.Listed)),
 		slog.String("evacuated", strings.Join(now.Evacuated(), " ")), slog.String("evacuated_before", strings.Join(before.Evacuated(), " ")),
 	}
--- a/dissemination/watch.go
+++ b/dissemination/watch.go
@@ -57,13 +57,17 @@
 	if f.options.Watchers > 0 {
 		go f.cancelWhenNotChosen(ctx, cancel)
 	}
-	document, err := source.Watch(ctx, f.Document(), length)
+	present := f.Document()
+	document, err := source.Watch(ctx, present, length)
 	if err != nil && !f.chosen() {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
+	if document.Position() == present.Position() {
+		return nil // no news; others may have told of some meanwhile
+	}
 	return f.Offer(document, fromPlatform)
 }
 
--- a/lab/objectstub/news_test.go
+++ b/lab/objectstub/news_test.go
@@ -98,7 +98,7 @@
 	heard := 0
 	for _, one := range f.daemons {
 		position := one.Document().Position()
-		if uint64(max(position.Revision, position.Directory)) >= revision {
+		if uint64(max(position.Stored, position.Directory)) >= revision {
 			heard++
 		}
 	}
--- a/lab/platformstub/stub.go
+++ b/lab/platformstub/stub.go
@@ -143,7 +143,20 @@
 	mux.HandleFunc("DELETE "+objectstore.ObjectsPath+"{kind}/{name}", s.delete)
 	mux.HandleFunc("GET "+objectstore.ObjectsPath+"{kind}", s.list)
 	mux.HandleFunc("GET "+objectstore.MachinesPath, s.machines)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(objectstore.HeaderEra, strconv.FormatUint(s.store.Era(), 10))
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// ComeBackOlder lets the platform lose what was written since a copy of its store was taken. Watches that wait
+// are cut.
+func (s *Stub) ComeBackOlder(from objectstore.Copy) {
+	s.store.ComeBackOlder(from)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	close(s.broken)
+	s.broken = make(chan struct{})
 }
 
 // begin counts a call and applies the faults to it. It says whether the call
--- a/objectstore/http.go
+++ b/objectstore/http.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -24,6 +25,7 @@
 	HeaderVersion = "Object-Version"
 	HeaderExpect  = "If-Object-Version"
 	HeaderCaller  = "Platform-Caller"
+	HeaderEra     = "Store-Era"
 	ParamAfter    = "after"
 	ParamWait     = "wait"
 )
@@ -33,6 +35,7 @@
 	base   string
 	caller string
 	client *http.Client
+	eras   Eras
 }
 
 // NewClient returns a client for the platform at base (a URL). caller names
@@ -55,6 +58,21 @@
 	c.client.CloseIdleConnections()
 }
 
+// LogTo sets where a new era of the store is logged.
+func (c *Client) LogTo(log *slog.Logger) {
+	c.eras.LogTo(log)
+}
+
+// Era implements Store.
+func (c *Client) Era() uint64 {
+	return c.eras.Newest()
+}
+
+// HearEra implements Store.
+func (c *Client) HearEra(era uint64) {
+	c.eras.Hear(era)
+}
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
 	return c.read(ctx, key, "")
@@ -166,6 +184,9 @@
 	if err != nil {
 		return nil, nil, noAnswer(ctx, err)
 	}
+	if _, err := c.eras.Of(response.Header.Get(HeaderEra)); err != nil {
+		return nil, nil, err
+	}
 	if err := statusError(response.StatusCode, answer); err != nil {
 		return nil, nil, err
 	}
--- a/objectstore/memory.go
+++ b/objectstore/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 // and the lab's stand-in for the platform are built on it; it keeps nothing.
 type Memory struct {
 	mutex    sync.Mutex
+	era      uint64
 	objects  map[Key]Object
 	latest   Version
 	changed  chan struct{}
@@ -101,6 +103,39 @@
 	}
 }
 
+// Era implements Store.
+func (m *Memory) Era() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.era
+}
+
+// HearEra implements Store: nobody knows of more eras than the store itself.
+func (m *Memory) HearEra(uint64) {}
+
+// Copy is what a Memory held at a moment.
+type Copy struct {
+	objects map[Key]Object
+	latest  Version
+}
+
+// Copy returns what the store holds now.
+func (m *Memory) Copy() Copy {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return Copy{objects: maps.Clone(m.objects), latest: m.latest}
+}
+
+// ComeBackOlder loses what was written since the copy was taken, and begins the next era.
+func (m *Memory) ComeBackOlder(from Copy) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.era++
+	m.objects = maps.Clone(from.objects)
+	m.latest = NewVersion(m.era, from.latest.Revision())
+	m.wake()
+}
+
 // wake releases every waiting watch. The caller holds the mutex.
 func (m *Memory) wake() {
 	close(m.changed)
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -32,9 +32,6 @@
 // MaxValueBytes is the largest value the store takes.
 const MaxValueBytes = 1 << 20
 
-// Version orders the writes of one object. 0 means that the object does not exist.
-type Version uint64
-
 // Key names an object.
 type Key struct {
 	Kind string
@@ -62,6 +59,11 @@
 	// Watch returns the object once its version is above after, or
 	// ErrNotFound when wait has passed without a change.
 	Watch(ctx context.Context, key Key, after Version, wait time.Duration) (Object, error)
+	// Era returns the highest era that the store is known to have been in; it does not block. Where it rises,
+	// what the store acknowledged last may be lost.
+	Era() uint64
+	// HearEra notes an era that another daemon knows of. It does not block.
+	HearEra(era uint64)
 }
 
 // MachineState is what the machine list says of a machine.
--- a/peer/announce.go
+++ b/peer/announce.go
@@ -7,6 +7,7 @@
 
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
@@ -82,13 +83,15 @@
 func (n *Node) position() *peerpb.Position {
 	position := n.options.Configuration.Position()
 	return &peerpb.Position{
-		Address: n.options.Self.PeerAddress, Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
+		Address: n.options.Self.PeerAddress, Revision: uint64(position.Revision), Stored: uint64(position.Stored),
+		Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
 	}
 }
 
 // positioned is a message that tells what is in force at its sender.
 type positioned interface {
 	GetRevision() uint64
+	GetStored() uint64
 	GetDirectory() uint64
 	GetEvacuations() uint64
 	GetRollouts() uint64
@@ -96,8 +99,9 @@
 
 func decodePosition(encoded positioned) config.Position {
 	return config.Position{
-		Revision: config.Revision(encoded.GetRevision()), Directory: config.Revision(encoded.GetDirectory()),
-		Evacuations: config.Revision(encoded.GetEvacuations()), Rollouts: config.Revision(encoded.GetRollouts()),
+		Revision: config.Revision(encoded.GetRevision()), Stored: objectstore.Version(encoded.GetStored()),
+		Directory: objectstore.Version(encoded.GetDirectory()), Evacuations: objectstore.Version(encoded.GetEvacuations()),
+		Rollouts: objectstore.Version(encoded.GetRollouts()),
 	}
 }
 
--- a/peer/announce_test.go
+++ b/peer/announce_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/membership"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
@@ -21,7 +22,7 @@
 }
 
 func (h *held) Position() config.Position {
-	return config.Position{Revision: 1, Directory: config.Revision(h.directory.Load())}
+	return config.Position{Revision: 1, Directory: objectstore.Version(h.directory.Load())}
 }
 
 func (*held) Document() config.Document                 { return config.Document{} }
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -6,13 +6,14 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
 // changesAfter encodes what is in force here and newer than a position.
 func (n *Node) changesAfter(after config.Position) (*peerpb.ChangesReply, error) {
 	document := n.options.Configuration.Document()
-	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision)}
+	reply := &peerpb.ChangesReply{Revision: uint64(document.Revision), Stored: uint64(document.Stored)}
 	if err := n.addDirectory(reply, document.Directory, after.Directory); err != nil {
 		return nil, err
 	}
@@ -26,16 +27,17 @@
 		}
 		reply.Rollouts = rollouts
 	}
-	return reply, n.addConfiguration(reply, document, after.Revision)
+	return reply, n.addConfiguration(reply, document, after)
 }
 
-// addConfiguration adds the changes after a revision, or the whole configuration.
-func (n *Node) addConfiguration(reply *peerpb.ChangesReply, document config.Document, after config.Revision) (err error) {
-	if after >= document.Revision {
+// addConfiguration adds the changes after a position, or the whole configuration. Where the store came back older
+// in between, the same revisions may stand for other changes.
+func (n *Node) addConfiguration(reply *peerpb.ChangesReply, document config.Document, after config.Position) (err error) {
+	if !after.BehindInConfiguration(document.Position()) {
 		return nil
 	}
-	changes, reaches := document.ChangesAfter(after)
-	if !reaches || after == 0 {
+	changes, reaches := document.ChangesAfter(after.Revision)
+	if !reaches || after.Revision == 0 || after.Revision == document.Revision || after.Stored.Era() != document.Stored.Era() {
 		reply.Document, err = n.encodings.documentOf(document)
 		return err
 	}
@@ -50,7 +52,7 @@
 }
 
 // addDirectory adds what changed in the directory after a revision, or all of it.
-func (n *Node) addDirectory(reply *peerpb.ChangesReply, directory config.Directory, after config.Revision) (err error) {
+func (n *Node) addDirectory(reply *peerpb.ChangesReply, directory config.Directory, after objectstore.Version) (err error) {
 	if after >= directory.Revision {
 		return nil
 	}
@@ -70,8 +72,8 @@
 	if err != nil {
 		return config.Document{}, err
 	}
-	if told := reply.Evacuations; config.Revision(told.GetRevision()) > present.Evacuations.Revision {
-		next.Evacuations = config.Evacuations{Revision: config.Revision(told.Revision), Zones: told.Zones}
+	if told := reply.Evacuations; objectstore.Version(told.GetRevision()) > present.Evacuations.Revision {
+		next.Evacuations = config.Evacuations{Revision: objectstore.Version(told.Revision), Zones: told.Zones}
 	}
 	if next.Rollouts, err = followRollouts(present.Rollouts, reply); err != nil {
 		return config.Document{}, err
@@ -112,7 +114,8 @@
 }
 
 func followChanges(present config.Document, reply *peerpb.ChangesReply) (config.Document, error) {
-	if config.Revision(reply.Revision) <= present.Revision {
+	told := config.Position{Revision: config.Revision(reply.Revision), Stored: objectstore.Version(reply.Stored)}
+	if !present.Position().BehindInConfiguration(told) {
 		return present, nil
 	}
 	if len(reply.Document) > 0 {
@@ -129,5 +132,7 @@
 			return config.Document{}, errors.Annotate(err, "a configuration change")
 		}
 	}
-	return present.Follow(changes)
+	next, err := present.Follow(changes)
+	next.Stored = told.Stored
+	return next, err
 }
--- a/peer/encoding.go
+++ b/peer/encoding.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
@@ -29,26 +30,26 @@
 // changeEncoding is the last change of the directory in encoded form: most daemons
 // lack the same one.
 type changeEncoding struct {
-	after, revision config.Revision
+	after, revision objectstore.Version
 	data            []byte
 }
 
 // encoding is one part in compressed JSON.
 type encoding struct {
-	revision config.Revision
+	position config.Position
 	data     []byte
 }
 
-// of returns the part in encoded form; revision tells it from other versions.
-func (e *encoding) of(revision config.Revision, part any) ([]byte, error) {
-	if e.data != nil && e.revision == revision {
+// of returns the part in encoded form; position tells it from other versions.
+func (e *encoding) of(position config.Position, part any) ([]byte, error) {
+	if e.data != nil && e.position == position {
 		return e.data, nil
 	}
 	data, err := compress(part)
 	if err != nil {
 		return nil, err
 	}
-	e.revision, e.data = revision, data
+	e.position, e.data = position, data
 	return data, nil
 }
 
@@ -56,12 +57,12 @@
 	document.Directory, document.Evacuations, document.Rollouts = config.Directory{}, config.Evacuations{}, config.Rollouts{} // sent by themselves
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.document.of(document.Revision, document)
+	return e.document.of(document.Position(), document)
 }
 
 // changeOf returns what changed in a directory after a revision in encoded form, and
 // false where that is not known.
-func (e *encodings) changeOf(directory config.Directory, after config.Revision) ([]byte, bool, error) {
+func (e *encodings) changeOf(directory config.Directory, after objectstore.Version) ([]byte, bool, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if kept := e.change; kept.data != nil && kept.after == after && kept.revision == directory.Revision {
@@ -79,7 +80,7 @@
 func (e *encodings) directoryOf(directory config.Directory) ([]byte, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.directory.of(directory.Revision, directory)
+	return e.directory.of(config.Position{Directory: directory.Revision}, directory)
 }
 
 // compress writes a part as compressed JSON.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -84,7 +84,8 @@
 	n.mutex.Lock()
 	fleet := len(n.view.Load().Serving)
 	request := &peerpb.ExchangeRequest{
-		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Stored: uint64(position.Stored),
+		Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
 		Updates: encodeMembers(n.state.Updates()), Drains: encodeDrains(n.drains.next(fleet)), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
 	}
 	n.mutex.Unlock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 )
 
@@ -45,7 +46,8 @@
 	defer n.mutex.Unlock()
 	fleet := len(n.view.Load().Serving)
 	return &peerpb.ExchangeReply{
-		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
+		Sender: encodeMember(n.state.Self()), Revision: uint64(position.Revision), Stored: uint64(position.Stored),
+		Directory: uint64(position.Directory), Evacuations: uint64(position.Evacuations), Rollouts: uint64(position.Rollouts),
 		Updates: encodeMembers(n.state.Updates()), Drains: encodeDrains(n.drains.next(fleet)), Digest: n.digest(), CrashingRequests: encodeCrashingRequests(n.crashingRequests.next(fleet)), Limits: encodeLimits(n.limits.next(fleet)),
 	}, nil
 }
@@ -78,7 +80,8 @@
 // Changes implements peerpb.DRPCPeerServer.
 func (s *server) Changes(_ context.Context, request *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
 	after := config.Position{
-		Revision: config.Revision(request.After), Directory: config.Revision(request.DirectoryAfter), Evacuations: config.Revision(request.EvacuationsAfter), Rollouts: config.Revision(request.RolloutsAfter),
+		Revision: config.Revision(request.After), Stored: objectstore.Version(request.StoredAfter), Directory: objectstore.Version(request.DirectoryAfter),
+		Evacuations: objectstore.Version(request.EvacuationsAfter), Rollouts: objectstore.Version(request.RolloutsAfter),
 	}
 	return s.node.changesAfter(after)
 }
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/routing"
 )
 
@@ -433,7 +434,7 @@
 		running.Phase, running.Recorded = config.RolloutRunning, 7
 		p.Follow(now, running)
 		require.Equal(t, config.RolloutRolledBack, p.Order().Phase)
-		require.Equal(t, config.Revision(7), p.Order().Recorded, "the record that is to be replaced")
+		require.Equal(t, objectstore.Version(7), p.Order().Recorded, "the record that is to be replaced")
 	})
 	t.Run("another dispatcher has decided", func(t *testing.T) {
 		p := NewPlan(now, order)
