What the store lost of back ends and zones is kept until it is written again

Callers: a back end that had said that it leaves got new requests again, one that had gone was chosen again, one that had joined got none, and an evacuated zone was used, from when the store came back from a copy that was older than these changes until they were written again.

Cause: a list of the store was in force as soon as it was read. Nothing told what the copy lacks from what is gone, nor what it still has from what is new.

It is each daemon's own: what daemons tell each other is what the store says. Weighed against keeping it where the store is watched: there the watchers' lists of one revision would differ.

--- a/config/directory.go
+++ b/config/directory.go
@@ -38,6 +38,15 @@
 	Started  int64               `json:"started,omitempty"` // of the run that is gone, in Unix milliseconds; 0: not told
 }
 
+// StartOf returns when the listed run of a back end started, in Unix milliseconds; 0: it is not known.
+func (d Directory) StartOf(id string) int64 {
+	index, found := slices.BinarySearchFunc(d.Listed, id, func(one Listed, id string) int { return cmp.Compare(one.ID, id) })
+	if !found {
+		return 0
+	}
+	return d.Listed[index].Started
+}
+
 // MaxDeparted bounds the departures that are remembered. The oldest go first.
 const MaxDeparted = 500
 
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -92,9 +92,7 @@
 // in the directory only, what is not touched by that is kept: of 10,000 back ends in three
 // services, a change of one cost 1.4 kB for each of them otherwise, at each daemon.
 func (s *Snapshot) Next(document Document) (*Snapshot, error) {
-	before, now := s.Document.Position(), document.Position()
-	before.Directory, now.Directory = 0, 0
-	if before != now {
+	if !s.Document.differsInDirectoryOnly(document) {
 		return NewSnapshot(document)
 	}
 	touched := document.Directory.servicesChanged(s.Document.Directory)
@@ -110,6 +108,13 @@
 	return &next, nil
 }
 
+// differsInDirectoryOnly says whether all but the directory is the same as in another document.
+func (d Document) differsInDirectoryOnly(other Document) bool {
+	before, now := d.Position(), other.Position()
+	before.Directory, now.Directory = 0, 0
+	return before == now && slices.Equal(d.Evacuations.Zones, other.Evacuations.Zones) && slices.Equal(d.Rollouts.Orders, other.Rollouts.Orders)
+}
+
 // Newer says whether the snapshot is newer than another in one part and older in
 // none.
 func (s *Snapshot) Newer(than *Snapshot) bool {
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -135,12 +135,20 @@
 	return d.follower.Document()
 }
 
+// evacuated returns the zones whose back ends get no new requests from this daemon.
+func (d *Daemon) evacuated() []string {
+	if snapshot := d.services.Snapshot(); snapshot != nil {
+		return snapshot.Document.Evacuated()
+	}
+	return nil
+}
+
 // Status implements admin.Backend. It asks every member which revision it has in
 // force; the platform is not asked.
 func (d *Daemon) Status(ctx context.Context) admin.Status {
 	status := admin.Status{
 		Daemon: d.settings.Name, Version: Version, Head: d.follower.Head(), Uptime: time.Since(d.started), Watching: d.follower.Watching(),
-		Evacuated: d.follower.Document().Evacuated(), Quarantined: d.quarantine.Held(), Limited: d.limits.Limited(),
+		Evacuated: d.evacuated(), Quarantined: d.quarantine.Held(), Limited: d.limits.Limited(),
 		Leaving: d.drains.Draining(), Paused: d.pauses.Kept(),
 	}
 	var waiting sync.WaitGroup
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -95,6 +95,8 @@
 	Seeds func(ctx context.Context) []string
 	// FirstStart says that nothing can have been declared yet when the daemon starts.
 	FirstStart bool
+	// HearEra is told the era of the store that a document is of; nil: nobody is. It must not block.
+	HearEra func(era uint64)
 }
 
 // Follower keeps a daemon at the newest configuration. It is safe for
@@ -114,11 +116,16 @@
 
 	standIn standIn
 
+	// retained has room for one: what is kept of what the store lost has changed.
+	retained chan struct{}
+
 	configured chan struct{} // closed once a document is in force
 
 	once sync.Once // closes it
 
-	mutex    sync.Mutex // held while a document is put in force
+	mutex     sync.Mutex // held while a document is put in force
+	retention config.Retention
+	// document is what the store and other daemons tell; what is in force differs from it by what is retained.
 	document atomic.Pointer[config.Document]
 	randomMu sync.Mutex
 }
@@ -134,7 +141,7 @@
 	}
 	return &Follower{
 		options: options, log: logging.Part(options.Log, "configuration"), behind: make(chan news, behindQueue),
-		toAnnounce: make(chan struct{}, 1), toPassOn: make(chan struct{}, 1), configured: make(chan struct{}),
+		toAnnounce: make(chan struct{}, 1), toPassOn: make(chan struct{}, 1), configured: make(chan struct{}), retained: make(chan struct{}, 1),
 		standIn: newStandIn(len(options.Sources)),
 	}
 }
@@ -214,7 +221,8 @@
 		}
 		document = newest
 	}
-	snapshot, err := f.snapshotOf(document)
+	f.noteEra(document)
+	snapshot, err := f.snapshotOf(f.retention.Apply(time.Now(), document))
 	if err != nil {
 		return errors.Annotatef(err, "revision %d cannot be used", document.Revision)
 	}
@@ -283,6 +291,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.fetchLoop(ctx) })
 	running.Go(func() { f.announceLoop(ctx) })
+	running.Go(func() { f.retentionLoop(ctx) })
 	mayWatch := time.Now().Add(firstWatch)
 	f.start(ctx)
 	if f.options.Watchers > 0 {
--- a/service/service.go
+++ b/service/service.go
@@ -317,10 +317,23 @@
 func (r *Registry) Put(snapshot *config.Snapshot) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	present := r.table.Load()
-	if present != nil && !snapshot.Newer(present.snapshot) {
+	if present := r.table.Load(); present != nil && !snapshot.Newer(present.snapshot) {
 		return false
 	}
+	r.put(snapshot)
+	return true
+}
+
+// Refresh puts a snapshot in force that is as new as the present one.
+func (r *Registry) Refresh(snapshot *config.Snapshot) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.put(snapshot)
+}
+
+// put puts a snapshot in force. The caller holds the mutex.
+func (r *Registry) put(snapshot *config.Snapshot) {
+	present := r.table.Load()
 	services := make(map[string]*Service, len(snapshot.Targets))
 	for _, target := range snapshot.Targets {
 		running := r.running(present, target.Service.Name)
@@ -330,7 +343,6 @@
 		services[target.Service.Name] = running
 	}
 	r.table.Store(&table{snapshot: snapshot, services: services})
-	return true
 }
 
 func (r *Registry) running(present *table, name string) *Service {
