A daemon that starts compares what it reads from the store with what peers have

Callers: a daemon that started after the store had come back older was ready after 1 ms and served by the older configuration until heartbeats told it of the newer one. Cause: what the store says at the start was taken for the newest there is; peers were asked only where it could not be read. It now asks two of its seeds for what is newer, for 300 ms at most, before it serves. TestDaemonThatStartsTakesNewestOfPeers failed before at the first request, 1.2 ms after the daemon was ready.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -36,11 +37,11 @@
 		d.log.Warn("machine list not read", "error", err)
 	}
 	for _, machine := range machines {
-		if machine.Role == objectstore.RoleEntry && machine.Address != d.listeners.Peer {
+		if machine.Role == objectstore.RoleEntry {
 			addresses = append(addresses, machine.Address)
 		}
 	}
-	return addresses
+	return slices.DeleteFunc(addresses, func(one string) bool { return one == d.listeners.Peer })
 }
 
 // watchMachines reads the machine list while this daemon is chosen to, and tells
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -46,8 +46,14 @@
 	joinTime = time.Second
 	// firstDeclaration is how long it then waits before it reads the store again.
 	firstDeclaration = 3 * time.Second
-	// startPeers is how many peers a starting daemon asks.
-	startPeers = 5
+	// startPeers is how many peers a starting daemon asks that cannot read the store, and startComparedPeers how many it
+	// compares with what it has read.
+	startPeers         = 5
+	startComparedPeers = 2
+	// startPeersTimeout bounds how long that comparison keeps a daemon from serving.
+	startPeersTimeout = 300 * time.Millisecond
+	// fromPeers is the source of what other daemons told at the start.
+	fromPeers = "peers"
 	// WatchDuty is the key by which watchers are chosen.
 	WatchDuty = "watch/configuration"
 )
--- a/dissemination/start.go
+++ b/dissemination/start.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		f.log.Warn("store not read at the start, asking peers", "error", err)
-		if f.askPeers(ctx) {
+		if f.takeFromPeers(ctx) {
 			return
 		}
 		backoff = f.pause(ctx, backoff)
@@ -39,21 +39,32 @@
 func (f *Follower) readSources(ctx context.Context) error {
 	f.reading.Store(true)
 	defer f.reading.Store(false)
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	limited, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
+	var read config.Document
 	for _, source := range f.options.Sources {
 		if !source.Essential() {
 			continue
 		}
-		document, err := source.Read(ctx)
+		document, err := source.Read(limited)
 		if err != nil {
 			return err
 		}
-		if err := f.Offer(document, fromPlatform); err != nil {
-			return err
-		}
+		read, _ = read.Newest(document)
+	}
+	return f.Offer(f.newestOfPeers(ctx, read))
+}
+
+// newestOfPeers returns what a few peers have that is newer than what was read from the store, which may have come
+// back older, and the source of the result.
+func (f *Follower) newestOfPeers(ctx context.Context, read config.Document) (config.Document, string) {
+	ctx, cancel := context.WithTimeout(ctx, startPeersTimeout)
+	defer cancel()
+	newest := f.askPeers(ctx, read, startComparedPeers)
+	if !read.Position().Behind(newest.Position()) {
+		return read, fromPlatform
 	}
-	return nil
+	return newest, fromPeers
 }
 
 // awaitFirst waits for the first declaration. Daemons that are chosen to watch the
@@ -75,31 +86,36 @@
 	}
 }
 
-// askPeers puts the newest document of a few peers in force and says whether
+// takeFromPeers puts the newest document of a few peers in force and says whether
 // any had one.
-func (f *Follower) askPeers(ctx context.Context) bool {
+func (f *Follower) takeFromPeers(ctx context.Context) bool {
+	newest := f.askPeers(ctx, config.Document{}, startPeers)
+	if newest.Position() == (config.Position{}) {
+		return false
+	}
+	if err := f.Offer(newest, fromPeers); err != nil {
+		f.log.Error("configuration of the peers not usable", "error", err)
+		return false
+	}
+	return true
+}
+
+// askPeers returns a document with what is newer at peers, of which it asks until so many have answered.
+func (f *Follower) askPeers(ctx context.Context, newest config.Document, most int) config.Document {
 	seeds := f.options.Seeds(ctx)
 	f.randomMu.Lock()
 	f.options.Random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	f.randomMu.Unlock()
-	var newest config.Document
 	answered := 0
 	for _, address := range seeds {
-		document, err := f.peers.FetchDocument(ctx, address, config.Document{})
+		document, err := f.peers.FetchDocument(ctx, address, newest)
 		if err != nil {
 			continue
 		}
 		newest, _ = newest.Newest(document)
-		if answered++; answered >= startPeers {
+		if answered++; answered >= most {
 			break
 		}
 	}
-	if newest.Position() == (config.Position{}) {
-		return false
-	}
-	if err := f.Offer(newest, "peers"); err != nil {
-		f.log.Error("configuration of the peers not usable", "error", err)
-		return false
-	}
-	return true
+	return newest
 }
--- a/lab/objectstub/older_test.go
+++ b/lab/objectstub/older_test.go
@@ -256,3 +256,27 @@
 		})
 	}
 }
+
+// TestDaemonThatStartsTakesNewestOfPeers starts daemons after the store has lost the newest configuration: none that says it is ready
+// serves by the older one.
+func TestDaemonThatStartsTakesNewestOfPeers(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.configureNext()
+		time.Sleep(time.Second)
+		lost := f.comesBackOlder(3, func() {})
+		for range 4 {
+			f.restart(0)
+			started := len(f.daemons) - 1
+			begun := time.Now()
+			for f.daemons[started].Ready() != nil {
+				time.Sleep(time.Millisecond)
+			}
+			t.Log("ready after", time.Since(begun))
+			require.Less(t, time.Since(begun), time.Second)
+			for time.Since(begun) < 3*time.Second {
+				require.Equal(t, http.StatusOK, f.send(started, routeOf(lost)+"safe/").status, time.Since(begun))
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	})
+}
