A rolled back version gets nothing again when the store loses the decision

Callers: a bad version that had been taken back got up to 79 requests more after the store had come back from a copy from before the decision, as if it were ordered anew. Cause: a record without a phase after a decided one means an order that is given once more. After a return it only means that the record is lost. As long as the record of the era before is not back, a record without a phase changes nothing; the dispatcher writes it again as it does whenever the record is behind.

--- a/lab/objectstub/rollout_test.go
+++ b/lab/objectstub/rollout_test.go
@@ -17,10 +17,15 @@
 // rolloutTime is within what time a rollout of these tests is ordered.
 const rolloutTime = 14 * time.Second
 
+// orderVersion orders that the service moves to the other version.
+func (f *fleet) orderVersion() {
+	f.store.Set("rollouts", "board", map[string]any{"service": "board", "targetVersion": "v2", "durationS": rolloutTime.Seconds()})
+}
+
 // newVersion starts workers of another version beside those that are there, and orders that the
 // service moves to them.
 func (f *fleet) newVersion(fails func(r *http.Request) bool) []*worker {
-	f.store.Set("rollouts", "board", map[string]any{"service": "board", "targetVersion": "v2", "durationS": rolloutTime.Seconds()})
+	f.orderVersion()
 	var started []*worker
 	for number := range f.workers {
 		one := &worker{
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -152,7 +152,7 @@
 	return s.era
 }
 
-// Set writes an object whatever its revision, as the operator and the workers do,
+// Set writes the spec of an object whatever its revision, as the operator and the workers do,
 // and returns the new revision.
 func (s *Stub) Set(kind, name string, spec any) uint64 {
 	encoded, err := json.Marshal(spec)
@@ -161,7 +161,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: encoded}).Metadata.Revision
+	return s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: encoded, Status: s.kinds[kind][name].Status}).Metadata.Revision
 }
 
 // Remove removes an object.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -71,6 +71,8 @@
 	judge  *Judge
 	saved  float64 // requests that the new version may be given
 	giving bool    // it is being given them
+	// recordLost: the store came back older than the record of this order, which is not back yet.
+	recordLost bool
 	// decides: this daemon dispatches the service, so that the first few are its to give.
 	decides bool
 	// total and exposed count requests since this dispatcher began.
@@ -89,7 +91,8 @@
 // Follow takes in the record. Another order begins anew; an earlier phase than the one that this
 // dispatcher has decided on changes nothing.
 func (p *Plan) Follow(now time.Time, order config.Rollout) {
-	if !p.order.SameOrder(order) || p.order.Phase.Decided() && order.Phase == "" {
+	p.recordLost = order.Phase == "" && (p.recordLost || order.Recorded.Era() > p.order.Recorded.Era())
+	if !p.order.SameOrder(order) || p.order.Phase.Decided() && order.Phase == "" && !p.recordLost {
 		*p = Plan{order: order, judge: NewJudge()}
 	} else {
 		phase, reason, decideBy := p.order.Phase, p.order.Reason, p.order.DecideBy
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -436,6 +436,26 @@
 		require.Equal(t, config.RolloutRolledBack, p.Order().Phase)
 		require.Equal(t, objectstore.Version(7), p.Order().Recorded, "the record that is to be replaced")
 	})
+	t.Run("the store came back older and lost the decision", func(t *testing.T) {
+		p := NewPlan(now, order)
+		p.goOn(now, config.RolloutRolledBack, "worse")
+		decided := p.Order()
+		decided.Recorded = 40
+		p.Follow(now, decided)
+		for _, lost := range []objectstore.Version{objectstore.NewVersion(1, 30), objectstore.NewVersion(1, 33)} {
+			older := order
+			older.Recorded = lost
+			p.Follow(now, older)
+			require.Equal(t, config.RolloutRolledBack, p.Order().Phase)
+			require.Equal(t, lost, p.Order().Recorded, "the record that is to be replaced")
+		}
+		decided.Recorded = objectstore.NewVersion(1, 35)
+		p.Follow(now, decided)
+		anew := order
+		anew.Recorded = objectstore.NewVersion(1, 50)
+		p.Follow(now, anew)
+		require.Equal(t, config.RolloutRunning, p.Order().Phase, "it is ordered once more")
+	})
 	t.Run("another dispatcher has decided", func(t *testing.T) {
 		p := NewPlan(now, order)
 		decided := order
