A lease that the store has lost has one holder at most

Back ends: two daemons could probe a service at once, each by a lease. After a return of the store without the lease, or with that of an earlier holder, another daemon took it at once while the holder's right was in force by its clock for up to 8 s. Cause: a missing lease counted as one that nobody ever had, and the holder of a copy's lease as its present one. Nobody takes a lease now for its lifetime after it has heard that the store came back older, but for the daemon whose own right was in force: that right ends as it hears of it, and it may write the lease again at once, which tells others. Left: a daemon that starts after the return knows of no return, and takes a missing lease at once; the holder hears with its next renewal, 3 s later at most, unless it cannot reach the store.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -9,6 +9,10 @@
 // holder that was paused past the end does nothing. A daemon that restarts goes on with
 // the lease that it held, as nobody else can listen at its address. The object's version is the
 // fence: it grows with each holder.
+//
+// A store that comes back older may have lost the lease, or hold that of an earlier holder, while the
+// present one has not heard of it. Nobody takes it for a lifetime then, but for the daemon whose own right was in force: it
+// may not act until it has written the lease again, whatever its clock says.
 package lease
 
 import (
@@ -41,6 +45,9 @@
 	until   time.Time           // end of the daemon's own right; zero: none
 	// inherited: the holder of the version seen is this daemon before it restarted.
 	inherited bool
+	// resumeUntil is until when the daemon may write the lease again that the store has lost, and contested until
+	// when another one may still act by it; zero: none.
+	resumeUntil, contested time.Time
 }
 
 // Observe notes the version read from the store; 0 means that there is no object.
@@ -59,18 +66,33 @@
 // MayTake says whether the lease is free: it never existed, was seen unchanged for a
 // whole lifetime, or is this daemon's from before it restarted.
 func (s *State) MayTake(now time.Time) bool {
-	return !s.seen.IsZero() && (s.version == 0 || s.inherited || now.Sub(s.seen) >= Lifetime)
+	switch {
+	case now.Before(s.resumeUntil):
+		return true
+	case s.seen.IsZero() || now.Before(s.contested):
+		return false
+	}
+	return s.version == 0 || s.inherited || now.Sub(s.seen) >= Lifetime
+}
+
+// StoreCameBackOlder notes that what the store says of the lease may be older than what daemons act by.
+func (s *State) StoreCameBackOlder(now time.Time) {
+	if s.Valid(now) {
+		s.resumeUntil = s.until // nobody else has a right
+	} else if !now.Before(s.resumeUntil) {
+		s.contested = now.Add(Lifetime)
+	}
+	s.until = time.Time{}
 }
 
 // Written notes that the daemon's own write, begun at the given time, took effect.
 func (s *State) Written(begun time.Time, version objectstore.Version) {
-	s.version, s.seen, s.inherited = version, begun, false
-	s.until = begun.Add(Lifetime - margin)
+	*s = State{version: version, seen: begun, until: begun.Add(Lifetime - margin)}
 }
 
 // Lost notes that another daemon has the lease.
 func (s *State) Lost() {
-	s.until = time.Time{}
+	s.until, s.resumeUntil = time.Time{}, time.Time{}
 }
 
 // Valid says whether the daemon may act now.
@@ -97,6 +119,9 @@
 
 	mutex sync.Mutex
 	state State
+	// era is that of the store by which the state holds, once it was asked.
+	era   uint64
+	asked bool
 }
 
 // New returns a lease that is not held. holder names the daemon and the address at
@@ -111,13 +136,23 @@
 func (l *Lease) Valid() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.noteEra()
 	return l.state.Valid(l.now())
 }
 
+// noteEra looks whether the store has come back older. The caller holds the mutex.
+func (l *Lease) noteEra() {
+	if era := l.store.Era(); l.asked && era > l.era {
+		l.era = era
+		l.state.StoreCameBackOlder(l.now())
+	}
+}
+
 // Left returns for how long the daemon may still act; 0 or less: not now.
 func (l *Lease) Left() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.noteEra()
 	return l.state.Until().Sub(l.now())
 }
 
@@ -134,11 +169,12 @@
 	now := l.now()
 	act := l.state.Valid(now) || l.state.MayTake(now)
 	expected := l.state.version
+	era := l.era
 	l.mutex.Unlock()
 	if !act {
 		return nil
 	}
-	return l.write(ctx, expected)
+	return l.write(ctx, expected, era)
 }
 
 func (l *Lease) look(ctx context.Context) error {
@@ -148,6 +184,10 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.noteEra()
+	if !l.asked {
+		l.asked, l.era = true, l.store.Era()
+	}
 	l.state.Observe(l.now(), object.Version)
 	var present record
 	// A record that cannot be read is another's.
@@ -157,7 +197,8 @@
 	return nil
 }
 
-func (l *Lease) write(ctx context.Context, expected objectstore.Version) error {
+// write writes the lease, by what is known of it in an era.
+func (l *Lease) write(ctx context.Context, expected objectstore.Version, era uint64) error {
 	data, err := json.Marshal(record{Holder: l.holder})
 	if err != nil {
 		return err
@@ -166,7 +207,10 @@
 	version, err := l.store.Put(ctx, l.key, data, expected)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.noteEra()
 	switch {
+	case l.era != era && (err == nil || errors.Is(err, objectstore.ErrConflict)):
+		return nil // what was known does not hold any more; the next look shows what does
 	case err == nil:
 		l.state.Written(begun, version)
 		return nil
