A claim that the store has lost is not granted again

Callers: an operation that must run once could run twice: with the claim lost by a store that came back older, another daemon was granted the key at once. Cause: what a daemon had written and was acknowledged counted as lasting. Its own ledger still knew of the claim, and was thrown away or never looked at. For 5 s after it has heard no daemon grants claims (one that has just started: after its first contact, where the store has ever come back older); callers are told at once that nothing ran, and when to come back. Left: claims of a daemon that ended between its last write and the return are known to nobody.

--- a/operation/executor.go
+++ b/operation/executor.go
@@ -28,6 +28,9 @@
 	ClaimLifetime = 10 * time.Second
 	// MaxResultBytes is the largest answer body that is recorded.
 	MaxResultBytes = 2 << 10
+	// settleTime is how long after it has heard that the store came back older a daemon grants no claims. By then the other
+	// daemons have heard, with their heartbeats at the latest, and have written again what they know.
+	settleTime     = 5 * time.Second
 	queueLength    = 4096
 	maxBatch       = 256
 	expireInterval = time.Minute
@@ -56,6 +59,9 @@
 
 	mutex   sync.Mutex
 	writers map[string]*writer
+	// era is the latest of the store that was seen, and settled from when on claims may be granted in it.
+	era     uint64
+	settled time.Time
 }
 
 // NewExecutor returns an executor. Close ends its goroutines.
@@ -65,10 +71,38 @@
 	}
 	options.Now = clock.OrSteady(options.Now)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Executor{
+	e := &Executor{
 		options: options, log: logging.Part(options.Log, "operation"),
 		ctx: ctx, cancel: cancel, writers: make(map[string]*writer),
 	}
+	e.running.Go(e.followEra)
+	return e
+}
+
+// followEra looks until the executor is closed whether the store has come back older.
+func (e *Executor) followEra() {
+	ticker := time.NewTicker(outcomeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.unsettledFor(e.options.Now())
+		case <-e.ctx.Done():
+			return
+		}
+	}
+}
+
+// unsettledFor returns for how long no claim may be granted, as other daemons may not have written again yet what the store lost.
+// A daemon that has just started does not know when the store came back.
+func (e *Executor) unsettledFor(now time.Time) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if era := e.options.Store.Era(); era > e.era {
+		e.log.Warn("the store came back older, no claims for a while", "era", era, "era_before", e.era, "for", settleTime)
+		e.era, e.settled = era, now.Add(settleTime)
+	}
+	return e.settled.Sub(now)
 }
 
 // Close waits until outcomes that were handed over are written, or ctx ends,
--- a/operation/journal.go
+++ b/operation/journal.go
@@ -51,6 +51,7 @@
 	version objectstore.Version // of the tail; 0: it does not exist yet
 	inTail  int                 // entries of the tail that are in the ledger
 	synced  time.Time           // when the store last answered
+	era     uint64              // of the store, when the ledger was last read whole
 }
 
 func newJournal(store objectstore.Store, limiter *rate.Limiter, service string, retention time.Duration) *journal {
@@ -80,6 +81,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	// An era that begins meanwhile is noticed after this.
+	j.era = j.store.Era()
 	objects, err := j.store.List(ctx, j.kind)
 	if err != nil {
 		return errors.Annotate(err, "reading the journal")
@@ -94,6 +97,27 @@
 	return nil
 }
 
+// cameBackOlder says whether the store may have lost entries that the ledger holds.
+func (j *journal) cameBackOlder() bool {
+	return j.loaded && j.store.Era() > j.era
+}
+
+// recover reads the chain anew from a store that came back older, and returns the entries that it has lost. The ledger
+// holds them. On an error nothing has changed.
+func (j *journal) recover(ctx context.Context, now time.Time) ([]Entry, error) {
+	known := *j
+	j.reset()
+	if err := j.load(ctx); err != nil {
+		*j = known
+		return nil, err
+	}
+	lost := known.ledger.MissingFrom(j.ledger, now)
+	for _, entry := range lost {
+		j.ledger.Apply(entry)
+	}
+	return lost, nil
+}
+
 // refresh reads the tail, and the segments after it while it is sealed.
 func (j *journal) refresh(ctx context.Context) error {
 	for {
--- a/operation/ledger.go
+++ b/operation/ledger.go
@@ -110,6 +110,25 @@
 	return now.Sub(time.UnixMilli(at)) > l.retention
 }
 
+// MissingFrom returns the entries that another ledger lacks to know of each claim and outcome what this one does. A key that
+// is claimed anew there is left as it is.
+func (l *Ledger) MissingFrom(other *Ledger, now time.Time) []Entry {
+	var missing []Entry
+	for key, known := range l.records {
+		theirs, claimed := other.records[key]
+		if l.expired(now, known.at) || claimed && theirs.token != known.token {
+			continue
+		}
+		if !claimed {
+			missing = append(missing, Entry{Kind: Claimed, Key: key, Token: known.token, Fingerprint: known.fingerprint, At: known.at})
+		}
+		if known.kind == Finished && theirs.kind != Finished {
+			missing = append(missing, Entry{Kind: Finished, Key: key, Token: known.token, At: known.at, Result: known.result})
+		}
+	}
+	return missing
+}
+
 // Expire forgets the keys whose retention has passed.
 func (l *Ledger) Expire(now time.Time) {
 	for key, present := range l.records {
--- a/operation/writer.go
+++ b/operation/writer.go
@@ -105,7 +105,7 @@
 		case first := <-w.queue:
 			w.handle(w.gather(first))
 		case <-outcomes.C:
-			if len(w.backlog) > 0 {
+			if len(w.backlog) > 0 || w.journal.cameBackOlder() {
 				w.handle(nil)
 			}
 			w.expire()
@@ -197,6 +197,14 @@
 	err := error(errNotLoaded)
 	refreshed := false
 	for range maxTries {
+		if w.journal.cameBackOlder() {
+			if err = w.recover(ctx); err != nil {
+				if !wait.Sleep(ctx, tryPause) {
+					return err
+				}
+				continue
+			}
+		}
 		if !w.journal.loaded || errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrOutcomeUnknown) {
 			if loadErr := w.journal.load(ctx); loadErr != nil {
 				err = errors.WithType(loadErr, objectstore.ErrOutcomeUnknown)
@@ -224,6 +232,17 @@
 	return err
 }
 
+// recover lets what the store has lost be written again with the next write.
+func (w *writer) recover(ctx context.Context) error {
+	lost, err := w.journal.recover(ctx, time.Now())
+	if err != nil {
+		return errors.WithType(err, objectstore.ErrUnavailable)
+	}
+	w.executor.log.Warn("claims and outcomes that the store has lost are written again", "service", w.service, "entries", len(lost))
+	w.backlog = append(lost, w.backlog...)
+	return nil
+}
+
 // unsettledElsewhere says whether the batch asks for a key that another daemon
 // claimed and whose outcome is not known here.
 func (w *writer) unsettledElsewhere(batch []*command) bool {
@@ -245,6 +264,7 @@
 	answers := make([]verdict, len(batch))
 	entries := append([]Entry(nil), w.backlog...)
 	taken := make(map[string]bool)
+	unsettled := w.executor.unsettledFor(w.executor.options.Now())
 	for index, c := range batch {
 		if c.answer == nil {
 			continue
@@ -263,6 +283,10 @@
 			answers[index] = w.seen(seen, known)
 			continue
 		}
+		if unsettled > 0 {
+			answers[index] = verdict{failure: &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the store came back older, and claims that it lost may not be written again yet", RetryAfter: unsettled}}
+			continue
+		}
 		c.entry.At = now.UnixMilli()
 		taken[c.entry.Key] = true
 		entries = append(entries, c.entry)
