Requests that are held back are saved again when the store comes back older

A request that crashes back ends could reach them again: the store's record of it was lost, and only daemons that were running knew of it, until all had restarted. Cause: saved counted as kept for good. The few daemons that read the record now save what they hold back once more when they hear of a new era; the others find nothing to add. TestHeldRequestsAreSavedAgainWhenStoreComesBackOlder failed before: the record was not back.

--- a/quarantine/save.go
+++ b/quarantine/save.go
@@ -32,13 +32,13 @@
 }
 
 // Run reads from the store what is held back, and saves it there, until ctx ends. A daemon reads
-// it once each time that it becomes one of those that do.
+// it once each time that it becomes one of those that do. If the store comes back older, these save again what is held back.
 func (k *Keeper) Run(ctx context.Context) {
 	reading := time.NewTicker(readInterval)
 	defer reading.Stop()
 	sweeping := time.NewTicker(sweepInterval)
 	defer sweeping.Stop()
-	read := false
+	read, era := false, k.options.Store.Era()
 	for {
 		select {
 		case <-ctx.Done():
@@ -46,6 +46,10 @@
 		case <-reading.C:
 			reads := k.options.Reads()
 			read = reads && (read || k.read(ctx))
+			if newest := k.options.Store.Era(); newest != era && read {
+				era = newest
+				k.saveHeld()
+			}
 		case <-sweeping.C:
 			k.sweep()
 		case <-k.save:
@@ -57,6 +61,15 @@
 	}
 }
 
+// saveHeld lets all be saved that is held back.
+func (k *Keeper) saveHeld() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, record := range k.table.Held(time.Now()) {
+		k.saveSoon(record.Fingerprint)
+	}
+}
+
 // sweep forgets what has lapsed.
 func (k *Keeper) sweep() {
 	k.mutex.Lock()
