Declared changes that the store has lost stay in force and are written again

Operators: changes that they had declared were undone at every daemon as soon as one more was made after the store had come back older, as that one was made on the older copy; the lost ones were not written again by anybody. Cause: a head object with a higher revision was taken for newer than what is in force, whatever it goes on from. A document that lacks the last change in force is passed over, and the daemons that watch write what is in force again, with the changes that were made on the older copy behind it; an editor does the same before it adds a change. Writes are conditional on the version that was read, so that nothing newer is overwritten.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -102,7 +102,7 @@
 // panics, and what is in force stays.
 func TestBadObjects(t *testing.T) {
 	store := objectstore.NewMemory()
-	editor := config.NewEditor(store, time.Now)
+	editor := config.NewEditor(store, time.Now, nil)
 	content, err := config.DecodeTOML("good.toml", []byte(good))
 	require.NoError(t, err)
 	inForce, err := editor.Apply(t.Context(), config.Edit{ID: "good", Set: content})
@@ -133,7 +133,7 @@
 
 // TestHistory follows changes, takes them back, and spreads them as differences.
 func TestHistory(t *testing.T) {
-	editor := config.NewEditor(objectstore.NewMemory(), time.Now)
+	editor := config.NewEditor(objectstore.NewMemory(), time.Now, nil)
 	var documents []config.Document
 	for number := range 5 {
 		set := config.Content{Policies: []config.Policy{{Name: fmt.Sprintf("p%d", number%2)}}}
--- a/config/document.go
+++ b/config/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -323,6 +324,37 @@
 	}
 }
 
+// Includes says whether the document goes on from another one: whether it has its last change, as far as its history
+// reaches back. Documents without a history always do.
+func (d Document) Includes(other Document) bool {
+	if len(other.History) == 0 {
+		return true
+	}
+	last := other.History[len(other.History)-1]
+	if _, found := d.FindChange(last.ID); found {
+		return true
+	}
+	return len(d.History) > 0 && d.History[0].Revision > last.Revision
+}
+
+// WithChangesOf returns the document with the changes added that another one has made since their histories
+// parted. They get the next revisions.
+func (d Document) WithChangesOf(other Document) (Document, error) {
+	known := make(map[string]bool, len(d.History))
+	for _, change := range d.History {
+		known[change.ID] = true
+	}
+	first := len(other.History)
+	for first > 0 && !known[other.History[first-1].ID] {
+		first--
+	}
+	added := slices.Clone(other.History[first:])
+	for index := range added {
+		added[index].Revision = d.Revision + Revision(index) + 1
+	}
+	return d.Follow(added)
+}
+
 // FindChange returns the change with the id, and false when the history has none.
 func (d Document) FindChange(id string) (Change, bool) {
 	for index := len(d.History) - 1; index >= 0; index-- {
--- a/config/editor.go
+++ b/config/editor.go
@@ -55,14 +55,19 @@
 
 // Editor writes changes to the head object.
 type Editor struct {
-	store objectstore.Store
-	now   func() time.Time
+	store   objectstore.Store
+	now     func() time.Time
+	inForce func() Document
 }
 
 // NewEditor returns an editor on the store. now gives the time noted in the
-// history.
-func NewEditor(store objectstore.Store, now func() time.Time) *Editor {
-	return &Editor{store: store, now: now}
+// history, and inForce the document that this daemon has in force, whose changes are written again if the store
+// has lost them; nil: none are.
+func NewEditor(store objectstore.Store, now func() time.Time, inForce func() Document) *Editor {
+	if inForce == nil {
+		inForce = func() Document { return Document{} }
+	}
+	return &Editor{store: store, now: now, inForce: inForce}
 }
 
 // Load reads the document and the version of the head object. A head that was
@@ -76,6 +81,7 @@
 		return Document{}, 0, errors.Annotate(err, "reading the configuration")
 	}
 	document, err := DecodeDocument(object.Value)
+	document.Stored = object.Version
 	return document, object.Version, err
 }
 
@@ -108,25 +114,55 @@
 }
 
 func (e *Editor) try(ctx context.Context, edit Edit) (Document, error) {
-	current, version, err := Load(ctx, e.store)
+	next, version, lost, err := e.load(ctx)
 	if err != nil {
 		return Document{}, err
 	}
-	if _, done := current.FindChange(edit.ID); done {
-		return current, nil
+	if _, done := next.FindChange(edit.ID); !done {
+		next, err = e.Plan(next, edit)
+	} else if !lost {
+		return next, nil
 	}
-	next, err := e.Plan(current, edit)
 	if err != nil {
 		return Document{}, err
 	}
-	data, err := next.Encode()
+	return e.write(ctx, next, version)
+}
+
+// load reads the document with the changes that are in force and that the store has lost, if any, and the version of
+// the head object.
+func (e *Editor) load(ctx context.Context) (document Document, version objectstore.Version, lost bool, err error) {
+	stored, version, err := Load(ctx, e.store)
+	if err != nil {
+		return Document{}, 0, false, err
+	}
+	inForce := e.inForce()
+	if stored.Includes(inForce) {
+		return stored, version, false, nil
+	}
+	document, err = inForce.WithChangesOf(stored)
+	return document, version, true, err
+}
+
+// write writes the document, unless the head object has another version.
+func (e *Editor) write(ctx context.Context, document Document, version objectstore.Version) (Document, error) {
+	document.Stored = 0
+	data, err := document.Encode()
 	if err != nil {
 		return Document{}, err
 	}
-	if _, err := e.store.Put(ctx, HeadKey, data, version); err != nil {
-		return Document{}, errors.Annotate(err, "writing the configuration")
+	document.Stored, err = e.store.Put(ctx, HeadKey, data, version)
+	return document, errors.Annotate(err, "writing the configuration")
+}
+
+// Restore writes again what the store has lost of the changes that are in force, and returns the document that is in the store
+// then. If another daemon is faster, the error is objectstore.ErrConflict.
+func (e *Editor) Restore(ctx context.Context) (Document, error) {
+	document, version, lost, err := e.load(ctx)
+	if err != nil || !lost {
+		return document, err
 	}
-	return next, nil
+	return e.write(ctx, document, version)
 }
 
 // Plan checks the edit against the document and returns what it would lead to,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,6 +105,9 @@
 	recorder   rollout.Recorder
 	editor     *config.Editor
 
+	// headLost has room for one: the head object lacks changes that are in force; nil: operators do not declare by it.
+	headLost chan struct{}
+
 	listeners    Addresses
 	servers      []*http.Server
 	metricsClose io.Closer
@@ -171,6 +174,7 @@
 		d.sources = options.Sources(d.logger)
 	} else {
 		d.sources = []dissemination.Source{dissemination.NewHead(d.store, time.Duration(d.settings.Platform.Timeout))}
+		d.headLost = make(chan struct{}, 1)
 	}
 	d.dialect = backend.DefaultDialect()
 	if options.Dialect != nil {
@@ -247,12 +251,12 @@
 	d.signals = signals.NewReader(signals.Options{Dialect: d.dialect, Limits: d.limits, Drains: d.drains, Pauses: d.pauses, Log: d.logger, Metrics: scope})
 	d.rates = ratelimit.NewKeeper(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
 	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, Echo: d.echo(), Quarantine: d.quarantine, Rates: d.rates, Limits: &serviceLimits{Keeper: d.limits, daemon: d}, Drains: d.drains, Pauses: d.pauses, Elsewhere: d.elsewhere, Log: d.logger})
-	d.editor = config.NewEditor(d.store, time.Now)
+	d.editor = config.NewEditor(d.store, time.Now, func() config.Document { return d.follower.Document() })
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
 		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff),
 		WatchInterval: time.Duration(d.settings.Platform.WatchInterval), WatchGap: time.Duration(d.settings.Platform.WatchGap), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
-		FirstStart: d.settings.Platform.FirstStart, HearEra: d.store.HearEra,
+		FirstStart: d.settings.Platform.FirstStart, HearEra: d.store.HearEra, Lost: d.lostHead,
 	})
 	d.node = peer.NewNode(peer.Options{
 		Self: membership.Member{
@@ -319,6 +323,7 @@
 	// bring it. Until then it gives out no places, and they do without.
 	d.running.Go(func() { d.node.Run(ctx) })
 	d.running.Go(func() { d.follower.Run(ctx) })
+	d.running.Go(func() { d.restoreHead(ctx) })
 	d.running.Go(func() { d.watchMachines(ctx) })
 	d.running.Go(func() { d.quarantine.Run(ctx) })
 	d.running.Go(func() { d.rates.Run(ctx) })
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -101,6 +101,8 @@
 	Seeds func(ctx context.Context) []string
 	// FirstStart says that nothing can have been declared yet when the daemon starts.
 	FirstStart bool
+	// Lost is told that the store has an older configuration than is in force; nil: nobody is. It must not block.
+	Lost func()
 	// HearEra is told the era of the store that a document is of; nil: nobody is. It must not block.
 	HearEra func(era uint64)
 }
@@ -221,6 +223,10 @@
 	present := f.document.Load()
 	if present != nil {
 		newest, newer := present.Newest(document)
+		if !newest.Includes(*present) || source == fromPlatform && !document.Includes(*present) {
+			f.noteLost(*present, document, source)
+			return nil
+		}
 		if !newer {
 			f.notePassedOver(present.Position(), document.Position(), source)
 			return nil
@@ -242,6 +248,15 @@
 	return nil
 }
 
+// noteLost logs a document that lacks changes which are in force, as the store came back older, and lets these be written again.
+func (f *Follower) noteLost(present, offered config.Document, source string) {
+	f.log.Warn("document passed over that lacks changes in force", "revision", uint64(present.Revision), "stored", present.Stored.String(),
+		"offered_revision", uint64(offered.Revision), "offered_stored", offered.Stored.String(), "source", source)
+	if f.options.Lost != nil {
+		f.options.Lost()
+	}
+}
+
 // snapshotOf compiles a document, going on from the snapshot in force.
 func (f *Follower) snapshotOf(document config.Document) (*config.Snapshot, error) {
 	if present := f.options.Services.Snapshot(); present != nil {
--- a/dissemination/source.go
+++ b/dissemination/source.go
@@ -100,16 +100,20 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+h.timeout)
 	defer cancel()
 	object, err := h.store.Watch(ctx, config.HeadKey, h.version, wait)
+	if errors.Is(err, objectstore.ErrNotFound) && h.version == 0 {
+		return config.Document{}, nil // there is no object
+	}
 	if errors.Is(err, objectstore.ErrNotFound) {
 		return present, nil
 	}
 	if err != nil {
+		h.version = 0 // the store may come back older: the next watch returns what it has then
 		return config.Document{}, err
 	}
 	document, err := config.DecodeDocument(object.Value)
 	if err != nil {
 		return config.Document{}, err
 	}
-	h.version = object.Version
+	h.version, document.Stored = object.Version, object.Version
 	return document, nil
 }
--- a/lab/site/faults_test.go
+++ b/lab/site/faults_test.go
@@ -335,7 +335,7 @@
 			}
 		}
 		require.Equal(t, 2, killed)
-		editor := config.NewEditor(running.Platform.Store(), time.Now)
+		editor := config.NewEditor(running.Platform.Store(), time.Now, nil)
 		document, err := editor.Apply(ctx, config.Edit{ID: "behind", Set: config.Content{Policies: []config.Policy{{Name: "new"}}}})
 		require.NoError(t, err)
 		begun := time.Now()
@@ -346,6 +346,62 @@
 	})
 }
 
+// TestDeclaredChangesHoldWhenPlatformComesBackOlder lets the platform lose changes that operators made: they stay in force at every daemon and
+// are written again, also where another change was made on the older copy, and changes that come after are in force in time.
+func TestDeclaredChangesHoldWhenPlatformComesBackOlder(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		// behind is a change that is made in the store right after the return, behind the daemons' backs.
+		behind string
+	}{{name: "nothing comes in between"}, {name: "a change is made on the older copy", behind: "behind"}} {
+		t.Run(one.name, func(t *testing.T) {
+			virtual(t, small(), func(ctx context.Context, _ *fakenet.Net, running *site.Site) {
+				change := func(id string) config.Edit {
+					return config.Edit{ID: id, Set: config.Content{Policies: []config.Policy{{Name: id}}}}
+				}
+				apply := func(id string) {
+					document, err := running.Daemon("entry-1").Apply(ctx, change(id))
+					require.NoError(t, err)
+					begun := time.Now()
+					require.NoError(t, running.WaitInForce(ctx, document.Revision))
+					require.Less(t, time.Since(begun), 2*time.Second)
+				}
+				apply("early")
+				copied := running.Platform.Store().Copy()
+				apply("lost-1")
+				apply("lost-2")
+				time.Sleep(2 * time.Second)
+				running.Platform.ComeBackOlder(copied)
+				expected := []string{"early", "lost-1", "lost-2"}
+				if one.behind != "" {
+					_, err := config.NewEditor(running.Platform.Store(), time.Now, nil).Apply(ctx, change(one.behind))
+					require.NoError(t, err)
+					expected = append(expected, one.behind)
+				}
+				requireChanges := func(document config.Document, ids []string) {
+					for _, id := range ids {
+						_, found := document.FindChange(id)
+						require.True(t, found, "%s in revision %d", id, document.Revision)
+					}
+				}
+				for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(100 * time.Millisecond) {
+					for _, daemon := range running.Daemons() {
+						requireChanges(daemon.Document(), []string{"early", "lost-1", "lost-2"})
+					}
+				}
+				apply("later")
+				expected = append(expected, "later")
+				stored, _, err := config.Load(ctx, running.Platform.Store())
+				require.NoError(t, err)
+				requireChanges(stored, expected)
+				for _, daemon := range running.Daemons() {
+					requireChanges(daemon.Document(), expected)
+				}
+			})
+		})
+	}
+}
+
 // TestUnconfiguredDaemonDispatchesNothing starts daemons while the platform takes
 // calls and does not answer: until they have read a configuration from their peers
 // nobody forwards to them.
