--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -255,7 +255,7 @@
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
 		Watchers: max(d.settings.Platform.Watchers, 0), MaxBackoff: time.Duration(d.settings.Platform.MaxBackoff),
-		WatchInterval: time.Duration(d.settings.Platform.WatchInterval), WatchGap: time.Duration(d.settings.Platform.WatchGap), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.seeds,
+		WatchInterval: time.Duration(d.settings.Platform.WatchInterval), WatchGap: time.Duration(d.settings.Platform.WatchGap), Log: d.logger, Random: rand.New(rand.NewPCG(seed, 1)), Seeds: d.otherSeeds,
 		FirstStart: d.settings.Platform.FirstStart, HearEra: d.store.HearEra, Lost: d.lostHead,
 	})
 	d.node = peer.NewNode(peer.Options{
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -37,11 +37,16 @@
 		d.log.Warn("machine list not read", "error", err)
 	}
 	for _, machine := range machines {
-		if machine.Role == objectstore.RoleEntry {
+		if machine.Role == objectstore.RoleEntry && machine.Address != d.listeners.Peer {
 			addresses = append(addresses, machine.Address)
 		}
 	}
-	return slices.DeleteFunc(addresses, func(one string) bool { return one == d.listeners.Peer })
+	return addresses
+}
+
+// otherSeeds are the seeds but for this daemon itself.
+func (d *Daemon) otherSeeds(ctx context.Context) []string {
+	return slices.DeleteFunc(d.seeds(ctx), func(one string) bool { return one == d.listeners.Peer })
 }
 
 // watchMachines reads the machine list while this daemon is chosen to, and tells
--- a/lab/objectstub/older_test.go
+++ b/lab/objectstub/older_test.go
@@ -280,3 +280,24 @@
 		}
 	})
 }
+
+// TestReturnOfTheStoreCostsFewCalls lets the store of a larger fleet come back older: only the daemons that watch it list
+// what it has, each kind once.
+func TestReturnOfTheStoreCostsFewCalls(t *testing.T) {
+	const size = 60
+	runFleet(t, size, 3, func(f *fleet) {
+		f.configureNext()
+		copied := f.store.Copy()
+		lost := f.comesBackOlder(1, func() {})
+		kinds := []string{"config", "servers", "evacuations"}
+		before := make(map[string]int)
+		for _, kind := range kinds {
+			before[kind] = f.store.Lists(kind)
+		}
+		f.storeComesBack(copied)
+		f.holds(lost, 5*time.Second)
+		for _, kind := range kinds {
+			require.LessOrEqual(t, f.store.Lists(kind)-before[kind], watchers, kind)
+		}
+	})
+}
--- a/lab/objectstub/stub.go
+++ b/lab/objectstub/stub.go
@@ -135,14 +135,43 @@
 }
 
 // ComeBackOlder loses what was written since the copy was taken, and begins the next era: revisions go back, and
-// are given out again. Watches that wait are cut.
-func (s *Stub) ComeBackOlder(from Copy) {
+// are given out again. Watches that wait are cut. It returns what was lost.
+func (s *Stub) ComeBackOlder(from Copy) Lost {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	lost := Lost{before: s.kinds, copied: cloneKinds(from.kinds)}
 	s.era++
 	s.revision, s.floor, s.kinds, s.history = from.revision, from.floor, cloneKinds(from.kinds), slices.Clone(from.history)
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return lost
+}
+
+// Lost is what a store had before it came back older, and what it came back with.
+type Lost struct {
+	before, copied map[string]map[string]Object
+}
+
+// WriteAgain writes objects of a kind as they were before the store came back older, as those do who wrote them, unless they were
+// written since.
+func (s *Stub) WriteAgain(lost Lost, kind string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	names := maps.Clone(lost.before[kind])
+	maps.Copy(names, lost.copied[kind])
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		before, had := lost.before[kind][name]
+		copied, has := lost.copied[kind][name]
+		present, there := s.kinds[kind][name]
+		switch {
+		case has != there || present.Metadata.Revision != copied.Metadata.Revision || has && had && before.Metadata.Revision == copied.Metadata.Revision:
+			// It was written since, or was not lost.
+		case had:
+			s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: before.Spec, Status: present.Status})
+		default:
+			s.remove(kind, name)
+		}
+	}
 }
 
 // Era returns how often the store has come back older.
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -49,6 +49,8 @@
 		time.Sleep(time.Second)
 		f.store.Compact()
 		f.store.SetFaults(objectstub.Faults{})
+	case StoreOlder:
+		f.storeComesBackOlder(fault.Length)
 	case StoreLink:
 		daemon.store.set(fault.Link)
 		time.Sleep(fault.Length)
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -35,10 +35,13 @@
 	WorkerLimit  Kind = "worker-limit"  // says that it takes few requests
 	WorkerPause  Kind = "worker-pause"  // turns requests away and asks for a pause
 	WorkerSays   Kind = "worker-says"   // says with its answers that it leaves, while the store lists it as ready
+	StoreOlder   Kind = "store-older"   // the store is away for a moment and comes back from an older copy
 )
 
 // planned kinds are no faults: nothing may be lost by them.
-var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true, Crashing: true, Foreign: true, WorkerLimit: true, WorkerPause: true, WorkerSays: true}
+var planned = map[Kind]bool{Stop: true, StopAll: true, WorkerLeaves: true, Change: true, Storm: true, Evacuate: true, Crashing: true, Foreign: true, WorkerLimit: true, WorkerPause: true, WorkerSays: true,
+	StoreOlder: true, // a fault from when it is away on
+}
 
 var kinds = []Kind{
 	Stop, Kill, Pause, KillAll, StopAll, StoreDown, StoreDeaf, StoreLink, WorkerLink, WorkerSlow, WorkerLoses, WorkerFull, WorkerLies,
@@ -86,7 +89,7 @@
 	faults = append(faults, drawOnce(seed, 1, Evacuate, evacuationLength, begin, end),
 		drawOnce(seed, 2, Crashing, crashLength, begin, end), drawOnce(seed, 3, Foreign, foreignLength, begin, end),
 		drawOnce(seed, 4, WorkerLimit, limitLength, begin, end), drawOnce(seed, 5, WorkerPause, pauseLength, begin, end),
-		drawOnce(seed, 6, WorkerSays, sayLength, begin, end))
+		drawOnce(seed, 6, WorkerSays, sayLength, begin, end), drawOnce(seed, 7, StoreOlder, storeAway, begin, end))
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
 	return faults
 }
@@ -97,6 +100,9 @@
 // foreignLength is how long entries of another writer stay.
 const foreignLength = 3 * time.Second
 
+// storeAway is for how long the store is away before it comes back older.
+const storeAway = 800 * time.Millisecond
+
 // sayLength is for how long a back end says that it leaves before the store knows it: longer than the bound.
 const sayLength = drainBound + 3*time.Second
 
