Sight: status, explain and a gauge tell the era of the store and why a newer configuration was not in force

status shows how often the store came back older and at which version it has the configuration in force; explain says of a request which newer revision another daemon had in force, what its own daemon passed over and whether it had heard of a return; tuliphall_store_era is the gauge.

--- a/admin/api.go
+++ b/admin/api.go
@@ -66,12 +66,16 @@
 
 // Status says which daemon has which revision in force.
 type Status struct {
-	Daemon   string          `json:"daemon"`
-	Version  string          `json:"version"`
-	Head     config.Revision `json:"head"` // highest revision heard of
-	Uptime   time.Duration   `json:"uptime_ns"`
-	Members  []Member        `json:"members"`
-	Watching bool            `json:"watching"` // this daemon watches the platform
+	Daemon  string          `json:"daemon"`
+	Version string          `json:"version"`
+	Head    config.Revision `json:"head"` // highest revision heard of
+	// Stored is the version at which the store has the configuration in force at the asked daemon, the era of the store before the
+	// revision, and Era the latest era of which the asked daemon has heard: how often the store has come back older.
+	Stored   string        `json:"stored"`
+	Era      uint64        `json:"era"`
+	Uptime   time.Duration `json:"uptime_ns"`
+	Members  []Member      `json:"members"`
+	Watching bool          `json:"watching"` // this daemon watches the platform
 	// Evacuated are the zones whose back ends get no new requests from the asked daemon.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// Quarantined is how many requests the asked daemon holds back, as back ends ended under
--- a/command/show.go
+++ b/command/show.go
@@ -290,6 +290,9 @@
 	for _, m := range status.Members {
 		rows = append(rows, []string{m.Name, m.Region, m.Zone, m.State, fmt.Sprint(m.Revision), m.Problem})
 	}
+	if status.Era > 0 {
+		rows = append(rows, nil, []string{fmt.Sprintf("the store has come back older %d times; the configuration in force was stored at %s (era/revision)", status.Era, status.Stored)})
+	}
 	if len(status.Evacuated) > 0 {
 		rows = append(rows, nil, []string{"evacuated zones: " + strings.Join(status.Evacuated, " ")})
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -164,6 +164,7 @@
 	d.store, d.machines = options.Store, options.Machines
 	if d.store == nil {
 		d.client = objectstore.NewClient(d.meter.For("store"), d.settings.Platform.Address, d.settings.Name)
+		d.client.LogTo(logging.Part(d.logger, "store"))
 		d.store, d.machines = d.client, d.client
 	}
 	d.recorder = options.Rollouts
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -153,7 +153,7 @@
 // force; the platform is not asked.
 func (d *Daemon) Status(ctx context.Context) admin.Status {
 	status := admin.Status{
-		Daemon: d.settings.Name, Version: Version, Head: d.follower.Head(), Uptime: time.Since(d.started), Watching: d.follower.Watching(),
+		Daemon: d.settings.Name, Version: Version, Head: d.follower.Head(), Stored: d.follower.Position().Stored.String(), Era: d.store.Era(), Uptime: time.Since(d.started), Watching: d.follower.Watching(),
 		Evacuated: d.evacuated(), Quarantined: d.quarantine.Held(), Limited: d.limits.Limited(),
 		Leaving: d.drains.Draining(), Paused: d.pauses.Kept(),
 	}
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -20,12 +20,14 @@
 	ticker := time.NewTicker(trafficInterval)
 	defer ticker.Stop()
 	var before map[string]network.Traffic
+	era := scope.Gauge("store_era")
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		era.Update(float64(d.store.Era()))
 		totals := d.meter.Totals()
 		countTraffic(scope, before, totals)
 		d.log.LogAttrs(ctx, slog.LevelInfo, "traffic", trafficAttributes(before, totals)...)
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -44,7 +44,9 @@
 		if outcome.Status == http.StatusGatewayTimeout {
 			return l.slowBackend(outcome, story[:end])
 		}
-		return answered(outcome)
+		cause := answered(outcome)
+		cause.Belief = l.newerElsewhere(outcome.Daemon, outcome.Time)
+		return cause
 	case messageBrokenOff:
 		return l.brokenOff(outcome)
 	}
@@ -129,19 +131,13 @@
 func (l *Log) unknownRoute(outcome Line) Cause {
 	cause := Cause{Kind: "route unknown", At: outcome.Daemon}
 	own, _ := l.last(outcome.Daemon, outcome.Time, messageInForce)
-	newest := own
-	for daemon := range l.byDaemon {
-		if other, ok := l.last(daemon, outcome.Time, messageInForce); ok && other.Revision > newest.Revision {
-			newest = other
-		}
-	}
-	if newest.Revision == own.Revision {
+	cause.Belief = l.newerElsewhere(outcome.Daemon, outcome.Time)
+	if cause.Belief == "" {
 		cause.Sentence = fmt.Sprintf("No route matches (%s). %s had revision %d, as all others.", outcome.Cause, outcome.Daemon, own.Revision)
 		return cause
 	}
 	cause.Kind = "route not known yet"
 	cause.Sentence = fmt.Sprintf("No route matched (%s) in revision %d, which %s had in force since %s.", outcome.Cause, own.Revision, outcome.Daemon, clock(own.Time))
-	cause.Belief = fmt.Sprintf("Revision %d was in force at %s since %s (from %s).", newest.Revision, newest.Daemon, clock(newest.Time), newest.Source)
 	return cause
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -63,6 +63,11 @@
 			"route unknown", "d1", "d1 had revision 5, as all others", ""},
 		{"not known yet", []string{`0s|d1|configuration: in force|"revision":5`, `0.5s|d2|configuration: in force|"revision":7,"source":"platform"`, `1s|d1|frontend: failed|"request":"r1","code":2001`},
 			"route not known yet", "d1", "revision 5, which d1 had in force since 12:00:00.000", "Revision 7 was in force at d2 since 12:00:00.500 (from platform)."},
+		{"answered by an older configuration", []string{
+			`0s|d1|configuration: in force|"revision":25`, `0.2s|d1|platform: the store came back older: what it acknowledged last may be lost|"era":1`,
+			`0.5s|d2|configuration: in force|"revision":29,"source":"platform"`, `0.6s|d1|configuration: older document passed over|"revision":25,"offered_revision":29,"offered_stored":"49","source":"platform"`,
+			`1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200`},
+			"answered", "b1", "b1 answered", "Revision 29 was in force at d2 since 12:00:00.500 (from platform). d1 passed revision 29 (stored at 49, from platform) over at 12:00:00.600. It had heard at 12:00:00.200 that the store came back older (era 1)."},
 		{"not configured", []string{"0s|d1|daemon: started|", `0.1s|d1|configuration: source lost|"error":"refused"`, `0.5s|d1|frontend: failed|"request":"r1","code":2014`},
 			"daemon had no configuration yet", "d1", "started 500ms before", "refused"},
 		{"overloaded", []string{`1s|d1|frontend: answered|"request":"r0","service":"s","backend":"b1"`, "1.1s|d1|frontend: failed|" + failed + `"code":2005,"name":"wait-expired","run":"not-run","cause":"waited 31ms","retry_after":100000000`},
--- a/explain/line.go
+++ b/explain/line.go
@@ -58,6 +58,10 @@
 	BeforeRevision Text   `json:"before"`
 	Source         Text   `json:"source"`
 	Error          string `json:"error"`
+	// Of a configuration that was not put in force, and of the store's era.
+	OfferedRevision uint64 `json:"offered_revision"`
+	OfferedStored   string `json:"offered_stored"`
+	Era             uint64 `json:"era"`
 	// Of what a back end says of itself: who told the daemon, the request whose answer said it, and how long a pause lasts.
 	HeardFrom string   `json:"heard_from"`
 	ByRequest string   `json:"by_request"`
--- a/explain/log.go
+++ b/explain/log.go
@@ -18,6 +18,7 @@
 	messageBrokenOff  = "frontend: answer broken off"
 	messageAttempt    = "frontend: attempt failed"
 	messageInForce    = "configuration: in force"
+	messagePassedOver = "configuration: older document passed over"
 	messageStarted    = "daemon: started"
 	messageDispatcher = "membership: dispatcher chosen"
 	messageEjected    = "outlier: back end ejected"
