--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -7,7 +7,8 @@
 // which fetch what they lack and do the same. Heartbeats carry the revision too,
 // so that whoever was missed catches up within seconds. A daemon that none of those
 // would tell watches the store itself until one does. A daemon only ever goes to a
-// higher revision.
+// higher revision, also when the store comes back from an older copy: what was known last is then kept until it is written
+// again.
 package dissemination
 
 import (
