A dispatcher that wakes sends limited back ends nothing until it has heard the others

Ruled out: probes (none), daemons that choose by themselves (none). A daemon that has not heard any of the members that it takes for alive for 2 s now counts all that the back end takes as sent, until it hears one or all are dead to it; then its part is its own, as before. TestFrozenDaemonHasNoPart.

--- a/backendlimit/parts.go
+++ b/backendlimit/parts.go
@@ -6,6 +6,10 @@
 // healed. Of two or three of hundreds none can have sent more than a request or so.
 const joined = 0.1
 
+// silence is after how long without a word of any member a daemon may have been cut off or frozen, though it takes them for
+// alive: others may send by themselves meanwhile. Members tell something once a second.
+const silence = 2 * time.Second
+
 // Parts are which parts of what back ends take the daemons may use that one daemon can reach.
 type Parts struct {
 	// Reached is for the daemons that it takes for alive, of all that may be.
@@ -13,7 +17,7 @@
 	// Region is for those of its own region, of those that it takes for alive: each region has a
 	// dispatcher of its own.
 	Region float64
-	// Since is when it last found daemons again that it had lost, which may have sent by themselves; zero:
+	// Since is when it last found daemons again that it had lost or not heard, which may have sent by themselves; zero:
 	// it never has.
 	Since time.Time
 
@@ -24,9 +28,9 @@
 // Whole are the parts of daemons that reach all others, in one region.
 var Whole = Parts{Reached: 1, Region: 1}
 
-// Next reckons the parts anew: so many daemons are alive, of all that may be, and so many of those are of
-// the own region.
-func (p Parts) Next(now time.Time, alive, all, region int) Parts {
+// Next reckons the parts anew: so many daemons are alive, of all that may be, so many of those are of
+// the own region, and the last of them was heard at a time.
+func (p Parts) Next(now time.Time, alive, all, region int, heard time.Time) Parts {
 	alive, all, region = max(alive, 1), max(all, 1), max(region, 1)
 	next := Parts{
 		Reached: float64(alive) / float64(all), Region: min(float64(region)/float64(alive), 1),
@@ -38,5 +42,8 @@
 	case next.Reached > (1+joined)*next.least:
 		next.Since, next.least = now, next.Reached
 	}
+	if alive > 1 && now.Sub(heard) >= silence {
+		next.Since = now
+	}
 	return next
 }
--- a/backendlimit/parts_test.go
+++ b/backendlimit/parts_test.go
@@ -14,7 +14,7 @@
 func TestPartsAfterACut(t *testing.T) {
 	var parts backendlimit.Parts
 	reckon := func(milliseconds, alive, all int) {
-		parts = parts.Next(at(milliseconds), alive, all, alive)
+		parts = parts.Next(at(milliseconds), alive, all, alive, at(milliseconds))
 	}
 	reckon(0, 100, 100)
 	require.Equal(t, backendlimit.Whole.Reached, parts.Reached)
@@ -37,7 +37,23 @@
 
 // TestPartOfARegion gives a region as much as it has daemons.
 func TestPartOfARegion(t *testing.T) {
-	require.InDelta(t, 0.25, backendlimit.Parts{}.Next(start, 8, 10, 2).Region, 1e-9)
-	require.Equal(t, 1.0, backendlimit.Parts{}.Next(start, 0, 0, 0).Region, "no more than all")
-	require.Zero(t, backendlimit.Parts{}.Next(start.Add(time.Second), 1, 4, 1).Since)
+	require.InDelta(t, 0.25, backendlimit.Parts{}.Next(start, 8, 10, 2, start).Region, 1e-9)
+	require.Equal(t, 1.0, backendlimit.Parts{}.Next(start, 0, 0, 0, start).Region, "no more than all")
+	require.Zero(t, backendlimit.Parts{}.Next(start.Add(time.Second), 1, 4, 1, start).Since)
+}
+
+// TestFrozenDaemonHasNoPart gives a daemon nothing while it has not heard any of the members that it takes for alive, as after a freeze
+// that it has not noticed, and as soon as all are dead to it what is its own.
+func TestFrozenDaemonHasNoPart(t *testing.T) {
+	parts := backendlimit.Parts{}.Next(at(1000), 4, 4, 4, at(100))
+	require.Zero(t, parts.Since, "it was told a moment ago")
+	for _, milliseconds := range []int{4000, 4250} {
+		parts = parts.Next(at(milliseconds), 4, 4, 4, at(100))
+		require.Equal(t, at(milliseconds), parts.Since)
+	}
+	parts = parts.Next(at(4500), 4, 4, 4, at(4400))
+	require.Equal(t, at(4250), parts.Since)
+	parts = parts.Next(at(9000), 1, 4, 1, at(4400))
+	require.Equal(t, at(4250), parts.Since)
+	require.InDelta(t, 0.25, parts.Reached, 1e-9)
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -50,7 +50,7 @@
 	if now := time.Now(); now.Sub(l.reckoned) >= partsInterval {
 		l.reckoned = now
 		alive, all := l.daemon.node.Alive(lostFor)
-		l.parts = l.parts.Next(now, alive, all, l.daemon.node.RegionSize())
+		l.parts = l.parts.Next(now, alive, all, l.daemon.node.RegionSize(), l.daemon.node.LastHeard())
 	}
 	return l.parts
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -128,6 +128,7 @@
 		expected = n.expects(now, theirs)
 		n.state.Merge(now, decodeMembers(message.GetUpdates()))
 		n.state.Heard(now, from)
+		n.heard.Store(&now)
 		sync = n.state.SyncDue(now, message.GetDigest()^n.options.Quarantine.Digest())
 	})
 	if !expected && n.options.Configuration.Position().Behind(theirs) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -126,6 +126,9 @@
 	// expected is what another daemon is handing over.
 	expected delivery
 
+	// heard is when any other daemon was heard last.
+	heard atomic.Pointer[time.Time]
+
 	view        atomic.Pointer[View]
 	dispatchers sync.Map // service name to the name of the daemon last chosen
 }
@@ -151,6 +154,7 @@
 		limits:           newGossip(options.Limits, limitKey, maxLimits, maxLimitRumors),
 	}
 	n.forming.started = time.Now()
+	n.heard.Store(&n.forming.started)
 	n.refreshView()
 	return n
 }
--- a/peer/view.go
+++ b/peer/view.go
@@ -99,6 +99,11 @@
 	return alive, alive + n.state.Lost(time.Now(), within)
 }
 
+// LastHeard returns when any other daemon was heard last; when this one was made, if none was.
+func (n *Node) LastHeard() time.Time {
+	return *n.heard.Load()
+}
+
 // dispatchDuty and the name of a service is by what its dispatcher is chosen.
 const dispatchDuty = "dispatch/"
 
