Retention: only what differs is kept; a document without a history is used if it is newer

Two entries now are the same if they say the same. A change that is larger than the history may be would have kept all later documents from being used. TestNothingIsKeptThatIsNotLost and TestIncludesWithoutHistory failed before.

--- a/config/document.go
+++ b/config/document.go
@@ -324,8 +324,8 @@
 	}
 }
 
-// Includes says whether the document goes on from another one: whether it has its last change, as far as its history
-// reaches back. Documents without a history always do.
+// Includes says whether the document goes on from another one: whether it has its last change. Where its history does not
+// reach back that far, a higher revision counts. All documents include one without a history.
 func (d Document) Includes(other Document) bool {
 	if len(other.History) == 0 {
 		return true
@@ -334,7 +334,8 @@
 	if _, found := d.FindChange(last.ID); found {
 		return true
 	}
-	return len(d.History) > 0 && d.History[0].Revision > last.Revision
+	reachesBack := len(d.History) > 0 && d.History[0].Revision <= last.Revision
+	return !reachesBack && d.Revision > last.Revision
 }
 
 // WithChangesOf returns the document with the changes added that another one has made since their histories
--- a/config/retention.go
+++ b/config/retention.go
@@ -45,19 +45,19 @@
 	return told == d.copied || told != nil && d.copied != nil && *told == *d.copied
 }
 
-// newRetained returns what differs between two lists, from now on.
-func newRetained[T comparable](now time.Time, known, copied []T, name func(T) string, missing time.Duration) retained[T] {
+// newRetained returns what differs between two lists, from now on. Names and what makes two values the same are those of the kind.
+func newRetained[T comparable](now time.Time, known, copied []T, of kind[T], missing time.Duration) retained[T] {
 	made := retained[T]{differences: make(map[string]difference[T]), missingUntil: now.Add(missing), changedUntil: now.Add(retainChanged)}
 	for index := range known {
-		made.differences[name(known[index])] = difference[T]{known: &known[index]}
+		made.differences[of.name(known[index])] = difference[T]{known: &known[index]}
 	}
 	for index := range copied {
-		one := made.differences[name(copied[index])]
+		one := made.differences[of.name(copied[index])]
 		one.copied = &copied[index]
-		made.differences[name(copied[index])] = one
+		made.differences[of.name(copied[index])] = one
 	}
 	for key, one := range made.differences {
-		if one.known != nil && one.copied != nil && *one.known == *one.copied {
+		if one.known != nil && one.copied != nil && of.same(*one.known, *one.copied) {
 			delete(made.differences, key)
 		}
 	}
@@ -65,15 +65,14 @@
 }
 
 // overrule returns what is to be in force other than as the store tells it: values to set, and names to leave out.
-// choose returns what is in force of something that both know, or nil.
-func (r retained[T]) overrule(now time.Time, told []T, name func(T) string, choose func(difference[T]) *T) (set []T, without map[string]bool) {
+func (r retained[T]) overrule(now time.Time, told []T, of kind[T]) (set []T, without map[string]bool) {
 	if !now.Before(r.changedUntil) {
 		return nil, nil
 	}
 	byName := make(map[string]*T, len(r.differences))
 	for index := range told {
-		if _, differs := r.differences[name(told[index])]; differs {
-			byName[name(told[index])] = &told[index]
+		if _, differs := r.differences[of.name(told[index])]; differs {
+			byName[of.name(told[index])] = &told[index]
 		}
 	}
 	without = make(map[string]bool)
@@ -82,7 +81,7 @@
 		if !one.isCopied(present) || present == nil && !now.Before(r.missingUntil) {
 			continue // it was written again, or was not in time
 		}
-		switch chosen := choose(one); {
+		switch chosen := of.choose(one); {
 		case chosen != nil:
 			set = append(set, *chosen)
 		case present != nil:
@@ -103,27 +102,54 @@
 	return r.changedUntil
 }
 
-func nameOfListed(one Listed) string   { return one.ID }
-func nameOfZone(zone string) string    { return zone }
-func nameOfRollout(one Rollout) string { return one.Service }
+// kind is what there is to know of a kind of thing that the store keeps.
+type kind[T comparable] struct {
+	name func(T) string
+	// same says whether two say the same, whenever they were written.
+	same func(a, b T) bool
+	// choose returns what is in force of a difference; nil: nothing is.
+	choose func(difference[T]) *T
+}
+
+// The kinds.
+var (
+	backendKind = kind[Listed]{
+		name:   func(one Listed) string { return one.ID },
+		same:   func(a, b Listed) bool { return a.Backend == b.Backend && a.Service == b.Service },
+		choose: chooseBackend,
+	}
+	zoneKind = kind[string]{
+		name:   func(zone string) string { return zone },
+		same:   func(a, b string) bool { return a == b },
+		choose: func(one difference[string]) *string { return one.known },
+	}
+	orderKind = kind[Rollout]{
+		name: func(one Rollout) string { return one.Service },
+		same: func(a, b Rollout) bool {
+			a.Recorded, b.Recorded = 0, 0
+			return a == b
+		},
+		choose: chooseOrder,
+	}
+)
 
 // Note takes in that the store tells a document while another one is in force. It says whether the
 // store came back older in between.
 func (r *Retention) Note(now time.Time, inForce, told Document) bool {
 	noted := false
 	if eraRose(inForce.Directory.Revision, told.Directory.Revision) {
-		r.backends = newRetained(now, inForce.Directory.Listed, told.Directory.Listed, nameOfListed, retainMissing)
+		r.backends = newRetained(now, inForce.Directory.Listed, told.Directory.Listed, backendKind, retainMissing)
 		r.backends.drop(func(one difference[Listed]) bool {
 			return one.known == nil && !inForce.Directory.knowsGone(*one.copied)
 		})
 		noted = true
 	}
 	if eraRose(inForce.Evacuations.Revision, told.Evacuations.Revision) {
-		r.zones = newRetained(now, inForce.Evacuations.Zones, told.Evacuations.Zones, nameOfZone, retainChanged)
+		r.zones = newRetained(now, inForce.Evacuations.Zones, told.Evacuations.Zones, zoneKind, retainChanged)
 		noted = true
 	}
 	if eraRose(inForce.Rollouts.Revision, told.Rollouts.Revision) {
-		r.orders = newRetained(now, inForce.Rollouts.Orders, told.Rollouts.Orders, nameOfRollout, retainChanged)
+		r.orders = newRetained(now, inForce.Rollouts.Orders, told.Rollouts.Orders, orderKind, retainChanged)
 		noted = true
 	}
 	return noted
@@ -150,14 +176,14 @@
 
 // Apply returns what is to be in force of what the store tells.
 func (r *Retention) Apply(now time.Time, told Document) Document {
-	if set, without := r.backends.overrule(now, told.Directory.Listed, nameOfListed, chooseBackend); len(set)+len(without) > 0 {
+	if set, without := r.backends.overrule(now, told.Directory.Listed, backendKind); len(set)+len(without) > 0 {
 		told.Directory.Listed, _ = merged(told.Directory.Listed, sortedByID(set), without)
 	}
-	if set, without := r.zones.overrule(now, told.Evacuations.Zones, nameOfZone, chooseKnown); len(set)+len(without) > 0 {
-		told.Evacuations.Zones = joined(told.Evacuations.Zones, set, without, nameOfZone)
+	if set, without := r.zones.overrule(now, told.Evacuations.Zones, zoneKind); len(set)+len(without) > 0 {
+		told.Evacuations.Zones = joined(told.Evacuations.Zones, set, without, zoneKind.name)
 	}
-	if set, without := r.orders.overrule(now, told.Rollouts.Orders, nameOfRollout, chooseOrder); len(set)+len(without) > 0 {
-		told.Rollouts.Orders = joined(told.Rollouts.Orders, set, without, nameOfRollout)
+	if set, without := r.orders.overrule(now, told.Rollouts.Orders, orderKind); len(set)+len(without) > 0 {
+		told.Rollouts.Orders = joined(told.Rollouts.Orders, set, without, orderKind.name)
 	}
 	return told
 }
@@ -178,11 +204,6 @@
 	return len(r.backends.differences), len(r.zones.differences), len(r.orders.differences)
 }
 
-// chooseKnown keeps what was known last.
-func chooseKnown[T comparable](one difference[T]) *T {
-	return one.known
-}
-
 // chooseBackend keeps what was known last of a back end, unless the entry is of a later run, or was written later: in what both
 // histories share, revisions still order entries.
 func chooseBackend(one difference[Listed]) *Listed {
--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -102,9 +102,9 @@
 	Seeds func(ctx context.Context) []string
 	// FirstStart says that nothing can have been declared yet when the daemon starts.
 	FirstStart bool
-	// Lost is told that the store has an older configuration than is in force; nil: nobody is. It must not block.
-	Lost func()
-	// HearEra is told the era of the store that a document is of; nil: nobody is. It must not block.
+	// Lost is called when a document lacks changes that are in force, and HearEra with the era of the store that a document
+	// is of; nil: neither is. They must not block.
+	Lost    func()
 	HearEra func(era uint64)
 }
 
