--- a/dissemination/start.go
+++ b/dissemination/start.go
@@ -52,6 +52,9 @@
 		}
 		read, _ = read.Newest(document)
 	}
+	if read.Position().Era() == 0 {
+		return f.Offer(read, fromPlatform) // the store has never come back older
+	}
 	return f.Offer(f.newestOfPeers(ctx, read))
 }
 
