dispatch: log which outcome of which daemon ejects a back end

Callers of daemons that were cut off from the back ends were served far worse than others, and so, in part, were those of daemons that were not. The logs told that back ends were ejected, not by whose failures, so that two hypotheses could not be told apart. "outlier: back end ejected" and "reinstated" now name the outcome (or the health probe) and the daemon that reported it; sessions for permits name the daemon that opened them in their metadata.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -274,7 +274,7 @@
 	d.operations = operation.NewClaimer(operation.Options{
 		Store: d.store, WriteLimiter: rate.NewLimiter(rate.Limit(d.settings.Platform.WritesPerSecond), 1), Now: d.now, Log: d.logger,
 	})
-	d.slots = slots.NewClient(d.meter.For("places"), d.logger)
+	d.slots = slots.NewClient(d.meter.For("places"), d.settings.Name, d.logger)
 	d.rollouts = rollout.NewRunner(rollout.Options{Services: d.rolloutServices, Recorder: d.recorder, Log: d.logger})
 	d.rateLimits.SetFleet(&rateFleet{daemon: d})
 	d.handler = frontend.NewHandler(frontend.Options{
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -31,7 +31,9 @@
 	NoWait bool
 	// Fingerprints identify repeats of the request; 0: unknown.
 	Fingerprints quarantine.Fingerprints
-	Routing      routing.Request
+	// Daemon is the daemon that asks for the permit; empty: unknown.
+	Daemon  string
+	Routing routing.Request
 }
 
 // minCallerRetryAge is the age from which a request counts as a retry by its caller. Callers
@@ -76,6 +78,7 @@
 	Followed bool
 
 	class       string
+	reporter    string // daemon that asked for the permit and will report the outcome
 	disturbed   bool   // the request met a disturbed back end
 	onDisturbed func() // called when disturbed is set
 }
@@ -155,7 +158,7 @@
 		c.rollout.Granted(now, picked.Backend.Version)
 	}
 	permit := &Permit{
-		PickResult: picked, ArrivedAt: arrivedAt, GrantedAt: now, class: request.Class,
+		PickResult: picked, ArrivedAt: arrivedAt, GrantedAt: now, class: request.Class, reporter: request.Daemon,
 		HedgeAfter: stats.hedgeAfter(now, request, picked.MostlyFull), Followed: stats.shouldFollow(now, request),
 	}
 	if permit.Followed {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,7 +21,7 @@
 
 // Dispatcher dispatches the requests of one service. It is safe for concurrent use.
 type Dispatcher struct {
-	onEjection        func(backend string, ejected bool)
+	onEjection        func(change HealthChange)
 	onConcurrencyHint func(slots, before, after int)
 
 	mutex sync.Mutex
@@ -37,14 +37,27 @@
 	return &Dispatcher{
 		core:              Core{Group: newGroup(random), Queue: admission.NewQueue(queueLimit)},
 		standby:           standby{random: random},
-		onEjection:        func(string, bool) {},
+		onEjection:        func(HealthChange) {},
 		onConcurrencyHint: func(int, int, int) {},
 	}
 }
 
+// HealthChange is the ejection or the reinstatement of a back end.
+type HealthChange struct {
+	Backend string
+	Ejected bool
+	// Cause is the outcome of the request, or the health probe, that caused the change.
+	Cause string
+	// Reporter is the daemon that reported the outcome; empty: unknown.
+	Reporter string
+}
+
+// causeHealthProbe is the cause of a change of health by a probe of this daemon.
+const causeHealthProbe = "health probe"
+
 // OnEjection sets the callback for the ejection and the reinstatement of a back end. It must
 // be called before the first request; the callback must not block.
-func (d *Dispatcher) OnEjection(callback func(backend string, ejected bool)) {
+func (d *Dispatcher) OnEjection(callback func(change HealthChange)) {
 	d.onEjection = callback
 }
 
@@ -56,8 +69,8 @@
 }
 
 // changeHealth is like change, and calls the callbacks if apply ejects or reinstates the back
-// end or changes its concurrency hint.
-func (d *Dispatcher) changeHealth(state *routing.BackendState, apply func(now time.Time)) {
+// end or changes its concurrency hint. cause and reporter describe the change.
+func (d *Dispatcher) changeHealth(state *routing.BackendState, cause, reporter string, apply func(now time.Time)) {
 	var ejectedBefore, ejectedAfter bool
 	var hintBefore, hintAfter int
 	d.change(func() {
@@ -67,7 +80,7 @@
 		ejectedAfter, hintAfter = state.Ejected(now), d.core.Group.BestInFlight(state.ID)
 	})
 	if ejectedBefore != ejectedAfter {
-		d.onEjection(state.ID, ejectedAfter)
+		d.onEjection(HealthChange{Backend: state.ID, Ejected: ejectedAfter, Cause: cause, Reporter: reporter})
 	}
 	if hintBefore != hintAfter {
 		d.onConcurrencyHint(state.Slots, hintBefore, hintAfter)
@@ -147,7 +160,7 @@
 	state := d.core.Group.State(id)
 	d.mutex.Unlock()
 	if state != nil {
-		d.changeHealth(state, func(now time.Time) { d.core.Group.RecordHealthProbe(now, id, healthy, report) })
+		d.changeHealth(state, causeHealthProbe, "", func(now time.Time) { d.core.Group.RecordHealthProbe(now, id, healthy, report) })
 	}
 }
 
@@ -308,7 +321,7 @@
 // report, nil if it sent none.
 func (g *Grant) Done(outcome routing.Outcome, latency time.Duration, report *routing.Report) {
 	d := g.dispatcher
-	d.changeHealth(g.Backend, func(now time.Time) {
+	d.changeHealth(g.Backend, outcome.String(), g.reporter, func(now time.Time) {
 		if report != nil {
 			d.core.RecordReport(now, g.Backend, *report)
 		}
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -34,7 +34,7 @@
 	var last *resultcode.Failure // reported to the caller if no later attempt succeeds
 	kind := retry.First
 	for number := 1; ; number++ {
-		permit, err := a.acquirePermit(ctx, kind, a.call.permitRequest(a.call.decision.Wait, a.handler.options.Zone))
+		permit, err := a.acquirePermit(ctx, kind, a.call.permitRequest(a.call.decision.Wait, a.handler.options.Name, a.handler.options.Zone))
 		if errors.Is(err, service.ErrOverBudget) {
 			a.handler.log.Info("not retried", "request", a.call.id, "service", a.call.service.Name(), "error", err)
 			break
--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -122,7 +122,7 @@
 		return
 	}
 	r.requesting = true
-	request := c.permitRequest(0, a.handler.options.Zone)
+	request := c.permitRequest(0, a.handler.options.Name, a.handler.options.Zone)
 	go func() {
 		// If none is granted, the first attempt continues alone.
 		permit, err := a.acquirePermit(ctx, retry.Hedge, request)
--- a/frontend/permit.go
+++ b/frontend/permit.go
@@ -38,10 +38,10 @@
 
 // permitRequest returns the request for a permit for the next attempt. wait is the maximum time in
 // the queue; 0: until the deadline.
-func (c *call) permitRequest(wait time.Duration, zone string) dispatch.Request {
+func (c *call) permitRequest(wait time.Duration, daemon, zone string) dispatch.Request {
 	return dispatch.Request{
 		Weight: c.decision.Weight, Wait: wait, Deadline: c.deadline, FirstTry: c.firstTry,
-		Class: namedClass(c.decision.Class), Objective: c.decision.Objective, Fingerprints: c.fingerprints, Tenant: c.caller.TenantName(),
+		Class: namedClass(c.decision.Class), Objective: c.decision.Objective, Fingerprints: c.fingerprints, Daemon: daemon, Tenant: c.caller.TenantName(),
 		Routing: routing.Request{Session: c.decision.Session, Tried: slices.Clone(c.tried), Repeatable: c.decision.Retry, Zone: zone},
 	}
 }
--- a/frontend/permit_test.go
+++ b/frontend/permit_test.go
@@ -79,7 +79,7 @@
 func newTestHandler(t *testing.T, services *service.Registry, peers Peers) *Handler {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	client := slots.NewClient(network.TCP{}, log)
+	client := slots.NewClient(network.TCP{}, "d1", log)
 	t.Cleanup(client.Close)
 	return NewHandler(Options{
 		Name: "self", Network: network.TCP{}, Services: services, Peers: peers, Slots: client,
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -27,6 +28,27 @@
 	PushedBack
 )
 
+// String returns the name of the outcome for logs.
+func (o Outcome) String() string {
+	switch o {
+	case Success:
+		return "success"
+	case ErrorResponse:
+		return "error-response"
+	case Canceled:
+		return "canceled"
+	case ProcessExited:
+		return "process-exited"
+	case ConnectionRefused:
+		return "connection-refused"
+	case Unserved:
+		return "unserved"
+	case PushedBack:
+		return "pushed-back"
+	}
+	return "outcome-" + strconv.Itoa(int(o))
+}
+
 // Done records the end of a request that Pick counted as sent.
 func (g *Group) Done(picked PickResult, now time.Time, outcome Outcome, latency time.Duration) {
 	state := picked.Backend
--- a/service/service.go
+++ b/service/service.go
@@ -61,12 +61,12 @@
 		restored:      make(map[string]time.Time),
 	}
 	outlierLog, routingLog := logging.Component(options.Log, "outlier"), logging.Component(options.Log, "routing")
-	service.Dispatcher.OnEjection(func(backend string, ejected bool) {
+	service.Dispatcher.OnEjection(func(change dispatch.HealthChange) {
 		message := "back end reinstated"
-		if ejected {
+		if change.Ejected {
 			message = "back end ejected"
 		}
-		outlierLog.Info(message, "service", name, "backend", backend)
+		outlierLog.Info(message, "service", name, "backend", change.Backend, "cause", change.Cause, "reporter", change.Reporter)
 	})
 	service.Dispatcher.OnConcurrencyHint(func(slots, before, after int) {
 		routingLog.Info("concurrency hint changed", "service", name, "slots", slots, "before", before, "in_flight", after)
--- a/slots/client.go
+++ b/slots/client.go
@@ -39,6 +39,7 @@
 // Client acquires permits from other daemons. It is safe for concurrent use.
 type Client struct {
 	network network.Network
+	name    string // of this daemon
 	log     *slog.Logger
 
 	mutex    sync.Mutex
@@ -46,9 +47,9 @@
 	closed   bool
 }
 
-// NewClient returns a client without sessions.
-func NewClient(transport network.Network, log *slog.Logger) *Client {
-	return &Client{network: transport, log: logging.Component(log, "slots"), sessions: make(map[string]*session)}
+// NewClient returns a client of the daemon with this name, without sessions.
+func NewClient(transport network.Network, name string, log *slog.Logger) *Client {
+	return &Client{network: transport, name: name, log: logging.Component(log, "slots"), sessions: make(map[string]*session)}
 }
 
 // Grant is a permit granted by another daemon. Its owner must call Done exactly once.
@@ -114,7 +115,7 @@
 		<-sess.opened
 		return sess, sess.endErr()
 	}
-	err := sess.open(c.network)
+	err := sess.open(c.network, c.name)
 	if err != nil {
 		c.log.Warn("session not opened", "address", address, "error", err)
 		c.closeSession(address, sess)
--- a/slots/server.go
+++ b/slots/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"storj.io/drpc/drpcmetadata"
 
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
@@ -43,7 +44,9 @@
 // Session implements peerpb.DRPCSlotsServer. It blocks until the other side ends the session.
 func (s *Server) Session(stream peerpb.DRPCSlots_SessionStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
+	metadata, _ := drpcmetadata.Get(ctx)
 	sess := &serverSession{
+		daemon:   metadata[metadataDaemon],
 		services: s.services, stream: stream, cancel: cancel,
 		queue: make(chan *peerpb.SlotReply, queueLength), requests: make(map[uint64]*permitRequest),
 	}
@@ -69,6 +72,7 @@
 
 // serverSession holds the requests of one session.
 type serverSession struct {
+	daemon   string // that opened the session; empty: unknown
 	services *service.Registry
 	tasks    sync.WaitGroup
 	cancel   context.CancelFunc // ends the session
@@ -129,7 +133,9 @@
 	s.requests[id] = pending
 	s.mutex.Unlock()
 	kind := retry.Kind(request.Attempt)
-	s.tasks.Go(func() { s.awaitPermit(ctx, id, pending, kind, decodeRequest(time.Now(), request)) })
+	decoded := decodeRequest(time.Now(), request)
+	decoded.Daemon = s.daemon
+	s.tasks.Go(func() { s.awaitPermit(ctx, id, pending, kind, decoded) })
 }
 
 // awaitPermit waits for the request's permit and sends the result.
--- a/slots/session.go
+++ b/slots/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmetadata"
 
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/network"
@@ -49,8 +50,11 @@
 	}
 }
 
-// open connects to the dispatcher and starts to read replies.
-func (s *session) open(transport network.Network) error {
+// metadataDaemon is the metadata of a session that names the daemon that opened it.
+const metadataDaemon = "daemon"
+
+// open connects to the dispatcher in the name of a daemon and starts to read replies.
+func (s *session) open(transport network.Network, name string) error {
 	defer close(s.opened)
 	dialCtx, cancelDial := context.WithTimeout(context.Background(), openTimeout)
 	defer cancelDial()
@@ -58,7 +62,7 @@
 	if err != nil {
 		return s.fail(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(drpcmetadata.Add(context.Background(), metadataDaemon, name))
 	s.cancel, s.conn = cancel, drpcconn.New(conn)
 	stream, err := peerpb.NewDRPCSlotsClient(s.conn).Session(ctx)
 	if err != nil {
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -60,7 +60,7 @@
 }
 
 func newClient() *slots.Client {
-	return slots.NewClient(network.TCP{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return slots.NewClient(network.TCP{}, "d1", slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
 func request(wait time.Duration) dispatch.Request {
