lab: tests of daemons that reach no back end, failing

What callers see: of six daemons, those that are cut off from all back ends serve 0 to 27 of 622 first tries from three seconds after the cut on, whether links fall silent or connections are reset; where new connections are refused, the daemons that are not cut off serve 0 to 20 of 375, too, and four to eight seconds after the cut 157 of 332 are served. With all daemons cut off and links silent, requests wait for connections that hang before they are refused.

lab/fakenet can now fail the link between two hosts: silent, reset, reset with new connections that hang, and new connections refused while open ones live on.

--- a/lab/fakenet/conn.go
+++ b/lab/fakenet/conn.go
@@ -138,6 +138,14 @@
 			c.in.await(wait, thaw)
 			continue
 		}
+		if fault, changed := c.net.linkState(c.local.name, c.remote.name); fault == LinkSilent {
+			wait, err := c.in.tryReadWhilePeerFrozen()
+			if err != nil {
+				return 0, err
+			}
+			c.in.await(wait, changed)
+			continue
+		}
 		n, wait, err := c.in.tryRead(data)
 		if n > 0 || err != nil {
 			return n, err
--- a/lab/fakenet/fakenet.go
+++ b/lab/fakenet/fakenet.go
@@ -1,5 +1,6 @@
 // Package fakenet is an in-memory network for tests in virtual time. Hosts can be
-// partitioned from each other and frozen; bytes are counted by host.
+// partitioned from each other and frozen, and links can fail in several ways; bytes are
+// counted by host.
 package fakenet
 
 import (
@@ -30,13 +31,15 @@
 	latency       time.Duration
 	partitionRule func(a, b string) bool
 	refusalRule   func(a, b string) bool
+	linkRule      func(a, b string) LinkFault
+	linksChanged  chan struct{} // closed when linkRule changes
 }
 
 // New returns a network with this one-way latency.
 func New(latency time.Duration) *Net {
 	return &Net{
 		hosts: make(map[string]*Host), byAddress: make(map[string]*listener),
-		partitioned: make(map[[2]string]bool), conns: make(map[*conn]bool), latency: latency,
+		partitioned: make(map[[2]string]bool), conns: make(map[*conn]bool), latency: latency, linksChanged: make(chan struct{}),
 	}
 }
 
@@ -114,6 +117,74 @@
 	n.refusalRule = refusals
 }
 
+// LinkFault is what is wrong with the link between two hosts.
+type LinkFault int
+
+// Link faults.
+const (
+	// LinkUp: nothing is wrong.
+	LinkUp LinkFault = iota
+	// LinkSilent: nothing is delivered on open connections, and new ones are neither opened nor refused.
+	LinkSilent
+	// LinkReset: open connections are reset, new ones are refused.
+	LinkReset
+	// LinkResetSilent: open connections are reset, new ones are neither opened nor refused.
+	LinkResetSilent
+	// LinkRefused: open connections live on, new ones are refused.
+	LinkRefused
+)
+
+// SetLinkRule sets the fault of the link between each pair of hosts, in both directions; nil removes all faults.
+func (n *Net) SetLinkRule(rule func(a, b string) LinkFault) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.linkRule = rule
+	close(n.linksChanged)
+	n.linksChanged = make(chan struct{})
+	for connection := range n.conns {
+		if fault := n.linkFault(connection.local.name, connection.remote.name); fault == LinkReset || fault == LinkResetSilent {
+			connection.out.end(errReset)
+			connection.in.end(errReset)
+		}
+	}
+}
+
+// linkFault returns the fault of the link between two hosts. The caller holds the mutex.
+func (n *Net) linkFault(a, b string) LinkFault {
+	if n.linkRule == nil {
+		return LinkUp
+	}
+	return max(n.linkRule(a, b), n.linkRule(b, a))
+}
+
+// linkState returns the fault of the link between two hosts, and a channel that is closed when faults change.
+func (n *Net) linkState(a, b string) (LinkFault, <-chan struct{}) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.linkFault(a, b), n.linksChanged
+}
+
+// awaitLink blocks while the link to an address is silent, and returns its fault.
+func (h *Host) awaitLink(ctx context.Context, address string) (LinkFault, error) {
+	for {
+		h.net.mutex.Lock()
+		target := h.net.byAddress[address]
+		fault, changed := LinkUp, h.net.linksChanged
+		if target != nil {
+			fault = h.net.linkFault(h.name, target.host.name)
+		}
+		h.net.mutex.Unlock()
+		if fault != LinkSilent && fault != LinkResetSilent {
+			return fault, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault, ctx.Err()
+		}
+	}
+}
+
 // canReach reports whether no partition separates host a from host b. The caller holds
 // the mutex.
 func (n *Net) canReach(a, b string) bool {
@@ -151,10 +222,14 @@
 			return nil, ctx.Err()
 		}
 	}
+	fault, err := h.awaitLink(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	h.net.mutex.Lock()
 	target := h.net.byAddress[address]
 	reachable := target != nil && h.net.canReach(h.name, target.host.name)
-	isRefused := target == nil || h.net.refusalRule != nil && h.net.refusalRule(h.name, target.host.name)
+	isRefused := target == nil || fault == LinkReset || fault == LinkRefused || h.net.refusalRule != nil && h.net.refusalRule(h.name, target.host.name)
 	h.net.mutex.Unlock()
 	if isRefused {
 		return nil, connectionRefused(address)
--- /dev/null
+++ b/lab/objectstub/unreachable_backends_test.go
@@ -0,0 +1,205 @@
+package objectstub_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/lab/fakenet"
+)
+
+// Load and times of the tests in which daemons cannot reach the back ends.
+const (
+	cutDaemons  = 6
+	cutWorkers  = 8
+	cutLoad     = 83 // requests per second
+	cutDuration = 12 * time.Second
+	// cutGrace is how long after the start of the cut requests may fail.
+	cutGrace = 3 * time.Second
+	// healGrace is how long after the end of the cut requests may fail.
+	healGrace = 4 * time.Second
+)
+
+// linkFaults are the ways in which the links to back ends fail.
+var linkFaults = map[string]fakenet.LinkFault{
+	"links are silent":                       fakenet.LinkSilent,
+	"connections are reset and refused":      fakenet.LinkReset,
+	"connections are reset, new ones hang":   fakenet.LinkResetSilent,
+	"open connections live, none are opened": fakenet.LinkRefused,
+}
+
+// isWorkerHost reports whether a host is that of a worker.
+func isWorkerHost(host string) bool {
+	return strings.HasPrefix(host, "i-")
+}
+
+// cutOff makes the links between some daemons, given by their numbers, and all workers fail.
+func (f *fleet) cutOff(cut map[int]bool, fault fakenet.LinkFault) {
+	hosts := make(map[string]bool)
+	for number := range cut {
+		hosts[hostOf(number)] = true
+	}
+	f.net.SetLinkRule(func(a, b string) fakenet.LinkFault {
+		if hosts[a] && isWorkerHost(b) {
+			return fault
+		}
+		return fakenet.LinkUp
+	})
+}
+
+// selectDaemons returns the numbers of this many daemons, with or without the dispatcher.
+func (f *fleet) selectDaemons(count int, withDispatcher bool) map[int]bool {
+	dispatcher := f.dispatcher()
+	selected := make(map[int]bool)
+	for number := range f.daemons {
+		if withDispatcher && hostOf(number) == dispatcher {
+			selected[number] = true
+		}
+	}
+	for number := range f.daemons {
+		if len(selected) < count && hostOf(number) != dispatcher {
+			selected[number] = true
+		}
+	}
+	return selected
+}
+
+// firstTry is a request and how it ended.
+type firstTry struct {
+	daemon     int
+	sent       time.Time
+	took       time.Duration
+	status     int
+	retryAfter string
+}
+
+// spreadLoad sends requests evenly to all daemons, half of them safe and half unsafe, and returns how they ended.
+func (f *fleet) spreadLoad(duration time.Duration) []firstTry {
+	var mutex sync.Mutex
+	var tries []firstTry
+	var running sync.WaitGroup
+	ticker := time.NewTicker(time.Second / cutLoad)
+	defer ticker.Stop()
+	end := time.Now().Add(duration)
+	for number := 0; time.Now().Before(end); number++ {
+		daemon, kind := number%len(f.daemons), "safe"
+		if number/len(f.daemons)%2 == 1 {
+			kind = "unsafe"
+		}
+		running.Go(func() {
+			sent := time.Now()
+			got := f.send(daemon, fmt.Sprintf("/one/%s/%d", kind, number))
+			try := firstTry{daemon: daemon, sent: sent, took: time.Since(sent), status: got.status}
+			if got.header != nil {
+				try.retryAfter = got.header.Get("Retry-After")
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			tries = append(tries, try)
+		})
+		<-ticker.C
+	}
+	running.Wait()
+	return tries
+}
+
+// served counts the first tries that were sent in a period, and those of them that were served.
+func served(tries []firstTry, from, until time.Time, of func(try firstTry) bool) (count, total int) {
+	for _, try := range tries {
+		if try.sent.Before(from) || !try.sent.Before(until) || !of(try) {
+			continue
+		}
+		total++
+		if try.status == http.StatusOK {
+			count++
+		}
+	}
+	return count, total
+}
+
+// checkServed checks that at most one in 50 first tries failed.
+func checkServed(t *testing.T, what string, count, total int) {
+	t.Helper()
+	t.Logf("%s: %d of %d first tries served", what, count, total)
+	assert.GreaterOrEqual(t, count, total-total/50, "%s: first tries served of %d", what, total)
+}
+
+// TestDaemonsCutOffFromBackendsServe cuts some daemons off from all back ends, in each way in which links fail: a
+// caller's request must be served whichever daemon it reached.
+func TestDaemonsCutOffFromBackendsServe(t *testing.T) {
+	for name, fault := range linkFaults {
+		for _, scope := range []struct {
+			name           string
+			count          int
+			withDispatcher bool
+		}{{"the dispatcher", 1, true}, {"half of the daemons", 3, true}, {"another half", 3, false}, {"all but one", 5, true}, {"all but the dispatcher", 5, false}} {
+			t.Run(name+"/"+scope.name, func(t *testing.T) {
+				runFleet(t, cutDaemons, cutWorkers, func(f *fleet) {
+					f.spreadLoad(2 * time.Second)
+					start := time.Now()
+					time.AfterFunc(cutDuration, func() { f.net.SetLinkRule(nil) })
+					selected := f.selectDaemons(scope.count, scope.withDispatcher)
+					f.cutOff(selected, fault)
+					tries := f.spreadLoad(cutDuration + 2*healGrace)
+					heal := start.Add(cutDuration)
+					cut := func(try firstTry) bool { return selected[try.daemon] }
+					atCut, ofCut := served(tries, start.Add(cutGrace), heal, cut)
+					atOthers, ofOthers := served(tries, start.Add(cutGrace), heal, func(try firstTry) bool { return !cut(try) })
+					after, ofAfter := served(tries, heal.Add(healGrace), heal.Add(2*healGrace), func(firstTry) bool { return true })
+					checkServed(t, "at the daemons that are cut off", atCut, ofCut)
+					checkServed(t, "at the others", atOthers, ofOthers)
+					checkServed(t, "after the cut", after, ofAfter)
+				})
+			})
+		}
+	}
+}
+
+// answeredAtOnce is the time within which a request that cannot be served is refused.
+const answeredAtOnce = 100 * time.Millisecond
+
+// TestRequestsAreRefusedAtOnceWhileNoDaemonReachesBackends cuts all daemons off from all back ends: requests are
+// refused at once with a time to come back, and are served again soon after the cut.
+func TestRequestsAreRefusedAtOnceWhileNoDaemonReachesBackends(t *testing.T) {
+	for name, fault := range linkFaults {
+		if fault == fakenet.LinkRefused {
+			continue // open connections serve the requests
+		}
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, cutDaemons, cutWorkers, func(f *fleet) {
+				f.spreadLoad(2 * time.Second)
+				start := time.Now()
+				time.AfterFunc(cutDuration, func() { f.net.SetLinkRule(nil) })
+				f.cutOff(f.selectDaemons(cutDaemons, true), fault)
+				tries := f.spreadLoad(cutDuration + 2*healGrace)
+				heal := start.Add(cutDuration)
+				late, without, total := 0, 0, 0
+				for _, try := range tries {
+					if try.sent.Before(start.Add(cutGrace)) || try.sent.After(heal.Add(-answeredAtOnce)) {
+						continue
+					}
+					total++
+					require.NotEqual(t, http.StatusOK, try.status)
+					if try.took > answeredAtOnce {
+						late++
+					}
+					if seconds, err := strconv.ParseFloat(try.retryAfter, 64); err != nil || seconds <= 0 {
+						without++
+					}
+				}
+				t.Logf("of %d requests %d were refused late, %d without Retry-After", total, late, without)
+				assert.LessOrEqual(t, late, total/50)
+				assert.LessOrEqual(t, without, total/50)
+				after, ofAfter := served(tries, heal.Add(healGrace), heal.Add(2*healGrace), func(firstTry) bool { return true })
+				checkServed(t, "after the cut", after, ofAfter)
+			})
+		})
+	}
+}
