routing: a failed connection counts only against a back end that answers nobody

What callers saw: at daemons that were not cut off from the back ends, up to 28 of 125 first tries failed while others were, as the dispatcher ejected back ends that answered everybody else. Cause: it counted each connection that any daemon failed to open against the back end. The class: one daemon's view of its own links taken for the state of a back end. Evidence: with the reporter in the logs, all ejections in the reproduction are reported by daemons that are cut off.

A connection that was not opened in time is now an outcome of its own, NoContact. The dispatcher compares it with the back end's last answer: if it has answered any request since the permit was granted, the path of that daemon is at fault, and nothing is learned; otherwise it counts as before, so that a back end without power is ejected as soon. The same goes for health probes that could not be sent.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,11 @@
 	}
 }
 
+// Address returns the address of the server.
+func (c *Client) Address() string {
+	return c.options.Address
+}
+
 // Close closes unused connections. Requests in flight go on.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
@@ -114,6 +120,13 @@
 	return f.Cause
 }
 
+// NeverSent reports whether the error is that of a request of which no byte was sent, as no
+// connection to the server could be opened.
+func NeverSent(err error) bool {
+	var failure *Failure
+	return errors.As(err, &failure) && (failure.Code == resultcode.ConnectFailed || failure.Code == resultcode.WaitExpired)
+}
+
 // singleUseBody is a request body that the transport cannot rewind, so that it never
 // resends a request. It also prevents the caller's body from being closed twice.
 type singleUseBody struct {
@@ -308,6 +321,29 @@
 	return response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotModified && response.StatusCode >= http.StatusOK
 }
 
+// CopyRequest returns a request that reproduces a received one: its target byte for byte, including
+// characters that net/url would escape differently, and its end-to-end headers.
+func CopyRequest(r *http.Request) *http.Request {
+	copied := &http.Request{
+		Method: r.Method, URL: requestURL(r), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, len(r.Header)+4), Host: r.Host, ContentLength: r.ContentLength, Body: r.Body,
+	}
+	CopyHeader(copied.Header, r.Header)
+	if upgrade := r.Header.Get("Upgrade"); upgrade != "" {
+		copied.Header.Set("Connection", "Upgrade")
+		copied.Header.Set("Upgrade", upgrade)
+	}
+	return copied
+}
+
+func requestURL(r *http.Request) *url.URL {
+	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
+		copied := *r.URL
+		return &copied
+	}
+	return &url.URL{Opaque: r.RequestURI}
+}
+
 // hopHeaders are the hop-by-hop headers (RFC 9110, 7.6.1).
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -185,6 +185,9 @@
 	if permit.Followed {
 		c.followed.remove(permit)
 	}
+	if outcome == routing.NoContact {
+		outcome = c.Group.AttributeNoContact(permit.PickResult, permit.GrantedAt)
+	}
 	c.recordRolloutSample(now, permit, outcome, latency)
 	c.Group.Done(permit.PickResult, now, outcome, latency)
 	c.Queue.RecordRelease(now)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// RecordUnansweredProbe records that a health probe could not be sent to a back end.
+func (d *Dispatcher) RecordUnansweredProbe(id string, sent time.Time) {
+	d.mutex.Lock()
+	state := d.core.Group.State(id)
+	d.mutex.Unlock()
+	if state != nil {
+		d.changeHealth(state, causeHealthProbe, "", func(now time.Time) { d.core.Group.RecordUnansweredProbe(now, id, sent) })
+	}
+}
+
 // change applies a change under the mutex and grants the permits that it may have freed.
 func (d *Dispatcher) change(apply func()) {
 	d.mutex.Lock()
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -251,6 +251,8 @@
 	switch {
 	case failed.Code == resultcode.ConnectFailed && backend.IsConnectionRefused(failed.Cause):
 		outcome = routing.ConnectionRefused
+	case failed.Code == resultcode.ConnectFailed:
+		outcome = routing.NoContact
 	case failed.Code == resultcode.ConnectionBroken && a.crashedDuring(permit):
 		outcome = routing.ProcessExited
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -155,10 +155,15 @@
 	p.startProbe(ctx, d, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, healthProbeTimeout)
 		defer cancel()
+		sent := time.Now()
 		report, healthy, err := p.probe(ctx, target)
 		if err != nil {
 			p.log.Debug("health probe failed", "service", name, "backend", id, "error", err)
 		}
+		if backend.NeverSent(err) {
+			svc.Dispatcher.RecordUnansweredProbe(id, sent)
+			return
+		}
 		svc.Dispatcher.RecordHealthProbe(id, err == nil && healthy, report)
 	})
 }
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -121,6 +121,11 @@
 	d.trialStart = now
 }
 
+// AbandonTrial records that the trial request did not reach the back end, so that another may be sent.
+func (d *Detector) AbandonTrial() {
+	d.trialStart = time.Time{}
+}
+
 // MaxEjected returns how many back ends of a group may be ejected for failures at once: half of
 // them, so that a fault that all of them share does not empty the group. Back ends whose processes
 // have exited do not count.
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -26,6 +26,12 @@
 	Unserved
 	// PushedBack: the back end rejected the request and asked for a pause.
 	PushedBack
+	// NoContact: no connection was opened in time. Whether the back end or the path to it is at fault
+	// is decided by AttributeNoContact.
+	NoContact
+	// Unreached: the daemon that sent the request could not reach the back end, although others can, or
+	// could reach no back end at all; nothing is learned from it.
+	Unreached
 )
 
 // String returns the name of the outcome for logs.
@@ -45,19 +51,39 @@
 		return "unserved"
 	case PushedBack:
 		return "pushed-back"
+	case NoContact:
+		return "no-contact"
+	case Unreached:
+		return "unreached"
 	}
 	return "outcome-" + strconv.Itoa(int(o))
 }
 
+// AttributeNoContact returns the outcome of a request that ended with NoContact: Unreached if the back
+// end has answered any request since permitted, when its permit was granted, which shows that the path
+// of one daemon is at fault, otherwise Unserved.
+func (g *Group) AttributeNoContact(picked PickResult, permitted time.Time) Outcome {
+	if picked.Backend.answeredAt.After(permitted) {
+		return Unreached
+	}
+	return Unserved
+}
+
 // Done records the end of a request that Pick counted as sent.
 func (g *Group) Done(picked PickResult, now time.Time, outcome Outcome, latency time.Duration) {
 	state := picked.Backend
 	state.advanceOccupancy(now)
 	state.InFlight--
 	g.workingSet.requestEnded()
-	if outcome == Canceled {
+	switch outcome {
+	case Canceled:
 		state.recordAbandoned(now)
-	} else {
+	case Unreached:
+		state.health.AbandonTrial()
+	case Success, ErrorResponse, PushedBack:
+		state.answeredAt = now
+		state.heardAt, state.silentSince = now, now
+	default:
 		state.heardAt, state.silentSince = now, now
 	}
 	if state.InFlight == 0 {
@@ -70,7 +96,7 @@
 		state.recordLatency(latency, picked.slowdownAtPick)
 		g.reportAge.baseLatency = ewma(g.reportAge.baseLatency, state.baseLatency)
 		g.learnConcurrency(picked)
-	case ErrorResponse, Unserved:
+	case ErrorResponse, Unserved, NoContact:
 		state.health.RecordFailure(now)
 	case PushedBack:
 		state.health.RecordFailure(now)
@@ -81,7 +107,7 @@
 		state.health.RecordExit(now)
 	case ConnectionRefused:
 		state.health.RecordConnectionRefused(now)
-	case Canceled:
+	case Canceled, Unreached:
 	}
 }
 
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -49,6 +49,7 @@
 		state.health.RecordFailure(now)
 		return
 	}
+	state.answeredAt = now
 	if state.Ejected(now) {
 		state.slowStartResponses = 0 // it may have failed because it was overloaded
 		state.health.RecordSuccess()
@@ -58,6 +59,20 @@
 	}
 }
 
+// RecordUnansweredProbe records that a health probe could not be sent to a back end. If the back end
+// has answered a request since the probe was sent, the path of this daemon is at fault.
+func (g *Group) RecordUnansweredProbe(now time.Time, id string, sent time.Time) {
+	state, known := g.byID[id]
+	if !known {
+		return
+	}
+	if state.answeredAt.After(sent) {
+		state.heardAt = now
+		return
+	}
+	g.RecordHealthProbe(now, id, false, nil)
+}
+
 // probeCreditPerPick is how many load probes a request earns: probes go to the back ends that it
 // could have been sent to, and not to those that would not be chosen.
 const probeCreditPerPick = 3
--- a/routing/state.go
+++ b/routing/state.go
@@ -69,6 +69,7 @@
 	slowStartResponses int // responses since the back end appeared, was reinstated or turned cold
 	health             outlier.Detector
 	heardAt            time.Time // time of the last response or health probe
+	answeredAt         time.Time // time of the last response
 	window             float64   // maximum number of this daemon's requests at the back end
 	slowdown           slowdown
 	warmUp             warmUp
