relay: requests reach the back ends through other daemons

What callers saw: at daemons that were cut off from all back ends, 0 to 27 of 622 first tries were served, though callers, the store and the other daemons reached them, and those reached the back ends; where connections were refused, 0 to 20 of 375 at the others as well, and 157 of 332 four to eight seconds after the cut.

Cause: a daemon had one way to a back end, its own link, and took what it saw there for the state of the back end: it tried one back end after another over the same dead links, reported a refused connection as the end of a process, which the dispatcher believes at once, and blamed the request that was running when its connection was reset.

reach (new) decides, from what a daemon itself has read and dialed, whether it is cut off from all back ends (none of three, checked at once, accepts a connection while nothing is read from any) and which single paths are bypassed. relay (new) sends a request to the back end of its permit through another daemon, one hop at most; permit, deadline, retries, sessions and claims stay where the request arrived. A refused connection is confirmed by sending the same request through another daemon, before it is reported; so is the crash of a back end under a request. A daemon that is cut off sends no health probes, and reports nothing about back ends. If no daemon reaches them, requests are refused at once with a time to come back (2022). A back end behind a failed path is checked until it accepts a connection again; the first contact ends a cut.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -1,5 +1,7 @@
 package backend
 
+import "net/http"
+
 // Dialect defines the headers that callers and back ends use, and which behavior
 // can be expected of them.
 type Dialect struct {
@@ -49,6 +51,18 @@
 	FractionalRetryAfter bool
 }
 
+// Refuses reports whether a response states that the back end did not run the request. refusalStatus
+// is the status with which back ends of the service refuse requests; 0: none.
+func (d *Dialect) Refuses(response *http.Response, refusalStatus int) bool {
+	switch {
+	case d.NotRun != "" && response.Header.Get(d.NotRun) != "":
+		return true
+	case d.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest:
+		return true
+	}
+	return refusalStatus != 0 && response.StatusCode == refusalStatus
+}
+
 // Headers of the project's own dialect.
 const (
 	HeaderRequestID = "X-Request-Id"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,8 @@
 	"github.com/tuliphall/tuliphall/pushback"
 	"github.com/tuliphall/tuliphall/quarantine"
 	"github.com/tuliphall/tuliphall/ratelimit"
+	"github.com/tuliphall/tuliphall/reach"
+	"github.com/tuliphall/tuliphall/relay"
 	"github.com/tuliphall/tuliphall/rollout"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
@@ -92,6 +94,9 @@
 	follower   *dissemination.Follower
 	operations *operation.Claimer
 	slots      *slots.Client
+	reach      *reach.Monitor
+	relay      *relay.Client
+	relayed    *relay.Server // relays requests of other daemons
 	handler    *frontend.Handler
 	callers    *pipelining.Server
 	prober     *measure.Prober
@@ -252,7 +257,8 @@
 	d.pauses = pushback.NewTracker(pushback.Options{Apply: d.applyPause, Log: d.logger, Metrics: scope})
 	d.signals = signals.NewReader(signals.Options{Dialect: d.dialect, Limits: d.limits, Drains: d.drains, Pauses: d.pauses, Log: d.logger, Metrics: scope})
 	d.rateLimits = ratelimit.NewFleetLimiter(ratelimit.Options{Name: d.settings.Name, Limits: d.limitOf, Now: d.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: d.logger, Metrics: scope})
-	d.services = service.NewRegistry(service.Options{Network: d.meter.For("backends"), Seed: seed, EchoHeader: d.echoHeader(), Quarantine: d.quarantine, Rates: d.rateLimits, Limits: &serviceLimits{Tracker: d.limits, daemon: d}, Drains: d.drains, Pauses: d.pauses, InOtherRegion: d.inOtherRegion, Log: d.logger})
+	d.reach = reach.NewMonitor(reach.Options{Network: d.meter.For("backends"), Targets: d.randomBackends, Log: d.logger, Metrics: scope})
+	d.services = service.NewRegistry(service.Options{Network: d.reach, Seed: seed, EchoHeader: d.echoHeader(), Quarantine: d.quarantine, Rates: d.rateLimits, Limits: &serviceLimits{Tracker: d.limits, daemon: d}, Drains: d.drains, Pauses: d.pauses, InOtherRegion: d.inOtherRegion, Log: d.logger})
 	d.editor = config.NewEditor(d.store, time.Now, func() config.Document { return d.follower.Document() })
 	d.follower = dissemination.NewFollower(dissemination.Options{
 		Sources: d.sources, Services: d.services, Timeout: time.Duration(d.settings.Platform.Timeout),
@@ -275,10 +281,12 @@
 		Store: d.store, WriteLimiter: rate.NewLimiter(rate.Limit(d.settings.Platform.WritesPerSecond), 1), Now: d.now, Log: d.logger,
 	})
 	d.slots = slots.NewClient(d.meter.For("places"), d.settings.Name, d.logger)
+	d.relay = relay.NewClient(relay.Options{Network: d.meter.For("relay"), Peers: d.otherDaemons, Random: rand.New(rand.NewPCG(seed, 4)), Log: d.logger, Metrics: scope})
+	d.relayed = relay.NewServer(relay.ServerOptions{Services: d.services, Paths: d.reach, Signals: d.signals, Dialect: d.dialect, Log: d.logger, Metrics: scope})
 	d.rollouts = rollout.NewRunner(rollout.Options{Services: d.rolloutServices, Recorder: d.recorder, Log: d.logger})
 	d.rateLimits.SetFleet(&rateFleet{daemon: d})
 	d.handler = frontend.NewHandler(frontend.Options{
-		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations,
+		Name: d.settings.Name, Zone: d.settings.Zone, Network: d.meter.For("forward"), Services: d.services, Peers: d, Slots: d.slots, Operations: d.operations, Paths: d.reach, Relay: d.relay,
 		Log: d.logger, Metrics: scope, LogDecisions: d.logDecisions.Load, Dialect: d.dialect,
 		Configured: d.follower.Serving, Quarantine: d.quarantine, Signals: d.signals,
 	})
@@ -303,16 +311,17 @@
 
 // shouldProbe reports whether this daemon is the dispatcher of a service and probes its back ends.
 // It returns false while the membership is forming: a daemon that is the dispatcher only briefly
-// would hold the lease for probing, which its successor needs.
+// would hold the lease for probing, which its successor needs. It also returns false while this daemon
+// is cut off from all back ends, when its probes would say nothing about them.
 func (d *Daemon) shouldProbe(name string) bool {
 	_, other := d.node.DispatcherOf(name)
-	return !other && !d.node.Forming()
+	return !other && !d.node.Forming() && !d.reach.CutOff()
 }
 
 // run starts a goroutine for each task.
 func (d *Daemon) run(ctx context.Context, listeners listenerSet, scope tally.Scope, metrics http.Handler) {
 	d.serveCallers(listeners.caller, scope)
-	d.serveHTTP(listeners.forward, d.handler.ForwardedHandler())
+	d.serveHTTP(listeners.forward, d.forwardHandler())
 	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
 	if listeners.metrics != nil {
 		d.serveHTTP(listeners.metrics, admin.MetricsHandler(metrics))
@@ -335,6 +344,7 @@
 	d.running.Go(func() { d.pauses.Run(ctx) })
 	d.running.Go(func() { d.rollouts.Run(ctx) })
 	d.running.Go(func() { d.prober.Run(ctx) })
+	d.running.Go(func() { d.reach.Run(ctx) })
 	d.running.Go(func() { d.reportTraffic(ctx, scope) })
 	d.running.Go(func() { d.reportDroppedLines(ctx, scope) })
 }
@@ -422,6 +432,7 @@
 	upgraded := make(chan struct{})
 	go func() {
 		d.handler.WaitUpgraded()
+		d.relayed.WaitUpgraded()
 		close(upgraded)
 	}()
 	select {
@@ -434,6 +445,7 @@
 func (d *Daemon) close() {
 	d.cancel()
 	d.slots.Close()
+	d.relay.Close()
 	for _, server := range d.servers {
 		server.Close()
 	}
--- a/dispatch/retryafter.go
+++ b/dispatch/retryafter.go
@@ -38,11 +38,16 @@
 	return min(max(waited, minRefusalRetryAfter), maxRetryAfter)
 }
 
-// ageRetryAfter returns the Retry-After where the state of the queue adds nothing: the time
-// since the first try, within bounds.
+// ageRetryAfter is RetryAfterAge for a request.
 func ageRetryAfter(now time.Time, request Request) time.Duration {
-	if request.FirstTry.IsZero() {
+	return RetryAfterAge(now, request.FirstTry)
+}
+
+// RetryAfterAge returns the Retry-After where the state of the queue adds nothing: the time since the
+// caller's first try, within bounds; a zero firstTry is unknown.
+func RetryAfterAge(now, firstTry time.Time) time.Duration {
+	if firstTry.IsZero() {
 		return minRetryAfter
 	}
-	return min(max(minRetryAfter, now.Sub(request.FirstTry)), maxRetryAfter)
+	return min(max(minRetryAfter, now.Sub(firstTry)), maxRetryAfter)
 }
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/dispatch"
+	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
@@ -34,6 +35,10 @@
 	var last *resultcode.Failure // reported to the caller if no later attempt succeeds
 	kind := retry.First
 	for number := 1; ; number++ {
+		if failure := a.unreachableFailure(); failure != nil {
+			last = failureToReport(last, failure)
+			break
+		}
 		permit, err := a.acquirePermit(ctx, kind, a.call.permitRequest(a.call.decision.Wait, a.handler.options.Name, a.handler.options.Zone))
 		if errors.Is(err, service.ErrOverBudget) {
 			a.handler.log.Info("not retried", "request", a.call.id, "service", a.call.service.Name(), "error", err)
@@ -168,12 +173,12 @@
 // arrived. If the exchange fails, the permit has been released.
 func (a *attempter) exchange(ctx context.Context, sent *outboundRequest) (*backendResponse, *resultcode.Failure) {
 	permit := sent.permit
-	response, err := sent.client.Do(ctx, sent.request)
+	response, err := a.send(ctx, sent)
 	if err != nil {
 		return nil, a.handleExchangeError(permit, err)
 	}
 	resp := &backendResponse{permit: permit, response: response, latency: time.Since(permit.sent), report: a.loadReport(response)}
-	resp.refused = a.isRefusal(response)
+	resp.refused = a.handler.options.Dialect.Refuses(response, a.call.service.Target().Service.RefusalStatus)
 	a.handler.options.Signals.Observe(signals.Response{
 		Key: backend.Key{Service: a.call.service.Name(), Backend: permit.backend}, Started: permit.started, Sent: permit.sent,
 		RequestID: a.call.id, Status: response.StatusCode, Header: response.Header, Refused: resp.refused,
@@ -216,8 +221,8 @@
 	outcome := resp.outcome()
 	defer func() { resp.permit.done(outcome, resp.latency, resp.report) }()
 	if err := a.relay(resp.response, resp.permit.backend, resultcode.Answered); err != nil {
-		outcome = err.outcome()
-		if err.side == backendSide && a.crashedDuring(resp.permit) {
+		outcome = outcomeOf(err)
+		if err.Side == httpcopy.Server && a.crashedDuring(resp.permit) {
 			outcome = routing.ProcessExited
 		}
 		a.abortResponse(err)
@@ -226,38 +231,20 @@
 	}
 }
 
-// isRefusal reports whether the back end states that it did not run the request.
-func (a *attempter) isRefusal(response *http.Response) bool {
-	dialect := a.handler.options.Dialect
-	if dialect.NotRun != "" && response.Header.Get(dialect.NotRun) != "" {
-		return true
-	}
-	if dialect.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest {
-		return true
-	}
-	refusal := a.call.service.Target().Service.RefusalStatus
-	return refusal != 0 && response.StatusCode == refusal
-}
-
 func (a *attempter) handleExchangeError(permit *grantedPermit, err error) *resultcode.Failure {
 	var failed *backend.Failure
 	if !errors.As(err, &failed) {
 		failed = &backend.Failure{Code: resultcode.ConnectionBroken, Cause: err}
 	}
-	outcome := routing.Unserved
-	if failed.Code == resultcode.CallerGone || failed.Code == resultcode.CallerGoneAfterSend || failed.Code == resultcode.WaitExpired {
-		outcome = routing.Canceled
-	}
-	switch {
-	case failed.Code == resultcode.ConnectFailed && backend.IsConnectionRefused(failed.Cause):
-		outcome = routing.ConnectionRefused
-	case failed.Code == resultcode.ConnectFailed:
-		outcome = routing.NoContact
-	case failed.Code == resultcode.ConnectionBroken && a.crashedDuring(permit):
-		outcome = routing.ProcessExited
+	permit.done(a.outcomeOfFailure(permit, failed), 0, nil)
+	code, retryAfter := failed.Code, time.Duration(0)
+	switch code {
+	case resultcode.NoBackend:
+		code = resultcode.ConnectFailed // nothing was sent
+	case resultcode.BackendsUnreachable:
+		retryAfter = a.retryAfterUnreachable()
 	}
-	permit.done(outcome, 0, nil)
-	return &resultcode.Failure{Code: failed.Code, Detail: "back end " + permit.backend + ": " + failed.Cause.Error()}
+	return &resultcode.Failure{Code: code, Detail: "back end " + permit.backend + ": " + failed.Cause.Error(), RetryAfter: retryAfter}
 }
 
 // loadReport returns the load report of a response; nil if it has none.
@@ -272,9 +259,9 @@
 
 // abortResponse aborts a response that has been started, so that the caller cannot mistake it for a
 // complete one.
-func (a *attempter) abortResponse(err *relayError) {
+func (a *attempter) abortResponse(err *httpcopy.Error) {
 	a.logAborted(err)
-	if a.record != nil && err.side == backendSide {
+	if a.record != nil && err.Side == httpcopy.Server {
 		a.record.recordIncomplete()
 	}
 	panic(http.ErrAbortHandler)
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -6,9 +6,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -245,21 +243,13 @@
 
 // outgoingRequest builds the request that is sent to a back end or another daemon.
 func (c *call) outgoingRequest(r *http.Request, dialect backend.Dialect) *http.Request {
-	outgoing := &http.Request{
-		Method: r.Method, URL: requestURL(r), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: make(http.Header, len(r.Header)+4), Host: r.Host, ContentLength: r.ContentLength, Body: r.Body,
-	}
-	backend.CopyHeader(outgoing.Header, r.Header)
+	outgoing := backend.CopyRequest(r)
 	if c.buffered {
 		outgoing.Body = http.NoBody
 		if len(c.body) > 0 {
 			outgoing.Body = io.NopCloser(bytes.NewReader(c.body))
 		}
 	}
-	if c.upgrade {
-		outgoing.Header.Set("Connection", "Upgrade")
-		outgoing.Header.Set("Upgrade", r.Header.Get("Upgrade"))
-	}
 	c.setTenantHeader(outgoing.Header, dialect)
 	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
 	outgoing.Header.Set(dialect.Deadline, strconv.FormatInt(remaining, 10))
@@ -289,15 +279,6 @@
 	}
 }
 
-// requestURL returns a URL that reproduces the target of the request byte for byte, including
-// characters that net/url would escape differently.
-func requestURL(r *http.Request) *url.URL {
-	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
-		return cloneURL(r)
-	}
-	return &url.URL{Opaque: r.RequestURI}
-}
-
 // backendRequest builds the request that is sent to a back end.
 func (c *call) backendRequest(id string, dialect backend.Dialect) *http.Request {
 	outgoing := c.outgoingRequest(c.request, dialect)
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/operation"
 	"github.com/tuliphall/tuliphall/policy"
+	"github.com/tuliphall/tuliphall/relay"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/signals"
@@ -36,6 +36,43 @@
 	Suspect(name string)
 }
 
+// Paths tells which back ends this daemon reaches. No method but Credible blocks.
+type Paths interface {
+	// Direct reports whether a request to an address is sent there by this daemon itself.
+	Direct(address string) bool
+	// Reaches reports whether this daemon reaches an address, as far as it knows.
+	Reaches(address string) bool
+	// CutOffSince returns since when this daemon has been cut off from all back ends; zero: it is not.
+	CutOffSince() time.Time
+	// Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
+	// started, says something about that back end. It may block for a fraction of a second.
+	Credible(ctx context.Context, started time.Time) bool
+	// RecordBypass records whether another daemon reached an address for this one.
+	RecordBypass(address string, reached bool)
+}
+
+// allPaths implements Paths for a daemon without another way to the back ends.
+type allPaths struct{}
+
+func (allPaths) Reaches(string) bool                      { return true }
+func (allPaths) Direct(string) bool                       { return true }
+func (allPaths) CutOffSince() time.Time                   { return time.Time{} }
+func (allPaths) Credible(context.Context, time.Time) bool { return true }
+func (allPaths) RecordBypass(string, bool)                {}
+
+// Relay sends requests to back ends through other daemons.
+type Relay interface {
+	// HasPeers reports whether there are other daemons, and Available whether one may be asked now.
+	// They must not block.
+	HasPeers() bool
+	Available() bool
+	// Do sends a request; see relay.Client.
+	Do(ctx context.Context, key backend.Key, rewindable bool, build func() *http.Request) (*relay.Response, error)
+	// CheckLiveness returns the liveness of a back end as another daemon sees it, and false if none can
+	// tell. It blocks for less than a second.
+	CheckLiveness(ctx context.Context, key backend.Key) (backend.Liveness, bool)
+}
+
 // Options configure a Handler.
 type Options struct {
 	Name     string // of the daemon
@@ -48,6 +85,10 @@
 	Configured func() bool
 	Slots      *slots.Client // requests permits from other daemons
 	Operations *operation.Claimer
+	// Paths tells which back ends this daemon reaches; nil: all. Relay reaches the others; it must be set
+	// if Paths is.
+	Paths Paths
+	Relay Relay
 	// Quarantine keeps requests that crash back ends from other back ends; nil: it is disabled.
 	Quarantine Quarantine
 	// Signals observes the signals that back ends send with their responses; nil: they are ignored.
@@ -84,6 +125,9 @@
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
+	if options.Paths == nil {
+		options.Paths, options.Relay = allPaths{}, noRelay{}
+	}
 	if options.Signals == nil {
 		options.Signals = signals.NopListener{}
 	}
@@ -227,8 +271,3 @@
 	caller, err := identity.Identify(snapshot, r.Header, route.Public)
 	return caller, resultcode.AsFailure(err, resultcode.Unauthorized)
 }
-
-func cloneURL(r *http.Request) *url.URL {
-	copied := *r.URL
-	return &copied
-}
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
@@ -57,9 +58,9 @@
 }
 
 // logAborted logs a call whose response could not be relayed completely.
-func (a *attempter) logAborted(err *relayError) {
+func (a *attempter) logAborted(err *httpcopy.Error) {
 	attributes := append([]slog.Attr{
-		slog.String("request", a.call.id), slog.String("side", string(err.side)), slog.String("cause", err.cause.Error()),
+		slog.String("request", a.call.id), slog.String("side", string(err.Side)), slog.String("cause", err.Cause.Error()),
 	}, a.outcomeAttributes()...)
 	a.handler.log.LogAttrs(context.Background(), slog.LevelWarn, "answer broken off", attributes...)
 }
@@ -74,6 +75,7 @@
 	attributes := append([]slog.Attr{slog.String("request", a.call.id), slog.Int("code", int(code))}, a.outcomeAttributes()...)
 	if resp := a.relayed; resp != nil {
 		attributes = append(attributes, slog.String("backend", resp.permit.backend), slog.Int("status", resp.response.StatusCode),
+			slog.String("via", resp.permit.via), slog.Duration("cut_off", resp.permit.cutOffFor),
 			slog.Duration("backend_latency", resp.latency))
 		if resp.report != nil {
 			attributes = append(attributes, slog.Int("backend_in_flight", resp.report.InFlight), slog.Float64("backend_slowdown", resp.report.Slowdown))
--- a/frontend/permit.go
+++ b/frontend/permit.go
@@ -33,6 +33,11 @@
 	// nil: this is not tracked.
 	disturbed <-chan struct{}
 	sent      time.Time
+	// relayed tells that the request was sent through another daemon, via names it once it has
+	// responded, and cutOffFor is how long this daemon had been cut off from all back ends; 0: it was not.
+	relayed   bool
+	via       string
+	cutOffFor time.Duration
 	done      func(outcome routing.Outcome, latency time.Duration, report *routing.Report)
 }
 
--- a/frontend/quarantine.go
+++ b/frontend/quarantine.go
@@ -81,17 +81,33 @@
 // checkLiveness checks a back end whose connection broke, records the result and sends the result of
 // the first check to first.
 func (a *attempter) checkLiveness(client *backend.Client, permit *grantedPermit, first chan<- backend.Liveness) {
-	liveness := client.CheckLiveness(context.Background())
+	liveness := a.liveness(client, permit)
 	if liveness != backend.Exited {
 		first <- liveness
 		time.Sleep(livenessRecheckDelay)
-		a.recordBrokenConnection(permit, client.CheckLiveness(context.Background()))
+		a.recordBrokenConnection(permit, a.liveness(client, permit))
 		return
 	}
 	a.recordBrokenConnection(permit, liveness)
 	first <- liveness
 }
 
+// liveness returns the liveness of a back end. A refused connection may be the fault of this daemon's
+// path: another daemon decides, if there is one.
+func (a *attempter) liveness(client *backend.Client, permit *grantedPermit) backend.Liveness {
+	liveness := client.CheckLiveness(context.Background())
+	if liveness == backend.Alive || !a.handler.options.Relay.HasPeers() {
+		return liveness
+	}
+	if seen, known := a.handler.options.Relay.CheckLiveness(context.Background(), a.keyOf(permit)); known {
+		return seen
+	}
+	if a.isCutOff() {
+		return backend.Unreachable
+	}
+	return liveness
+}
+
 // recordBrokenConnection logs and counts a connection that broke during the request, by the liveness of
 // the back end, and records a crash if the back end's process has ended. The exit of a back end that gets
 // no new requests, for example as it is draining, is planned and not recorded as a crash.
--- a/lab/site/schedule_test.go
+++ b/lab/site/schedule_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -66,10 +68,60 @@
 			faults = append(faults, drawn)
 		}
 	}
+	// Drawn last, so that the other faults of known seeds stay the same.
+	for range rapid.IntRange(0, 2).Draw(t, "cuts") {
+		faults = append(faults, fault{
+			kind:   cutBackends,
+			at:     time.Duration(rapid.IntRange(5, 500).Draw(t, "at")) * time.Second,
+			length: time.Duration(rapid.IntRange(1, 60).Draw(t, "length")) * time.Second,
+			target: rapid.IntRange(0, len(linkFaults)-1).Draw(t, "link fault"),
+			other:  rapid.IntRange(0, 2).Draw(t, "first daemon"),
+			count:  rapid.IntRange(1, 3).Draw(t, "daemons"),
+		})
+	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
 	return faults
 }
 
+// cutBackends cuts count daemons, from number other on, off from all back ends; target selects the link fault.
+const cutBackends = "cut-backends"
+
+var linkFaults = []fakenet.LinkFault{fakenet.LinkSilent, fakenet.LinkReset, fakenet.LinkResetSilent, fakenet.LinkRefused}
+
+// setCut begins or ends a cut between daemons and all back ends. Cuts may overlap.
+func (r *faultRun) setCut(injected fault, on bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	cuts := maps.Clone(r.cuts)
+	if cuts == nil {
+		cuts = make(map[fault]bool)
+	}
+	delete(cuts, injected)
+	if on {
+		cuts[injected] = true
+	}
+	r.cuts = cuts
+	r.net.SetLinkRule(func(from, to string) fakenet.LinkFault {
+		worst := fakenet.LinkUp
+		for cut := range cuts {
+			if cut.cutsOff(from) && (strings.HasPrefix(to, "reads-") || strings.HasPrefix(to, "corrections-")) {
+				worst = max(worst, linkFaults[cut.target])
+			}
+		}
+		return worst
+	})
+}
+
+// cutsOff reports whether a cut concerns a host.
+func (f fault) cutsOff(host string) bool {
+	for number := range f.count {
+		if host == site.DaemonName((f.other+number)%3) {
+			return true
+		}
+	}
+	return false
+}
+
 // faultRun is a running site into which faults are injected.
 type faultRun struct {
 	ctx            context.Context
@@ -81,6 +133,7 @@
 	stopped        map[string]bool // daemons that are stopped, or about to be
 	problems       []string
 	changes        int
+	cuts           map[fault]bool // in force
 }
 
 func (r *faultRun) addProblem(format string, arguments ...any) {
@@ -170,6 +223,10 @@
 		for _, backend := range backends {
 			backend.Stub.SetDraining(false)
 		}
+	case cutBackends:
+		r.setCut(injected, true)
+		time.Sleep(injected.length)
+		r.setCut(injected, false)
 	case "race":
 		r.applyConcurrentChanges(injected.count)
 	case "frozen-backend":
--- /dev/null
+++ b/reach/monitor.go
@@ -0,0 +1,266 @@
+package reach
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/network"
+)
+
+const (
+	// pollInterval is how often the monitor looks whether checks are due.
+	pollInterval = 50 * time.Millisecond
+	// checkTimeout limits one check.
+	checkTimeout = 250 * time.Millisecond
+	// maxPathChecks limits how many bypassed paths are checked at a time.
+	maxPathChecks = 4
+)
+
+// Options are the dependencies of a Monitor.
+type Options struct {
+	Network network.Network // to the back ends
+	// Targets returns the addresses of at most count different back ends that take requests, chosen at
+	// random. It must not block.
+	Targets func(count int) []string
+	Log     *slog.Logger
+	Metrics tally.Scope
+}
+
+// Monitor observes the connections of this daemon to back ends. It is a network.Network that opens
+// them. It is safe for concurrent use.
+type Monitor struct {
+	options   Options
+	log       *slog.Logger
+	cutOff    tally.Gauge
+	checks    tally.Counter
+	suspicion chan struct{} // buffers one request to look whether checks are due
+
+	mutex sync.Mutex
+	state *State
+	round chan struct{} // closed when the round of checks that is under way has ended; nil: there is none
+}
+
+// NewMonitor returns a monitor of a daemon that has not used any back end yet.
+func NewMonitor(options Options) *Monitor {
+	return &Monitor{
+		options: options, log: logging.Component(options.Log, "reach"), state: NewState(), suspicion: make(chan struct{}, 1),
+		cutOff: options.Metrics.Gauge("backends_unreachable"), checks: options.Metrics.Counter("path_checks"),
+	}
+}
+
+// Listen implements network.Network.
+func (m *Monitor) Listen(address string) (net.Listener, error) {
+	return m.options.Network.Listen(address)
+}
+
+// Dial implements network.Network. It records whether the back end was reached.
+func (m *Monitor) Dial(ctx context.Context, address string) (net.Conn, error) {
+	started := time.Now()
+	conn, err := m.options.Network.Dial(ctx, address)
+	switch {
+	case err == nil:
+		m.record(func(now time.Time) bool { return m.state.RecordContact(now, address) })
+		return &observedConn{Conn: conn, monitor: m, address: address}, nil
+	case !errors.Is(ctx.Err(), context.Canceled):
+		m.recordFailure(address, started)
+	}
+	return nil, err
+}
+
+// observedConn records what is read and written.
+type observedConn struct {
+	net.Conn
+	monitor *Monitor
+	address string
+}
+
+// Read implements net.Conn.
+func (c *observedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.monitor.record(func(now time.Time) bool { return c.monitor.state.RecordAnswer(now, c.address) })
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *observedConn) Write(data []byte) (int, error) {
+	c.monitor.record(func(now time.Time) bool {
+		c.monitor.state.RecordSend(now)
+		return false
+	})
+	return c.Conn.Write(data)
+}
+
+// record applies a change under the mutex, and logs the end of a cut if it reports one.
+func (m *Monitor) record(apply func(now time.Time) (reconnected bool)) {
+	now := time.Now()
+	m.mutex.Lock()
+	since := m.state.CutOffSince()
+	reconnected := apply(now)
+	m.mutex.Unlock()
+	if reconnected {
+		m.cutOff.Update(0)
+		m.log.Info("back ends reached again", "unreachable", now.Sub(since))
+	}
+}
+
+// recordFailure records a connection that could not be opened.
+func (m *Monitor) recordFailure(address string, started time.Time) {
+	m.mutex.Lock()
+	m.state.RecordFailure(time.Now(), address, started)
+	m.mutex.Unlock()
+	select {
+	case m.suspicion <- struct{}{}:
+	default: // one is pending
+	}
+}
+
+// Run sends the checks that are due until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.suspicion:
+		case <-ticker.C:
+		}
+		now := time.Now()
+		m.mutex.Lock()
+		count, paths := m.state.DueChecks(now), m.state.DuePaths(now, maxPathChecks)
+		m.mutex.Unlock()
+		if count > 0 {
+			checks.Go(func() { m.checkRound(ctx, count) })
+		}
+		for _, address := range paths {
+			checks.Go(func() { m.check(ctx, address) })
+		}
+	}
+}
+
+// checkRound checks several back ends at once, until one is reached.
+func (m *Monitor) checkRound(ctx context.Context, count int) {
+	started := time.Now()
+	targets := m.options.Targets(count)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var checks sync.WaitGroup
+	for _, address := range targets {
+		checks.Go(func() {
+			if m.check(ctx, address) {
+				cancel()
+			}
+		})
+	}
+	checks.Wait()
+	m.mutex.Lock()
+	cutOff := ctx.Err() == nil && m.state.RecordRound(time.Now(), started, len(targets))
+	m.mutex.Unlock()
+	if cutOff {
+		m.cutOff.Update(1)
+		m.log.Warn("no back end reached; requests are sent through other daemons", "checked", len(targets), "took", time.Since(started))
+	}
+}
+
+// check opens a connection to a back end and closes it, and reports whether it was opened; Dial records
+// the result.
+func (m *Monitor) check(ctx context.Context, address string) bool {
+	m.checks.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	conn, err := m.Dial(ctx, address)
+	if err != nil {
+		m.log.Debug("check failed", "address", address, "error", err)
+		return false
+	}
+	conn.Close()
+	return true
+}
+
+// CutOffSince returns since when this daemon has been cut off from all back ends; zero: it is not.
+func (m *Monitor) CutOffSince() time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.CutOffSince()
+}
+
+// CutOff reports whether this daemon is cut off from all back ends.
+func (m *Monitor) CutOff() bool {
+	return !m.CutOffSince().IsZero()
+}
+
+// Direct reports whether a request to an address is sent there by this daemon itself, as opposed to
+// through another daemon.
+func (m *Monitor) Direct(address string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Direct(time.Now(), address)
+}
+
+// Reaches reports whether this daemon reaches an address as far as it knows.
+func (m *Monitor) Reaches(address string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Reaches(address)
+}
+
+// RecordBypass records whether another daemon reached an address for this one.
+func (m *Monitor) RecordBypass(address string, reached bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.state.RecordBypass(time.Now(), address, reached)
+}
+
+// Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
+// started, says something about that back end. If nothing was heard from any back end of late, it checks
+// several, and blocks for at most checkTimeout.
+func (m *Monitor) Credible(ctx context.Context, started time.Time) bool {
+	if credible, final := m.credible(started); final {
+		return credible
+	}
+	select {
+	case <-m.startRound():
+	case <-ctx.Done():
+	}
+	credible, _ := m.credible(started)
+	return credible
+}
+
+// credible is Credible without checks; final: checks would not change the result.
+func (m *Monitor) credible(started time.Time) (credible, final bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	credible = m.state.Credible(started)
+	return credible, credible || !m.state.CutOffSince().IsZero()
+}
+
+// startRound starts a round of checks unless one is under way, and returns a channel that is closed at
+// its end.
+func (m *Monitor) startRound() <-chan struct{} {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.round != nil {
+		return m.round
+	}
+	round := make(chan struct{})
+	m.round = round
+	go func() {
+		m.checkRound(context.Background(), roundSize)
+		m.mutex.Lock()
+		m.round = nil
+		m.mutex.Unlock()
+		close(round)
+	}()
+	return round
+}
--- /dev/null
+++ b/reach/state.go
@@ -0,0 +1,223 @@
+package reach
+
+import (
+	"time"
+)
+
+// Thresholds and durations of the decisions.
+const (
+	// roundSize is how many back ends are checked at once to find out whether this daemon is cut off.
+	roundSize = 3
+	// minRoundInterval is the minimum time between two rounds of checks.
+	minRoundInterval = 100 * time.Millisecond
+	// cutOffCheckInterval is the time between two checks while this daemon is cut off.
+	cutOffCheckInterval = 200 * time.Millisecond
+	// cutOffChecks is how many back ends are checked at a time while this daemon is cut off.
+	cutOffChecks = 2
+	// minSilence is the minimum time without an answer on any connection after which a check is due.
+	minSilence = 400 * time.Millisecond
+	// maxSilence is its maximum, for back ends that take long to answer.
+	maxSilence = 5 * time.Second
+	// silenceFactor times the mean time to the next answer is the silence after which a check is due.
+	silenceFactor = 4
+	// silenceWeight is the weight of a new time in that mean.
+	silenceWeight = 0.1
+	// doubtDuration is how long after a failed connection the next attempt to reach the back end is
+	// made through another daemon.
+	doubtDuration = time.Second
+	// pathCheckInterval is the time between two checks of a bypassed path.
+	pathCheckInterval = 500 * time.Millisecond
+	// bypassRetention is how long a path stays bypassed that is not used.
+	bypassRetention = 10 * time.Second
+	// contactAge is the maximum age of the last contact with any back end with which this daemon's
+	// failure to reach one says something about that back end.
+	contactAge = 300 * time.Millisecond
+	// maxPaths bounds the paths that are tracked.
+	maxPaths = 1024
+)
+
+// State is what this daemon knows about its paths to the back ends, by address. It is not safe for
+// concurrent use.
+type State struct {
+	lastContact     time.Time // when anything was last read from a back end, or a connection opened
+	unansweredSince time.Time // first write since the last read; zero: none
+	answerTime      time.Duration
+	cutOffSince     time.Time // zero: this daemon is not cut off
+	suspected       bool      // a connection failed while nothing was heard from any back end
+	lastRound       time.Time
+	paths           map[string]path
+}
+
+// path is a path on which a connection failed, and none has been opened since.
+type path struct {
+	failedAt  time.Time
+	bypassed  bool // another daemon has reached the back end since
+	usedAt    time.Time
+	checkedAt time.Time
+}
+
+// NewState returns the state of a daemon that has not used any back end yet.
+func NewState() *State {
+	return &State{paths: make(map[string]path)}
+}
+
+// RecordContact records that a connection to an address was opened or something was read from it,
+// and reports whether this ends a cut.
+func (s *State) RecordContact(now time.Time, address string) (reconnected bool) {
+	reconnected = !s.cutOffSince.IsZero()
+	s.lastContact, s.cutOffSince, s.suspected = now, time.Time{}, false
+	if len(s.paths) > 0 {
+		delete(s.paths, address)
+	}
+	return reconnected
+}
+
+// RecordAnswer is RecordContact for data that was read.
+func (s *State) RecordAnswer(now time.Time, address string) (reconnected bool) {
+	if !s.unansweredSince.IsZero() {
+		s.answerTime += time.Duration(silenceWeight * float64(now.Sub(s.unansweredSince)-s.answerTime))
+		s.unansweredSince = time.Time{}
+	}
+	return s.RecordContact(now, address)
+}
+
+// RecordSend records that something was written to a back end.
+func (s *State) RecordSend(now time.Time) {
+	if s.unansweredSince.IsZero() {
+		s.unansweredSince = now
+	}
+}
+
+// RecordFailure records that no connection could be opened to an address; the attempt began at
+// started.
+func (s *State) RecordFailure(now time.Time, address string, started time.Time) {
+	s.expirePaths(now)
+	known, found := s.paths[address]
+	if found || len(s.paths) < maxPaths {
+		known.failedAt = now
+		s.paths[address] = known
+	}
+	if s.lastContact.Before(started) {
+		s.suspected = true
+	}
+}
+
+// expirePaths removes the paths that are neither in doubt nor in use.
+func (s *State) expirePaths(now time.Time) {
+	for address, known := range s.paths {
+		if now.Sub(known.failedAt) >= doubtDuration && (!known.bypassed || now.Sub(known.usedAt) >= bypassRetention) {
+			delete(s.paths, address)
+		}
+	}
+}
+
+// silent reports whether an answer is overdue on all connections.
+func (s *State) silent(now time.Time) bool {
+	if s.unansweredSince.IsZero() {
+		return false
+	}
+	limit := min(max(silenceFactor*s.answerTime, minSilence), maxSilence)
+	since := s.unansweredSince
+	if s.lastContact.After(since) {
+		since = s.lastContact
+	}
+	return now.Sub(since) >= limit
+}
+
+// DueChecks returns how many back ends to check now. If this daemon is not cut off, the checks make
+// up a round, whose result is passed to RecordRound.
+func (s *State) DueChecks(now time.Time) int {
+	switch {
+	case !s.cutOffSince.IsZero():
+		if now.Sub(s.lastRound) < cutOffCheckInterval {
+			return 0
+		}
+		s.lastRound = now
+		return cutOffChecks
+	case now.Sub(s.lastRound) < minRoundInterval:
+		return 0
+	case s.suspected:
+		s.lastRound = now
+		return roundSize
+	case s.silent(now):
+		// One check is enough if it succeeds; a failure raises the suspicion that starts a round.
+		s.lastRound = now
+		return 1
+	}
+	return 0
+}
+
+// RecordRound records a round of checks that began at started, none of which reached a back end, and
+// reports whether this daemon is cut off from now on.
+func (s *State) RecordRound(now, started time.Time, checks int) (cutOff bool) {
+	if checks < roundSize || !s.lastContact.Before(started) || !s.cutOffSince.IsZero() {
+		return false
+	}
+	s.cutOffSince = now
+	return true
+}
+
+// CutOffSince returns since when this daemon has been cut off from all back ends; zero: it is not.
+func (s *State) CutOffSince() time.Time {
+	return s.cutOffSince
+}
+
+// Direct reports whether a request to an address is sent there by this daemon itself, as opposed to
+// through another daemon.
+func (s *State) Direct(now time.Time, address string) bool {
+	if !s.cutOffSince.IsZero() {
+		return false
+	}
+	known, found := s.paths[address]
+	if !found {
+		return true
+	}
+	return now.Sub(known.failedAt) >= doubtDuration && (!known.bypassed || now.Sub(known.usedAt) >= bypassRetention)
+}
+
+// Reaches reports whether this daemon reaches an address as far as it knows: it is not cut off, and no
+// other daemon has reached the address when this one failed to.
+func (s *State) Reaches(address string) bool {
+	return s.cutOffSince.IsZero() && !s.paths[address].bypassed
+}
+
+// RecordBypass records whether another daemon reached an address for this one.
+func (s *State) RecordBypass(now time.Time, address string, reached bool) {
+	known, found := s.paths[address]
+	if !found {
+		return
+	}
+	if !reached {
+		delete(s.paths, address)
+		return
+	}
+	known.bypassed, known.usedAt = true, now
+	s.paths[address] = known
+}
+
+// DuePaths returns the addresses of the bypassed paths that are to be checked now, at most limit.
+func (s *State) DuePaths(now time.Time, limit int) []string {
+	if len(s.paths) == 0 || !s.cutOffSince.IsZero() {
+		return nil
+	}
+	s.expirePaths(now)
+	var due []string
+	for address, known := range s.paths {
+		if len(due) == limit {
+			break
+		}
+		if known.bypassed && now.Sub(known.checkedAt) >= pathCheckInterval {
+			known.checkedAt = now
+			s.paths[address] = known
+			due = append(due, address)
+		}
+	}
+	return due
+}
+
+// Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
+// started, says something about that back end: this daemon has had contact with others since, or
+// just before.
+func (s *State) Credible(started time.Time) bool {
+	return s.cutOffSince.IsZero() && s.lastContact.After(started.Add(-contactAge))
+}
--- /dev/null
+++ b/reach/state_test.go
@@ -0,0 +1,169 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	address = "10.0.0.1:80"
+	other   = "10.0.0.2:80"
+)
+
+// after returns the time this long after the start.
+func after(duration time.Duration) time.Time {
+	return start.Add(duration)
+}
+
+// cutOffState returns the state of a daemon that has been cut off since the start.
+func cutOffState(t *testing.T) *State {
+	t.Helper()
+	state := NewState()
+	state.RecordFailure(start, address, start)
+	require.Equal(t, roundSize, state.DueChecks(start))
+	require.True(t, state.RecordRound(start, start, roundSize))
+	return state
+}
+
+// One failed connection, or a round in which any back end was reached, does not mean a cut.
+func TestCutOffOnlyWhenAllChecksFail(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		checks int
+		record func(state *State)
+		want   bool
+	}{
+		{"no check succeeds", roundSize, func(*State) {}, true},
+		{"a check succeeds", roundSize, func(state *State) { state.RecordContact(after(time.Millisecond), other) }, false},
+		{"an open connection answers", roundSize, func(state *State) { state.RecordAnswer(after(time.Millisecond), other) }, false},
+		{"too few back ends", roundSize - 1, func(*State) {}, false},
+	} {
+		state := NewState()
+		state.RecordContact(start.Add(-time.Second), address)
+		state.RecordFailure(start, address, start)
+		require.Equal(t, roundSize, state.DueChecks(start), test.name)
+		test.record(state)
+		require.Equal(t, test.want, state.RecordRound(after(250*time.Millisecond), start, test.checks), test.name)
+		require.Equal(t, test.want, !state.CutOffSince().IsZero(), test.name)
+		require.Equal(t, !test.want, state.Direct(after(2*time.Second), address), test.name)
+	}
+}
+
+// A connection that fails while other back ends answer raises no suspicion of a cut.
+func TestFailureDuringContactStartsNoRound(t *testing.T) {
+	state := NewState()
+	state.RecordAnswer(after(100*time.Millisecond), other)
+	state.RecordFailure(after(250*time.Millisecond), address, start)
+	require.Zero(t, state.DueChecks(after(250*time.Millisecond)))
+}
+
+// Any contact ends a cut at once.
+func TestContactEndsCut(t *testing.T) {
+	state := cutOffState(t)
+	require.False(t, state.Direct(start, other))
+	require.False(t, state.Reaches(other))
+	require.False(t, state.Credible(start))
+	require.True(t, state.RecordContact(after(time.Second), address))
+	require.True(t, state.Direct(after(time.Second), other))
+	require.True(t, state.Reaches(other))
+	require.True(t, state.Credible(after(time.Second)))
+	require.False(t, state.RecordContact(after(time.Second), address), "reported once")
+}
+
+// A daemon that is cut off checks at intervals whether it reaches a back end again.
+func TestChecksDuringCutAreSpaced(t *testing.T) {
+	state := cutOffState(t)
+	checks := 0
+	for passed := time.Duration(0); passed < 10*time.Second; passed += 10 * time.Millisecond {
+		checks += state.DueChecks(after(passed))
+	}
+	require.LessOrEqual(t, checks, int(10*time.Second/cutOffCheckInterval)*cutOffChecks)
+	require.GreaterOrEqual(t, checks, int(10*time.Second/cutOffCheckInterval-1)*cutOffChecks)
+}
+
+// Rounds of checks are spaced however often connections fail.
+func TestRoundsAreSpaced(t *testing.T) {
+	state := NewState()
+	rounds := 0
+	for passed := time.Duration(0); passed < time.Second; passed += time.Millisecond {
+		state.RecordFailure(after(passed), address, after(passed))
+		if state.DueChecks(after(passed)) > 0 {
+			rounds++
+			state.RecordContact(after(passed), other) // the round reached a back end
+		}
+	}
+	require.LessOrEqual(t, rounds, int(time.Second/minRoundInterval))
+}
+
+// Silence on all connections is checked by one connection, and later if back ends usually take long.
+func TestSilenceIsChecked(t *testing.T) {
+	for _, test := range []struct {
+		answerTime time.Duration
+		want       time.Duration // silence after which a check is due
+	}{{10 * time.Millisecond, minSilence}, {500 * time.Millisecond, 2 * time.Second}, {time.Minute, maxSilence}} {
+		state := NewState()
+		now := start
+		for range 100 {
+			state.RecordSend(now)
+			now = now.Add(test.answerTime)
+			state.RecordAnswer(now, address)
+		}
+		require.Zero(t, state.DueChecks(now.Add(time.Hour)), "nothing is awaited")
+		state.RecordSend(now)
+		require.Zero(t, state.DueChecks(now.Add(test.want-100*time.Millisecond)))
+		require.Equal(t, 1, state.DueChecks(now.Add(test.want+100*time.Millisecond)))
+	}
+}
+
+// After a failed connection the next attempts go through another daemon. If that reaches the back end,
+// they go on to do so until a connection of this daemon is opened; otherwise the back end is at fault.
+func TestPathIsBypassedOnlyWhileOthersReachBackend(t *testing.T) {
+	state := NewState()
+	state.RecordContact(after(100*time.Millisecond), other)
+	state.RecordFailure(after(250*time.Millisecond), address, start)
+	require.False(t, state.Direct(after(300*time.Millisecond), address))
+	require.True(t, state.Direct(after(300*time.Millisecond), other))
+	require.True(t, state.Reaches(address), "not known yet who is at fault")
+	require.True(t, state.Direct(after(250*time.Millisecond+doubtDuration), address), "nobody was asked")
+
+	state.RecordFailure(after(2*time.Second), address, after(1900*time.Millisecond))
+	state.RecordBypass(after(2*time.Second), address, true)
+	require.False(t, state.Direct(after(5*time.Second), address))
+	require.False(t, state.Reaches(address))
+	require.Equal(t, []string{address}, state.DuePaths(after(5*time.Second), 1))
+	require.Empty(t, state.DuePaths(after(5*time.Second), 1), "checks are spaced")
+	state.RecordContact(after(6*time.Second), address)
+	require.True(t, state.Direct(after(6*time.Second), address))
+
+	state.RecordFailure(after(7*time.Second), address, after(6900*time.Millisecond))
+	state.RecordBypass(after(7*time.Second), address, false)
+	require.True(t, state.Direct(after(7*time.Second), address))
+}
+
+// A bypassed path that is not used is forgotten, and the number of paths is bounded.
+func TestPathsAreBounded(t *testing.T) {
+	state := NewState()
+	for number := range 2 * maxPaths {
+		state.RecordFailure(start, fmt.Sprintf("10.0.0.1:%d", number), start)
+	}
+	require.Len(t, state.paths, maxPaths)
+	state.RecordBypass(start, "10.0.0.1:1", true)
+	require.Len(t, state.DuePaths(after(bypassRetention-time.Second), maxPaths), 1)
+	require.Empty(t, state.DuePaths(after(bypassRetention), maxPaths))
+	require.Empty(t, state.paths)
+}
+
+// A daemon's failure to reach a back end says something about that back end only if it has had
+// contact with others.
+func TestOnlyContactMakesFailureCredible(t *testing.T) {
+	state := NewState()
+	require.False(t, state.Credible(start))
+	state.RecordContact(start, other)
+	require.True(t, state.Credible(after(contactAge-time.Millisecond)))
+	require.False(t, state.Credible(after(contactAge)))
+}
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -53,6 +53,7 @@
 	Unauthorized        Code = 2019
 	RateExceeded        Code = 2020
 	BackendsPaused      Code = 2021
+	BackendsUnreachable Code = 2022
 	ConnectionBroken    Code = 3001
 	DeadlineExceeded    Code = 3002
 	OperationUnknown    Code = 3003
@@ -104,6 +105,7 @@
 	{Unauthorized, "unauthorized", NotRun, http.StatusUnauthorized, "The request has no key, or one that no tenant has."},
 	{RateExceeded, "rate-exceeded", NotRun, http.StatusTooManyRequests, "The tenant has asked for more than its rate and burst."},
 	{BackendsPaused, "backends-paused", NotRun, http.StatusServiceUnavailable, "Every back end has asked the daemon for a pause that lasts too long for the request."},
+	{BackendsUnreachable, "backends-unreachable", NotRun, http.StatusServiceUnavailable, "Neither the daemon nor any other that it asked reaches the back ends."},
 	{ConnectionBroken, "connection-broken", Unknown, http.StatusBadGateway, "The connection to the back end broke after the request was sent."},
 	{DeadlineExceeded, "deadline-exceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed after the request was sent."},
 	{OperationUnknown, "operation-unknown", Unknown, http.StatusConflict, "An earlier request with this key ended without a known outcome."},
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -159,6 +159,7 @@
 	NoOtherBackend    Verdict = "no-other-back-end"
 	OverBudget        Verdict = "over-budget"
 	BackendsCrashed   Verdict = "back-ends-ended"
+	NoPath            Verdict = "no-path"
 )
 
 // Decide decides whether to send a request again. It charges the budget only if the verdict is
@@ -188,6 +189,8 @@
 		return NotRepeatable
 	case attempt.Number >= attempt.MaxAttempts || attempt.Unsent > maxUnsent:
 		return TooManyAttempts
+	case attempt.Code == resultcode.BackendsUnreachable:
+		return NoPath
 	case attempt.Crashes > maxCrashes:
 		return BackendsCrashed
 	case attempt.UpstreamRetry:
