backend: what is sent of an abandoned request is discarded

What back ends saw: a request of which its caller had long had an answer arrived when links that had been silent worked again, and ran; a back end that had asked for 3.2 requests a second got 14 in four seconds instead of 13 at most. Cause: a connection that is closed without an answer goes on sending in the background what has not been acknowledged. Found by TestLimitHoldsDuringDisruptions with half of the daemons cut off.

A connection on which a request is unanswered is reset when it is closed. TestAbandonedRequestsDoNotArriveAfterCut failed before (two arrivals, one expected). The disruptions of lab/objectstub, for limits, drains and pauses, now cut daemons off from the back ends in two ways.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -22,6 +22,8 @@
 type trackedConn struct {
 	net.Conn
 	reads atomic.Int64 // reads that returned at least one byte
+	// unanswered: something was written since the last such read.
+	unanswered atomic.Bool
 
 	mutex        sync.Mutex
 	writes       int64  // started
@@ -40,14 +42,25 @@
 	}
 	c.writes++
 	c.mutex.Unlock()
+	c.unanswered.Store(true)
 	return c.Conn.Write(data)
 }
 
+// Close implements net.Conn. What was written of a request that is given up without a response is
+// discarded: on a link that has failed, it would arrive once the link works again, and run.
+func (c *trackedConn) Close() error {
+	if c.unanswered.Load() {
+		network.AbortOnClose(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n > 0 {
 		c.reads.Add(1)
+		c.unanswered.Store(false)
 		c.recordHead(data[:n])
 	}
 	return n, err
--- a/lab/fakenet/conn.go
+++ b/lab/fakenet/conn.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -109,6 +110,7 @@
 	remote *Host
 	in     *stream
 	out    *stream
+	aborts atomic.Bool // Close discards what has not arrived
 }
 
 // connect returns both ends of a new connection.
@@ -195,12 +197,23 @@
 	return len(data), nil
 }
 
+// SetLinger sets what Close does with data that has not arrived at the other side, as net.TCPConn does: with 0 it is
+// discarded.
+func (c *conn) SetLinger(seconds int) error {
+	c.aborts.Store(seconds == 0)
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.net.mutex.Lock()
 	delete(c.net.conns, c)
 	c.net.mutex.Unlock()
-	c.out.end(io.EOF)
+	if c.aborts.Load() {
+		c.out.end(errReset)
+	} else {
+		c.out.end(io.EOF)
+	}
 	c.in.end(net.ErrClosed)
 	return nil
 }
--- a/lab/fakenet/fakenet.go
+++ b/lab/fakenet/fakenet.go
@@ -180,7 +180,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return fault, ctx.Err()
+			return fault, &net.OpError{Op: "dial", Net: "fake", Err: fmt.Errorf("%s: %w", address, ctx.Err())}
 		}
 	}
 }
--- a/lab/objectstub/disruptions_test.go
+++ b/lab/objectstub/disruptions_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tuliphall/tuliphall/daemon"
+	"github.com/tuliphall/tuliphall/lab/fakenet"
 	"github.com/tuliphall/tuliphall/lab/objectstub"
 )
 
@@ -52,6 +53,16 @@
 		time.Sleep(8 * time.Second)
 		f.net.SetPartitionRule(nil)
 	}},
+	{name: "half of the daemons are cut off from the back ends, silently", apply: func(f *fleet, _ *randomLoad) {
+		f.cutOff(f.selectDaemons(daemons/2, true), fakenet.LinkSilent)
+		time.Sleep(8 * time.Second)
+		f.net.SetLinkRule(nil)
+	}},
+	{name: "all daemons but one are cut off from the back ends, which refuse them", apply: func(f *fleet, _ *randomLoad) {
+		f.cutOff(f.selectDaemons(daemons-1, false), fakenet.LinkReset)
+		time.Sleep(8 * time.Second)
+		f.net.SetLinkRule(nil)
+	}},
 	{name: "the dispatcher is frozen and recovers", divergent: true, apply: func(f *fleet, _ *randomLoad) {
 		host := f.dispatcher()
 		f.net.SetFrozen(host, true)
--- a/lab/objectstub/unreachable_backends_test.go
+++ b/lab/objectstub/unreachable_backends_test.go
@@ -1,18 +1,26 @@
 package objectstub_test
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/lab/fakenet"
+	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/reach"
 )
 
 // Load and times of the tests in which daemons cannot reach the back ends.
@@ -203,3 +211,43 @@
 		})
 	}
 }
+
+// TestAbandonedRequestsDoNotArriveAfterCut guards against requests that reach a back end long after their callers got
+// their answers, when the links that they were sent on work again.
+func TestAbandonedRequestsDoNotArriveAfterCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakenet.New(100 * time.Microsecond)
+		listener, err := net.Network("i-0").Listen(net.Address("i-0"))
+		require.NoError(t, err)
+		arrivals := 0
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrivals++ })}
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		client := backend.NewClient(backend.Options{Network: reach.NewMonitor(reach.Options{
+			Network: network.NewMeter(net.Network("edge-0")).For("backends"), Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
+		}), Address: listener.Addr().String()})
+		send := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			response, err := client.Do(ctx, &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: http.Header{}})
+			if err == nil {
+				response.Body.Close()
+			}
+			return err
+		}
+		require.NoError(t, send())
+		net.SetLinkRule(func(a, _ string) fakenet.LinkFault {
+			if a == "edge-0" {
+				return fakenet.LinkSilent
+			}
+			return fakenet.LinkUp
+		})
+		require.Error(t, send())
+		time.Sleep(5 * time.Second)
+		net.SetLinkRule(nil)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, arrivals)
+		require.NoError(t, send())
+		client.Close()
+	})
+}
--- a/network/meter.go
+++ b/network/meter.go
@@ -80,6 +80,11 @@
 	counter *counter
 }
 
+// NetConn returns the wrapped connection.
+func (c *meteredConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn.
 func (c *meteredConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
--- a/network/network.go
+++ b/network/network.go
@@ -26,3 +26,19 @@
 func (TCP) Listen(address string) (net.Listener, error) {
 	return net.Listen("tcp", address)
 }
+
+// AbortOnClose makes a connection discard what it has sent and the other side has not acknowledged when
+// it is closed, and reset the connection. By default the system goes on sending that in the background.
+func AbortOnClose(conn net.Conn) {
+	for {
+		if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = lingerer.SetLinger(0) // fails only if the connection is closed already
+			return
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		conn = wrapper.NetConn()
+	}
+}
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -81,6 +81,11 @@
 	address string
 }
 
+// NetConn returns the wrapped connection.
+func (c *observedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn.
 func (c *observedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
