status, explain: requests sent through other daemons; lab/soak: daemons cut off from all back ends

tuliphall status tells since when the daemon has reached no back end; explain tells of a request through which daemon it was sent and why, and of a refused one that no daemon reached the back ends. The soak cuts one to all daemons off from all back ends, twice a run: their connections fall silent or are reset, those of the others live on. Proxies learn from the system's table of sockets which daemon opened a connection.

--- a/command/show.go
+++ b/command/show.go
@@ -299,6 +299,9 @@
 	if status.Quarantined > 0 {
 		rows = append(rows, nil, []string{fmt.Sprintf("requests held back, as back ends ended under them: %d (tuliphall quarantined)", status.Quarantined)})
 	}
+	if status.CutOff > 0 {
+		rows = append(rows, nil, []string{fmt.Sprintf("this daemon has reached no back end for %s; it sends requests through other daemons", status.CutOff.Round(time.Millisecond))})
+	}
 	if status.Draining > 0 {
 		rows = append(rows, nil, []string{fmt.Sprintf("back ends that are leaving: %d (tuliphall describe service NAME)", status.Draining)})
 	}
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -156,6 +156,9 @@
 		Evacuated: d.evacuatedZones(), Quarantined: d.quarantine.QuarantinedCount(), Limited: d.limits.LimitedCount(),
 		Draining: d.drains.DrainingCount(), Paused: d.pauses.PauseCount(),
 	}
+	if since := d.reach.CutOffSince(); !since.IsZero() {
+		status.CutOff = time.Since(since)
+	}
 	var group sync.WaitGroup
 	members := d.node.Members()
 	rows := make([]admin.Member, len(members))
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -47,6 +47,9 @@
 		}
 		cause := answeredCause(outcome)
 		cause.Assumption = l.newerRevisionElsewhere(outcome.Daemon, outcome.Time)
+		if cause.Assumption == "" {
+			cause.Assumption = relayedBecause(outcome)
+		}
 		return cause
 	case messageBrokenOff:
 		return l.brokenOffCause(outcome)
@@ -66,6 +69,12 @@
 			Description: fmt.Sprintf("Every back end of %s had turned requests of %s away and asked it for a pause (%s); the request has not run, and may come back after %s. See the lines 'back end asks for a pause' of %s.",
 				outcome.Service, outcome.Daemon, outcome.Cause, outcome.RetryAfter, outcome.Daemon),
 		}
+	case resultcode.BackendsUnreachable:
+		return Cause{
+			Kind: "no daemon reaches the back ends", Subject: outcome.Daemon,
+			Description: fmt.Sprintf("%s reached no back end, nor did the other daemons that it asked (%s); the request has not run, and may come back after %s. See the lines 'no back end reached' and 'back ends reached again'.",
+				outcome.Daemon, outcome.Cause, outcome.RetryAfter),
+		}
 	case resultcode.CrashingRequest:
 		return Cause{
 			Kind: "back ends ended under the request", Subject: outcome.Service,
@@ -119,6 +128,17 @@
 	}
 }
 
+// relayedBecause describes why a request was sent through another daemon; empty: it was not.
+func relayedBecause(outcome Line) string {
+	switch {
+	case outcome.Via == "":
+		return ""
+	case outcome.CutOff > 0:
+		return fmt.Sprintf("It was sent through %s, as %s had reached no back end for %s.", outcome.Via, outcome.Daemon, outcome.CutOff)
+	}
+	return fmt.Sprintf("It was sent through %s, as %s had not reached %s itself.", outcome.Via, outcome.Daemon, outcome.Backend)
+}
+
 func (l *Log) brokenOffCause(outcome Line) Cause {
 	if outcome.Side == "caller" {
 		return Cause{Kind: "caller left during the answer", Subject: outcome.Service, Description: "The caller's connection ended while the answer was passed on: " + outcome.Cause + "."}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -104,6 +104,12 @@
 			"back end broke its answer off", "b1", "unexpected EOF", ""},
 		{"daemon restarted", []string{"1s|d1|routing: chosen|" + chosen, "3s|d1|daemon: started|"}, "daemon ended", "d1", "started again at 12:00:03.000", ""},
 		{"no outcome logged", []string{"1s|d1|routing: chosen|" + chosen}, "no outcome logged", "d1", "No line tells", ""},
+		{"sent through another daemon", []string{`1s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200,"via":"d2","cut_off":3000000000`},
+			"answered", "b1", "b1 answered", "It was sent through d2, as d1 had reached no back end for 3s."},
+		{"sent through another daemon to one back end", []string{`1s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200,"via":"d2"`},
+			"answered", "b1", "b1 answered", "It was sent through d2, as d1 had not reached b1 itself."},
+		{"no daemon reaches the back ends", []string{"1s|d1|frontend: failed|" + failed + `"code":2022,"run":"not-run","cause":"no back end reached for 2s","retry_after":100000000`},
+			"no daemon reaches the back ends", "d1", "may come back after 100ms", ""},
 		{"other result code", []string{"1s|d1|frontend: failed|" + failed + `"code":2011,"cause":"store down"`}, "store-unavailable", "d1", "store down", ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/explain/line.go
+++ b/explain/line.go
@@ -52,6 +52,9 @@
 	InFlight   int      `json:"backend_in_flight"`
 	Class      string   `json:"class"`
 	Hedge      string   `json:"hedge"`
+	// The daemon through which the request was sent, and how long the own daemon had reached no back end.
+	Via    string   `json:"via"`
+	CutOff Duration `json:"cut_off"`
 
 	// Changes of a daemon's state.
 	Revision uint64 `json:"revision"`
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -61,6 +62,8 @@
 			time.Sleep(fault.Duration)
 			target.proxy.setMode(Healthy)
 		}
+	case DaemonsCut:
+		f.cutDaemons(fault)
 	case ConfigChange:
 		f.configure()
 	case Evacuate:
@@ -81,6 +84,41 @@
 	}
 }
 
+// cutDaemons cuts some daemons off from all back ends, and ends the cut.
+func (f *fleet) cutDaemons(fault Fault) {
+	count := min(fault.Count, len(f.daemons))
+	for number := range count {
+		f.cuts.set(f.daemons[(fault.Target+number)%len(f.daemons)].name, fault.Link)
+	}
+	for _, target := range f.currentWorkers() {
+		target.proxy.resetCut()
+	}
+	time.Sleep(fault.Duration)
+	for number := range count {
+		f.cuts.set(f.daemons[(fault.Target+number)%len(f.daemons)].name, Healthy)
+	}
+}
+
+// currentWorkers returns the back ends that are running.
+func (f *fleet) currentWorkers() []*worker {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.workers)
+}
+
+// pids returns the process ids of the daemons that are running, by name.
+func (f *fleet) pids() map[string]int {
+	pids := make(map[string]int, len(f.daemons))
+	for _, daemon := range f.daemons {
+		daemon.mutex.Lock()
+		if daemon.command != nil && daemon.state != ended {
+			pids[daemon.name] = daemon.command.Process.Pid
+		}
+		daemon.mutex.Unlock()
+	}
+	return pids
+}
+
 // evacuate evacuates evacuatedZone, or ends its evacuation.
 func (f *fleet) evacuate(evacuated bool) {
 	f.mutex.Lock()
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -26,18 +26,19 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	cuts     *cutter // cuts daemons off from what is behind this proxy; nil: none
 
 	mutex       sync.Mutex
 	mode        LinkMode
-	connections map[net.Conn]bool
+	connections map[net.Conn]bool // whether a client opened it
 }
 
-func startProxy(address, target string) (*proxy, error) {
+func startProxy(address, target string, cuts *cutter) (*proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, mode: Healthy, connections: make(map[net.Conn]bool)}
+	p := &proxy{listener: listener, target: target, cuts: cuts, mode: Healthy, connections: make(map[net.Conn]bool)}
 	go p.serve()
 	return p, nil
 }
@@ -58,6 +59,25 @@
 	return p.mode
 }
 
+// modeOf returns the mode of the link that a client's connection belongs to.
+func (p *proxy) modeOf(client net.Conn) LinkMode {
+	if mode := p.cuts.modeOf(client); mode != Healthy {
+		return mode
+	}
+	return p.currentMode()
+}
+
+// resetCut resets the open connections of daemons whose links are reset.
+func (p *proxy) resetCut() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for conn, fromClient := range p.connections {
+		if fromClient && p.cuts.modeOf(conn) == Reset {
+			reset(conn)
+		}
+	}
+}
+
 // setMode changes the link mode. Mode Reset also resets the open connections.
 func (p *proxy) setMode(mode LinkMode) {
 	p.mutex.Lock()
@@ -79,7 +99,8 @@
 }
 
 func (p *proxy) relay(client net.Conn) {
-	if p.currentMode() == Reset {
+	defer p.cuts.forget(client)
+	if p.modeOf(client) == Reset {
 		reset(client)
 		return
 	}
@@ -89,37 +110,39 @@
 		return
 	}
 	p.track(client, true)
-	p.track(server, true)
+	p.track(server, false)
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copyOneWay(server, client, false) })
-	copies.Go(func() { p.copyOneWay(client, server, true) })
+	copies.Go(func() { p.copyOneWay(server, client, client, false) })
+	copies.Go(func() { p.copyOneWay(client, server, client, true) })
 	copies.Wait()
-	p.track(client, false)
-	p.track(server, false)
+	p.untrack(client)
+	p.untrack(server)
 }
 
-func (p *proxy) track(conn net.Conn, open bool) {
+func (p *proxy) track(conn net.Conn, fromClient bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.connections[conn] = fromClient
+}
+
+func (p *proxy) untrack(conn net.Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if open {
-		p.connections[conn] = true
-		return
-	}
 	delete(p.connections, conn)
 }
 
 // copyOneWay forwards data in one direction until either side ends. fromServer is set for
 // the direction from the server to the client.
-func (p *proxy) copyOneWay(to, from net.Conn, fromServer bool) {
+func (p *proxy) copyOneWay(to, from, client net.Conn, fromServer bool) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		for n > 0 && (p.currentMode() == Silent || p.currentMode() == OneWay && fromServer) {
+		for n > 0 && p.withholds(client, fromServer) {
 			time.Sleep(10 * time.Millisecond)
 		}
-		if p.currentMode() == Delayed {
+		if p.modeOf(client) == Delayed {
 			time.Sleep(linkDelay)
 		}
 		if n > 0 {
@@ -136,6 +159,12 @@
 	}
 }
 
+// withholds reports whether what was read is not forwarded now.
+func (p *proxy) withholds(client net.Conn, fromServer bool) bool {
+	mode := p.modeOf(client)
+	return mode == Silent || mode == OneWay && fromServer
+}
+
 // close stops the proxy and resets its connections.
 func (p *proxy) close() {
 	p.listener.Close()
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -35,6 +35,7 @@
 	WorkerLimit          FaultKind = "worker-limit"  // sends a low request limit
 	WorkerPushback       FaultKind = "worker-pause"  // rejects requests and asks for a pause
 	WorkerAnnouncesDrain FaultKind = "worker-says"   // announces its drain in responses while the store lists it as ready
+	DaemonsCut           FaultKind = "daemons-cut"   // one daemon, half or all are cut off from all back ends
 	StoreRollback        FaultKind = "store-older"   // the store is unavailable for a moment and is restored from an older backup
 )
 
@@ -57,6 +58,7 @@
 	Kind     FaultKind
 	Target   int // index of the daemon or back end, modulo their number
 	Link     LinkMode
+	Count    int // daemons concerned, if several
 }
 
 // String implements fmt.Stringer.
@@ -91,10 +93,32 @@
 		scheduleOnce(seed, 2, CrashingRequest, crashDuration, begin, end), scheduleOnce(seed, 3, ForeignEntries, foreignEntriesDuration, begin, end),
 		scheduleOnce(seed, 4, WorkerLimit, limitFaultDuration, begin, end), scheduleOnce(seed, 5, WorkerPushback, pushbackFaultDuration, begin, end),
 		scheduleOnce(seed, 6, WorkerAnnouncesDrain, announcedDrainDuration, begin, end), scheduleOnce(seed, 7, StoreRollback, storeOutage, begin, end))
+	faults = append(faults, scheduleCuts(seed, begin, end)...)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
 	return faults
 }
 
+// Cuts of daemons from the back ends: how many there are, and which daemons they may concern at the most.
+const (
+	cutsPerRun     = 2
+	maxCutDuration = 6 * time.Second
+	maxCutDaemons  = 8
+)
+
+// scheduleCuts returns cuts between daemons and all back ends, which may overlap each other and other
+// faults.
+func scheduleCuts(seed uint64, begin, end time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 8))
+	cuts := make([]Fault, 0, cutsPerRun)
+	for range cutsPerRun {
+		cuts = append(cuts, Fault{
+			At: begin + time.Duration(random.Int64N(int64(end-begin))), Kind: DaemonsCut, Target: random.IntN(1000), Count: 1 + random.IntN(maxCutDaemons),
+			Duration: time.Second + time.Duration(random.Int64N(int64(maxCutDuration-time.Second))), Link: []LinkMode{Silent, Reset}[random.IntN(2)],
+		})
+	}
+	return cuts
+}
+
 // evacuationDuration exceeds evacuationBound, so that requests arrive after the bound.
 const evacuationDuration = evacuationBound + 4*time.Second
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -55,6 +55,7 @@
 	daemons []*process
 	server  *http.Server
 	callers *callers
+	cuts    *cutter
 
 	mutex          sync.Mutex
 	workers        []*worker
@@ -70,6 +71,7 @@
 // violated guarantees are in the result.
 func Run(ctx context.Context, options Options, progress io.Writer) (Result, error) {
 	f := &fleet{options: options, report: newReport(progress), store: objectstub.New()}
+	f.cuts = newCutter(f.pids, f.report.log)
 	defer f.close()
 	if err := f.start(ctx); err != nil {
 		return Result{}, err
@@ -126,7 +128,7 @@
 		if len(seedPeers) < 3 {
 			seedPeers = append(seedPeers, daemon.addr(portPeer))
 		}
-		if daemon.storeProxy, err = startProxy(daemon.addr(portStore), listener.Addr().String()); err != nil {
+		if daemon.storeProxy, err = startProxy(daemon.addr(portStore), listener.Addr().String(), nil); err != nil {
 			return errors.Annotate(err, "start the proxy to the store")
 		}
 		f.daemons = append(f.daemons, daemon)
@@ -210,7 +212,7 @@
 
 // startWorker starts a back end and lists it in the store. The caller must hold the mutex.
 func (f *fleet) startWorker(id, zone string) (*worker, error) {
-	w, err := startWorker(id, address(100)+":0", address(101)+":0", f.report)
+	w, err := startWorker(id, address(100)+":0", address(101)+":0", f.cuts, f.report)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -46,14 +46,14 @@
 	drainAnnouncedSince time.Time
 }
 
-func startWorker(id, address, proxyAddress string, report *report) (*worker, error) {
+func startWorker(id, address, proxyAddress string, cuts *cutter, report *report) (*worker, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{id: id, bornAt: time.Now().UnixMilli(), report: report, slots: make(chan struct{}, workerSlots)}
 	w.server = &http.Server{Handler: w}
-	if w.proxy, err = startProxy(proxyAddress, listener.Addr().String()); err != nil {
+	if w.proxy, err = startProxy(proxyAddress, listener.Addr().String(), cuts); err != nil {
 		listener.Close()
 		return nil, err
 	}
