--- a/lab/soak/cut.go
+++ b/lab/soak/cut.go
@@ -45,25 +45,33 @@
 		return Healthy
 	}
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if len(c.modes) == 0 {
+	cut := len(c.modes) > 0
+	owner, known := c.owners[client]
+	c.mutex.Unlock()
+	if !cut {
 		return Healthy
 	}
-	owner, known := c.owners[client]
 	if !known {
-		var err error
-		// A connection whose other end is closed already has no owner.
-		if owner, err = findOwner(client, c.pids()); err != nil && !errors.Is(err, errors.NotFound) {
-			c.log("owner of a connection not found: %v", err)
-		}
-		c.owners[client] = owner
+		owner = c.findOwner(client)
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.owners[client] = owner
 	if mode, cut := c.modes[owner]; cut {
 		return mode
 	}
 	return Healthy
 }
 
+// findOwner returns the daemon that opened a connection; empty: it is not known.
+func (c *cutter) findOwner(client net.Conn) string {
+	owner, err := findOwner(client, c.pids())
+	if err != nil && !errors.Is(err, errors.NotFound) { // a connection whose other end is closed has no owner
+		c.log("owner of a connection not found: %v", err)
+	}
+	return owner
+}
+
 // forget removes a connection that has ended.
 func (c *cutter) forget(client net.Conn) {
 	if c == nil {
