lab/soak: a daemon without a configuration has served no route

The check took any status but 404 for a sign that the daemon knows the route; a refusal for want of a configuration is none. All other answers count as before.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -8,9 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/tuliphall/tuliphall/resultcode"
 )
 
 // callerTimeout is how long a caller waits for a response.
@@ -136,6 +139,11 @@
 	return response, string(responseBody), err
 }
 
+// hasConfiguration reports whether a response shows that the daemon had read a configuration.
+func hasConfiguration(response *http.Response) bool {
+	return response.Header.Get(resultcode.HeaderCode) != strconv.Itoa(int(resultcode.NotConfigured))
+}
+
 // sendToNewestRoute sends a request on the route that was added last. It checks that a daemon which has
 // served the route does not lose it again, and that every daemon knows the route within configBound.
 func (c *callers) sendToNewestRoute(target *process) {
@@ -155,7 +163,7 @@
 	c.fleet.report.recordResponse(id, path, response, responseBody)
 	if response.StatusCode != http.StatusNotFound {
 		target.mutex.Lock()
-		if target.incarnation == incarnation {
+		if target.incarnation == incarnation && hasConfiguration(response) {
 			target.highestServedRoute = max(target.highestServedRoute, route)
 		}
 		target.mutex.Unlock()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	// TestShortRun builds the daemon. The import makes go test discard a cached result when the daemon has
 	// changed.
 	_ "github.com/tuliphall/tuliphall/launch"
+	"github.com/tuliphall/tuliphall/resultcode"
 )
 
 // TestCheckersDetectViolations violates each guarantee that the report checks, and expects exactly the
@@ -88,6 +90,15 @@
 	require.Empty(t, r.violations)
 }
 
+// TestUnconfiguredDaemonHasServedNoRoute guards against taking the refusal of a daemon that has read no configuration yet for a
+// sign that it knows the route: a 404 soon after would look like a return to an older configuration.
+func TestUnconfiguredDaemonHasServedNoRoute(t *testing.T) {
+	for code, want := range map[resultcode.Code]bool{resultcode.NotConfigured: false, resultcode.NoBackend: true, resultcode.Answered: true} {
+		response := &http.Response{Header: http.Header{resultcode.HeaderCode: {strconv.Itoa(int(code))}}}
+		require.Equal(t, want, hasConfiguration(response), code)
+	}
+}
+
 // TestScheduleIsDeterministic checks that a seed always gives the same schedule, that its faults are in order
 // of time and within the duration, and that every kind occurs.
 func TestScheduleIsDeterministic(t *testing.T) {
