rollout: bad responses of a few back ends do not raise doubt about a version

Cause: the monitor for doubt took the responses of the canary for independent.

The variance is now the larger of that of independent responses and that between the back ends (the sum of the squares of each one's excess).

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -245,9 +245,9 @@
 		return true
 	case now.Before(decideBy.Add(-c.moveTime())):
 		return false
-	case c.judge.Inconclusive() && now.Before(decideBy.Add(-settleTime-minRamp)):
+	case c.judge.Inconclusive(now) && now.Before(decideBy.Add(-settleTime-minRamp)):
 		return false // waits for more samples
-	case c.judge.Inconclusive():
+	case c.judge.Inconclusive(now):
 		return c.enterPhase(now, config.RolloutRolledBack, "in doubt: "+c.judge.describe(now))
 	case c.hasEnoughSamples() && backends.NewSlots > 0:
 		return c.enterPhase(now, config.RolloutMoving, "not worse: "+c.judge.describe(now))
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -257,7 +257,7 @@
 		j.addEvidence(sample.Backend, seen.slow.exceeds, slow, j.slowBackendCap, &c.evidence.slow, &j.total.slow)
 	}
 	if seen.verySlow.known {
-		c.slowness.add(now, seen.verySlow.exceeds, verySlow)
+		c.slowness.add(now, sample.Backend, seen.verySlow.exceeds, verySlow)
 		j.addEvidence(sample.Backend, seen.verySlow.exceeds, verySlow, j.slowBackendCap, &c.evidence.verySlow, &j.total.verySlow)
 	}
 	if sample.Canceled {
@@ -265,7 +265,7 @@
 	}
 	j.addEvidence(sample.Backend, sample.Unserved, max(seen.oldRates.unserved, later.unserved), j.backendCap, &c.evidence.unserved, &j.total.unserved)
 	if !sample.Unserved {
-		c.failures.add(now, sample.Failed, max(seen.oldRates.failed, later.failed))
+		c.failures.add(now, sample.Backend, sample.Failed, max(seen.oldRates.failed, later.failed))
 		j.addEvidence(sample.Backend, sample.Failed, max(seen.oldRates.failed, later.failed), j.backendCap, &c.evidence.failures, &j.total.failures)
 	}
 }
@@ -293,9 +293,9 @@
 
 // Inconclusive returns whether responses of the new version in some class have been bad more often than
 // the old version's, without enough evidence to call it worse.
-func (j *Judge) Inconclusive() bool {
+func (j *Judge) Inconclusive(now time.Time) bool {
 	for _, c := range j.classes {
-		if c.failures.exceeds(maxFailureExcess) || c.slowness.exceeds(maxSlowExcess) {
+		if c.failures.exceeds(now, maxFailureExcess) || c.slowness.exceeds(now, maxSlowExcess) {
 			return true
 		}
 	}
