rollout: a version under suspicion gets no larger share while requests move

While there is evidence against the version, from 0.4 of what proves it worse, or it is in doubt, its share stays where it is, as long as time is left to move all requests before the decision is due; when none is left, a version in doubt is rolled back.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -81,6 +81,8 @@
 	total, exposed int
 	movedAt        time.Time     // when requests began to move; zero: not yet
 	ramp           time.Duration // time in which the new version's share rises to all requests
+	held           time.Duration // for how long the share has not risen since movedAt, as the version was in doubt
+	steppedAt      time.Time     // last step while requests move; zero: none yet
 }
 
 // NewController returns a controller that continues from the record of an order.
@@ -157,12 +159,17 @@
 	case config.RolloutRunning:
 		return CanaryShare
 	case config.RolloutMoving:
-		progress := float64(now.Sub(c.movedAt)) / float64(max(c.ramp, 1))
+		progress := float64(c.rampTime(now)) / float64(max(c.ramp, 1))
 		return min(initialRampShare*math.Pow(1/initialRampShare, progress), 1)
 	}
 	return 0
 }
 
+// rampTime returns for how long the share has risen.
+func (c *Controller) rampTime(now time.Time) time.Duration {
+	return now.Sub(c.movedAt) - c.held
+}
+
 // Granted notes that a request got a permit for a back end of a version.
 func (c *Controller) Granted(now time.Time, version string) {
 	if c.order.Phase.Decided() {
@@ -232,11 +239,7 @@
 	}
 	decideBy := c.order.DecisionDeadline()
 	if c.order.Phase == config.RolloutMoving {
-		latest := decideBy.Add(time.Duration(decisionReserve / 2 * float64(time.Duration(c.order.Within))))
-		if now.Sub(c.movedAt) >= c.ramp+settleTime && (backends.OldInFlight == 0 || !now.Before(latest)) {
-			return c.enterPhase(now, config.RolloutCompleted, "no request is at an old back end: "+c.judge.describe(now))
-		}
-		return false
+		return c.stepMoving(now, backends)
 	}
 	switch {
 	case backends.OldSlots == 0 && backends.NewSlots > 0:
@@ -258,6 +261,26 @@
 		c.judge.Compared(), minCompared, backends.NewSlots))
 }
 
+// stepMoving holds the share of the new version while there is evidence against it and time is left, and completes
+// the rollout when all requests have moved.
+func (c *Controller) stepMoving(now time.Time, backends Backends) bool {
+	latest := c.order.DecisionDeadline().Add(time.Duration(decisionReserve / 2 * float64(time.Duration(c.order.Within))))
+	if c.share(now) < 1 && c.judge.Suspicious(now) {
+		canWait := now.Before(latest.Add(c.rampTime(now) - c.ramp - settleTime))
+		switch {
+		case canWait && !c.steppedAt.IsZero():
+			c.held += now.Sub(c.steppedAt)
+		case !canWait && c.judge.Inconclusive(now):
+			return c.enterPhase(now, config.RolloutRolledBack, "in doubt while requests move: "+c.judge.describe(now))
+		}
+	}
+	c.steppedAt = now
+	if c.rampTime(now) >= c.ramp+settleTime && (backends.OldInFlight == 0 || !now.Before(latest)) {
+		return c.enterPhase(now, config.RolloutCompleted, "no request is at an old back end: "+c.judge.describe(now))
+	}
+	return false
+}
+
 // hasEnoughSamples returns whether enough responses of the new version were compared.
 func (c *Controller) hasEnoughSamples() bool {
 	return c.judge.Compared() >= minCompared
@@ -273,7 +296,7 @@
 
 // startMoving starts the ramp, which takes as long as the time left allows.
 func (c *Controller) startMoving(now time.Time) {
-	c.movedAt = now
+	c.movedAt, c.held, c.steppedAt = now, 0, time.Time{}
 	c.judge.SetMoving()
 	c.ramp = min(time.Duration(rampShare*float64(c.moveTime())), max(c.order.DecisionDeadline().Sub(now)-settleTime, minRamp))
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -54,6 +54,11 @@
 	return ""
 }
 
+// strongest returns the largest log-likelihood ratio of all kinds.
+func (e *evidence) strongest() float64 {
+	return max(e.failures.sum, e.unserved.sum, e.verySlow.sum, e.slow.sum)
+}
+
 // sumTolerance is the rounding error of a sum of weights, by which it may fall short of cusumThreshold.
 const sumTolerance = 1e-9
 
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -302,6 +302,23 @@
 	return false
 }
 
+// suspicion is the share of cusumThreshold from which the evidence is a reason not to send the new version more
+// requests than it gets.
+const suspicion = 0.4
+
+// Suspicious returns whether there is evidence against the new version that does not suffice to call it worse.
+func (j *Judge) Suspicious(now time.Time) bool {
+	if j.Inconclusive(now) || j.total.strongest() >= suspicion*cusumThreshold {
+		return true
+	}
+	for _, c := range j.classes {
+		if c.evidence.strongest() >= suspicion*cusumThreshold {
+			return true
+		}
+	}
+	return false
+}
+
 // Compared returns how many responses of the new version were compared.
 func (j *Judge) Compared() int {
 	return j.compared
