--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -296,6 +296,9 @@
 // drawnRollouts is how many rollouts of good versions, and as many of bad ones, TestRolloutsInDrawnTroubles simulates.
 var drawnRollouts = flag.Int("drawn-rollouts", 100, "rollouts of good versions, and as many of bad ones, that TestRolloutsInDrawnTroubles simulates")
 
+// firstDrawnRollout is the seed of the first of them; the others follow.
+var firstDrawnRollout = flag.Uint64("first-drawn-rollout", 0, "seed of the first rollout that TestRolloutsInDrawnTroubles simulates")
+
 // combine returns a fault with the effects of both.
 func combine(a, b fault) fault {
 	return fault{
@@ -329,7 +332,8 @@
 // good version in 100 (and two more, as the sample is small) may not be completed.
 func TestRolloutsInDrawnTroubles(t *testing.T) {
 	notCompleted, notRolledBack, overShare := 0, 0, 0
-	for seed := range uint64(*drawnRollouts) {
+	for number := range uint64(*drawnRollouts) {
+		seed := *firstDrawnRollout + number
 		s, names := newRandomSimulation(seed, none)
 		if phase, _ := s.run(); phase != config.RolloutCompleted {
 			notCompleted++
