--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -222,8 +222,12 @@
 	defer func() { resp.permit.done(outcome, resp.latency, resp.report) }()
 	if err := a.relay(resp.response, resp.permit.backend, resultcode.Answered); err != nil {
 		outcome = outcomeOf(err)
-		if err.Side == httpcopy.Server && a.crashedDuring(resp.permit) {
+		switch {
+		case err.Side != httpcopy.Server:
+		case a.crashedDuring(resp.permit):
 			outcome = routing.ProcessExited
+		case resp.permit.relayed:
+			outcome = routing.Unreached // the other daemon, or the connection to it, may have failed
 		}
 		a.abortResponse(err)
 	} else if resp.response.StatusCode < http.StatusInternalServerError {
