--- a/lab/objectstub/unreachable_backends_test.go
+++ b/lab/objectstub/unreachable_backends_test.go
@@ -170,6 +170,44 @@
 	}
 }
 
+// TestDaemonsThatReachSomeBackendsServe makes half of the daemons lose half of the back ends: callers must be served at all
+// daemons, and the back ends must be used by all.
+func TestDaemonsThatReachSomeBackendsServe(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, cutDaemons, cutWorkers, func(f *fleet) {
+				f.useLongServiceTime() // so that all back ends are needed
+				f.spreadLoad(2 * time.Second)
+				selected := f.selectDaemons(cutDaemons/2, true)
+				lost := make(map[string]bool)
+				for _, worker := range f.workers[:cutWorkers/2] {
+					lost[worker.id] = true
+				}
+				f.net.SetLinkRule(func(a, b string) fakenet.LinkFault {
+					for number := range selected {
+						if a == hostOf(number) && lost[b] {
+							return fault
+						}
+					}
+					return fakenet.LinkUp
+				})
+				start := time.Now()
+				tries := f.spreadLoad(cutDuration)
+				used := 0
+				for _, worker := range f.workers[:cutWorkers/2] {
+					used += worker.arrivalsAfter(start.Add(cutGrace))
+				}
+				f.net.SetLinkRule(nil)
+				atCut, ofCut := served(tries, start.Add(cutGrace), start.Add(cutDuration), func(try firstTry) bool { return selected[try.daemon] })
+				atOthers, ofOthers := served(tries, start.Add(cutGrace), start.Add(cutDuration), func(try firstTry) bool { return !selected[try.daemon] })
+				checkServed(t, "at the daemons that lost back ends", atCut, ofCut)
+				checkServed(t, "at the others", atOthers, ofOthers)
+				assert.Greater(t, used, (ofCut+ofOthers)/4, "requests at the back ends that some daemons lost")
+			})
+		})
+	}
+}
+
 // answeredAtOnce is the time within which a request that cannot be served is refused.
 const answeredAtOnce = 100 * time.Millisecond
 
