frontend: the number of an attempt is fixed before it is sent

A relayed request is built by the goroutine of its exchange, which read the list of attempts while that of the call may add a second attempt beside it. Found by reading; concerns back ends that are sent the number of the attempt.

--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -129,6 +129,7 @@
 type outboundRequest struct {
 	permit  *grantedPermit
 	client  *backend.Client
+	attempt int // number of the attempt
 	request *http.Request
 }
 
@@ -157,7 +158,8 @@
 	}
 	c.tried = append(c.tried, permit.backend)
 	permit.started = started
-	return &outboundRequest{permit: permit, client: client, request: c.backendRequest(permit.backend, a.handler.options.Dialect)}, nil
+	attempt := max(len(c.tried), c.attempt)
+	return &outboundRequest{permit: permit, client: client, attempt: attempt, request: c.backendRequest(permit.backend, attempt, a.handler.options.Dialect)}, nil
 }
 
 // backendResponse is a response whose body has not been read yet.
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -279,8 +279,9 @@
 	}
 }
 
-// backendRequest builds the request that is sent to a back end.
-func (c *call) backendRequest(id string, dialect backend.Dialect) *http.Request {
+// backendRequest builds the request that is sent to a back end. attempt is the number of the attempt. It
+// may be called concurrently with the other exchange of a hedged attempt.
+func (c *call) backendRequest(id string, attempt int, dialect backend.Dialect) *http.Request {
 	outgoing := c.outgoingRequest(c.request, dialect)
 	if dialect.Instance != "" {
 		outgoing.Header.Set(dialect.Instance, id)
@@ -291,7 +292,7 @@
 		}
 		return outgoing
 	}
-	outgoing.Header.Set(HeaderAttempt, strconv.Itoa(max(len(c.tried), c.attempt)))
+	outgoing.Header.Set(HeaderAttempt, strconv.Itoa(attempt))
 	outgoing.Header.Set(HeaderDepth, strconv.Itoa(c.depth+1))
 	return outgoing
 }
--- a/frontend/path.go
+++ b/frontend/path.go
@@ -45,7 +45,7 @@
 		}
 		// No other daemon can tell, and this one reaches other back ends.
 		sent.permit.relayed = false
-		sent.request = a.call.backendRequest(sent.permit.backend, a.handler.options.Dialect)
+		sent.request = a.call.backendRequest(sent.permit.backend, sent.attempt, a.handler.options.Dialect)
 	}
 	started := time.Now()
 	response, err := sent.client.Do(ctx, sent.request)
@@ -66,7 +66,7 @@
 	if since := a.handler.options.Paths.CutOffSince(); !since.IsZero() {
 		permit.cutOffFor = time.Since(since)
 	}
-	build := func() *http.Request { return c.backendRequest(permit.backend, a.handler.options.Dialect) }
+	build := func() *http.Request { return c.backendRequest(permit.backend, sent.attempt, a.handler.options.Dialect) }
 	permit.relayed = true
 	response, err := a.handler.options.Relay.Do(ctx, a.keyOf(permit), c.buffered, build)
 	if err != nil {
