--- a/relay/client.go
+++ b/relay/client.go
@@ -188,9 +188,7 @@
 			return "", false
 		}
 		tried = append(tried, peer.Name)
-		request := &http.Request{Method: http.MethodGet, URL: checkURL(), Header: http.Header{headerCheck: {headerSet}}}
-		encode(request, key)
-		response, err := c.client(peer.ForwardAddress).Do(ctx, request)
+		response, err := c.client(peer.ForwardAddress).Do(ctx, newCheck(key))
 		if err != nil {
 			c.markUnfit(peer.Name, unfitDuration)
 			c.log.Debug("liveness not learned", "peer", peer.Name, "error", err)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 
 	"github.com/tuliphall/tuliphall/backend"
 )
@@ -26,6 +27,13 @@
 
 const headerSet = "1"
 
+// newCheck returns a request for the liveness of a back end. Its path is ignored.
+func newCheck(key backend.Key) *http.Request {
+	request := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: http.Header{headerCheck: {headerSet}}}
+	encode(request, key)
+	return request
+}
+
 // IsRelayed reports whether a request that arrived at a daemon's forward address is to be relayed.
 func IsRelayed(r *http.Request) bool {
 	return r.Host == host
--- a/relay/server.go
+++ b/relay/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -19,11 +18,6 @@
 	"github.com/tuliphall/tuliphall/signals"
 )
 
-// checkURL returns the target of a check. It is not used.
-func checkURL() *url.URL {
-	return &url.URL{Path: "/"}
-}
-
 // Paths tells which back ends the daemon that relays reaches.
 type Paths interface {
 	// Reaches reports whether this daemon reaches an address, as far as it knows. It does not block.
