lab/soak: callers do not send a request again by themselves

Nobody but the caller can have sent it again: net/http does so with a GET on a kept connection that breaks. Requests without a body now have one that cannot be rewound. TestCallerSendsEachRequestOnce failed before (three arrivals of two requests). The check is unchanged.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -128,6 +128,10 @@
 	}
 	request.Host = host
 	request.GetBody = nil
+	if requestBody == nil {
+		// With a body that cannot be rewound, net/http does not send the request again if a kept connection breaks.
+		request.Body = io.NopCloser(strings.NewReader(""))
+	}
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "2000")
 	response, err := client.Do(request)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -99,6 +100,30 @@
 	}
 }
 
+// TestCallerSendsEachRequestOnce guards against a caller that sends a request again by itself when a kept connection breaks: a
+// daemon's truthful answer to the second one would contradict what it did with the first.
+func TestCallerSendsEachRequestOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", address(200)+":"+portCaller)
+	require.NoError(t, err)
+	arrivals := make(chan string, 10)
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		arrivals <- r.Header.Get("Request-Id")
+		if r.Header.Get("Request-Id") == "second" {
+			panic(http.ErrAbortHandler)
+		}
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	host, _, err := net.SplitHostPort(listener.Addr().String())
+	require.NoError(t, err)
+	c, target := newCallers(nil, 1), &process{address: host}
+	_, _, err = c.exchange(c.keepAliveClient, target, http.MethodGet, "first", "/safe/first")
+	require.NoError(t, err)
+	_, _, err = c.exchange(c.keepAliveClient, target, http.MethodGet, "second", "/safe/second")
+	require.Error(t, err)
+	require.Len(t, arrivals, 2)
+}
+
 // TestScheduleIsDeterministic checks that a seed always gives the same schedule, that its faults are in order
 // of time and within the duration, and that every kind occurs.
 func TestScheduleIsDeterministic(t *testing.T) {
