reach: rounds of too few back ends to tell are spaced

A daemon that knows fewer than three back ends cannot tell a cut from back ends that are down, and looked again each 100 ms while connections failed; now each 2 s. TestRoundsOfTooFewBackendsAreSpaced failed before (100 rounds in 10 s, 5 allowed).

--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -170,7 +170,7 @@
 	}
 	checks.Wait()
 	m.mutex.Lock()
-	cutOff := ctx.Err() == nil && m.state.RecordRound(time.Now(), started, len(targets))
+	cutOff := ctx.Err() == nil && m.state.RecordRound(time.Now(), started, count, len(targets))
 	m.mutex.Unlock()
 	if cutOff {
 		m.cutOff.Update(1)
--- a/reach/state.go
+++ b/reach/state.go
@@ -10,6 +10,8 @@
 	roundSize = 3
 	// minRoundInterval is the minimum time between two rounds of checks.
 	minRoundInterval = 100 * time.Millisecond
+	// inconclusiveRoundInterval replaces it after a round of too few back ends to tell.
+	inconclusiveRoundInterval = 2 * time.Second
 	// cutOffCheckInterval is the time between two checks while this daemon is cut off.
 	cutOffCheckInterval = 200 * time.Millisecond
 	// cutOffChecks is how many back ends are checked at a time while this daemon is cut off.
@@ -45,6 +47,7 @@
 	cutOffSince     time.Time // zero: this daemon is not cut off
 	suspected       bool      // a connection failed while nothing was heard from any back end
 	lastRound       time.Time
+	inconclusive    bool // the last round could not tell whether this daemon is cut off
 	paths           map[string]path
 }
 
@@ -134,7 +137,7 @@
 		}
 		s.lastRound = now
 		return cutOffChecks
-	case now.Sub(s.lastRound) < minRoundInterval:
+	case now.Sub(s.lastRound) < minRoundInterval, s.inconclusive && now.Sub(s.lastRound) < inconclusiveRoundInterval:
 		return 0
 	case s.suspected:
 		s.lastRound = now
@@ -148,9 +151,11 @@
 }
 
 // RecordRound records a round of checks that began at started, none of which reached a back end, and
-// reports whether this daemon is cut off from now on.
-func (s *State) RecordRound(now, started time.Time, checks int) (cutOff bool) {
-	if checks < roundSize || !s.lastContact.Before(started) || !s.cutOffSince.IsZero() {
+// reports whether this daemon is cut off from now on. There may be fewer back ends to check than due.
+func (s *State) RecordRound(now, started time.Time, due, checks int) (cutOff bool) {
+	reached := !s.lastContact.Before(started)
+	s.inconclusive = due == roundSize && checks < due && !reached
+	if checks < roundSize || reached || !s.cutOffSince.IsZero() {
 		return false
 	}
 	s.cutOffSince = now
--- a/reach/state_test.go
+++ b/reach/state_test.go
@@ -26,7 +26,7 @@
 	state := NewState()
 	state.RecordFailure(start, address, start)
 	require.Equal(t, roundSize, state.DueChecks(start))
-	require.True(t, state.RecordRound(start, start, roundSize))
+	require.True(t, state.RecordRound(start, start, roundSize, roundSize))
 	return state
 }
 
@@ -48,7 +48,7 @@
 		state.RecordFailure(start, address, start)
 		require.Equal(t, roundSize, state.DueChecks(start), test.name)
 		test.record(state)
-		require.Equal(t, test.want, state.RecordRound(after(250*time.Millisecond), start, test.checks), test.name)
+		require.Equal(t, test.want, state.RecordRound(after(250*time.Millisecond), start, roundSize, test.checks), test.name)
 		require.Equal(t, test.want, !state.CutOffSince().IsZero(), test.name)
 		require.Equal(t, !test.want, state.Direct(after(2*time.Second), address), test.name)
 	}
@@ -167,3 +167,28 @@
 	require.True(t, state.Credible(after(contactAge-time.Millisecond)))
 	require.False(t, state.Credible(after(contactAge)))
 }
+
+// Guards against checking the few back ends of a small service without pause while none of them accepts connections.
+func TestRoundsOfTooFewBackendsAreSpaced(t *testing.T) {
+	state := NewState()
+	rounds := 0
+	for passed := time.Duration(0); passed < 10*time.Second; passed += 10 * time.Millisecond {
+		state.RecordFailure(after(passed), address, after(passed))
+		if state.DueChecks(after(passed)) > 0 {
+			rounds++
+			require.False(t, state.RecordRound(after(passed), after(passed), roundSize, roundSize-1))
+		}
+	}
+	require.LessOrEqual(t, rounds, int(10*time.Second/inconclusiveRoundInterval))
+}
+
+// A failed check because of silence is followed by a round at once.
+func TestFailedSilenceCheckStartsRound(t *testing.T) {
+	state := NewState()
+	state.RecordSend(start)
+	now := after(minSilence)
+	require.Equal(t, 1, state.DueChecks(now))
+	state.RecordFailure(now, address, now)
+	require.False(t, state.RecordRound(now, now, 1, 1))
+	require.Equal(t, roundSize, state.DueChecks(now.Add(minRoundInterval)))
+}
