--- a/relay/client.go
+++ b/relay/client.go
@@ -102,7 +102,7 @@
 		encode(request, key)
 		response, err := c.client(peer.ForwardAddress).Do(ctx, request)
 		if err != nil {
-			if failure := c.peerFailure(ctx, peer, err); failure != nil {
+			if failure := c.peerFailure(peer, err); failure != nil {
 				return nil, failure
 			}
 			cause = errors.Annotate(err, "daemon "+peer.Name)
@@ -138,7 +138,7 @@
 
 // peerFailure returns the failure of a request for which a daemon sent no response, or nil if another
 // daemon may be asked.
-func (c *Client) peerFailure(ctx context.Context, peer membership.Member, err error) error {
+func (c *Client) peerFailure(peer membership.Member, err error) error {
 	var failure *backend.Failure
 	if !errors.As(err, &failure) {
 		return err
