httpcopy, backend, reach: what stood twice stands once

The daemon that received a request and the one that relays it both announced trailers, wrote the status, copied the body and set the trailers: httpcopy.Response does it for both. The fallback for an error that is no backend.Failure stood three times: backend.AsFailure. The condition for the end of a path stood twice in reach: path.expired.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -120,6 +120,15 @@
 	return f.Cause
 }
 
+// AsFailure returns the Failure in err's chain. Any other error may stem from a request that has run.
+func AsFailure(err error) *Failure {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &Failure{Code: resultcode.ConnectionBroken, Cause: err}
+}
+
 // NeverSent reports whether the error is that of a request of which no byte was sent, as no
 // connection to the server could be opened.
 func NeverSent(err error) bool {
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -31,19 +31,9 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return a.relayUpgrade(response)
 	}
-	for name := range response.Trailer {
-		header.Add("Trailer", name)
-	}
-	if a.record != nil {
-		a.record.recordHeader(response)
-	}
-	a.writer.WriteHeader(response.StatusCode)
-	if err := a.copyBody(response); err != nil {
+	if err := a.copyResponse(response); err != nil {
 		return err
 	}
-	for name, values := range response.Trailer {
-		header[name] = values
-	}
 	a.recordAnswered(code)
 	return nil
 }
@@ -53,13 +43,14 @@
 	header.Set(resultcode.HeaderRun, string(code.Info().Run))
 }
 
-// copyBody copies the body. The response to an operation is read to its end even if the caller has
-// disconnected, so that it can be recorded.
-func (a *attempter) copyBody(response *http.Response) *httpcopy.Error {
+// copyResponse passes the response on. The response to an operation is recorded, and read to its end
+// even if the caller has disconnected.
+func (a *attempter) copyResponse(response *http.Response) *httpcopy.Error {
 	if a.record == nil {
-		return httpcopy.Body(a.writer, response, nil)
+		return httpcopy.Response(a.writer, response, nil)
 	}
-	return httpcopy.Body(a.writer, response, a.record.recordBody)
+	a.record.recordHeader(response)
+	return httpcopy.Response(a.writer, response, a.record.recordBody)
 }
 
 // relayUpgrade pipes data between the connections of the caller and the back end after a 101
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -238,10 +238,7 @@
 }
 
 func (a *attempter) handleExchangeError(permit *grantedPermit, err error) *resultcode.Failure {
-	var failed *backend.Failure
-	if !errors.As(err, &failed) {
-		failed = &backend.Failure{Code: resultcode.ConnectionBroken, Cause: err}
-	}
+	failed := backend.AsFailure(err)
 	permit.done(a.outcomeOfFailure(permit, failed), 0, nil)
 	code, retryAfter := failed.Code, time.Duration(0)
 	switch code {
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"sync"
 
-	"github.com/juju/errors"
-
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/resultcode"
@@ -84,10 +82,7 @@
 // be served here instead: it certainly did not run, or may be repeated.
 func (a *attempter) handleForwardFailure(name string, err error) bool {
 	c := a.call
-	var failed *backend.Failure
-	if !errors.As(err, &failed) {
-		failed = &backend.Failure{Code: resultcode.ConnectionBroken, Cause: err}
-	}
+	failed := backend.AsFailure(err)
 	code := failed.Code
 	switch code {
 	case resultcode.ConnectFailed:
--- a/httpcopy/httpcopy.go
+++ b/httpcopy/httpcopy.go
@@ -36,11 +36,28 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
-// Body copies the body of a response to a caller. A response of unknown length is flushed after each
+// Response passes the status, the body and the trailers of a response on to a caller whose header is set
+// already. If record is not nil, it is called with each chunk of the body; see body.
+func Response(writer http.ResponseWriter, response *http.Response, record func(chunk []byte)) *Error {
+	header := writer.Header()
+	for name := range response.Trailer {
+		header.Add("Trailer", name)
+	}
+	writer.WriteHeader(response.StatusCode)
+	if err := body(writer, response, record); err != nil {
+		return err
+	}
+	for name, values := range response.Trailer {
+		header[name] = values
+	}
+	return nil
+}
+
+// body copies the body of a response to a caller. A response of unknown length is flushed after each
 // chunk, because the caller may be waiting for it. If record is not nil, it is called with each chunk,
-// and the body is read to its end even if the caller has disconnected. Body returns nil if the
+// and the body is read to its end even if the caller has disconnected. It returns nil if the
 // complete body was passed on.
-func Body(writer http.ResponseWriter, response *http.Response, record func(chunk []byte)) *Error {
+func body(writer http.ResponseWriter, response *http.Response, record func(chunk []byte)) *Error {
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	streaming := response.ContentLength < 0
--- a/reach/state.go
+++ b/reach/state.go
@@ -59,6 +59,11 @@
 	checkedAt time.Time
 }
 
+// expired reports whether the path is neither in doubt nor bypassed any more.
+func (p path) expired(now time.Time) bool {
+	return now.Sub(p.failedAt) >= doubtDuration && (!p.bypassed || now.Sub(p.usedAt) >= bypassRetention)
+}
+
 // NewState returns the state of a daemon that has not used any back end yet.
 func NewState() *State {
 	return &State{paths: make(map[string]path)}
@@ -108,7 +113,7 @@
 // expirePaths removes the paths that are neither in doubt nor in use.
 func (s *State) expirePaths(now time.Time) {
 	for address, known := range s.paths {
-		if now.Sub(known.failedAt) >= doubtDuration && (!known.bypassed || now.Sub(known.usedAt) >= bypassRetention) {
+		if known.expired(now) {
 			delete(s.paths, address)
 		}
 	}
@@ -174,10 +179,7 @@
 		return false
 	}
 	known, found := s.paths[address]
-	if !found {
-		return true
-	}
-	return now.Sub(known.failedAt) >= doubtDuration && (!known.bypassed || now.Sub(known.usedAt) >= bypassRetention)
+	return !found || known.expired(now)
 }
 
 // Reaches reports whether this daemon reaches an address as far as it knows: it is not cut off, and no
--- a/relay/server.go
+++ b/relay/server.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
@@ -142,25 +141,12 @@
 		defer s.upgraded.Done()
 		return httpcopy.Upgrade(w, response, func() {})
 	}
-	for name := range response.Trailer {
-		header.Add("Trailer", name)
-	}
-	w.WriteHeader(response.StatusCode)
-	if err := httpcopy.Body(w, response, nil); err != nil {
-		return err
-	}
-	for name, values := range response.Trailer {
-		header[name] = values
-	}
-	return nil
+	return httpcopy.Response(w, response, nil)
 }
 
 // respondFailure answers a request to which the back end sent no response.
 func (s *Server) respondFailure(ctx context.Context, w http.ResponseWriter, id string, to target, started time.Time, err error) {
-	var failed *backend.Failure
-	if !errors.As(err, &failed) {
-		failed = &backend.Failure{Code: resultcode.ConnectionBroken, Cause: err}
-	}
+	failed := backend.AsFailure(err)
 	if ctx.Err() != nil {
 		panic(http.ErrAbortHandler) // nobody waits for the answer
 	}
