--- a/lab/objectstub/unreachable_backends_test.go
+++ b/lab/objectstub/unreachable_backends_test.go
@@ -1,8 +1,10 @@
 package objectstub_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -170,6 +172,47 @@
 	}
 }
 
+// TestPipelinedRequestsAreServedDuringCut sends requests one after another on a connection, without waiting for
+// answers, to daemons that are cut off from all back ends.
+func TestPipelinedRequestsAreServedDuringCut(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, cutDaemons, cutWorkers, func(f *fleet) {
+				f.spreadLoad(2 * time.Second)
+				selected := f.selectDaemons(cutDaemons/2, true)
+				f.cutOff(selected, fault)
+				defer f.net.SetLinkRule(nil)
+				f.spreadLoad(cutGrace)
+				for number := range selected {
+					f.requirePipelinedServed(number, 4)
+				}
+			})
+		})
+	}
+}
+
+// requirePipelinedServed sends this many requests at once on a connection to a daemon, and requires that all are served.
+func (f *fleet) requirePipelinedServed(number, requests int) {
+	conn, err := f.net.Host("callers").Dial(f.t.Context(), f.daemons[number].Addresses().Caller)
+	require.NoError(f.t, err)
+	defer conn.Close()
+	require.NoError(f.t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	var sent strings.Builder
+	for range requests {
+		fmt.Fprintf(&sent, "GET /one/safe/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: pipelined-%d\r\nDeadline-Ms: 1500\r\n\r\n", f.lastRequest.Add(1))
+	}
+	_, err = io.WriteString(conn, sent.String())
+	require.NoError(f.t, err)
+	reader := bufio.NewReader(conn)
+	for range requests {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(f.t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(f.t, err)
+		require.Equal(f.t, http.StatusOK, response.StatusCode)
+	}
+}
+
 // TestDaemonsThatReachSomeBackendsServe makes half of the daemons lose half of the back ends: callers must be served at all
 // daemons, and the back ends must be used by all.
 func TestDaemonsThatReachSomeBackendsServe(t *testing.T) {
