lab/soak: tell connections from the same local port apart

A soak may have counted a connection as that of no daemon, and not cut it.

Cause: the owner of a connection was looked up by its local port alone. The system uses a local port for several connections if their remote addresses differ; the row of a connection of another process was found first.

TestConnectionsFromSharedPortAreTold, with a table in which two connections share a port, fails without the comparison of the remote address.

The look-up compares both addresses, which identify a connection.

--- a/lab/soak/cut.go
+++ b/lab/soak/cut.go
@@ -84,11 +84,7 @@
 
 // findOwner returns the name of the process that opened a connection.
 func findOwner(client net.Conn, pids map[string]int) (string, error) {
-	remote, err := netip.ParseAddrPort(client.RemoteAddr().String())
-	if err != nil {
-		return "", err
-	}
-	inode, err := socketInode(remote)
+	inode, err := clientInode(client)
 	if err != nil {
 		return "", err
 	}
@@ -104,28 +100,57 @@
 			}
 		}
 	}
-	return "", errors.NotFoundf("process with socket %s", remote)
+	return "", errors.NotFoundf("process with socket %s", client.RemoteAddr())
 }
 
 // Columns of the system's table of sockets.
 const (
-	columnLocalAddress = 1
-	columnInode        = 9
+	columnLocalAddress  = 1
+	columnRemoteAddress = 2
+	columnInode         = 9
 )
 
-// socketInode returns the inode of the socket that is bound to a local IPv4 address.
-func socketInode(local netip.AddrPort) (string, error) {
+// noInode is shown for a connection that its process has closed.
+const noInode = "0"
+
+// clientInode returns the inode of the socket at the other end of an IPv4 connection that was accepted
+// here.
+func clientInode(accepted net.Conn) (string, error) {
+	local, err := netip.ParseAddrPort(accepted.RemoteAddr().String())
+	if err != nil {
+		return "", err
+	}
+	remote, err := netip.ParseAddrPort(accepted.LocalAddr().String())
+	if err != nil {
+		return "", err
+	}
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return "", err
 	}
-	octets := local.Addr().Unmap().As4()
-	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", octets[3], octets[2], octets[1], octets[0], local.Port())
-	for line := range strings.Lines(string(table)) {
+	inode := findInode(string(table), local, remote)
+	if inode == "" {
+		return "", errors.NotFoundf("socket %s", local)
+	}
+	return inode, nil
+}
+
+// findInode returns the inode of the socket with these IPv4 addresses in a table of sockets; empty: there
+// is none. The system uses a local port for several connections if their remote addresses differ.
+func findInode(table string, local, remote netip.AddrPort) string {
+	localColumn, remoteColumn := tableAddress(local), tableAddress(remote)
+	for line := range strings.Lines(table) {
 		columns := strings.Fields(line)
-		if len(columns) > columnInode && columns[columnLocalAddress] == want && columns[columnInode] != "0" {
-			return columns[columnInode], nil
+		if len(columns) > columnInode && columns[columnLocalAddress] == localColumn && columns[columnRemoteAddress] == remoteColumn &&
+			columns[columnInode] != noInode {
+			return columns[columnInode]
 		}
 	}
-	return "", errors.NotFoundf("socket %s", local)
+	return ""
+}
+
+// tableAddress returns an IPv4 address as the table of sockets shows it.
+func tableAddress(address netip.AddrPort) string {
+	octets := address.Addr().Unmap().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", octets[3], octets[2], octets[1], octets[0], address.Port())
 }
--- a/lab/soak/cut_test.go
+++ b/lab/soak/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"os"
 	"testing"
 
@@ -26,3 +27,16 @@
 	_, err = findOwner(accepted, map[string]int{"this": os.Getpid()})
 	require.ErrorIs(t, err, errors.NotFound)
 }
+
+// TestConnectionsFromSharedPortAreTold guards against taking one connection for another one that was opened from the
+// same local port to another address.
+func TestConnectionsFromSharedPortAreTold(t *testing.T) {
+	const table = `  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode
+   0: 0100007F:8900 0100007F:1F90 06 00000000:00000000 03:00000D39 00000000     0        0 0 3 00000000894ad47e
+   1: 0100007F:8900 0100007F:1F91 01 00000000:00000000 00:00000000 00000000     0        0 1166 1 00000000ea6be51d 100 0 0 10 0
+   2: 0100007F:8900 0100007F:1F90 01 00000000:00000000 00:00000000 00000000     0        0 1167 1 00000000ea6be51e 100 0 0 10 0
+`
+	for remote, inode := range map[string]string{"127.0.0.1:8080": "1167", "127.0.0.1:8081": "1166", "127.0.0.1:8082": ""} {
+		require.Equal(t, inode, findInode(table, netip.MustParseAddrPort("127.0.0.1:35072"), netip.MustParseAddrPort(remote)), remote)
+	}
+}
