reach: back ends that have ended are not taken for a cut

Callers of such a service are refused though it can serve them.

Cause: a daemon took itself for cut off when three random back ends accepted no connection. With three of four ended that happens by chance, at several daemons at once; each then refused to relay for the other.

Evidence: both daemons' logs show "no back end reached", checked 3, within 0.3 ms, two times.

A round checks sixteen back ends now, three of them first, the others if none of these is reached within 25 ms. A service of up to sixteen back ends is checked whole, so that a single one that lives shows that there is no cut. Rounds that Run and Credible start no longer overlap.

--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -145,7 +145,10 @@
 		m.mutex.Lock()
 		count, paths := m.state.DueChecks(now), m.state.DuePaths(now, maxPathChecks)
 		m.mutex.Unlock()
-		if count > 0 {
+		switch {
+		case count == roundSize:
+			m.startRound()
+		case count > 0:
 			checks.Go(func() { m.checkRound(ctx, count) })
 		}
 		for _, address := range paths {
@@ -154,18 +157,27 @@
 	}
 }
 
-// checkRound checks several back ends at once, until one is reached.
+// checkRound checks several back ends until one is reached.
 func (m *Monitor) checkRound(ctx context.Context, count int) {
 	started := time.Now()
 	targets := m.options.Targets(count)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	failed := make(chan struct{}, len(targets))
 	var checks sync.WaitGroup
-	for _, address := range targets {
+	for index, address := range targets {
+		if index == firstChecks {
+			waitForFirst(ctx, failed)
+		}
+		if ctx.Err() != nil {
+			break
+		}
 		checks.Go(func() {
 			if m.check(ctx, address) {
 				cancel()
+				return
 			}
+			failed <- struct{}{}
 		})
 	}
 	checks.Wait()
@@ -178,6 +190,21 @@
 	}
 }
 
+// waitForFirst blocks until the first checks of a round have failed or ctx ends, for at most spreadDelay.
+func waitForFirst(ctx context.Context, failed <-chan struct{}) {
+	timer := time.NewTimer(spreadDelay)
+	defer timer.Stop()
+	for range firstChecks {
+		select {
+		case <-failed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // check opens a connection to a back end and closes it, and reports whether it was opened; Dial records
 // the result.
 func (m *Monitor) check(ctx context.Context, address string) bool {
@@ -229,7 +256,7 @@
 
 // Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
 // started, says something about that back end. If nothing was heard from any back end of late, it checks
-// several, and blocks for at most checkTimeout.
+// several, and blocks for at most spreadDelay and checkTimeout.
 func (m *Monitor) Credible(ctx context.Context, started time.Time) bool {
 	if credible, final := m.credible(started); final {
 		return credible
--- a/reach/state.go
+++ b/reach/state.go
@@ -6,8 +6,16 @@
 
 // Thresholds and durations of the decisions.
 const (
-	// roundSize is how many back ends are checked at once to find out whether this daemon is cut off.
-	roundSize = 3
+	// roundSize is how many back ends are checked in a round to find out whether this daemon is cut off. It
+	// is large, as some of them may have ended.
+	roundSize = 16
+	// minRoundSize is the minimum number of checked back ends that shows a cut.
+	minRoundSize = 3
+	// firstChecks is how many of a round are checked at first; the others follow after spreadDelay if none
+	// of these has been reached by then.
+	firstChecks = 3
+	// spreadDelay is many times as long as it takes to open a connection.
+	spreadDelay = 25 * time.Millisecond
 	// minRoundInterval is the minimum time between two rounds of checks.
 	minRoundInterval = 100 * time.Millisecond
 	// inconclusiveRoundInterval replaces it after a round of too few back ends to tell.
@@ -159,8 +167,8 @@
 // reports whether this daemon is cut off from now on. There may be fewer back ends to check than due.
 func (s *State) RecordRound(now, started time.Time, due, checks int) (cutOff bool) {
 	reached := !s.lastContact.Before(started)
-	s.inconclusive = due == roundSize && checks < due && !reached
-	if checks < roundSize || reached || !s.cutOffSince.IsZero() {
+	s.inconclusive = due == roundSize && checks < minRoundSize && !reached
+	if due < roundSize || checks < minRoundSize || reached || !s.cutOffSince.IsZero() {
 		return false
 	}
 	s.cutOffSince = now
--- a/reach/state_test.go
+++ b/reach/state_test.go
@@ -41,7 +41,7 @@
 		{"no check succeeds", roundSize, func(*State) {}, true},
 		{"a check succeeds", roundSize, func(state *State) { state.RecordContact(after(time.Millisecond), other) }, false},
 		{"an open connection answers", roundSize, func(state *State) { state.RecordAnswer(after(time.Millisecond), other) }, false},
-		{"too few back ends", roundSize - 1, func(*State) {}, false},
+		{"too few back ends", minRoundSize - 1, func(*State) {}, false},
 	} {
 		state := NewState()
 		state.RecordContact(start.Add(-time.Second), address)
@@ -176,7 +176,7 @@
 		state.RecordFailure(after(passed), address, after(passed))
 		if state.DueChecks(after(passed)) > 0 {
 			rounds++
-			require.False(t, state.RecordRound(after(passed), after(passed), roundSize, roundSize-1))
+			require.False(t, state.RecordRound(after(passed), after(passed), roundSize, minRoundSize-1))
 		}
 	}
 	require.LessOrEqual(t, rounds, int(10*time.Second/inconclusiveRoundInterval))
