reach, relay: a path that has failed is remembered until it works

Cause: a path was forgotten one second after its connection failed, unless another daemon had reached the back end meanwhile; a daemon uses a back end every few seconds only, so that the next request failed again. A daemon that was asked to relay tried its own lost path for 250 ms, and its failure was taken for proof that the back end was at fault; where it said that it does not reach the back end, it was passed over for all others. And each lost path cost a request.

Evidence: TestRequestsDoNotWaitForLostPaths (half of six daemons lose half of 32 back ends, each used every two seconds) fails on the code before: 9 of 249 requests (links silent) and 21 of 249 (reset, new ones hang) wait for a connection from 6 s on, 4 allowed. With the change 0 and 0.

A failed path stays failed until a connection is opened, by a request or by one of its checks, or until no request has been meant for its back end for 30 s. A daemon says at once of a path known to have failed that it does not reach the back end, and stays available for others. When a second path is bypassed, up to 64 back ends are checked. A path to a back end that is gone is no longer checked for ever (TestUnusedPathIsForgotten: before, each check renewed it).

Two assertions of reach's tests change with the decision: that a path is used again after one second without a word, and that it is used directly when another daemon has failed as well. In their place: it is used once a connection has been opened, and it does not count as bypassed.

--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -38,10 +38,12 @@
 
 // Paths tells which back ends this daemon reaches. No method but Credible blocks.
 type Paths interface {
-	// Direct reports whether a request to an address is sent there by this daemon itself.
+	// Direct reports whether a request to an address is sent there by this daemon itself. It is called
+	// once for each request.
 	Direct(address string) bool
-	// Reaches reports whether this daemon reaches an address, as far as it knows.
-	Reaches(address string) bool
+	// Bypassed reports whether it is the path of this daemon to an address that has failed, and not the
+	// back end.
+	Bypassed(address string) bool
 	// CutOffSince returns since when this daemon has been cut off from all back ends; zero: it is not.
 	CutOffSince() time.Time
 	// Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
@@ -54,8 +56,8 @@
 // allPaths implements Paths for a daemon without another way to the back ends.
 type allPaths struct{}
 
-func (allPaths) Reaches(string) bool                      { return true }
 func (allPaths) Direct(string) bool                       { return true }
+func (allPaths) Bypassed(string) bool                     { return false }
 func (allPaths) CutOffSince() time.Time                   { return time.Time{} }
 func (allPaths) Credible(context.Context, time.Time) bool { return true }
 func (allPaths) RecordBypass(string, bool)                {}
--- a/frontend/path.go
+++ b/frontend/path.go
@@ -38,7 +38,7 @@
 	address := sent.client.Address()
 	// A body that is streamed can be sent only once: it is not used to find out whether this daemon or
 	// the back end is at fault.
-	if !paths.Direct(address) && (a.call.buffered || !paths.Reaches(address)) {
+	if !paths.Direct(address) && (a.call.buffered || paths.Bypassed(address)) {
 		response, err := a.sendThroughPeer(ctx, sent)
 		if failureCode(err) != resultcode.BackendsUnreachable || a.isCutOff() || !a.call.buffered {
 			return response, err
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,10 @@
 	pollInterval = 50 * time.Millisecond
 	// checkTimeout limits one check.
 	checkTimeout = 250 * time.Millisecond
-	// maxPathChecks limits how many bypassed paths are checked at a time.
+	// maxPathChecks limits how many failed paths are checked at a time.
 	maxPathChecks = 4
+	// maxSweepChecks limits how many back ends a sweep checks at a time.
+	maxSweepChecks = 16
 )
 
 // Options are the dependencies of a Monitor.
@@ -143,7 +146,7 @@
 		}
 		now := time.Now()
 		m.mutex.Lock()
-		count, paths := m.state.DueChecks(now), m.state.DuePaths(now, maxPathChecks)
+		count, sweep, paths := m.state.DueChecks(now), m.state.DueSweep(now), m.state.DuePaths(now, maxPathChecks)
 		m.mutex.Unlock()
 		switch {
 		case count == roundSize:
@@ -151,12 +154,26 @@
 		case count > 0:
 			checks.Go(func() { m.checkRound(ctx, count) })
 		}
+		if sweep > 0 {
+			checks.Go(func() { m.sweep(ctx, sweep) })
+		}
 		for _, address := range paths {
 			checks.Go(func() { m.check(ctx, address) })
 		}
 	}
 }
 
+// sweep checks several back ends, so that no request has to find out which paths have failed.
+func (m *Monitor) sweep(ctx context.Context, count int) {
+	for targets := range slices.Chunk(m.options.Targets(count), maxSweepChecks) {
+		var checks sync.WaitGroup
+		for _, address := range targets {
+			checks.Go(func() { m.check(ctx, address) })
+		}
+		checks.Wait()
+	}
+}
+
 // checkRound checks several back ends until one is reached.
 func (m *Monitor) checkRound(ctx context.Context, count int) {
 	started := time.Now()
@@ -233,7 +250,7 @@
 }
 
 // Direct reports whether a request to an address is sent there by this daemon itself, as opposed to
-// through another daemon.
+// through another daemon. It is called once for each request.
 func (m *Monitor) Direct(address string) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -247,11 +264,19 @@
 	return m.state.Reaches(address)
 }
 
+// Bypassed reports whether it is the path of this daemon to an address that has failed, and not the back
+// end.
+func (m *Monitor) Bypassed(address string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Bypassed(address)
+}
+
 // RecordBypass records whether another daemon reached an address for this one.
 func (m *Monitor) RecordBypass(address string, reached bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.state.RecordBypass(time.Now(), address, reached)
+	m.state.RecordBypass(address, reached)
 }
 
 // Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
--- a/reach/state.go
+++ b/reach/state.go
@@ -32,13 +32,18 @@
 	silenceFactor = 4
 	// silenceWeight is the weight of a new time in that mean.
 	silenceWeight = 0.1
-	// doubtDuration is how long after a failed connection the next attempt to reach the back end is
-	// made through another daemon.
-	doubtDuration = time.Second
-	// pathCheckInterval is the time between two checks of a bypassed path.
+	// pathCheckInterval is the time between two checks of a failed path.
 	pathCheckInterval = 500 * time.Millisecond
-	// bypassRetention is how long a path stays bypassed that is not used.
-	bypassRetention = 10 * time.Second
+	// pathRetention is how long a failed path that no request is meant for is remembered. In a large fleet
+	// a daemon seldom uses the same back end.
+	pathRetention = 30 * time.Second
+	// minBypassedPaths is how many paths are bypassed before others are checked, which may have failed with
+	// them. A single one may have lost a packet.
+	minBypassedPaths = 2
+	// sweepSize is how many back ends are checked then.
+	sweepSize = 64
+	// minSweepInterval is the minimum time between two such sweeps.
+	minSweepInterval = 5 * time.Second
 	// contactAge is the maximum age of the last contact with any back end with which this daemon's
 	// failure to reach one says something about that back end.
 	contactAge = 300 * time.Millisecond
@@ -57,19 +62,20 @@
 	lastRound       time.Time
 	inconclusive    bool // the last round could not tell whether this daemon is cut off
 	paths           map[string]path
+	sweepDue        bool // a path has been bypassed since the last sweep
+	lastSweep       time.Time
 }
 
 // path is a path on which a connection failed, and none has been opened since.
 type path struct {
-	failedAt  time.Time
-	bypassed  bool // another daemon has reached the back end since
-	usedAt    time.Time
+	bypassed  bool      // another daemon has reached the back end since
+	usedAt    time.Time // last request for the back end
 	checkedAt time.Time
 }
 
-// expired reports whether the path is neither in doubt nor bypassed any more.
+// expired reports whether the path has not been used for so long that its failure is forgotten.
 func (p path) expired(now time.Time) bool {
-	return now.Sub(p.failedAt) >= doubtDuration && (!p.bypassed || now.Sub(p.usedAt) >= bypassRetention)
+	return now.Sub(p.usedAt) >= pathRetention
 }
 
 // NewState returns the state of a daemon that has not used any back end yet.
@@ -108,17 +114,15 @@
 // started.
 func (s *State) RecordFailure(now time.Time, address string, started time.Time) {
 	s.expirePaths(now)
-	known, found := s.paths[address]
-	if found || len(s.paths) < maxPaths {
-		known.failedAt = now
-		s.paths[address] = known
+	if _, found := s.paths[address]; !found && len(s.paths) < maxPaths {
+		s.paths[address] = path{usedAt: now}
 	}
 	if s.lastContact.Before(started) {
 		s.suspected = true
 	}
 }
 
-// expirePaths removes the paths that are neither in doubt nor in use.
+// expirePaths forgets the failed paths that are not used.
 func (s *State) expirePaths(now time.Time) {
 	for address, known := range s.paths {
 		if known.expired(now) {
@@ -181,36 +185,64 @@
 }
 
 // Direct reports whether a request to an address is sent there by this daemon itself, as opposed to
-// through another daemon.
+// through another daemon. It is called once for each request.
 func (s *State) Direct(now time.Time, address string) bool {
 	if !s.cutOffSince.IsZero() {
 		return false
 	}
 	known, found := s.paths[address]
-	return !found || known.expired(now)
+	if !found || known.expired(now) {
+		return true
+	}
+	known.usedAt = now
+	s.paths[address] = known
+	return false
 }
 
 // Reaches reports whether this daemon reaches an address as far as it knows: it is not cut off, and no
-// other daemon has reached the address when this one failed to.
+// connection to the address has failed of late.
 func (s *State) Reaches(address string) bool {
-	return s.cutOffSince.IsZero() && !s.paths[address].bypassed
+	_, failed := s.paths[address]
+	return s.cutOffSince.IsZero() && !failed
+}
+
+// Bypassed reports whether it is the path of this daemon to an address that has failed, and not the back
+// end: another daemon has reached the address since, or this one is cut off.
+func (s *State) Bypassed(address string) bool {
+	return !s.cutOffSince.IsZero() || s.paths[address].bypassed
 }
 
 // RecordBypass records whether another daemon reached an address for this one.
-func (s *State) RecordBypass(now time.Time, address string, reached bool) {
+func (s *State) RecordBypass(address string, reached bool) {
 	known, found := s.paths[address]
 	if !found {
 		return
 	}
-	if !reached {
-		delete(s.paths, address)
-		return
-	}
-	known.bypassed, known.usedAt = true, now
+	s.sweepDue = s.sweepDue || reached && !known.bypassed
+	known.bypassed = reached
 	s.paths[address] = known
 }
 
-// DuePaths returns the addresses of the bypassed paths that are to be checked now, at most limit.
+// DueSweep returns how many back ends to check now because several paths have failed.
+func (s *State) DueSweep(now time.Time) int {
+	if !s.sweepDue || !s.cutOffSince.IsZero() || now.Sub(s.lastSweep) < minSweepInterval || s.countBypassed() < minBypassedPaths {
+		return 0
+	}
+	s.sweepDue, s.lastSweep = false, now
+	return sweepSize
+}
+
+func (s *State) countBypassed() int {
+	count := 0
+	for _, known := range s.paths {
+		if known.bypassed {
+			count++
+		}
+	}
+	return count
+}
+
+// DuePaths returns the addresses of the failed paths that are to be checked now, at most limit.
 func (s *State) DuePaths(now time.Time, limit int) []string {
 	if len(s.paths) == 0 || !s.cutOffSince.IsZero() {
 		return nil
@@ -221,7 +253,7 @@
 		if len(due) == limit {
 			break
 		}
-		if known.bypassed && now.Sub(known.checkedAt) >= pathCheckInterval {
+		if now.Sub(known.checkedAt) >= pathCheckInterval {
 			known.checkedAt = now
 			s.paths[address] = known
 			due = append(due, address)
--- a/relay/client.go
+++ b/relay/client.go
@@ -120,7 +120,7 @@
 			c.failed.Inc(1)
 			return nil, failure
 		}
-		c.markUnfit(peer.Name, unfitDuration)
+		c.markUnfitFor(peer, response)
 		cause = failure.Cause
 	}
 	c.failed.Inc(1)
@@ -198,7 +198,7 @@
 		if liveness := response.Header.Get(headerLiveness); liveness != "" {
 			return backend.Liveness(liveness), true
 		}
-		c.markUnfit(peer.Name, unfitDuration)
+		c.markUnfitFor(peer, response)
 	}
 	return "", false
 }
@@ -216,6 +216,13 @@
 	c.choice.MarkFit(time.Now(), name)
 }
 
+// markUnfitFor records that a daemon could not relay a request, unless only this back end is not reached.
+func (c *Client) markUnfitFor(peer membership.Member, response *http.Response) {
+	if response.Header.Get(headerReachesOthers) == "" {
+		c.markUnfit(peer.Name, unfitDuration)
+	}
+}
+
 func (c *Client) markUnfit(name string, duration time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -21,6 +21,8 @@
 	headerCheck = "Tuliphall-Relay-Check"
 	// headerRelayed marks the response of a back end.
 	headerRelayed = "Tuliphall-Relayed"
+	// headerReachesOthers: the daemon does not reach this back end, but others.
+	headerReachesOthers = "Tuliphall-Relay-Reaches-Others"
 	// headerLiveness holds the liveness of the back end, if the daemon that relays knows it.
 	headerLiveness = "Tuliphall-Relay-Liveness"
 )
--- a/relay/server.go
+++ b/relay/server.go
@@ -19,8 +19,10 @@
 
 // Paths tells which back ends the daemon that relays reaches.
 type Paths interface {
-	// Reaches reports whether this daemon reaches an address, as far as it knows. It does not block.
+	// Reaches reports whether this daemon reaches an address, and CutOff whether it reaches none, as far
+	// as it knows. They do not block.
 	Reaches(address string) bool
+	CutOff() bool
 	// Credible reports whether this daemon's failure to reach a back end, in an attempt that began at
 	// started, says something about that back end. It may block for a fraction of a second.
 	Credible(ctx context.Context, started time.Time) bool
@@ -69,6 +71,9 @@
 	to := target{key: decode(r)}
 	id := r.Header.Get(s.options.Dialect.RequestID)
 	if failure := s.resolve(&to); failure != nil {
+		if failure.Code == resultcode.BackendsUnreachable && !s.options.Paths.CutOff() {
+			w.Header().Set(headerReachesOthers, headerSet)
+		}
 		failure.Write(w, id, s.options.Dialect.FractionalRetryAfter)
 		return
 	}
