frontend: requests on a path that is lost are not held against the back end

Cause: a request that is not answered before its deadline was reported as unserved unless its daemon was cut off from all back ends. A daemon that has lost the path to some of them reports the same of these.

Evidence: the log lines "back end ejected" name cause and reporter; TestFailedPathIsNotHeldAgainstBackend fails on the code before for a path that another daemon has bypassed (deadline, caller gone, no connection).

Such a request now counts as unreached, as during a cut. A request that another daemon relayed is judged as before: that daemon reached the back end.

--- a/frontend/path.go
+++ b/frontend/path.go
@@ -124,10 +124,10 @@
 // outcomeOfFailure classifies a failed exchange for the state of the back end. It blocks for at most
 // livenessWait.
 func (a *attempter) outcomeOfFailure(permit *grantedPermit, failed *backend.Failure) routing.Outcome {
-	cutOff := a.isCutOff()
+	pathFailed := a.pathFailed(permit)
 	switch failed.Code {
 	case resultcode.CallerGone, resultcode.CallerGoneAfterSend, resultcode.WaitExpired:
-		if cutOff {
+		if pathFailed || a.isCutOff() {
 			return routing.Unreached
 		}
 		return routing.Canceled
@@ -139,7 +139,7 @@
 		switch {
 		case backend.IsConnectionRefused(failed.Cause):
 			return routing.ConnectionRefused
-		case cutOff && !permit.relayed:
+		case pathFailed:
 			return routing.Unreached
 		}
 		return routing.NoContact
@@ -148,8 +148,15 @@
 			return routing.ProcessExited
 		}
 	}
-	if cutOff && !permit.relayed {
+	if pathFailed {
 		return routing.Unreached
 	}
 	return routing.Unserved
 }
+
+// pathFailed reports whether a request was sent by this daemon itself on a path that has failed, although
+// other daemons reach the back end.
+func (a *attempter) pathFailed(permit *grantedPermit) bool {
+	client, _ := a.call.service.Client(permit.backend)
+	return !permit.relayed && client != nil && a.handler.options.Paths.Bypassed(client.Address())
+}
