lab/soak: connections to all back ends are refused, or only new ones are

Before, the soak played silent and reset links of some daemons only, behind accepted connections, so that no daemon took itself for cut off.

--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -64,6 +64,8 @@
 		}
 	case DaemonsCut:
 		f.cutDaemons(fault)
+	case BackendsRefuse:
+		f.refuseConnections(fault)
 	case ConfigChange:
 		f.configure()
 	case Evacuate:
@@ -99,6 +101,24 @@
 	}
 }
 
+// refuseConnections refuses connections to all back ends for a time. Open ones are reset, too, if the
+// fault's link mode is Reset.
+func (f *fleet) refuseConnections(fault Fault) {
+	workers := f.currentWorkers()
+	for _, target := range workers {
+		target.proxy.refuse()
+		if fault.Link == Reset {
+			target.proxy.resetAll()
+		}
+	}
+	time.Sleep(fault.Duration)
+	for _, target := range workers {
+		if err := target.proxy.accept(); err != nil {
+			f.report.log("proxy does not listen again: %v", err)
+		}
+	}
+}
+
 // currentWorkers returns the back ends that are running.
 func (f *fleet) currentWorkers() []*worker {
 	f.mutex.Lock()
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -17,6 +17,7 @@
 	Reset   LinkMode = "reset"   // open and new connections are reset
 	Silent  LinkMode = "silent"  // nothing is forwarded, connections stay open
 	OneWay  LinkMode = "one-way" // data from the server is not forwarded
+	Closed  LinkMode = "closed"  // new connections are reset, open ones live on
 )
 
 // linkDelay is the delay before each forwarded read on a delayed link.
@@ -24,11 +25,13 @@
 
 // proxy is a TCP proxy to one address. It is safe for concurrent use.
 type proxy struct {
-	listener net.Listener
-	target   string
-	cuts     *cutter // cuts daemons off from what is behind this proxy; nil: none
+	address string
+	target  string
+	cuts    *cutter // cuts daemons off from what is behind this proxy; nil: none
 
 	mutex       sync.Mutex
+	listener    net.Listener
+	closed      bool // for good
 	mode        LinkMode
 	connections map[net.Conn]bool // whether a client opened it
 }
@@ -38,14 +41,16 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, cuts: cuts, mode: Healthy, connections: make(map[net.Conn]bool)}
-	go p.serve()
+	p := &proxy{
+		address: listener.Addr().String(), target: target, cuts: cuts, listener: listener, mode: Healthy, connections: make(map[net.Conn]bool),
+	}
+	go p.serve(listener)
 	return p, nil
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -91,6 +96,44 @@
 	}
 }
 
+// refuse makes the system refuse new connections until accept. Open ones live on.
+func (p *proxy) refuse() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.listener.Close()
+}
+
+// accept ends refuse.
+func (p *proxy) accept() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener.Close()
+	p.listener = listener
+	go p.serve(listener)
+	return nil
+}
+
+// resetAll resets the open connections.
+func (p *proxy) resetAll() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.resetOpen()
+}
+
+// resetOpen is resetAll for callers that hold the mutex.
+func (p *proxy) resetOpen() {
+	for conn := range p.connections {
+		reset(conn)
+	}
+}
+
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -100,7 +143,7 @@
 
 func (p *proxy) relay(client net.Conn) {
 	defer p.cuts.forget(client)
-	if p.modeOf(client) == Reset {
+	if mode := p.modeOf(client); mode == Reset || mode == Closed {
 		reset(client)
 		return
 	}
@@ -167,6 +210,9 @@
 
 // close stops the proxy and resets its connections.
 func (p *proxy) close() {
+	p.mutex.Lock()
+	p.closed = true
 	p.listener.Close()
+	p.mutex.Unlock()
 	p.setMode(Reset)
 }
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -36,6 +36,7 @@
 	WorkerPushback       FaultKind = "worker-pause"  // rejects requests and asks for a pause
 	WorkerAnnouncesDrain FaultKind = "worker-says"   // announces its drain in responses while the store lists it as ready
 	DaemonsCut           FaultKind = "daemons-cut"   // one daemon, half or all are cut off from all back ends
+	BackendsRefuse       FaultKind = "refuse"        // connections to all back ends are refused to all daemons
 	StoreRollback        FaultKind = "store-older"   // the store is unavailable for a moment and is restored from an older backup
 )
 
@@ -94,6 +95,7 @@
 		scheduleOnce(seed, 4, WorkerLimit, limitFaultDuration, begin, end), scheduleOnce(seed, 5, WorkerPushback, pushbackFaultDuration, begin, end),
 		scheduleOnce(seed, 6, WorkerAnnouncesDrain, announcedDrainDuration, begin, end), scheduleOnce(seed, 7, StoreRollback, storeOutage, begin, end))
 	faults = append(faults, scheduleCuts(seed, begin, end)...)
+	faults = append(faults, scheduleRefusals(seed, begin, end)...)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].At < faults[j].At })
 	return faults
 }
@@ -119,6 +121,19 @@
 	return cuts
 }
 
+// scheduleRefusals returns a cut in which some daemons can open no connections while their open ones live
+// on, and one in which connections to all back ends are refused to all daemons.
+func scheduleRefusals(seed uint64, begin, end time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 9))
+	draw := func(kind FaultKind, link LinkMode) Fault {
+		return Fault{
+			At: begin + time.Duration(random.Int64N(int64(end-begin))), Kind: kind, Target: random.IntN(1000), Count: 1 + random.IntN(maxCutDaemons),
+			Duration: time.Second + time.Duration(random.Int64N(int64(maxCutDuration-time.Second))), Link: link,
+		}
+	}
+	return []Fault{draw(DaemonsCut, Closed), draw(BackendsRefuse, []LinkMode{Healthy, Reset}[random.IntN(2)])}
+}
+
 // evacuationDuration exceeds evacuationBound, so that requests arrive after the bound.
 const evacuationDuration = evacuationBound + 4*time.Second
 
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -62,7 +62,7 @@
 }
 
 func (w *worker) address() string {
-	return w.proxy.listener.Addr().String()
+	return w.proxy.address
 }
 
 func (w *worker) update(apply func()) {
