reach: log and gauge of paths that are bypassed

A daemon that reaches no back end says so in its log; of one that has lost some of them, only `via` of single requests told. Now a line at each end of such a time and the gauge `tuliphall_paths_bypassed`.

--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -42,6 +42,7 @@
 	options   Options
 	log       *slog.Logger
 	cutOff    tally.Gauge
+	bypassed  tally.Gauge
 	checks    tally.Counter
 	suspicion chan struct{} // buffers one request to look whether checks are due
 
@@ -54,7 +55,7 @@
 func NewMonitor(options Options) *Monitor {
 	return &Monitor{
 		options: options, log: logging.Component(options.Log, "reach"), state: NewState(), suspicion: make(chan struct{}, 1),
-		cutOff: options.Metrics.Gauge("backends_unreachable"), checks: options.Metrics.Counter("path_checks"),
+		cutOff: options.Metrics.Gauge("backends_unreachable"), bypassed: options.Metrics.Gauge("paths_bypassed"), checks: options.Metrics.Counter("path_checks"),
 	}
 }
 
@@ -137,6 +138,7 @@
 	defer checks.Wait()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	reported := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -147,7 +149,10 @@
 		now := time.Now()
 		m.mutex.Lock()
 		count, sweep, paths := m.state.DueChecks(now), m.state.DueSweep(now), m.state.DuePaths(now, maxPathChecks)
+		bypassed := m.state.BypassedPaths()
 		m.mutex.Unlock()
+		m.reportBypassed(reported, bypassed)
+		reported = bypassed
 		switch {
 		case count == roundSize:
 			m.startRound()
@@ -163,6 +168,21 @@
 	}
 }
 
+// reportBypassed reports how many paths are bypassed if their number has changed, and logs the first and
+// the last one.
+func (m *Monitor) reportBypassed(before, bypassed int) {
+	if bypassed == before {
+		return
+	}
+	m.bypassed.Update(float64(bypassed))
+	switch {
+	case before == 0:
+		m.log.Info("paths to back ends failed; requests for these are sent through other daemons", "paths", bypassed)
+	case bypassed == 0:
+		m.log.Info("no path is bypassed any more", "before", before)
+	}
+}
+
 // sweep checks several back ends, so that no request has to find out which paths have failed.
 func (m *Monitor) sweep(ctx context.Context, count int) {
 	for targets := range slices.Chunk(m.options.Targets(count), maxSweepChecks) {
--- a/reach/state.go
+++ b/reach/state.go
@@ -225,14 +225,15 @@
 
 // DueSweep returns how many back ends to check now because several paths have failed.
 func (s *State) DueSweep(now time.Time) int {
-	if !s.sweepDue || !s.cutOffSince.IsZero() || now.Sub(s.lastSweep) < minSweepInterval || s.countBypassed() < minBypassedPaths {
+	if !s.sweepDue || !s.cutOffSince.IsZero() || now.Sub(s.lastSweep) < minSweepInterval || s.BypassedPaths() < minBypassedPaths {
 		return 0
 	}
 	s.sweepDue, s.lastSweep = false, now
 	return sweepSize
 }
 
-func (s *State) countBypassed() int {
+// BypassedPaths returns how many paths have failed whose back ends other daemons have reached since.
+func (s *State) BypassedPaths() int {
 	count := 0
 	for _, known := range s.paths {
 		if known.bypassed {
