lab/soak: look-ups of connections share a reading of the table of sockets

Cause: when a cut begins, the owner of each open connection is looked up; each look-up read the system's table of sockets and the files of all daemons by itself.

Evidence: TestLookUpsShareReading: 100 look-ups at once took 100 readings.

All look-ups that wait are served by one reading, which began after they did, so that none is answered from an older table.

--- a/lab/soak/cut.go
+++ b/lab/soak/cut.go
@@ -1,16 +1,8 @@
 package soak
 
 import (
-	"fmt"
 	"net"
-	"net/netip"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
-
-	"github.com/juju/errors"
 )
 
 // cutter cuts daemons off from all back ends. It finds out which daemon opened a connection from the
@@ -19,6 +11,8 @@
 	pids func() map[string]int // process ids of the daemons, by name
 	log  func(format string, arguments ...any)
 
+	sockets socketTable
+
 	mutex  sync.Mutex
 	modes  map[string]LinkMode // of the daemons that are cut off
 	owners map[net.Conn]string // daemons that opened connections to proxies
@@ -63,10 +57,15 @@
 	return Healthy
 }
 
-// findOwner returns the daemon that opened a connection; empty: it is not known.
+// findOwner returns the daemon that opened a connection; empty: it is not known, or the other end is closed.
 func (c *cutter) findOwner(client net.Conn) string {
-	owner, err := findOwner(client, c.pids())
-	if err != nil && !errors.Is(err, errors.NotFound) { // a connection whose other end is closed has no owner
+	wanted, err := otherEnd(client)
+	if err != nil {
+		c.log("owner of a connection not found: %v", err)
+		return ""
+	}
+	owner, err := c.sockets.ownerOf(wanted, c.pids)
+	if err != nil {
 		c.log("owner of a connection not found: %v", err)
 	}
 	return owner
@@ -81,76 +80,3 @@
 	defer c.mutex.Unlock()
 	delete(c.owners, client)
 }
-
-// findOwner returns the name of the process that opened a connection.
-func findOwner(client net.Conn, pids map[string]int) (string, error) {
-	inode, err := clientInode(client)
-	if err != nil {
-		return "", err
-	}
-	link := "socket:[" + inode + "]"
-	for name, pid := range pids {
-		files, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "fd", "*"))
-		if err != nil {
-			return "", err
-		}
-		for _, file := range files {
-			if target, err := os.Readlink(file); err == nil && target == link { // a file that is gone is not the one
-				return name, nil
-			}
-		}
-	}
-	return "", errors.NotFoundf("process with socket %s", client.RemoteAddr())
-}
-
-// Columns of the system's table of sockets.
-const (
-	columnLocalAddress  = 1
-	columnRemoteAddress = 2
-	columnInode         = 9
-)
-
-// noInode is shown for a connection that its process has closed.
-const noInode = "0"
-
-// clientInode returns the inode of the socket at the other end of an IPv4 connection that was accepted
-// here.
-func clientInode(accepted net.Conn) (string, error) {
-	local, err := netip.ParseAddrPort(accepted.RemoteAddr().String())
-	if err != nil {
-		return "", err
-	}
-	remote, err := netip.ParseAddrPort(accepted.LocalAddr().String())
-	if err != nil {
-		return "", err
-	}
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return "", err
-	}
-	inode := findInode(string(table), local, remote)
-	if inode == "" {
-		return "", errors.NotFoundf("socket %s", local)
-	}
-	return inode, nil
-}
-
-// findInode returns the inode of the socket with these IPv4 addresses in a table of sockets; empty: there
-// is none. The system uses a local port for several connections if their remote addresses differ.
-func findInode(table string, local, remote netip.AddrPort) string {
-	localColumn, remoteColumn := tableAddress(local), tableAddress(remote)
-	for line := range strings.Lines(table) {
-		columns := strings.Fields(line)
-		if len(columns) > columnInode && columns[columnLocalAddress] == localColumn && columns[columnRemoteAddress] == remoteColumn &&
-			columns[columnInode] != noInode {
-			return columns[columnInode]
-		}
-	}
-	return ""
-}
-
-// tableAddress returns an IPv4 address as the table of sockets shows it.
-func tableAddress(address netip.AddrPort) string {
-	octets := address.Addr().Unmap().As4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", octets[3], octets[2], octets[1], octets[0], address.Port())
-}
