--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -18,7 +18,7 @@
 const (
 	earlyPiece    = 8 << 10 // bytes sent at a time
 	earlyPause    = 2 * time.Millisecond
-	earlyAnswer   = 40000 // bytes of a worker's answer
+	earlyAnswer   = 40000 // bytes of a worker's answer with a length
 	earlyRequests = 20
 	// The long bodies: one with a length, and one in chunks, of which the last pieces are sent with pauses.
 	lengthBody  = 160 << 10
@@ -94,9 +94,9 @@
 	var counts earlyCounts
 	serve := func(w *worker, request *http.Request, conn net.Conn, reader *bufio.Reader) bool {
 		id := request.Header.Get("Request-Id")
-		answer := []byte(w.answerHead(request, earlyAnswer) + strings.Repeat("x", earlyAnswer))
+		pieces := w.wholeAnswer(request, strings.HasSuffix(id, "odd"))
 		if trouble {
-			conn.Write(answer)
+			writePieces(conn, pieces)
 		}
 		// The worker goes on reading what is due of the body.
 		conn.SetReadDeadline(time.Now().Add(3 * time.Second))
@@ -104,7 +104,7 @@
 		conn.SetReadDeadline(time.Time{})
 		counts.note(w.id, id, received, err)
 		if !trouble && err == nil {
-			conn.Write(answer)
+			writePieces(conn, pieces)
 		}
 		return err == nil
 	}
@@ -120,10 +120,7 @@
 	for number := range earlyRequests {
 		clients.Go(func() {
 			time.Sleep(time.Duration(number/2) * 300 * time.Millisecond)
-			id := fmt.Sprintf("length-%02d", number+1)
-			if number%4 >= 2 {
-				id = fmt.Sprintf("chunks-%02d", number+1)
-			}
+			id := fmt.Sprintf("%s-%02d-%s", []string{"length", "chunks"}[number/2%2], number+1, []string{"odd", "even"}[number%2])
 			front := f.daemons[number%len(f.daemons)].front
 			record.printf("client: sends POST /corrections/%d, id %s, %d bytes, to %s", number+1, id, lengthOf(id), front)
 			status, length, err := sendLong(front, id, fmt.Sprintf("/corrections/%d", number+1))
@@ -136,6 +133,27 @@
 		earlyRequests, counts.otherBytes.Load(), counts.falseEnd.Load(), counts.rightPart.Load(), counts.whole.Load())
 }
 
+// wholeAnswer returns the pieces of a whole answer to a request: a long one with a length, or a short one in
+// chunks, as a worker sends it that makes its answer bit by bit.
+func (w *worker) wholeAnswer(request *http.Request, chunked bool) []string {
+	if !chunked {
+		return []string{w.answerHead(request, earlyAnswer) + strings.Repeat("x", earlyAnswer)}
+	}
+	id := request.Header.Get("Request-Id")
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, w.id, id)
+	return []string{head, "8\r\naccepted\r\n", "6\r\nnumber\r\n", "0\r\n\r\n"}
+}
+
+// writePieces writes the pieces of an answer, one after the other.
+func writePieces(conn net.Conn, pieces []string) {
+	for index, piece := range pieces {
+		if index > 0 {
+			time.Sleep(earlyPause)
+		}
+		io.WriteString(conn, piece)
+	}
+}
+
 // sendLong sends a request with a long body in pieces, and reads the answer meanwhile.
 func sendLong(front, id, path string) (status int, length int64, err error) {
 	conn, err := net.Dial("tcp", front)
