requestbody: back ends get their own bytes after an early response

Bodies in chunks with a gap were mostly ended as whole ones, and some callers got a part of the response.

Cause: net/http's server discards what is left of a request's body when the response begins, while the transport still reads the same body for the back end. On a scratch copy that logged both, what the transport read and what the server discarded made up the whole body in each of 20 requests, and the io.EOF that the server came to ended the back end's body (81,920 + 81,920 of 163,840 bytes, for example).

Change: a body that is not buffered is a requestbody.Body. It switches the server to full duplex, ends the transport's reader and waits for it before the handler returns, fails instead of ending when it is cut short, and closes the caller's connection after a response that began before the whole body was received. The response is flushed, and the rest of the body is passed on, until it ends, the caller leaves or nothing moves for 10 s. A caller that reads only after it has sent all and a back end that reads only after its response was taken no longer wait for each other for ever. The daemon that relays for another one, and forwarded requests, do the same. A log line and the counter early_responses tell of such responses.

--- a/backend/upload.go
+++ b/backend/upload.go
@@ -38,6 +38,10 @@
 
 // Close implements io.Closer. The transport calls it when it sends nothing more of the body.
 func (u *upload) Close() error {
+	if closer, ok := u.body.(io.Closer); ok {
+		// The bodies of callers cannot fail to close.
+		_ = closer.Close()
+	}
 	u.end()
 	return nil
 }
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -1,8 +1,13 @@
 package frontend
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/httpcopy"
@@ -19,8 +24,8 @@
 }
 
 // relay streams a back end's response to the caller. It returns nil if the complete response was
-// relayed.
-func (a *attempter) relay(response *http.Response, backendID string, code resultcode.Code) *httpcopy.Error {
+// relayed. If the response came before the end of the request's body, relay blocks until the rest was passed on.
+func (a *attempter) relay(ctx context.Context, response *http.Response, backendID string, code resultcode.Code) *httpcopy.Error {
 	header := a.writer.Header()
 	backend.CopyHeader(header, response.Header)
 	if backendID != "" {
@@ -29,12 +34,13 @@
 	}
 	header.Set(a.handler.options.Dialect.RequestID, a.call.id)
 	if response.StatusCode == http.StatusSwitchingProtocols {
-		return a.relayUpgrade(response)
+		return a.relayUpgrade(ctx, response)
 	}
 	if err := a.copyResponse(response); err != nil {
 		return err
 	}
 	a.recordAnswered(code)
+	a.passOnBody(ctx, response)
 	return nil
 }
 
@@ -55,8 +61,28 @@
 
 // relayUpgrade pipes data between the connections of the caller and the back end after a 101
 // response, until either side closes.
-func (a *attempter) relayUpgrade(response *http.Response) *httpcopy.Error {
+func (a *attempter) relayUpgrade(ctx context.Context, response *http.Response) *httpcopy.Error {
+	if sent := a.call.streamed.Await(ctx); !sent.Whole() {
+		return &httpcopy.Error{Side: httpcopy.Caller, Cause: errors.Annotate(sent.Err, "protocol not switched before the end of the request's body")}
+	}
 	a.handler.upgraded.Add(1)
 	defer a.handler.upgraded.Done()
 	return httpcopy.Upgrade(a.writer, response, func() { a.recordAnswered(resultcode.Answered) })
 }
+
+// passOnBody passes the rest of the request's body on to a back end that has responded before the end of it.
+func (a *attempter) passOnBody(ctx context.Context, response *http.Response) {
+	c := a.call
+	if c.streamed.Progress().Whole() {
+		return
+	}
+	answered, cause := time.Now(), ""
+	sent := c.streamed.PassOn(ctx, response.StatusCode)
+	if !sent.Whole() {
+		cause = sent.Err.Error()
+	}
+	a.handler.metrics.countEarlyResponse(sent.Whole())
+	a.handler.log.LogAttrs(context.Background(), slog.LevelInfo, "response before the end of the request's body",
+		slog.String("request", c.id), slog.String("service", c.service.Name()), slog.Int("status", response.StatusCode),
+		slog.Int64("body_bytes", sent.Bytes), slog.Bool("body_whole", sent.Whole()), slog.String("cause", cause), slog.Duration("after_response", time.Since(answered)))
+}
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -106,7 +106,7 @@
 		a.call.recordFailure(failure)
 		return failure
 	}
-	a.deliver(resp)
+	a.deliver(ctx, resp)
 	return nil
 }
 
@@ -213,16 +213,16 @@
 }
 
 // deliver relays the response to the caller and releases the permit.
-func (a *attempter) deliver(resp *backendResponse) {
+func (a *attempter) deliver(ctx context.Context, resp *backendResponse) {
 	defer resp.response.Body.Close()
 	a.relayed = resp
 	a.deadline.Stop()
-	// The permit is held until the whole response has been read, because the back end's slot is
-	// occupied until then. A caller that does not read the response does not affect the state of the
+	// The permit is held until the whole response has been read and the request's body was passed on, because the back
+	// end's slot is occupied until then. A caller that does not read the response does not affect the state of the
 	// back end.
 	outcome := resp.outcome()
 	defer func() { resp.permit.done(outcome, resp.latency, resp.report) }()
-	if err := a.relay(resp.response, resp.permit.backend, resultcode.Answered); err != nil {
+	if err := a.relay(ctx, resp.response, resp.permit.backend, resultcode.Answered); err != nil {
 		outcome = outcomeOf(err)
 		switch {
 		case err.Side != httpcopy.Server:
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -16,6 +16,7 @@
 	"github.com/tuliphall/tuliphall/identity"
 	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/quarantine"
+	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
 )
@@ -69,12 +70,14 @@
 	body            []byte
 	buffered        bool         // body holds the whole body
 	limitedBody     *limitedBody // a body of unknown length that may prove too large; nil: there is none
-	upgrade         bool
-	request         *http.Request
-	received        time.Time
-	firstTry        time.Time // estimated time of the caller's first try
-	unsent          int       // number of attempts that were never sent
-	tried           []string  // ids of the back ends of all attempts, in order
+	// streamed is a body that is passed on as it arrives; nil: there is none.
+	streamed *requestbody.Body
+	upgrade  bool
+	request  *http.Request
+	received time.Time
+	firstTry time.Time // estimated time of the caller's first try
+	unsent   int       // number of attempts that were never sent
+	tried    []string  // ids of the back ends of all attempts, in order
 	// fingerprints identify the request and its repeats.
 	fingerprints quarantine.Fingerprints
 	refusedBy    string // daemon that refused a permit; empty: none did
@@ -218,6 +221,19 @@
 	return nil
 }
 
+// stream starts to pass on the body, unless all of it is buffered, and returns the writer for the response.
+func (c *call) stream(w http.ResponseWriter) http.ResponseWriter {
+	if c.buffered {
+		return w
+	}
+	source := requestbody.Source(c.limitedBody)
+	if c.limitedBody == nil {
+		source = requestbody.FromCaller(c.request.Body)
+	}
+	c.streamed = requestbody.New(w, c.request, source)
+	return c.streamed.Writer(w)
+}
+
 // headerForwardedFor lists the addresses that a request has passed through.
 const headerForwardedFor = "X-Forwarded-For"
 
@@ -250,6 +266,8 @@
 		if len(c.body) > 0 {
 			outgoing.Body = io.NopCloser(bytes.NewReader(c.body))
 		}
+	} else {
+		outgoing.Body = c.streamed
 	}
 	c.setTenantHeader(outgoing.Header, dialect)
 	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	a.deadline.Stop()
-	if err := a.relay(response, "", resultcode.Answered); err != nil {
+	if err := a.relay(ctx, response, "", resultcode.Answered); err != nil {
 		a.abortResponse(err)
 	}
 	return true
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -224,7 +224,16 @@
 	// caller stays connected.
 	timer := time.AfterFunc(time.Until(c.deadline), func() { cancel(context.DeadlineExceeded) })
 	defer timer.Stop()
+	w = c.stream(w)
+	defer c.streamed.End()
 	a := &attempter{handler: h, call: c, writer: w, deadline: timer}
+	a.serve(ctx)
+	c.streamed.Finish()
+}
+
+// serve answers the call.
+func (a *attempter) serve(ctx context.Context) {
+	h, c := a.handler, a.call
 	// A request that crashes back ends is kept from further ones, whichever daemon receives it. Without
 	// this, one request crashed 81 back ends in 20 s (TestCrashingRequestIsQuarantined).
 	if refused := h.options.Quarantine.Check(c.fingerprints); refused != nil {
--- a/frontend/hedge.go
+++ b/frontend/hedge.go
@@ -77,7 +77,7 @@
 			r.running--
 			if result.resp != nil {
 				r.cancelOthers(result.number)
-				a.deliver(result.resp)
+				a.deliver(ctx, result.resp)
 				return nil
 			}
 			a.call.recordFailure(result.failure)
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -51,11 +51,12 @@
 var errBodyTooLarge = errors.New("the request's body is larger than the limit")
 
 // limitedBody is a body of unknown length: first the part that was held, then what follows on the connection. It fails
-// once the body proves too large.
+// once the body proves too large. It implements requestbody.Source.
 type limitedBody struct {
 	held     io.Reader
-	rest     io.ReadCloser
+	rest     io.Reader
 	left     int64 // bytes of rest that may follow
+	received atomic.Bool
 	tooLarge atomic.Bool
 }
 
@@ -74,12 +75,15 @@
 		return int(b.left), errBodyTooLarge
 	}
 	b.left -= int64(n)
+	if err == io.EOF {
+		b.received.Store(true)
+	}
 	return n, err
 }
 
-// Close implements io.Closer.
-func (b *limitedBody) Close() error {
-	return b.rest.Close()
+// Received implements requestbody.Source.
+func (b *limitedBody) Received() bool {
+	return b.received.Load()
 }
 
 // failure returns the failure that is reported for a call: if its body proved too large after a part of it had been
@@ -162,7 +166,7 @@
 		return release, bodyTooLarge(limits, "body without a declared length")
 	}
 	c.limitedBody = &limitedBody{held: bytes.NewReader(held), rest: r.Body, left: limits.BodyBytes - int64(len(held))}
-	r.Body = c.limitedBody
+	c.limitedBody.received.Store(complete)
 	return release, nil
 }
 
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -23,6 +23,8 @@
 	broken       map[backend.Liveness]tally.Counter // broken connections, by liveness of the back end
 	inFlight     tally.Gauge
 	bodiesHeld   tally.Gauge // bytes of bodies that are held until they are known not to be too large
+	// Responses that came before the end of the request's body, by whether the whole body was passed on in the end.
+	earlyWhole, earlyCut tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -37,6 +39,8 @@
 		policyErrors: scope.Counter("policy_errors"),
 		inFlight:     scope.Gauge("requests_in_flight"),
 		bodiesHeld:   scope.Gauge("bodies_held_bytes"),
+		earlyWhole:   scope.Tagged(map[string]string{"body": "whole"}).Counter("early_responses"),
+		earlyCut:     scope.Tagged(map[string]string{"body": "cut"}).Counter("early_responses"),
 		broken:       make(map[backend.Liveness]tally.Counter),
 	}
 	for _, liveness := range []backend.Liveness{backend.Alive, backend.Exited, backend.Unreachable} {
@@ -49,6 +53,15 @@
 	return m
 }
 
+// countEarlyResponse counts a response that came before the end of the request's body.
+func (m *metrics) countEarlyResponse(whole bool) {
+	if whole {
+		m.earlyWhole.Inc(1)
+		return
+	}
+	m.earlyCut.Inc(1)
+}
+
 func (m *metrics) count(code resultcode.Code) {
 	if counter, ok := m.requests[code]; ok {
 		counter.Inc(1)
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -33,6 +33,7 @@
 // respondFailure answers the call with a failure, and logs its outcome.
 func (a *attempter) respondFailure(failure *resultcode.Failure) {
 	c := a.call
+	c.streamed.End()
 	failure = c.limitedBody.failure(failure)
 	a.handler.logFailure(c.id, failure, append(a.outcomeAttributes(), slog.String("refused_by", c.refusedBy),
 		slog.Uint64("revision", uint64(a.handler.options.Services.Snapshot().Revision)))...)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -330,3 +330,35 @@
 	_, err = s.do(t.Context(), "")
 	require.Equal(t, resultcode.BackendsUnreachable, codeOf(t, err))
 }
+
+// TestRelayedBodyAfterEarlyResponse guards against a back end that gets other bytes, or a false end, where the rest of a body is
+// due, because the server of the daemon that relays discards the body when the response begins.
+func TestRelayedBodyAfterEarlyResponse(t *testing.T) {
+	received := make(chan error, 1)
+	s := start(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		require.NoError(t, http.NewResponseController(w).EnableFullDuplex())
+		_, _ = w.Write(make([]byte, 40000))
+		http.NewResponseController(w).Flush()
+		body, err := io.ReadAll(r.Body)
+		if err == nil && string(body) != strings.Repeat("0123456789abcdef", 10000) {
+			err = errors.Errorf("%d bytes that differ from those that were sent", len(body))
+		}
+		received <- err
+	})
+	reader, writer := io.Pipe()
+	go func() {
+		for range 100 {
+			_, _ = io.WriteString(writer, strings.Repeat("0123456789abcdef", 100))
+			time.Sleep(time.Millisecond)
+		}
+		writer.Close()
+	}()
+	response, err := s.client.Do(t.Context(), key, false, func() *http.Request {
+		return backend.CopyRequest(httptest.NewRequest(http.MethodPost, "http://shop.example/", reader))
+	})
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.NoError(t, <-received)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/logging"
+	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/signals"
@@ -119,9 +120,18 @@
 // relay sends a request to the back end and passes its response on.
 func (s *Server) relay(w http.ResponseWriter, r *http.Request, id string, to target) {
 	started := time.Now()
-	response, err := to.client.Do(r.Context(), backend.CopyRequest(r))
+	request := backend.CopyRequest(r)
+	var body *requestbody.Body
+	if r.ContentLength != 0 {
+		body = requestbody.New(w, r, requestbody.FromCaller(r.Body))
+		w, request.Body = body.Writer(w), body
+	}
+	defer body.End()
+	response, err := to.client.Do(r.Context(), request)
 	if err != nil {
+		body.End()
 		s.respondFailure(r.Context(), w, id, to, started, err)
+		body.Finish()
 		return
 	}
 	defer response.Body.Close()
@@ -130,23 +140,32 @@
 		Key: to.key, Started: to.started, Sent: started, RequestID: id, Status: response.StatusCode, Header: response.Header,
 		Refused: s.options.Dialect.Refuses(response, to.service.Target().Service.RefusalStatus),
 	})
-	if err := s.pass(w, response); err != nil {
+	if err := s.pass(w, r, response, body); err != nil {
 		s.log.Info("relayed response broken off", "request", id, "backend", to.key.Backend, "side", string(err.Side), "cause", err.Cause)
 		panic(http.ErrAbortHandler) // the other daemon must not take the response for a complete one
 	}
+	body.Finish()
 }
 
-// pass passes the response of a back end on.
-func (s *Server) pass(w http.ResponseWriter, response *http.Response) *httpcopy.Error {
+// pass passes the response of a back end on. If it came before the end of the request's body, pass blocks until the rest
+// was passed on to the back end, or the daemon that received the request gives up.
+func (s *Server) pass(w http.ResponseWriter, r *http.Request, response *http.Response, body *requestbody.Body) *httpcopy.Error {
 	header := w.Header()
 	backend.CopyHeader(header, response.Header)
 	header.Set(headerRelayed, headerSet)
 	if response.StatusCode == http.StatusSwitchingProtocols {
+		if sent := body.Await(r.Context()); !sent.Whole() {
+			return &httpcopy.Error{Side: httpcopy.Caller, Cause: sent.Err}
+		}
 		s.upgraded.Add(1)
 		defer s.upgraded.Done()
 		return httpcopy.Upgrade(w, response, func() {})
 	}
-	return httpcopy.Response(w, response, nil)
+	if err := httpcopy.Response(w, response, nil); err != nil {
+		return err
+	}
+	body.PassOn(r.Context(), response.StatusCode)
+	return nil
 }
 
 // respondFailure answers a request to which the back end sent no response.
--- /dev/null
+++ b/requestbody/body.go
@@ -0,0 +1,252 @@
+package requestbody
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// The errors of a Body that was ended before all of it was read.
+const (
+	// ErrEnded: the handler has ended the body.
+	ErrEnded = errors.ConstError("the request's body is no longer passed on")
+	// ErrReaderGone: the transport has given up sending the body.
+	ErrReaderGone = errors.ConstError("the connection to the back end ended before the request's body did")
+	// ErrStalled: nothing of the body has been passed on for StallTimeout.
+	ErrStalled = errors.ConstError("the request's body has stalled")
+)
+
+// StallTimeout is how long a body may make no progress once the caller has its response, or once both directions are
+// blocked. The request occupies a slot of its back end for as long.
+const StallTimeout = 10 * time.Second
+
+// Source is a body as the caller sends it.
+type Source interface {
+	io.Reader
+	// Received reports whether the whole body has been read from the caller's connection. It may be called while
+	// another goroutine reads.
+	Received() bool
+}
+
+// Body is the body of a request that is being served. It is read by one goroutine at a time, and may be ended by another.
+// The methods of a nil Body, which stands for a request without one that is passed on, do nothing.
+type Body struct {
+	source  Source
+	request *http.Request
+	control *http.ResponseController
+
+	mutex   sync.Mutex
+	idle    sync.Cond // signals that no read is in progress
+	reading bool
+	passed  int64 // bytes that were read
+	err     error // why there is nothing more to read; io.EOF: all was read; nil: there may be more
+	ended   chan struct{}
+}
+
+// New returns the body of a request whose handler responds with w. Nothing may have been written to w. From then on, only
+// the Body may read the source, and the handler calls Finish before it returns.
+func New(w http.ResponseWriter, r *http.Request, source Source) *Body {
+	b := &Body{source: source, request: r, control: http.NewResponseController(w), ended: make(chan struct{})}
+	b.idle.L = &b.mutex
+	// An error means that the server reads nothing while a response is written anyway.
+	_ = b.control.EnableFullDuplex()
+	return b
+}
+
+// FromCaller returns the source of a body that is read from the caller's connection alone.
+func FromCaller(body io.Reader) Source {
+	return &callerSource{body: body}
+}
+
+type callerSource struct {
+	body     io.Reader
+	received atomic.Bool
+}
+
+// Read implements io.Reader.
+func (s *callerSource) Read(target []byte) (int, error) {
+	n, err := s.body.Read(target)
+	if err == io.EOF {
+		s.received.Store(true)
+	}
+	return n, err
+}
+
+// Received implements Source.
+func (s *callerSource) Received() bool {
+	return s.received.Load()
+}
+
+// Read implements io.Reader. It blocks until bytes arrive or the body is ended.
+func (b *Body) Read(target []byte) (int, error) {
+	if err := b.beginRead(); err != nil {
+		return 0, err
+	}
+	n, err := b.source.Read(target)
+	return b.endRead(n, err)
+}
+
+func (b *Body) beginRead() error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.err != nil {
+		return b.err
+	}
+	if b.reading {
+		return errors.New("the request's body is read twice at the same time")
+	}
+	b.reading = true
+	return nil
+}
+
+func (b *Body) endRead(n int, err error) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.reading = false
+	b.idle.Broadcast()
+	if b.err != nil {
+		return 0, b.err
+	}
+	b.passed += int64(n)
+	if err != nil {
+		b.endLocked(err)
+	}
+	return n, err
+}
+
+func (b *Body) endLocked(err error) {
+	if b.err == nil {
+		b.err = err
+		close(b.ended)
+	}
+}
+
+// Close implements io.Closer. The transport calls it when it sends nothing more of the body. The body of the caller's
+// request stays open.
+func (b *Body) Close() error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.endLocked(ErrReaderGone)
+	return nil
+}
+
+// End makes all further reads fail, unless the whole body was read before. It blocks until a read in progress has
+// returned, which it aborts; nothing more can be read from an HTTP/1 connection then.
+func (b *Body) End() {
+	b.end(ErrEnded)
+}
+
+func (b *Body) end(cause error) {
+	if b == nil {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.endLocked(cause)
+	if b.reading {
+		// An error means that the connection has been closed, which ends the read as well.
+		_ = b.control.SetReadDeadline(aLongTimeAgo)
+	}
+	for b.reading {
+		b.idle.Wait()
+	}
+}
+
+// aLongTimeAgo is a deadline that has passed.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// received reports whether the caller's connection holds nothing more of the body.
+func (b *Body) received() bool {
+	return b.source.Received()
+}
+
+// Progress is how far a body has been passed on.
+type Progress struct {
+	Bytes int64
+	// Err tells how the body ended; io.EOF: as a whole one; nil: it has not ended.
+	Err error
+}
+
+// Whole reports whether the whole body was passed on.
+func (p Progress) Whole() bool {
+	return p.Err == io.EOF
+}
+
+// Progress returns how far the body has been passed on.
+func (b *Body) Progress() Progress {
+	if b == nil {
+		return Progress{Err: io.EOF}
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return Progress{Bytes: b.passed, Err: b.err}
+}
+
+// PassOn passes on the rest of the body of a request whose response, of this status, has been written. It ends the body;
+// until then it blocks like Await. A server that has responded with a failure does not need the rest.
+func (b *Body) PassOn(ctx context.Context, status int) Progress {
+	if b.Progress().Whole() {
+		return b.Progress()
+	}
+	// The caller may wait for the end of the response before it sends the rest. An error means that it has left.
+	if status < http.StatusBadRequest && b.control.Flush() == nil {
+		b.Await(ctx)
+	}
+	b.End()
+	return b.Progress()
+}
+
+// Await blocks until the body has ended. It ends the body itself once nothing of it was passed on for StallTimeout, or
+// when ctx is done.
+func (b *Body) Await(ctx context.Context) Progress {
+	if b == nil {
+		return b.Progress()
+	}
+	timer := time.NewTimer(StallTimeout)
+	defer timer.Stop()
+	for before := b.Progress(); ; {
+		select {
+		case <-b.ended:
+			return b.Progress()
+		case <-ctx.Done():
+			b.End()
+		case <-timer.C:
+			now := b.Progress()
+			if now.Bytes == before.Bytes {
+				b.end(ErrStalled)
+			}
+			before = now
+			timer.Reset(StallTimeout)
+		}
+	}
+}
+
+const (
+	// discardTimeout and maxDiscarded bound what is read of a body that is not needed: a connection that is closed with
+	// unread bytes is reset, and the caller may lose the response.
+	discardTimeout = 500 * time.Millisecond
+	maxDiscarded   = 1 << 20
+)
+
+// Finish ends the body. The handler calls it last, after it has written its response. On a connection that is closed after
+// the response, Finish discards what still arrives for a short time, so that the caller can read the response.
+func (b *Body) Finish() {
+	if b == nil {
+		return
+	}
+	b.End()
+	if b.request.ProtoMajor != 1 || b.received() {
+		return
+	}
+	// Errors mean that the connection has been closed.
+	if b.control.Flush() == nil && b.control.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+		_, _ = io.CopyN(io.Discard, b.source, maxDiscarded)
+	}
+	// net/http's server tries to read the rest without a limit of time.
+	_ = b.control.SetReadDeadline(aLongTimeAgo)
+}
