frontend: a request whose body stalls is answered at its deadline

A caller that stopped sending a long body got no answer at the request's deadline, nor later: net/http's transport, whose request was cancelled, waits for the goroutine that sends the body, which waited for the caller.

The body is ended with the request's context, which aborts the read. The back end sees a body that is cut short.

TestStalledBodyIsAnsweredAtDeadline failed before: no answer in 1.3 s at a deadline of 0.3 s, for a body with a length and one in chunks; now 0.3 s.

--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -340,3 +340,22 @@
 		require.False(t, response.Close)
 	}
 }
+
+// TestStalledBodyIsAnsweredAtDeadline guards against a request that has no answer at its deadline because its caller has
+// stopped sending the body: the transport waits for the body even after the request was given up.
+func TestStalledBodyIsAnsweredAtDeadline(t *testing.T) {
+	for name, framing := range map[string]string{"length": "Content-Length: 200000", "chunks": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := &earlyBackend{received: make(chan receivedBody, 1)}
+			conn := dial(t, serveFrom(t, backend.start(t), config.Content{}))
+			_, err := io.WriteString(conn, "POST /corrections HTTP/1.1\r\nHost: h\r\nTuliphall-Deadline-Ms: 300\r\n"+framing+"\r\n\r\n100\r\n"+strings.Repeat("x", 256)+"\r\n")
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(1300*time.Millisecond)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+			require.Error(t, (<-backend.received).err, "the back end must not take what it got for a whole body")
+		})
+	}
+}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -226,6 +226,7 @@
 	defer timer.Stop()
 	w = c.stream(w)
 	defer c.streamed.End()
+	defer c.streamed.EndWith(ctx)()
 	a := &attempter{handler: h, call: c, writer: w, deadline: timer}
 	a.serve(ctx)
 	c.streamed.Finish()
--- a/requestbody/body.go
+++ b/requestbody/body.go
@@ -160,6 +160,14 @@
 // aLongTimeAgo is a deadline that has passed.
 var aLongTimeAgo = time.Unix(1, 0)
 
+// EndWith ends the body when ctx is done. The function that it returns stops that.
+func (b *Body) EndWith(ctx context.Context) (stop func() bool) {
+	if b == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(ctx, b.End)
+}
+
 // received reports whether the caller's connection holds nothing more of the body.
 func (b *Body) received() bool {
 	return b.source.Received()
