frontend: a request whose body is late is answered in time

A caller that did not send the short body that it had declared got no answer at the request's deadline, nor later: only bodies of unknown length were read with a deadline. A refusal for another reason (no route, no key, no configuration yet) was sent only once net/http's server had read up to 256 KiB of the body.

All bodies are read with the request's deadline, after which the answer is 503, not run. A refusal waits for an unread body for 50 ms at most and then closes the connection.

TestLateBodyIsAnsweredAtDeadline (short body) and TestRefusalDoesNotAwaitBody failed before: no answer in 1.3 s at a deadline of 0.3 s, and none in 1 s.

--- a/frontend/call.go
+++ b/frontend/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -148,7 +149,7 @@
 }
 
 // newCall creates a call from the request's headers, policy and body.
-func (h *Handler) newCall(r *http.Request, id string, route *config.CompiledRoute, svc *service.Service, caller identity.Caller) (*call, *resultcode.Failure) {
+func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, id string, route *config.CompiledRoute, svc *service.Service, caller identity.Caller) (*call, *resultcode.Failure) {
 	parsed, err := parseHeaders(r.Header, h.options.Dialect)
 	if err != nil {
 		return nil, &resultcode.Failure{Code: resultcode.BadRequest, Detail: err.Error()}
@@ -178,7 +179,7 @@
 			return nil, failure
 		}
 	}
-	if failure := c.bufferBody(); failure != nil {
+	if failure := c.bufferBody(w); failure != nil {
 		return nil, failure
 	}
 	return c, nil
@@ -203,8 +204,9 @@
 	return 0
 }
 
-// bufferBody reads a small body of known length into memory, so that it can be sent again.
-func (c *call) bufferBody() *resultcode.Failure {
+// bufferBody reads a small body of known length into memory, so that it can be sent again. It blocks until the deadline at
+// most.
+func (c *call) bufferBody(w http.ResponseWriter) *resultcode.Failure {
 	length := c.request.ContentLength
 	if length == 0 {
 		c.buffered = true
@@ -214,13 +216,33 @@
 		return nil
 	}
 	body := make([]byte, length)
-	if _, err := io.ReadFull(c.request.Body, body); err != nil {
-		return &resultcode.Failure{Code: resultcode.BadRequest, Detail: "the request's body ended early: " + err.Error()}
+	if err := c.readUntilDeadline(w, func() error {
+		_, err := io.ReadFull(c.request.Body, body)
+		return err
+	}); err != nil {
+		return bodyFailure(err)
 	}
 	c.body, c.buffered = body, true
 	return nil
 }
 
+// readUntilDeadline calls read, which reads from the caller's connection, and aborts it at the deadline.
+func (c *call) readUntilDeadline(w http.ResponseWriter, read func() error) error {
+	control := http.NewResponseController(w)
+	// Errors mean that the connection is broken, which reading reports.
+	_ = control.SetReadDeadline(c.deadline)
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	return read()
+}
+
+// bodyFailure returns the failure of a request whose body could not be read.
+func bodyFailure(err error) *resultcode.Failure {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &resultcode.Failure{Code: resultcode.DeadlineTooShort, Detail: "the request's body did not arrive before the deadline"}
+	}
+	return &resultcode.Failure{Code: resultcode.BadRequest, Detail: "the request's body ended early: " + err.Error()}
+}
+
 // stream starts to pass on the body, unless all of it is buffered, and returns the writer for the response.
 func (c *call) stream(w http.ResponseWriter) http.ResponseWriter {
 	if c.buffered {
--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -359,3 +359,48 @@
 		})
 	}
 }
+
+// TestLateBodyIsAnsweredAtDeadline guards against a request without an answer at its deadline because the body, which is
+// read before the request is sent, has not arrived.
+func TestLateBodyIsAnsweredAtDeadline(t *testing.T) {
+	limits := config.Content{Limits: &config.RequestLimits{MaxBodyBytes: 1 << 20}}
+	for name, test := range map[string]struct {
+		framing string
+		content config.Content
+	}{
+		"short body":           {"Content-Length: 1000", config.Content{}},
+		"chunks that are held": {"Transfer-Encoding: chunked", limits},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn := dial(t, serveFrom(t, "127.0.0.1:1", test.content))
+			_, err := io.WriteString(conn, "POST /corrections HTTP/1.1\r\nHost: h\r\nTuliphall-Deadline-Ms: 300\r\n"+test.framing+"\r\n\r\n100\r\n")
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(1300*time.Millisecond)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, "not-run", response.Header.Get("Tuliphall-Run"))
+			require.True(t, response.Close)
+		})
+	}
+}
+
+// TestRefusalDoesNotAwaitBody guards against a refusal that is sent only once the caller has sent its body, and against
+// closing the connection of a caller that does send it.
+func TestRefusalDoesNotAwaitBody(t *testing.T) {
+	handler := newTestHandler(t, newTestRegistry(t, &config.Document{Revision: 1, Content: config.Content{Services: []config.Service{{Name: "prices", PathPrefix: "/prices/"}}}}), fixedPeers{})
+	conn := dial(t, startServer(t, handler))
+	responses := bufio.NewReader(conn)
+	for _, body := range []string{strings.Repeat("x", 100_000), strings.Repeat("x", 100_000), ""} {
+		_, err := io.WriteString(conn, "POST /elsewhere HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+body)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+		response, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotFound, response.StatusCode)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.Equal(t, body == "", response.Close)
+	}
+}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -205,9 +205,9 @@
 	h.metrics.inFlight.Update(float64(h.inFlight.Add(1)))
 	defer h.inFlight.Add(-1)
 	id := h.requestID(r.Header)
-	c, failure := h.admit(r, id, forwarded)
+	c, failure := h.admit(w, r, id, forwarded)
 	if failure != nil {
-		h.respondFailure(w, id, failure)
+		h.refuseUnread(w, r, id, failure)
 		return
 	}
 	if !forwarded {
@@ -255,7 +255,7 @@
 const notConfiguredRetryAfter = 250 * time.Millisecond
 
 // admit authenticates the caller, selects the service of the request and creates a call.
-func (h *Handler) admit(r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
+func (h *Handler) admit(w http.ResponseWriter, r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
 	if h.options.Services.Snapshot() == nil || !h.options.Configured() {
 		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "configuration and back ends have not all been read yet", RetryAfter: notConfiguredRetryAfter}
 	}
@@ -273,7 +273,7 @@
 	if !ok {
 		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "service " + name}
 	}
-	c, failure := h.newCall(r, id, route, svc, caller)
+	c, failure := h.newCall(w, r, id, route, svc, caller)
 	if failure != nil {
 		return nil, failure
 	}
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -132,35 +131,19 @@
 	if limits.BodyBytes == 0 || r.ContentLength >= 0 {
 		return func() {}, nil
 	}
-	controller := http.NewResponseController(w)
-	// An error means that the connection is broken, which reading reports.
-	_ = controller.SetReadDeadline(c.deadline)
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	var held []byte
 	reserved := int64(0)
 	release = func() { h.heldBodies.release(reserved) }
 	// One byte more than allowed distinguishes a body at the limit from a larger one.
 	wanted := min(limits.BodyBytes, maxHeldBody) + 1
 	complete := false
-	for !complete && int64(len(held)) < wanted {
-		if int64(len(held)) == reserved {
-			more := min(max(reserved, minHeldBody), wanted-reserved)
-			if !h.heldBodies.reserve(more) {
-				break
-			}
-			reserved += more
-			held = append(make([]byte, 0, reserved), held...)
-		}
-		n, err := r.Body.Read(held[len(held):reserved])
-		held = held[:len(held)+n]
-		switch {
-		case err == io.EOF:
-			complete = true
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return release, &resultcode.Failure{Code: resultcode.DeadlineTooShort, Detail: "the request's body did not arrive before the deadline"}
-		case err != nil:
-			return release, &resultcode.Failure{Code: resultcode.BadRequest, Detail: "the request's body ended early: " + err.Error()}
-		}
+	err := c.readUntilDeadline(w, func() error {
+		var err error
+		held, complete, err = h.readHeld(r.Body, wanted, &reserved)
+		return err
+	})
+	if err != nil {
+		return release, bodyFailure(err)
 	}
 	if !limits.BodyFits(int64(len(held))) {
 		return release, bodyTooLarge(limits, "body without a declared length")
@@ -170,6 +153,30 @@
 	return release, nil
 }
 
+// readHeld reads up to wanted bytes of a body, as far as memory may be reserved for them. It adds to reserved what it has
+// reserved, and reports whether the body is complete.
+func (h *Handler) readHeld(body io.Reader, wanted int64, reserved *int64) (held []byte, complete bool, err error) {
+	for int64(len(held)) < wanted {
+		if int64(len(held)) == *reserved {
+			more := min(max(*reserved, minHeldBody), wanted-*reserved)
+			if !h.heldBodies.reserve(more) {
+				break
+			}
+			*reserved += more
+			held = append(make([]byte, 0, *reserved), held...)
+		}
+		n, err := body.Read(held[len(held):*reserved])
+		held = held[:len(held)+n]
+		if err == io.EOF {
+			return held, true, nil
+		}
+		if err != nil {
+			return held, false, err
+		}
+	}
+	return held, false, nil
+}
+
 const (
 	// discardTimeout and maxDiscardedBody bound what is read of a refused body: a connection that is closed with unread
 	// bytes is reset, and the caller may lose the response.
@@ -177,6 +184,23 @@
 	maxDiscardedBody = 1 << 20
 )
 
+// refusedBodyWait is how long the refusal of a request waits for a body, so that the connection can be used again.
+const refusedBodyWait = 50 * time.Millisecond
+
+// refuseUnread responds to a request that is refused before its body has been passed on.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, id string, failure *resultcode.Failure) {
+	if failure.Code == resultcode.DeadlineTooShort {
+		h.refuseBody(w, r, id, failure) // the body is late
+		return
+	}
+	if r.ContentLength != 0 {
+		// net/http's server reads the body before it sends the response. It closes the connection if the time is over.
+		// An error means that the connection has been closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyWait))
+	}
+	h.respondFailure(w, id, failure)
+}
+
 // refuseBody responds to a request of whose body not all has been read, and ends its connection: skipping the rest could
 // take as long as the caller likes.
 func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, id string, failure *resultcode.Failure) {
