soak: long bodies that tell their offsets, to back ends that respond early

One request in twenty has a body of 160 KiB, with a length or in chunks; a quarter of their callers leave before the end. Back ends respond first and then read the body. The new promise BODY is broken by other bytes, or by a part that ends as a whole body. The largest allowed body is 256 KiB instead of 4 KiB, so that these are not refused.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -53,6 +53,7 @@
 		}
 		keepAlive, unsafe, toNewestRoute := c.random.IntN(2) == 0, c.random.IntN(3) == 0, c.random.IntN(8) == 0
 		oversized, chunked := c.random.IntN(20) == 0, c.random.IntN(2) == 0
+		upload, leaves := c.random.IntN(20) == 0, c.random.IntN(4) == 0
 		pipelined := 0
 		if c.random.IntN(10) == 0 {
 			pipelined = 2 + c.random.IntN(maxPipelined-1)
@@ -62,6 +63,8 @@
 			switch {
 			case oversized:
 				c.sendOversized(target, chunked)
+			case upload:
+				c.sendUpload(target, chunked, leaves)
 			case pipelined > 0:
 				c.sendPipelined(target, pipelined)
 			case toNewestRoute:
--- a/lab/soak/requestlimits.go
+++ b/lab/soak/requestlimits.go
@@ -9,7 +9,7 @@
 
 // Limits on requests that two of three configurations declare. All requests keep them but those that sendOversized sends.
 const (
-	soakBodyLimit   = 4096
+	soakBodyLimit   = 256 << 10
 	soakIdleTimeout = 5 * time.Second
 )
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -94,6 +95,14 @@
 			r.recordExecution("u-1", "/unsafe/u-1")
 		}},
 		"not used after its silence": {"REUSE", func(r *report) { r.recordReuse("i-1", 0) }},
+		"other bytes of a body": {"BODY: i-1 got other bytes of u-1 from offset 23 on, 32 received", func(r *report) {
+			received, wrongAt, err := checkUpload(strings.NewReader(string(uploadWord(0)) + string(uploadWord(8)) + string(uploadWord(24)) + string(uploadWord(32))))
+			r.recordUpload("i-1", "u-1", received, wrongAt, err)
+		}},
+		"body that ends too early": {"BODY", func(r *report) {
+			received, wrongAt, err := checkUpload(strings.NewReader(string(uploadWord(0))))
+			r.recordUpload("i-1", "u-1", received, wrongAt, err)
+		}},
 		"interrupted by a planned stop": {"LOST", func(r *report) {
 			r.recordExecution("u-1", "/unsafe/u-1")
 			r.recordNoResponse("u-1", "/unsafe/u-1", true, io.ErrUnexpectedEOF)
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -182,5 +182,9 @@
 		rw.Header().Set("Request-Id", "another")
 	}
 	rw.Header().Set("Server-Stamp", w.id)
+	if isUpload(r.URL.Path) {
+		w.receiveUpload(rw, r, id, expectedBody(id, r.URL.Path))
+		return
+	}
 	fmt.Fprint(rw, expectedBody(id, r.URL.Path))
 }
