requestbody: a connection whose read was aborted is not used again

net/http's server takes an aborted read for the end of the connection and cancels all later requests on it. If a read was aborted in the moment in which the body became complete, the connection was kept. It is closed with the response now; a body that is read whole only after the deadline is refused as late. Found by reading, not seen.

The rest of a body is awaited for 2 s without progress after the response instead of 10 s: over HTTP/2 and in chunks the caller sees the end of the response only after it. A connection holds no body that was sent on it before.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -155,7 +155,7 @@
 // newExchange returns the exchange of a request that has got no connection yet.
 func newExchange(request *http.Request) *exchange {
 	e := &exchange{}
-	e.upload = &upload{body: emptyBody{}, exchange: e}
+	e.upload = &upload{uploadState: &uploadState{}, body: emptyBody{}, exchange: e}
 	if request.Body == nil || request.Body == http.NoBody {
 		request.ContentLength = 0
 		e.upload.ended.Store(true)
@@ -172,7 +172,7 @@
 	}
 	e.upload.stop = context.AfterFunc(ctx, func() {
 		if conn := e.connection(); conn != nil {
-			conn.abandonUpload(e.upload)
+			conn.abandonUpload(e.upload.uploadState)
 		}
 	})
 }
@@ -185,7 +185,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.conn = conn
-	conn.begin(e.upload)
+	conn.begin(e.upload.uploadState)
 	e.writesBefore = conn.writesStarted()
 	e.readsBefore = conn.reads.Load()
 }
@@ -229,7 +229,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.conn != nil {
-		e.conn.abandonUpload(e.upload)
+		e.conn.abandonUpload(e.upload.uploadState)
 		e.conn.Close()
 	}
 }
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -32,10 +32,10 @@
 	recording    bool   // the head is not complete
 	writing      bool   // a write is in progress
 
-	upload       *upload // the body of the current request
-	early        bool    // the response came before the end of the body
-	abandoned    bool    // the rest of the body is not sent
-	closePending bool    // the transport has closed the connection, which is kept open for the rest of the body
+	upload       *uploadState // the body of the current request
+	early        bool         // the response came before the end of the body
+	abandoned    bool         // the rest of the body is not sent
+	closePending bool         // the transport has closed the connection, which is kept open for the rest of the body
 }
 
 // Write implements net.Conn. A write counts when it starts, as a failed one may
@@ -100,7 +100,7 @@
 }
 
 // begin starts to record the head of the response to a request, whose body is sent as an upload.
-func (c *trackedConn) begin(sent *upload) {
+func (c *trackedConn) begin(sent *uploadState) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.responseHead, c.recording = c.responseHead[:0], true
--- a/backend/upload.go
+++ b/backend/upload.go
@@ -15,14 +15,19 @@
 // of the response, also if the body is still being sent. An upload then keeps the connection open until the server has been
 // sent the whole body.
 type upload struct {
+	*uploadState
 	body       io.Reader
 	readFailed atomic.Bool // the caller's body could not be read
-	ended      atomic.Bool // nothing more is read of the body
-	whole      atomic.Bool // the whole body has been read
 	exchange   *exchange
 	stop       func() bool // stops waiting for the end of the request's context; nil: there is no body
 }
 
+// uploadState is what a connection, which may be kept for long, holds of an upload.
+type uploadState struct {
+	ended atomic.Bool // nothing more is read of the body
+	whole atomic.Bool // the whole body has been read
+}
+
 // Read implements io.Reader.
 func (u *upload) Read(data []byte) (int, error) {
 	n, err := u.body.Read(data)
@@ -53,7 +58,7 @@
 	}
 	u.stop()
 	if conn := u.exchange.connection(); conn != nil {
-		conn.uploadEnded(u)
+		conn.uploadEnded(u.uploadState)
 	}
 }
 
@@ -84,7 +89,7 @@
 }
 
 // uploadEnded is called when nothing more is read of a request's body.
-func (c *trackedConn) uploadEnded(ended *upload) {
+func (c *trackedConn) uploadEnded(ended *uploadState) {
 	c.mutex.Lock()
 	pending := c.upload == ended && c.closePending
 	c.mutex.Unlock()
@@ -118,7 +123,7 @@
 }
 
 // abandonUpload closes a connection that is kept open for the rest of a body, if that body has not been read to its end.
-func (c *trackedConn) abandonUpload(abandoned *upload) {
+func (c *trackedConn) abandonUpload(abandoned *uploadState) {
 	c.mutex.Lock()
 	if c.upload != abandoned || abandoned.whole.Load() {
 		c.mutex.Unlock()
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -226,13 +226,18 @@
 	return nil
 }
 
-// readUntilDeadline calls read, which reads from the caller's connection, and aborts it at the deadline.
+// readUntilDeadline calls read, which reads from the caller's connection, and aborts it at the deadline. The connection
+// cannot be used for another request if the deadline has passed.
 func (c *call) readUntilDeadline(w http.ResponseWriter, read func() error) error {
 	control := http.NewResponseController(w)
 	// Errors mean that the connection is broken, which reading reports.
 	_ = control.SetReadDeadline(c.deadline)
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	return read()
+	err := read()
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil && !time.Now().Before(c.deadline) {
+		return os.ErrDeadlineExceeded
+	}
+	return err
 }
 
 // bodyFailure returns the failure of a request whose body could not be read.
--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -251,6 +251,31 @@
 	}
 }
 
+// TestEarlyResponseToCallerThatWaitsToContinue guards against the same fault where the caller sends the body only once it is
+// told to.
+func TestEarlyResponseToCallerThatWaitsToContinue(t *testing.T) {
+	for responseName, response := range responsesBeforeBody() {
+		t.Run(responseName, func(t *testing.T) {
+			t.Parallel()
+			backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
+			conn := dial(t, serveFrom(t, backend.start(t), config.Content{}))
+			body := offsetBody(160 << 10)
+			_, err := fmt.Fprintf(conn, "%sExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", uploadHead, len(body))
+			require.NoError(t, err)
+			responses := bufio.NewReader(conn)
+			interim, err := http.ReadResponse(responses, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusContinue, interim.StatusCode)
+			go conn.Write(body)
+			relayed, err := http.ReadResponse(responses, nil)
+			require.NoError(t, err)
+			_, err = io.ReadAll(relayed.Body)
+			require.NoError(t, err)
+			requireWhole(t, body, <-backend.received)
+		})
+	}
+}
+
 // TestBodyThatBreaksOffIsNotWhole guards against a body that is ended properly although the caller has left before its end:
 // the back end could not tell it from a whole one. Also if nothing but the last chunk is missing.
 func TestBodyThatBreaksOffIsNotWhole(t *testing.T) {
--- a/requestbody/body.go
+++ b/requestbody/body.go
@@ -17,13 +17,18 @@
 	ErrEnded = errors.ConstError("the request's body is no longer passed on")
 	// ErrReaderGone: the transport has given up sending the body.
 	ErrReaderGone = errors.ConstError("the connection to the back end ended before the request's body did")
-	// ErrStalled: nothing of the body has been passed on for StallTimeout.
+	// ErrStalled: nothing of the body has been passed on for RestTimeout or StallTimeout.
 	ErrStalled = errors.ConstError("the request's body has stalled")
 )
 
-// StallTimeout is how long a body may make no progress once the caller has its response, or once both directions are
-// blocked. The request occupies a slot of its back end for as long.
-const StallTimeout = 10 * time.Second
+const (
+	// RestTimeout is how long a body may make no progress after the response was written. The request occupies a slot of
+	// its back end for as long, and over HTTP/2 or in chunks the caller does not see the end of the response before.
+	RestTimeout = 2 * time.Second
+	// StallTimeout is how long both directions may be blocked, and how long a body may make no progress before the protocol
+	// is switched.
+	StallTimeout = 10 * time.Second
+)
 
 // Source is a body as the caller sends it.
 type Source interface {
@@ -43,6 +48,7 @@
 	mutex   sync.Mutex
 	idle    sync.Cond // signals that no read is in progress
 	reading bool
+	aborted bool  // a read from the connection was aborted
 	passed  int64 // bytes that were read
 	err     error // why there is nothing more to read; io.EOF: all was read; nil: there may be more
 	ended   chan struct{}
@@ -148,7 +154,8 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.endLocked(cause)
-	if b.reading {
+	if b.reading && !b.source.Received() {
+		b.aborted = true
 		// An error means that the connection has been closed, which ends the read as well.
 		_ = b.control.SetReadDeadline(aLongTimeAgo)
 	}
@@ -168,9 +175,12 @@
 	return context.AfterFunc(ctx, b.End)
 }
 
-// received reports whether the caller's connection holds nothing more of the body.
-func (b *Body) received() bool {
-	return b.source.Received()
+// connectionReusable reports whether the caller's connection can be used for another request: it holds nothing more of the
+// body, and no read from it was aborted, which net/http's server takes for the end of the connection.
+func (b *Body) connectionReusable() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.source.Received() && !b.aborted
 }
 
 // Progress is how far a body has been passed on.
@@ -196,14 +206,14 @@
 }
 
 // PassOn passes on the rest of the body of a request whose response, of this status, has been written. It ends the body;
-// until then it blocks like Await. A server that has responded with a failure does not need the rest.
+// until then it blocks while the body makes progress. A server that has responded with a failure does not need the rest.
 func (b *Body) PassOn(ctx context.Context, status int) Progress {
 	if b.Progress().Whole() {
 		return b.Progress()
 	}
 	// The caller may wait for the end of the response before it sends the rest. An error means that it has left.
 	if status < http.StatusBadRequest && b.control.Flush() == nil {
-		b.Await(ctx)
+		b.await(ctx, RestTimeout)
 	}
 	b.End()
 	return b.Progress()
@@ -212,15 +222,19 @@
 // Await blocks until the body has ended. It ends the body itself once nothing of it was passed on for StallTimeout, or
 // when ctx is done.
 func (b *Body) Await(ctx context.Context) Progress {
-	if b == nil {
-		return b.Progress()
+	if b != nil {
+		b.await(ctx, StallTimeout)
 	}
-	timer := time.NewTimer(StallTimeout)
+	return b.Progress()
+}
+
+func (b *Body) await(ctx context.Context, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for before := b.Progress(); ; {
 		select {
 		case <-b.ended:
-			return b.Progress()
+			return
 		case <-ctx.Done():
 			b.End()
 		case <-timer.C:
@@ -229,7 +243,7 @@
 				b.end(ErrStalled)
 			}
 			before = now
-			timer.Reset(StallTimeout)
+			timer.Reset(timeout)
 		}
 	}
 }
@@ -248,7 +262,7 @@
 		return
 	}
 	b.End()
-	if b.request.ProtoMajor != 1 || b.received() {
+	if b.request.ProtoMajor != 1 || b.connectionReusable() {
 		return
 	}
 	// Errors mean that the connection has been closed.
--- a/requestbody/response.go
+++ b/requestbody/response.go
@@ -45,7 +45,7 @@
 		return
 	}
 	w.begun = true
-	if w.body.request.ProtoMajor == 1 && !w.body.received() {
+	if w.body.request.ProtoMajor == 1 && !w.body.connectionReusable() {
 		w.Header().Set("Connection", "close")
 	}
 	if w.body.Progress().Err == nil {
