--- a/explain/cause.go
+++ b/explain/cause.go
@@ -47,6 +47,7 @@
 			return l.slowBackendCause(outcome, lines[:end])
 		}
 		cause := answeredCause(outcome)
+		cause.Description += earlyResponse(lines)
 		cause.Assumption = l.newerRevisionElsewhere(outcome.Daemon, outcome.Time)
 		if cause.Assumption == "" {
 			cause.Assumption = relayedBecause(outcome)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -57,6 +57,12 @@
 	}{
 		{"answered", []string{"1s|d1|routing: chosen|" + chosen, `1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200,"backend_latency":150000000,"total":200000000`},
 			"answered", "b1", "b1 answered after 150ms; 50ms were spent", ""},
+		{"answered early, body cut", []string{`1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200,"backend_latency":150000000,"total":200000000`,
+			`1.4s|d1|frontend: response before the end of the request's body|"request":"r1","service":"s","status":200,"body_bytes":4096,"body_whole":false,"cause":"unexpected EOF","after_response":200000000`},
+			"answered", "b1", "before the end of the request's body, of which it got 4096 bytes and then a broken connection, 200ms after the response (unexpected EOF)", ""},
+		{"answered early, body whole", []string{`1.2s|d1|frontend: answered|"request":"r1","code":1000,"service":"s","backend":"b1","status":200,"backend_latency":150000000,"total":200000000`,
+			`1.4s|d1|frontend: response before the end of the request's body|"request":"r1","service":"s","status":200,"body_bytes":4096,"body_whole":true,"cause":"","after_response":200000000`},
+			"answered", "b1", "the rest was passed on in the 200ms after that, 4096 bytes in all", ""},
 		{"tenant over its share", []string{`1.2s|d1|frontend: failed|` + failed + `"tenant":"north","code":2004,"name":"deadline-too-short","cause":"no place in time: 3 wait; tenant north is over its share of the slots: it needs 72.0 and may use 16.0; tenant north holds most, 16 of 24"`},
 			"tenant over its share", "north", "it needs 72.0 and may use 16.0", ""},
 		{"tenant within its share", []string{`1.2s|d1|frontend: failed|` + failed + `"tenant":"south","code":2004,"name":"deadline-too-short","cause":"no place in time: 3 wait; tenant south is within its share of the slots: it needs 1.0 and may use 8.0; tenant north holds most, 16 of 24"`},
--- a/explain/line.go
+++ b/explain/line.go
@@ -58,6 +58,11 @@
 	Via    string   `json:"via"`
 	CutOff Duration `json:"cut_off"`
 
+	// What became of a body after the response.
+	BodyBytes     int64    `json:"body_bytes"`
+	BodyWhole     bool     `json:"body_whole"`
+	AfterResponse Duration `json:"after_response"`
+
 	// Changes of a daemon's state.
 	Revision uint64 `json:"revision"`
 	Previous Text   `json:"before"`
