--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -9,11 +9,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/config"
@@ -118,6 +120,12 @@
 	return server
 }
 
+func newHTTP2Client() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: protocols}}
+}
+
 // upload sends the body of a request in pieces.
 type upload struct {
 	body    []byte
@@ -228,9 +236,6 @@
 			t.Parallel()
 			backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
 			server := serveFrom(t, backend.start(t), config.Content{})
-			protocols := new(http.Protocols)
-			protocols.SetUnencryptedHTTP2(true)
-			client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
 			reader, writer := io.Pipe()
 			body := offsetBody(160 << 10)
 			go func() {
@@ -240,7 +245,7 @@
 				}
 				writer.Close()
 			}()
-			relayed, err := client.Post(server.URL+"/corrections", "text/plain", reader)
+			relayed, err := newHTTP2Client().Post(server.URL+"/corrections", "text/plain", reader)
 			require.NoError(t, err)
 			defer relayed.Body.Close()
 			require.Equal(t, 2, relayed.ProtoMajor)
@@ -385,6 +390,82 @@
 	}
 }
 
+// TestStalledBodyOverHTTP2IsAnsweredAtDeadline guards against the same fault where the caller speaks HTTP/2.
+func TestStalledBodyOverHTTP2IsAnsweredAtDeadline(t *testing.T) {
+	backend := &earlyBackend{received: make(chan receivedBody, 1)}
+	server := serveFrom(t, backend.start(t), config.Content{})
+	reader, writer := io.Pipe()
+	defer writer.Close()
+	go writer.Write(offsetBody(100 << 10))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/corrections", reader)
+	require.NoError(t, err)
+	request.Header.Set("Tuliphall-Deadline-Ms", "300")
+	begin := time.Now()
+	response, err := newHTTP2Client().Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+	require.Less(t, time.Since(begin), 1300*time.Millisecond)
+	require.Error(t, (<-backend.received).err, "the back end must not take what it got for a whole body")
+}
+
+// TestLongBodiesAreNotHeld guards against memory that grows with the size of bodies where both directions are streamed at the
+// same time.
+func TestLongBodiesAreNotHeld(t *testing.T) {
+	const connections, bodyBytes, limitBytes = 16, 16 << 20, 32 << 20
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if http.NewResponseController(w).EnableFullDuplex() != nil {
+			return
+		}
+		_, _ = io.Copy(w, r.Body)
+	}))
+	t.Cleanup(backend.Close)
+	server := serveFrom(t, backend.Listener.Addr().String(), config.Content{})
+	highest := uint64(0)
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var callers sync.WaitGroup
+	for range connections {
+		conn := dial(t, server)
+		callers.Go(func() {
+			piece := make([]byte, 32<<10)
+			fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", uploadHead, bodyBytes)
+			for range bodyBytes / len(piece) {
+				if _, err := conn.Write(piece); err != nil {
+					return
+				}
+			}
+		})
+		callers.Go(func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if !assert.NoError(t, err) {
+				return
+			}
+			count, err := io.Copy(io.Discard, response.Body)
+			assert.NoError(t, err)
+			assert.EqualValues(t, bodyBytes, count)
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		callers.Wait()
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(5 * time.Millisecond):
+			var now runtime.MemStats
+			runtime.ReadMemStats(&now)
+			highest = max(highest, now.HeapInuse)
+		}
+	}
+	require.Less(t, int64(highest)-int64(before.HeapInuse), int64(limitBytes))
+	t.Logf("%d MB of heap in use at most, %d MB before", highest>>20, before.HeapInuse>>20)
+}
+
 // TestLateBodyIsAnsweredAtDeadline guards against a request without an answer at its deadline because the body, which is
 // read before the request is sent, has not arrived.
 func TestLateBodyIsAnsweredAtDeadline(t *testing.T) {
