peer: no background task starts while a daemon awaits the end of the others

The race detector reported sync.WaitGroup.Add beside Wait while a daemon ended, once, in TestChangeAfterAllWatchersArePoweredOff (lab/objectstub): calls of other daemons are still served then, and each may start a task. WaitGroup may panic on that.

Tasks are started under a mutex, and none once the end has begun.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -135,6 +135,6 @@
 		n.options.Configuration.RecordNewerPeer(from, position)
 	}
 	if syncDue {
-		n.background.Go(func() { n.sync(ctx, from) })
+		n.background.start(func() { n.sync(ctx, from) })
 	}
 }
--- a/peer/join.go
+++ b/peer/join.go
@@ -30,7 +30,7 @@
 func (n *Node) querySeeds(ctx context.Context, seeds []string) bool {
 	answers := make(chan error, len(seeds))
 	for _, address := range seeds {
-		n.background.Go(func() { answers <- n.querySeed(ctx, address) })
+		n.background.start(func() { answers <- n.querySeed(ctx, address) })
 	}
 	timeout := time.NewTimer(seedAnswerTimeout)
 	defer timeout.Stop()
--- a/peer/node.go
+++ b/peer/node.go
@@ -113,7 +113,7 @@
 	gossipRequests chan struct{} // buffers one request for a round of gossip
 
 	encodings  encodingCache
-	background sync.WaitGroup
+	background background
 	heartbeats int // sent so far; used by Run only
 
 	mutex sync.Mutex
@@ -199,7 +199,7 @@
 // members soon. It does not block.
 func (n *Node) notifyDispatcher(service string) {
 	if dispatcher, other := n.DispatcherOf(service); other {
-		n.background.Go(func() {
+		n.background.start(func() {
 			if err := n.exchange(context.Background(), dispatcher); err != nil {
 				n.log.Debug("gossip not delivered", "member", dispatcher.Name, "error", err)
 			}
@@ -210,7 +210,7 @@
 
 // Run joins the other daemons and exchanges state with them until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	defer n.background.Wait()
+	defer n.background.end()
 	n.join(ctx, initialSeedQueries, initialJoinTimeout)
 	seedDispatchEnd := time.NewTimer(seedDispatchDuration)
 	defer seedDispatchEnd.Stop()
