quarantine: requests in chunks are told apart by their bodies

The fingerprint was taken before the body was held, so that all requests in chunks of a caller, and to a path, had the same; any answer to one of them cleared what was noted of the one that crashes back ends. It is taken afterwards now, over what is held: the whole body up to 1 MiB, else its beginning. A forwarded request carries both fingerprints, as the dispatcher's daemon sees neither the caller nor a held body, and crashes are recorded under these.

--- a/frontend/call.go
+++ b/frontend/call.go
@@ -34,8 +34,9 @@
 	HeaderDepth = "Tuliphall-Depth"
 	// HeaderForwardedBy names the daemon that forwarded the request.
 	HeaderForwardedBy = "Tuliphall-Forwarded-By"
-	// HeaderFingerprint holds the exact fingerprint of a forwarded request.
-	HeaderFingerprint = "Tuliphall-Fingerprint"
+	// HeaderFingerprint and HeaderBroadFingerprint hold the fingerprints of a forwarded request.
+	HeaderFingerprint      = "Tuliphall-Fingerprint"
+	HeaderBroadFingerprint = "Tuliphall-Broad-Fingerprint"
 	// HeaderCaller names the tenant of a forwarded request.
 	HeaderCaller = "Tuliphall-Caller"
 	// HeaderBackend names the back end that answered.
@@ -44,7 +45,7 @@
 
 // ownHeaders are the tuliphall headers of requests. They are removed for back ends with a transparent
 // dialect.
-var ownHeaders = []string{HeaderAttempt, HeaderDepth, HeaderForwardedBy, HeaderFingerprint, HeaderCaller}
+var ownHeaders = []string{HeaderAttempt, HeaderDepth, HeaderForwardedBy, HeaderFingerprint, HeaderBroadFingerprint, HeaderCaller}
 
 // Limits on requests.
 const (
@@ -71,6 +72,7 @@
 	body            []byte
 	buffered        bool         // body holds the whole body
 	limitedBody     *limitedBody // a body of unknown length that may prove too large; nil: there is none
+	held            []byte       // the part of limitedBody that was held
 	// streamed is a body that is passed on as it arrives; nil: there is none.
 	streamed *requestbody.Body
 	upgrade  bool
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -55,6 +55,7 @@
 		forwarded.Header.Set(HeaderCaller, name)
 	}
 	forwarded.Header.Set(HeaderFingerprint, c.fingerprints.Exact.String())
+	forwarded.Header.Set(HeaderBroadFingerprint, c.fingerprints.Broad.String())
 	response, err := a.handler.forwardClients.client(dispatcher.ForwardAddress).Do(ctx, forwarded)
 	if err != nil {
 		return a.handleForwardFailure(dispatcher.Name, err)
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -168,6 +168,7 @@
 	// Only daemons may set these headers.
 	r.Header.Del(HeaderForwardedBy)
 	r.Header.Del(HeaderFingerprint)
+	r.Header.Del(HeaderBroadFingerprint)
 	r.Header.Del(HeaderCaller)
 	if h.refuseOverLimits(w, r) {
 		return
@@ -218,6 +219,7 @@
 			return
 		}
 	}
+	c.setFingerprints()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	// The deadline applies to the start of the response: a long response may take as long as the
@@ -278,7 +280,6 @@
 		return nil, failure
 	}
 	c.forwarded, c.tenantsDeclared = forwarded, snapshot.HasTenants()
-	c.setFingerprints()
 	return c, nil
 }
 
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -150,6 +150,7 @@
 	}
 	c.limitedBody = &limitedBody{held: bytes.NewReader(held), rest: r.Body, left: limits.BodyBytes - int64(len(held))}
 	c.limitedBody.received.Store(complete)
+	c.held = held
 	return release, nil
 }
 
--- a/frontend/quarantine.go
+++ b/frontend/quarantine.go
@@ -17,7 +17,7 @@
 	// CrashCount returns how many back ends crashed while they ran a request or its repeats.
 	CrashCount(fingerprints quarantine.Fingerprints) int
 	// RecordCrash records that a back end crashed while it ran a request.
-	RecordCrash(identity quarantine.Identity, service string, backend quarantine.BackendRun)
+	RecordCrash(fingerprints quarantine.Fingerprints, identity quarantine.Identity, service string, backend quarantine.BackendRun)
 	// RecordSuccess records that a back end answered a request.
 	RecordSuccess(fingerprints quarantine.Fingerprints)
 }
@@ -25,10 +25,11 @@
 // noQuarantine quarantines nothing.
 type noQuarantine struct{}
 
-func (noQuarantine) Check(quarantine.Fingerprints) *resultcode.Failure              { return nil }
-func (noQuarantine) CrashCount(quarantine.Fingerprints) int                         { return 0 }
-func (noQuarantine) RecordCrash(quarantine.Identity, string, quarantine.BackendRun) {}
-func (noQuarantine) RecordSuccess(quarantine.Fingerprints)                          {}
+func (noQuarantine) Check(quarantine.Fingerprints) *resultcode.Failure { return nil }
+func (noQuarantine) CrashCount(quarantine.Fingerprints) int            { return 0 }
+func (noQuarantine) RecordCrash(quarantine.Fingerprints, quarantine.Identity, string, quarantine.BackendRun) {
+}
+func (noQuarantine) RecordSuccess(quarantine.Fingerprints) {}
 
 const (
 	// livenessWait is how long a request whose connection broke waits for the liveness check of its
@@ -39,16 +40,21 @@
 	livenessRecheckDelay = 100 * time.Millisecond
 )
 
-// identity returns the properties that a request shares with its repeats but not with other requests.
+// identity returns the properties that a request shares with its repeats but not with other requests. Of a body that is
+// passed on as it arrives, it knows what was held.
 func (c *call) identity() quarantine.Identity {
+	body := c.body
+	if !c.buffered {
+		body = c.held
+	}
 	return quarantine.Identity{
 		Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Caller: callerIP(c.request.RemoteAddr),
-		Body: c.body, Length: c.request.ContentLength,
+		Body: body, Length: c.request.ContentLength,
 	}
 }
 
-// setFingerprints sets the call's fingerprints. The exact fingerprint of a forwarded request is computed by
-// the daemon that received it, because this daemon does not see the caller's address.
+// setFingerprints sets the call's fingerprints. Those of a forwarded request are computed by the daemon that received
+// it, because this daemon does not see the caller's address, and holds no part of the body.
 func (c *call) setFingerprints() {
 	c.fingerprints = c.identity().Fingerprints()
 	if !c.forwarded {
@@ -57,6 +63,9 @@
 	if exact, err := quarantine.ParseFingerprint(c.request.Header.Get(HeaderFingerprint)); err == nil {
 		c.fingerprints.Exact = exact
 	}
+	if broad, err := quarantine.ParseFingerprint(c.request.Header.Get(HeaderBroadFingerprint)); err == nil {
+		c.fingerprints.Broad = broad
+	}
 }
 
 // crashedDuring reports whether the back end of a permit, whose connection broke, crashed while it ran
@@ -115,7 +124,7 @@
 	c := a.call
 	a.handler.metrics.broken[liveness].Inc(1)
 	if liveness == backend.Exited && c.service.IsEligible(permit.backend) {
-		a.handler.options.Quarantine.RecordCrash(c.identity(), c.service.Name(), quarantine.RunOf(permit.backend, permit.started))
+		a.handler.options.Quarantine.RecordCrash(c.fingerprints, c.identity(), c.service.Name(), quarantine.RunOf(permit.backend, permit.started))
 	}
 	a.handler.log.Info("connection broke", "request", c.id, "service", c.service.Name(), "backend", permit.backend, "liveness", string(liveness),
 		"fingerprint", c.fingerprints.Exact.String(), "broad", c.fingerprints.Broad.String(), "attempt_kind", permit.kind.String(), "method", c.request.Method, "target", truncateTarget(c.request.RequestURI),
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -50,8 +50,8 @@
 	Host   string // its port is ignored, as a caller may reach each daemon at a different one
 	Target string // path and query, as received
 	Caller string // IP address
-	Body   []byte // empty if the body was not buffered
-	Length int64  // of the body, also if it was not buffered; negative: unknown
+	Body   []byte // as much of the body as is known before the request is sent
+	Length int64  // of the body, as declared; negative: unknown
 	// broad makes the broad fingerprint differ even if the request has neither caller nor query.
 	broad bool
 }
--- a/quarantine/rollback_test.go
+++ b/quarantine/rollback_test.go
@@ -32,7 +32,7 @@
 		}
 		identity := Identity{Method: "GET", Target: "/a"}
 		for number := range 3 {
-			trackers[0].RecordCrash(identity, "board", RunOf(fmt.Sprint(number), 0))
+			trackers[0].RecordCrash(identity.Fingerprints(), identity, "board", RunOf(fmt.Sprint(number), 0))
 			time.Sleep(time.Second)
 		}
 		for _, record := range trackers[0].Records(10) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -95,11 +95,11 @@
 	return max(t.table.CrashCount(now, fingerprints.Exact), t.table.CrashCount(now, fingerprints.Broad))
 }
 
-// RecordCrash records that a back end crashed while it ran a request of a service.
-func (t *Tracker) RecordCrash(identity Identity, service string, backend BackendRun) {
+// RecordCrash records that a back end crashed while it ran a request of a service. The identity describes the request; its
+// fingerprints are computed by the daemon that received it.
+func (t *Tracker) RecordCrash(fingerprints Fingerprints, identity Identity, service string, backend BackendRun) {
 	t.crashes.Inc(1)
 	at := NewTimestamp(time.Now())
-	fingerprints := identity.Fingerprints()
 	broad := identity
 	broad.Caller = "any"
 	t.recordLocal(Record{Fingerprint: fingerprints.Exact, Service: service, Description: identity.Describe(), Crashes: []Crash{{Backend: backend, At: at}}})
