--- a/backend/upload.go
+++ b/backend/upload.go
@@ -118,7 +118,7 @@
 		time.AfterFunc(flushDelay, c.closeFlushed)
 		return
 	}
-	// Other than with abort, what was written still reaches the server.
+	// Unlike abort, this lets what was written reach the server.
 	_ = c.Conn.Close()
 }
 
