--- a/requestbody/body.go
+++ b/requestbody/body.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// RestTimeout is how long a body may make no progress after the response was written. The request occupies a slot of
-	// its back end for as long, and over HTTP/2 or in chunks the caller does not see the end of the response before.
+	// RestTimeout is how long a body may make no progress after the response was written. Meanwhile the request occupies a
+	// slot of its back end, and a caller does not see the end of a response over HTTP/2 or in chunks.
 	RestTimeout = 2 * time.Second
 	// StallTimeout is how long both directions may be blocked, and how long a body may make no progress before the protocol
 	// is switched.
@@ -205,8 +205,8 @@
 	return Progress{Bytes: b.passed, Err: b.err}
 }
 
-// PassOn passes on the rest of the body of a request whose response, of this status, has been written. It ends the body;
-// until then it blocks while the body makes progress. A server that has responded with a failure does not need the rest.
+// PassOn is called when the whole response, of this status, has been written. It blocks while the rest of the body is
+// being passed on, and then ends the body. A server that has responded with a failure does not need the rest.
 func (b *Body) PassOn(ctx context.Context, status int) Progress {
 	if b.Progress().Whole() {
 		return b.Progress()
