soak: a back end that becomes silent is busy with another client's request

The back end is full for as long as it is silent now, which is harder on the daemons; the check stays as it is.

--- a/lab/soak/silent.go
+++ b/lab/soak/silent.go
@@ -30,6 +30,15 @@
 	return true
 }
 
+// occupy takes a slot for a time, if one is free. It does not block.
+func (w *worker) occupy(duration time.Duration) {
+	select {
+	case w.slots <- struct{}{}:
+		time.AfterFunc(duration, func() { <-w.slots })
+	default: // it is full
+	}
+}
+
 // silenceWorkers makes up to fault.Count back ends silent when full for a time.
 func (f *fleet) silenceWorkers(fault Fault) {
 	workers := f.currentWorkers()
@@ -38,6 +47,10 @@
 		for number := range count {
 			target := workers[(fault.Target+number)%len(workers)]
 			target.update(func() { target.setSilent(on) })
+			if on {
+				// It is busy with a request of another client, and so full.
+				target.occupy(fault.Duration)
+			}
 		}
 	}
 	set(true)
