requestbody: one piece of code discards the rest of a body, one tells what was received

Refusals of a body discarded its rest with a copy of what the end of a streamed body does, with the same two bounds. Both call requestbody.DiscardRest now. A body that is held in part keeps no flag of its own on whether the caller's connection has delivered all of it: its source knows. No change of behaviour; the tests keep their assertions.

--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/requestlimits"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
@@ -53,9 +54,8 @@
 // once the body proves too large. It implements requestbody.Source.
 type limitedBody struct {
 	held     io.Reader
-	rest     io.Reader
+	rest     requestbody.Source
 	left     int64 // bytes of rest that may follow
-	received atomic.Bool
 	tooLarge atomic.Bool
 }
 
@@ -74,15 +74,12 @@
 		return int(b.left), errBodyTooLarge
 	}
 	b.left -= int64(n)
-	if err == io.EOF {
-		b.received.Store(true)
-	}
 	return n, err
 }
 
 // Received implements requestbody.Source.
 func (b *limitedBody) Received() bool {
-	return b.received.Load()
+	return b.rest.Received()
 }
 
 // failure returns the failure that is reported for a call: if its body proved too large after a part of it had been
@@ -136,10 +133,10 @@
 	release = func() { h.heldBodies.release(reserved) }
 	// One byte more than allowed distinguishes a body at the limit from a larger one.
 	wanted := min(limits.BodyBytes, maxHeldBody) + 1
-	complete := false
+	body := requestbody.FromCaller(r.Body)
 	err := c.readUntilDeadline(w, func() error {
 		var err error
-		held, complete, err = h.readHeld(r.Body, wanted, &reserved)
+		held, err = h.readHeld(body, wanted, &reserved)
 		return err
 	})
 	if err != nil {
@@ -148,15 +145,14 @@
 	if !limits.BodyFits(int64(len(held))) {
 		return release, bodyTooLarge(limits, "body without a declared length")
 	}
-	c.limitedBody = &limitedBody{held: bytes.NewReader(held), rest: r.Body, left: limits.BodyBytes - int64(len(held))}
-	c.limitedBody.received.Store(complete)
+	c.limitedBody = &limitedBody{held: bytes.NewReader(held), rest: body, left: limits.BodyBytes - int64(len(held))}
 	c.held = held
 	return release, nil
 }
 
 // readHeld reads up to wanted bytes of a body, as far as memory may be reserved for them. It adds to reserved what it has
-// reserved, and reports whether the body is complete.
-func (h *Handler) readHeld(body io.Reader, wanted int64, reserved *int64) (held []byte, complete bool, err error) {
+// reserved.
+func (h *Handler) readHeld(body io.Reader, wanted int64, reserved *int64) (held []byte, err error) {
 	for int64(len(held)) < wanted {
 		if int64(len(held)) == *reserved {
 			more := min(max(*reserved, minHeldBody), wanted-*reserved)
@@ -169,22 +165,15 @@
 		n, err := body.Read(held[len(held):*reserved])
 		held = held[:len(held)+n]
 		if err == io.EOF {
-			return held, true, nil
+			return held, nil
 		}
 		if err != nil {
-			return held, false, err
+			return held, err
 		}
 	}
-	return held, false, nil
+	return held, nil
 }
 
-const (
-	// discardTimeout and maxDiscardedBody bound what is read of a refused body: a connection that is closed with unread
-	// bytes is reset, and the caller may lose the response.
-	discardTimeout   = 500 * time.Millisecond
-	maxDiscardedBody = 1 << 20
-)
-
 // refusedBodyWait is how long the refusal of a request waits for a body, so that the connection can be used again.
 const refusedBodyWait = 50 * time.Millisecond
 
@@ -212,12 +201,8 @@
 	response := newResponseBuffer()
 	h.respondFailure(response, id, failure)
 	response.sendClosing(w)
-	controller := http.NewResponseController(w)
-	// Without the deadline, net/http would wait for a body that a caller does not send before it has been told to continue.
-	// An error means that the connection is broken.
-	if controller.Flush() == nil && controller.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
-		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBody)
-	}
+	// Without its deadline, net/http would wait for a body that a caller does not send before it has been told to continue.
+	requestbody.DiscardRest(http.NewResponseController(w), r.Body)
 }
 
 // plainHeadTooLarge is net/http's response to a head that is too large.
--- a/frontend/limits_test.go
+++ b/frontend/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
@@ -28,7 +29,7 @@
 		} {
 			body := &limitedBody{
 				held: strings.NewReader(strings.Repeat("h", entry.held)), left: int64(entry.left),
-				rest: io.NopCloser(wrap(strings.NewReader(strings.Repeat("r", entry.rest)))),
+				rest: requestbody.FromCaller(wrap(strings.NewReader(strings.Repeat("r", entry.rest)))),
 			}
 			text, err := io.ReadAll(body)
 			require.Equal(t, entry.tooLarge, errors.Is(err, errBodyTooLarge), "%s %v", name, entry)
--- a/requestbody/body.go
+++ b/requestbody/body.go
@@ -248,13 +248,6 @@
 	}
 }
 
-const (
-	// discardTimeout and maxDiscarded bound what is read of a body that is not needed: a connection that is closed with
-	// unread bytes is reset, and the caller may lose the response.
-	discardTimeout = 500 * time.Millisecond
-	maxDiscarded   = 1 << 20
-)
-
 // Finish ends the body. The handler calls it last, after it has written its response. On a connection that is closed after
 // the response, Finish discards what still arrives for a short time, so that the caller can read the response.
 func (b *Body) Finish() {
@@ -265,10 +258,23 @@
 	if b.request.ProtoMajor != 1 || b.connectionReusable() {
 		return
 	}
-	// Errors mean that the connection has been closed.
-	if b.control.Flush() == nil && b.control.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
-		_, _ = io.CopyN(io.Discard, b.source, maxDiscarded)
-	}
+	DiscardRest(b.control, b.source)
 	// net/http's server tries to read the rest without a limit of time.
 	_ = b.control.SetReadDeadline(aLongTimeAgo)
 }
+
+const (
+	// discardTimeout and maxDiscarded bound what is read of a body that is not needed: a connection that is closed with
+	// unread bytes is reset, and the caller may lose the response.
+	discardTimeout = 500 * time.Millisecond
+	maxDiscarded   = 1 << 20
+)
+
+// DiscardRest flushes a response after which an HTTP/1 connection is closed, and discards what still arrives of the
+// request's body for a short time. Nobody else may read the body.
+func DiscardRest(control *http.ResponseController, body io.Reader) {
+	// Errors mean that the connection has been closed.
+	if control.Flush() == nil && control.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+		_, _ = io.CopyN(io.Discard, body, maxDiscarded)
+	}
+}
