--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -135,19 +135,32 @@
 	if method == http.MethodPost {
 		requestBody = strings.NewReader(id)
 	}
-	request, err := http.NewRequest(method, "http://"+target.addr(portCaller)+path, requestBody)
+	request, err := newRequest(target, method, id, path, requestBody)
 	if err != nil {
 		return nil, "", err
 	}
-	request.Host = host
-	request.GetBody = nil
 	if requestBody == nil {
 		// With a body that cannot be rewound, net/http does not send the request again if a kept connection breaks.
 		request.Body = io.NopCloser(strings.NewReader(""))
 	}
+	return do(client, request)
+}
+
+// newRequest returns a request to a daemon that net/http does not send again.
+func newRequest(target *process, method, id, path string, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequest(method, "http://"+target.addr(portCaller)+path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Host, request.GetBody = host, nil
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "2000")
 	request.Header.Set("Authorization", authorization(id))
+	return request, nil
+}
+
+// do sends a request and reads the response. If reading fails, it returns the response as well as the error.
+func do(client *http.Client, request *http.Request) (*http.Response, string, error) {
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, "", err
--- a/lab/soak/requestlimits.go
+++ b/lab/soak/requestlimits.go
@@ -43,27 +43,17 @@
 	if chunked {
 		body = io.NopCloser(body)
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+target.addr(portCaller)+path, body)
+	request, err := newRequest(target, http.MethodPost, id, path, body)
 	if err != nil {
 		return
 	}
-	request.Host, request.GetBody = host, nil
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "2000")
-	request.Header.Set("Authorization", authorization(id))
 	c.fleet.report.recordSent(id, target.incarnationName(), true)
-	response, err := c.singleUseClient.Do(request)
+	response, responseBody, err := do(c.singleUseClient, request)
 	if err != nil {
 		c.fleet.report.count("oversized request without a response")
 		return
 	}
-	defer response.Body.Close()
-	responseBody, err := io.ReadAll(response.Body)
-	if err != nil {
-		c.fleet.report.count("oversized request without a response")
-		return
-	}
-	c.fleet.report.recordResponse(id, path, response, string(responseBody))
+	c.fleet.report.recordResponse(id, path, response, responseBody)
 	c.fleet.report.recordOversized(id, response.StatusCode, declared, unchangedFor)
 }
 
--- a/lab/soak/upload.go
+++ b/lab/soak/upload.go
@@ -63,31 +63,24 @@
 	if leaves {
 		body.length = uploadBrokenOff
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+target.addr(portCaller)+path, io.NopCloser(body))
+	request, err := newRequest(target, http.MethodPost, id, path, io.NopCloser(body))
 	if err != nil {
 		return
 	}
 	if !chunked {
 		request.ContentLength = uploadBytes
 	}
-	request.Host = host
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "2000")
-	request.Header.Set("Authorization", authorization(id))
 	c.fleet.report.recordSent(id, target.incarnationName(), true)
 	// net/http's server does not discard the body on a connection that is closed after the request.
-	response, err := c.keepAliveClient.Do(request)
-	if err != nil {
+	response, responseBody, err := do(c.keepAliveClient, request)
+	switch {
+	case response == nil:
 		c.fleet.report.count("upload without a response")
-		return
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
+	case err != nil:
 		c.fleet.report.count("upload whose response broke off")
-		return
+	default:
+		c.fleet.report.recordResponse(id, path, response, responseBody)
 	}
-	c.fleet.report.recordResponse(id, path, response, string(text))
 }
 
 // receiveUpload responds to a request with a long body, and then reads the body.
