testserver: TCP servers of tests that backend and frontend had each

The loop that accepts connections and the server that responds before it reads a body stood in both packages. The tests keep their assertions.

--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/internal/testserver"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
@@ -25,25 +26,6 @@
 	conn.Close()
 }
 
-// listenAndServe runs serve in its own goroutine for each connection.
-func listenAndServe(t *testing.T, serve func(conn net.Conn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	var serving sync.WaitGroup
-	t.Cleanup(serving.Wait)
-	t.Cleanup(func() { listener.Close() })
-	serving.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() { serve(conn) })
-		}
-	})
-	return listener.Addr().String()
-}
-
 // post sends a request that must not run twice.
 func post(t *testing.T, client *backend.Client, body string) (*http.Response, error) {
 	t.Helper()
@@ -99,7 +81,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := backend.NewClient(backend.Options{Network: network.TCP{}, Address: listenAndServe(t, serve), MaxConnections: 1})
+			client := backend.NewClient(backend.Options{Network: network.TCP{}, Address: testserver.Listen(t, serve), MaxConnections: 1})
 			defer client.Close()
 			_, err := post(t, client, strings.Repeat("x", bodyLength))
 			var failure *backend.Failure
@@ -131,7 +113,7 @@
 	var open []net.Conn
 	arrived := make(chan struct{}, idle+1)
 	release := make(chan struct{})
-	address := listenAndServe(t, func(conn net.Conn) {
+	address := testserver.Listen(t, func(conn net.Conn) {
 		mutex.Lock()
 		open = append(open, conn)
 		mutex.Unlock()
--- a/backend/silent_test.go
+++ b/backend/silent_test.go
@@ -14,13 +14,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/internal/testserver"
 )
 
 // TestConnectionWithoutAnswerIsNotReused guards against sending a request on a connection on which an earlier one was
 // given up without an answer: a back end that is full and silent answers nothing further there.
 func TestConnectionWithoutAnswerIsNotReused(t *testing.T) {
 	var requests, connections, afterSilence atomic.Int64
-	address := listenAndServe(t, func(conn net.Conn) {
+	address := testserver.Listen(t, func(conn net.Conn) {
 		defer conn.Close()
 		connections.Add(1)
 		reader, silent := bufio.NewReader(conn), false
--- a/backend/upload_test.go
+++ b/backend/upload_test.go
@@ -1,11 +1,9 @@
 package backend_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"testing"
@@ -14,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/internal/testserver"
 )
 
 // slowBody is a body that arrives in pieces.
@@ -48,35 +47,6 @@
 	return all
 }
 
-// upload is what a server received of a body.
-type upload struct {
-	data []byte
-	err  error
-}
-
-// respondEarly starts a server that responds before it reads the body, begins to read after a pause, and then serves the
-// next request of the connection.
-func respondEarly(t *testing.T, response string, pause time.Duration) (address string, received chan upload) {
-	received = make(chan upload, 10)
-	return listenAndServe(t, func(conn net.Conn) {
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, response)
-			time.Sleep(pause)
-			data, err := io.ReadAll(request.Body)
-			received <- upload{data, err}
-			if err != nil {
-				return
-			}
-		}
-	}), received
-}
-
 // send sends a body and reads the response.
 func send(t *testing.T, ctx context.Context, client *backend.Client, body io.Reader, length int) error {
 	t.Helper()
@@ -106,14 +76,14 @@
 		for framing, length := range map[string]int{"length": 30 * pieceBytes, "chunks": -1} {
 			t.Run(name+"/body in "+framing, func(t *testing.T) {
 				t.Parallel()
-				address, received := respondEarly(t, response, 0)
+				address, received := testserver.RespondEarly(t, response, 0)
 				client := backend.NewClient(backend.Options{Address: address})
 				defer client.Close()
 				body := &slowBody{pieces: 30, pause: 10 * time.Millisecond}
 				require.NoError(t, send(t, t.Context(), client, body, length))
 				got := <-received
-				require.NoError(t, got.err)
-				require.True(t, bytes.Equal(body.whole(), got.data), "%d bytes", len(got.data))
+				require.NoError(t, got.Err)
+				require.True(t, bytes.Equal(body.whole(), got.Data), "%d bytes", len(got.Data))
 			})
 		}
 	}
@@ -125,14 +95,14 @@
 	for framing, length := range map[string]int{"length": 2000 * pieceBytes, "chunks": -1} {
 		t.Run(framing, func(t *testing.T) {
 			t.Parallel()
-			address, received := respondEarly(t, earlyResponses["length"], time.Second)
+			address, received := testserver.RespondEarly(t, earlyResponses["length"], time.Second)
 			client := backend.NewClient(backend.Options{Address: address})
 			defer client.Close()
 			body := &slowBody{pieces: 2000}
 			require.NoError(t, send(t, t.Context(), client, body, length))
 			got := <-received
-			require.NoError(t, got.err)
-			require.True(t, bytes.Equal(body.whole(), got.data), "%d bytes", len(got.data))
+			require.NoError(t, got.Err)
+			require.True(t, bytes.Equal(body.whole(), got.Data), "%d bytes", len(got.Data))
 		})
 	}
 }
@@ -144,15 +114,15 @@
 		for framing, length := range map[string]int{"length": 1000 * pieceBytes, "chunks": -1} {
 			t.Run("body fails/"+name+"/body in "+framing, func(t *testing.T) {
 				t.Parallel()
-				address, received := respondEarly(t, response, 0)
+				address, received := testserver.RespondEarly(t, response, 0)
 				client := backend.NewClient(backend.Options{Address: address})
 				defer client.Close()
 				_ = send(t, t.Context(), client, &slowBody{pieces: 20, pause: 10 * time.Millisecond, fails: io.ErrUnexpectedEOF}, length)
-				require.Error(t, (<-received).err)
+				require.Error(t, (<-received).Err)
 			})
 			t.Run("given up/"+name+"/body in "+framing, func(t *testing.T) {
 				t.Parallel()
-				address, received := respondEarly(t, response, 0)
+				address, received := testserver.RespondEarly(t, response, 0)
 				client := backend.NewClient(backend.Options{Address: address})
 				defer client.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
@@ -160,7 +130,7 @@
 				_ = send(t, ctx, client, &slowBody{pieces: 1000, pause: 10 * time.Millisecond}, length)
 				select {
 				case got := <-received:
-					require.Error(t, got.err)
+					require.Error(t, got.Err)
 				case <-time.After(5 * time.Second):
 					t.Fatal("the body is still being sent")
 				}
@@ -172,11 +142,11 @@
 // TestConnectionIsReusedAfterBody guards against a connection that is closed, or a request on it that fails, because an
 // earlier body was sent after the response to it.
 func TestConnectionIsReusedAfterBody(t *testing.T) {
-	address, received := respondEarly(t, earlyResponses["length"], 0)
+	address, received := testserver.RespondEarly(t, earlyResponses["length"], 0)
 	client := backend.NewClient(backend.Options{Address: address})
 	defer client.Close()
 	for range 20 {
 		require.NoError(t, send(t, t.Context(), client, &slowBody{pieces: 3, pause: time.Millisecond}, -1))
-		require.NoError(t, (<-received).err)
+		require.NoError(t, (<-received).Err)
 	}
 }
--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/internal/testserver"
 )
 
 // offsetBody returns a body in which each word of eight bytes tells its own offset.
@@ -30,63 +31,6 @@
 	return body
 }
 
-// receivedBody is what a back end received of a body; err is nil if the body was ended as a whole one.
-type receivedBody struct {
-	data []byte
-	err  error
-}
-
-// earlyBackend writes its response as soon as it has read the head of a request, and then reads the body on the same connection.
-type earlyBackend struct {
-	response string
-	received chan receivedBody
-	// unread: it never reads the body.
-	unread bool
-}
-
-// start starts the back end and returns its address.
-func (b *earlyBackend) start(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	var serving sync.WaitGroup
-	t.Cleanup(serving.Wait)
-	t.Cleanup(func() { listener.Close() })
-	serving.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { conn.Close() })
-			serving.Go(func() { b.serve(conn) })
-		}
-	})
-	return listener.Addr().String()
-}
-
-func (b *earlyBackend) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.WriteString(conn, b.response); err != nil {
-			return
-		}
-		if b.unread {
-			return
-		}
-		data, err := io.ReadAll(request.Body)
-		b.received <- receivedBody{data, err}
-		if err != nil {
-			return
-		}
-	}
-}
-
 // responsesBeforeBody are the responses of back ends that do not wait for the body, by the framing of the response.
 func responsesBeforeBody() map[string]string {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -170,10 +114,10 @@
 }
 
 // requireWhole requires that a back end received the whole body and no other bytes.
-func requireWhole(t *testing.T, sent []byte, received receivedBody) {
+func requireWhole(t *testing.T, sent []byte, received testserver.Body) {
 	t.Helper()
-	require.NoError(t, received.err)
-	require.True(t, bytes.Equal(sent, received.data), "%d bytes received of %d", len(received.data), len(sent))
+	require.NoError(t, received.Err)
+	require.True(t, bytes.Equal(sent, received.Data), "%d bytes received of %d", len(received.Data), len(sent))
 }
 
 // TestBackendGetsOwnBodyAfterEarlyResponse guards against a back end that gets other bytes, or a false end, where the rest of
@@ -192,15 +136,15 @@
 		for responseName, response := range responsesBeforeBody() {
 			t.Run(uploadName+"/"+responseName, func(t *testing.T) {
 				t.Parallel()
-				backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
-				conn := dial(t, serveFrom(t, backend.start(t), test.content))
+				address, received := testserver.RespondEarly(t, response, 0)
+				conn := dial(t, serveFrom(t, address, test.content))
 				go test.upload.send(conn)
 				require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
 				relayed, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				require.NoError(t, err)
 				_, err = io.ReadAll(relayed.Body)
 				require.NoError(t, err)
-				requireWhole(t, test.upload.body, <-backend.received)
+				requireWhole(t, test.upload.body, <-received)
 			})
 		}
 	}
@@ -212,10 +156,10 @@
 	for responseName, response := range responsesBeforeBody() {
 		t.Run(responseName, func(t *testing.T) {
 			t.Parallel()
-			backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
+			address, received := testserver.RespondEarly(t, response, 0)
 			document := &config.Document{Revision: 1, Content: config.Content{
 				Services:   []config.Service{{Name: "uploads", PathPrefix: "/", Forward: true}},
-				Placements: []config.Placement{{Service: "uploads", Backends: []config.Backend{{ID: "b1", Address: backend.start(t), Slots: 10}}}},
+				Placements: []config.Placement{{Service: "uploads", Backends: []config.Backend{{ID: "b1", Address: address, Slots: 10}}}},
 			}}
 			dispatcher := startDispatcher(t, newTestRegistry(t, document))
 			conn := dial(t, startServer(t, newTestHandler(t, newTestRegistry(t, document), fixedPeers{dispatcher: dispatcher})))
@@ -225,7 +169,7 @@
 			require.NoError(t, err)
 			_, err = io.ReadAll(relayed.Body)
 			require.NoError(t, err)
-			requireWhole(t, sent.body, <-backend.received)
+			requireWhole(t, sent.body, <-received)
 		})
 	}
 }
@@ -235,8 +179,8 @@
 	for responseName, response := range responsesBeforeBody() {
 		t.Run(responseName, func(t *testing.T) {
 			t.Parallel()
-			backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
-			server := serveFrom(t, backend.start(t), config.Content{})
+			address, received := testserver.RespondEarly(t, response, 0)
+			server := serveFrom(t, address, config.Content{})
 			reader, writer := io.Pipe()
 			body := offsetBody(160 << 10)
 			go func() {
@@ -252,7 +196,7 @@
 			require.Equal(t, 2, relayed.ProtoMajor)
 			_, err = io.ReadAll(relayed.Body)
 			require.NoError(t, err)
-			requireWhole(t, body, <-backend.received)
+			requireWhole(t, body, <-received)
 		})
 	}
 }
@@ -263,8 +207,8 @@
 	for responseName, response := range responsesBeforeBody() {
 		t.Run(responseName, func(t *testing.T) {
 			t.Parallel()
-			backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
-			conn := dial(t, serveFrom(t, backend.start(t), config.Content{}))
+			address, received := testserver.RespondEarly(t, response, 0)
+			conn := dial(t, serveFrom(t, address, config.Content{}))
 			body := offsetBody(160 << 10)
 			_, err := fmt.Fprintf(conn, "%sExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", uploadHead, len(body))
 			require.NoError(t, err)
@@ -277,7 +221,7 @@
 			require.NoError(t, err)
 			_, err = io.ReadAll(relayed.Body)
 			require.NoError(t, err)
-			requireWhole(t, body, <-backend.received)
+			requireWhole(t, body, <-received)
 		})
 	}
 }
@@ -296,16 +240,16 @@
 		for responseName, response := range responsesBeforeBody() {
 			t.Run(name+"/"+responseName, func(t *testing.T) {
 				t.Parallel()
-				backend := &earlyBackend{response: response, received: make(chan receivedBody, 1)}
-				conn := dial(t, serveFrom(t, backend.start(t), config.Content{}))
+				address, received := testserver.RespondEarly(t, response, 0)
+				conn := dial(t, serveFrom(t, address, config.Content{}))
 				_, err := io.WriteString(conn, uploadHead+test.framing+test.body)
 				require.NoError(t, err)
 				_, err = http.ReadResponse(bufio.NewReader(conn), nil)
 				require.NoError(t, err)
 				conn.Close()
-				received := <-backend.received
-				require.Error(t, received.err)
-				require.Equal(t, strings.Repeat("x", len(received.data)), string(received.data))
+				body := <-received
+				require.Error(t, body.Err)
+				require.Equal(t, strings.Repeat("x", len(body.Data)), string(body.Data))
 			})
 		}
 	}
@@ -322,10 +266,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			backend := &earlyBackend{response: response, unread: true}
+			address := testserver.Listen(t, func(conn net.Conn) {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, response)
+				}
+			})
 			services := newTestRegistry(t, &config.Document{Revision: 1, Content: config.Content{
 				Services:   []config.Service{{Name: "uploads", PathPrefix: "/"}},
-				Placements: []config.Placement{{Service: "uploads", Backends: []config.Backend{{ID: "b1", Address: backend.start(t), Slots: 10}}}},
+				Placements: []config.Placement{{Service: "uploads", Backends: []config.Backend{{ID: "b1", Address: address, Slots: 10}}}},
 			}})
 			handler := newTestHandler(t, services, fixedPeers{})
 			paths := make(chan string, 10)
@@ -378,23 +327,23 @@
 	for name, framing := range map[string]string{"length": "Content-Length: 200000", "chunks": "Transfer-Encoding: chunked"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			backend := &earlyBackend{received: make(chan receivedBody, 1)}
-			conn := dial(t, serveFrom(t, backend.start(t), config.Content{}))
+			address, received := testserver.RespondEarly(t, "", 0)
+			conn := dial(t, serveFrom(t, address, config.Content{}))
 			_, err := io.WriteString(conn, "POST /corrections HTTP/1.1\r\nHost: h\r\nTuliphall-Deadline-Ms: 300\r\n"+framing+"\r\n\r\n100\r\n"+strings.Repeat("x", 256)+"\r\n")
 			require.NoError(t, err)
 			require.NoError(t, conn.SetReadDeadline(time.Now().Add(1300*time.Millisecond)))
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
-			require.Error(t, (<-backend.received).err, "the back end must not take what it got for a whole body")
+			require.Error(t, (<-received).Err, "the back end must not take what it got for a whole body")
 		})
 	}
 }
 
 // TestStalledBodyOverHTTP2IsAnsweredAtDeadline guards against the same fault where the caller speaks HTTP/2.
 func TestStalledBodyOverHTTP2IsAnsweredAtDeadline(t *testing.T) {
-	backend := &earlyBackend{received: make(chan receivedBody, 1)}
-	server := serveFrom(t, backend.start(t), config.Content{})
+	address, received := testserver.RespondEarly(t, "", 0)
+	server := serveFrom(t, address, config.Content{})
 	reader, writer := io.Pipe()
 	defer writer.Close()
 	go writer.Write(offsetBody(100 << 10))
@@ -407,7 +356,7 @@
 	defer response.Body.Close()
 	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
 	require.Less(t, time.Since(begin), 1300*time.Millisecond)
-	require.Error(t, (<-backend.received).err, "the back end must not take what it got for a whole body")
+	require.Error(t, (<-received).Err, "the back end must not take what it got for a whole body")
 }
 
 // TestLongBodiesAreNotHeld guards against memory that grows with the size of bodies where both directions are streamed at the
