routing: back ends were judged by how long callers took

Healthy back ends were ejected, and given fewer requests, for what their callers did: a body that stops counted as a failure of the back end, a response that is not taken as its silence, and the time of both was learned as its latency. New outcomes (AnsweredAtCallersPace, CallerStalled) say nothing of the back end's health; a body tells when its last byte arrived and whether its caller has stalled.

--- a/requestbody/body.go
+++ b/requestbody/body.go
@@ -48,10 +48,12 @@
 	mutex   sync.Mutex
 	idle    sync.Cond // signals that no read is in progress
 	reading bool
-	aborted bool  // a read from the connection was aborted
+	aborted bool  // a read from the connection was aborted or failed
 	passed  int64 // bytes that were read
 	err     error // why there is nothing more to read; io.EOF: all was read; nil: there may be more
+	endedAt time.Time
 	ended   chan struct{}
+	onEnd   func() // called once the body has ended; it must not block
 }
 
 // New returns the body of a request whose handler responds with w. Nothing may have been written to w. From then on, only
@@ -119,6 +121,7 @@
 		return 0, b.err
 	}
 	b.passed += int64(n)
+	b.aborted = b.aborted || err != nil && err != io.EOF
 	if err != nil {
 		b.endLocked(err)
 	}
@@ -126,10 +129,56 @@
 }
 
 func (b *Body) endLocked(err error) {
-	if b.err == nil {
-		b.err = err
-		close(b.ended)
+	if b.err != nil {
+		return
+	}
+	b.err, b.endedAt = err, time.Now()
+	close(b.ended)
+	if b.onEnd != nil {
+		b.onEnd()
+	}
+}
+
+// Received reports whether the whole body has been read from the caller's connection.
+func (b *Body) Received() bool {
+	return b == nil || b.source.Received()
+}
+
+// ReceivedAt returns when the end of the body was read; zero: it has not been.
+func (b *Body) ReceivedAt() time.Time {
+	if b == nil {
+		return time.Time{}
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.err != io.EOF {
+		return time.Time{}
+	}
+	return b.endedAt
+}
+
+// Stalled reports whether the body waits for its caller to send more, or did so until it ended.
+func (b *Body) Stalled() bool {
+	if b == nil {
+		return false
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.aborted || b.reading && !b.source.Received()
+}
+
+// OnEnd makes call be called when nothing more is read of the body. call must not block.
+func (b *Body) OnEnd(call func()) {
+	if b == nil {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.err != nil {
+		call()
+		return
 	}
+	b.onEnd = call
 }
 
 // Close implements io.Closer. The transport calls it when it sends nothing more of the body. The body of the caller's
--- a/routing/gradualreturn.go
+++ b/routing/gradualreturn.go
@@ -112,7 +112,7 @@
 	}
 	wasActive := state.gradual.active()
 	switch outcome {
-	case Success:
+	case Success, AnsweredAtCallersPace:
 		state.gradual.recordSuccess(state.Slots)
 	case ProcessExited, ConnectionRefused, Unserved, NoContact, PushedBack:
 		if wasActive && state.Cold(now) {
@@ -121,7 +121,7 @@
 		if wasActive || state.health.HasExited() {
 			state.gradual.begin()
 		}
-	case ErrorResponse, Canceled, Unreached:
+	case ErrorResponse, Canceled, Unreached, CallerStalled:
 	}
 	switch isActive := state.gradual.active(); {
 	case isActive && !wasActive:
--- a/routing/group.go
+++ b/routing/group.go
@@ -310,6 +310,17 @@
 	return min(limit, bound)
 }
 
+// Capacity returns how many requests the back ends that are neither draining nor ejected may have in flight at present.
+func (g *Group) Capacity(now time.Time) int {
+	capacity := 0
+	for _, state := range g.states {
+		if !state.Draining && !state.Ejected(now) {
+			capacity += max(g.maxInFlight(state, now), 0)
+		}
+	}
+	return capacity
+}
+
 // learnConcurrency records a successful request and after some of them chooses the bound of its
 // back end again.
 func (g *Group) learnConcurrency(picked PickResult) {
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -32,6 +32,12 @@
 	// Unreached: the daemon that sent the request could not reach the back end, although others can, or
 	// could reach no back end at all; nothing is learned from it.
 	Unreached
+	// AnsweredAtCallersPace: the back end answered, but its caller determined how long that took. The given latency is
+	// without that time.
+	AnsweredAtCallersPace
+	// CallerStalled: the request was ended because its caller sent no more of the body, or took no more of the response;
+	// nothing is learned from it.
+	CallerStalled
 )
 
 // String returns the name of the outcome for logs.
@@ -55,6 +61,10 @@
 		return "no-contact"
 	case Unreached:
 		return "unreached"
+	case AnsweredAtCallersPace:
+		return "answered-at-callers-pace"
+	case CallerStalled:
+		return "caller-stalled"
 	}
 	return "outcome-" + strconv.Itoa(int(o))
 }
@@ -81,7 +91,10 @@
 		state.recordAbandoned(now)
 	case Unreached:
 		state.health.AbandonTrial()
-	case Success, ErrorResponse, PushedBack:
+	case CallerStalled:
+		state.health.AbandonTrial()
+		state.silentSince = now
+	case Success, AnsweredAtCallersPace, ErrorResponse, PushedBack:
 		state.answeredAt = now
 		state.heardAt, state.silentSince = now, now
 	default:
@@ -91,12 +104,14 @@
 		state.silentSince = time.Time{}
 	}
 	switch outcome {
-	case Success:
+	case Success, AnsweredAtCallersPace:
 		state.health.RecordSuccess()
 		state.slowStartResponses++
 		state.recordLatency(latency, picked.slowdownAtPick)
 		g.reportAge.baseLatency = ewma(g.reportAge.baseLatency, state.baseLatency)
-		g.learnConcurrency(picked)
+		if outcome == Success {
+			g.learnConcurrency(picked)
+		}
 	case ErrorResponse, Unserved, NoContact:
 		state.health.RecordFailure(now)
 	case PushedBack:
@@ -108,7 +123,7 @@
 		state.health.RecordExit(now)
 	case ConnectionRefused:
 		state.health.RecordConnectionRefused(now)
-	case Canceled, Unreached:
+	case Canceled, Unreached, CallerStalled:
 	}
 	g.recordReturnOutcome(now, state, outcome)
 }
--- a/routing/silent.go
+++ b/routing/silent.go
@@ -52,9 +52,9 @@
 	}
 	end := silentfull.Failed
 	switch outcome {
-	case Success, ErrorResponse, PushedBack:
+	case Success, AnsweredAtCallersPace, ErrorResponse, PushedBack:
 		end = silentfull.Answered
-	case Canceled:
+	case Canceled, CallerStalled:
 		end = silentfull.GivenUp
 	case ProcessExited, ConnectionRefused:
 		end = silentfull.Exited
--- a/routing/warmup_test.go
+++ b/routing/warmup_test.go
@@ -134,3 +134,16 @@
 	_, wanted := group.LoadProbeTarget(start.Add(10*time.Millisecond), 25*time.Millisecond, 0)
 	require.False(t, wanted)
 }
+
+// TestCapacityRisesWithResponses guards against back ends that count with all of their slots before they have responded.
+func TestCapacityRisesWithResponses(t *testing.T) {
+	group := NewGroup(Options{Picker: LeastLoad{}, Random: rand.New(rand.NewPCG(1, 2)), Overcommit: DefaultOvercommit, SlowStart: true})
+	group.SetBackends(start, []Backend{{ID: "a", Slots: 3, Window: 3}, {ID: "b", Slots: 3, Window: 3}, {ID: "c", Slots: 3, Window: 3, Drained: true}})
+	require.Equal(t, 2, group.Capacity(start))
+	for range 4 {
+		first, second := mustPick(t, group, start, ""), mustPick(t, group, start, "")
+		group.Done(first, start.Add(serviceTime), Success, serviceTime)
+		group.Done(second, start.Add(serviceTime), Success, serviceTime)
+	}
+	require.Equal(t, 6, group.Capacity(start))
+}
