settings: [resources] states the memory and the connections of a machine

Without it a daemon could not tell what its machine bears. If it is not set, what the system reports, but at most 256 MB: a standalone daemon that assumed all of the system's memory needed 295 MB beside one kind of client. The collector of the runtime works harder from 70% of it on, unless GOMEMLIMIT says otherwise.

--- a/launch/launch.go
+++ b/launch/launch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -135,6 +136,7 @@
 func serve(flagValues options, built daemon.Options) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	limitCollector(built.Settings.Resources)
 	running, err := daemon.Start(built)
 	if err != nil {
 		return err
@@ -148,6 +150,16 @@
 	return running.Stop(second)
 }
 
+// collectorShare is the part of the machine's memory near which the collector of the runtime works harder.
+const collectorShare = 0.7
+
+// limitCollector makes the collector of the runtime keep to the memory of the machine, unless the environment says otherwise.
+func limitCollector(resources settings.Resources) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(float64(resources.Memory()) * collectorShare))
+	}
+}
+
 // reloadOn reloads the settings file at each signal, until the process ends.
 func reloadOn(hangups <-chan os.Signal, flagValues options, running *daemon.Daemon) {
 	for range hangups {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/config"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/quarantine"
 )
 
@@ -42,6 +43,7 @@
 	Listen     Listen     `toml:"listen"`
 	Platform   Platform   `toml:"platform"`
 	Pipelining Pipelining `toml:"pipelining"`
+	Resources  Resources  `toml:"resources"`
 	Quarantine Quarantine `toml:"quarantine"`
 	Stop       Stop       `toml:"stop"`
 	Log        Log        `toml:"log"`
@@ -137,6 +139,31 @@
 	q.Memory = cmp.Or(q.Memory, config.Duration(quarantine.DefaultCrashWindow))
 }
 
+// Resources limits what callers occupy of the machine.
+type Resources struct {
+	// MemoryMB is the memory of the machine in MB, from which the limits on connections and on the memory of requests are
+	// derived; 0: what the system reports, DefaultMemoryMB at most.
+	MemoryMB int `toml:"memory_mb"`
+	// Connections limits the open connections of callers; 0: derived from the memory and from the descriptors that the
+	// process may have open.
+	Connections int `toml:"connections"`
+}
+
+// bytesPerMB converts MemoryMB.
+const bytesPerMB = 1_000_000
+
+// Memory returns the memory of the machine in bytes.
+func (r Resources) Memory() int64 {
+	if r.MemoryMB > 0 {
+		return int64(r.MemoryMB) * bytesPerMB
+	}
+	assumed := int64(DefaultMemoryMB * bytesPerMB)
+	if reported := overload.MachineMemory(); reported > 0 {
+		return min(reported, assumed)
+	}
+	return assumed
+}
+
 // Pipelining limits the requests that are processed before the earlier requests on the same
 // connection have been answered.
 type Pipelining struct {
@@ -206,6 +233,8 @@
 	// DefaultPipelined is the number of requests that a caller can send at once and wait for
 	// only once, while it takes no more of the back ends than that many callers would.
 	DefaultPipelined = 16
+	// DefaultMemoryMB is assumed if the memory is not set: a machine of which the daemon was told nothing may serve others too.
+	DefaultMemoryMB = 256
 	// DefaultPipelinedTotal responses of DefaultAnswerBytes take 8 MiB.
 	DefaultPipelinedTotal = 256
 	DefaultAnswerBytes    = 32 << 10
@@ -219,6 +248,9 @@
 
 	maxCores = 1024
 
+	minMemoryMB, maxMemoryMB       = 64, 16 << 20
+	minConnections, maxConnections = 64, 1_000_000
+
 	maxTimeout  = config.Duration(time.Minute)
 	maxWatchers = 20
 	maxWrites   = 100
@@ -374,6 +406,9 @@
 	check(pipelining.Total >= 1 && pipelining.Total <= maxPipelinedTotal, "pipelining.total", pipelining.Total, "1 to 100000")
 	check(pipelining.RequestBytes >= minPipelinedBytes && pipelining.RequestBytes <= maxPipelinedBytes, "pipelining.request_bytes", pipelining.RequestBytes, "1024 to 16777216")
 	check(pipelining.AnswerBytes >= minPipelinedBytes && pipelining.AnswerBytes <= maxPipelinedBytes, "pipelining.answer_bytes", pipelining.AnswerBytes, "1024 to 16777216")
+	resources := s.Resources
+	check(resources.MemoryMB == 0 || (resources.MemoryMB >= minMemoryMB && resources.MemoryMB <= maxMemoryMB), "resources.memory_mb", resources.MemoryMB, fmt.Sprintf("0 or %d to %d", minMemoryMB, maxMemoryMB))
+	check(resources.Connections == 0 || (resources.Connections >= minConnections && resources.Connections <= maxConnections), "resources.connections", resources.Connections, fmt.Sprintf("0 or %d to %d", minConnections, maxConnections))
 	check(s.Quarantine.Endings >= 1 && s.Quarantine.Endings <= quarantine.MaxCrashThreshold, "quarantine.endings", s.Quarantine.Endings, fmt.Sprintf("1 to %d", quarantine.MaxCrashThreshold))
 	check(inRange(s.Quarantine.Hold, maxSessions), "quarantine.hold", time.Duration(s.Quarantine.Hold), "10µs to 168h, with a unit")
 	check(inRange(s.Quarantine.Memory, maxSessions), "quarantine.memory", time.Duration(s.Quarantine.Memory), "10µs to 168h, with a unit")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -30,6 +30,9 @@
 total = 256
 request_bytes = 65536
 answer_bytes = 32768
+[resources]
+memory_mb = 284
+connections = 1000
 [stop]
 notice = "2s"
 sessions = "1h"
@@ -58,6 +61,10 @@
 		{`admin = "10.0.0.1:9090"`, `admin = "x:9090"`, "setting listen.admin"},
 		{`address = "http://10.0.0.9:80"`, `address = "10.0.0.9:80"`, "setting platform.address"},
 		{`timeout = "2s"`, `timeout = "2 s"`, "timeout"},
+		{`memory_mb = 284`, `memory_mb = 63`, "setting resources.memory_mb"},
+		{`memory_mb = 284`, `memory_mb = -1`, "setting resources.memory_mb"},
+		{`connections = 1000`, `connections = 63`, "setting resources.connections"},
+		{`connections = 1000`, `connections = "many"`, "connections"},
 		{`timeout = "2s"`, `timeout = 2`, "setting platform.timeout"},
 		{`timeout = "2s"`, `timeout = "2m"`, "setting platform.timeout"},
 		{`watchers = 3`, `watchers = -2`, "setting platform.watchers"},
@@ -107,3 +114,11 @@
 		_, _ = settings.Decode("fuzz.toml", text)
 	})
 }
+
+// TestMemoryOfUnknownMachineIsBounded guards against a daemon that was told nothing about its machine and takes a quarter of a large
+// one for requests.
+func TestMemoryOfUnknownMachineIsBounded(t *testing.T) {
+	require.LessOrEqual(t, settings.Resources{}.Memory(), int64(settings.DefaultMemoryMB*1_000_000))
+	require.Positive(t, settings.Resources{}.Memory())
+	require.Equal(t, int64(536_000_000), settings.Resources{MemoryMB: 536}.Memory())
+}
