admin: commands and profiles occupied as much memory as was asked for

Requests ahead at /debug/pprof/ and commands of 4 MiB that stop half-way, many at once, made a daemon grow with their number and kept the processor from ordinary callers.

--- a/admin/quarantine.go
+++ b/admin/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -61,10 +60,9 @@
 
 func (s *server) updateQuarantine(w http.ResponseWriter, r *http.Request) {
 	var update QuarantineUpdate
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&update); err != nil {
-		writeError(w, http.StatusBadRequest, ErrorInvalid, err)
+	release, ok := decodeBody(w, r, &update)
+	defer release()
+	if !ok {
 		return
 	}
 	fingerprints, err := parseFingerprints(update.Fingerprints)
--- a/admin/server.go
+++ b/admin/server.go
@@ -5,16 +5,12 @@
 	"encoding/json"
 	stderrors "errors"
 	"net/http"
-	"net/http/pprof"
 
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/config"
 )
 
-// maxRequestBytes bounds a request's body.
-const maxRequestBytes = 4 << 20
-
 // Daemon gives the server access to the daemon. Methods may block on the
 // platform or on peers until ctx ends.
 type Daemon interface {
@@ -50,8 +46,7 @@
 	mux.HandleFunc("GET "+PathTenants, s.tenants)
 	mux.HandleFunc("GET "+PathTenantShares, s.tenantShares)
 	mux.HandleFunc("POST "+PathQuarantine, s.updateQuarantine)
-	mux.HandleFunc(PathProfile, pprof.Index)
-	mux.HandleFunc(PathProfile+"profile", pprof.Profile)
+	new(profiles).handle(mux)
 	return mux
 }
 
@@ -73,10 +68,9 @@
 
 func (s *server) apply(w http.ResponseWriter, r *http.Request) {
 	var request ApplyRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&request); err != nil {
-		writeError(w, http.StatusBadRequest, ErrorInvalid, err)
+	release, ok := decodeBody(w, r, &request)
+	defer release()
+	if !ok {
 		return
 	}
 	if request.Edit.ID == "" {
