peer: connections of other daemons without a call were kept without a bound

A crowd of silent connections to the peer address held goroutines and buffers of drpc: 235 of 284 MB, as those that were closed for others were not noticed by drpc. They are in a pool, end after 10 s without a call, and those without a call give way first.

--- a/peer/node.go
+++ b/peer/node.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/backendlimit"
 	"github.com/tuliphall/tuliphall/config"
@@ -21,6 +23,7 @@
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/membership"
 	"github.com/tuliphall/tuliphall/network"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
 	"github.com/tuliphall/tuliphall/quarantine"
 	"github.com/tuliphall/tuliphall/wait"
@@ -104,6 +107,8 @@
 	Quarantine Quarantine
 	// Limits keeps the records of request limits of back ends; nil: none.
 	Limits Limits
+	// Connections bounds the open connections of other daemons; nil: there is no bound.
+	Connections *overload.Pool
 }
 
 // Node is this daemon's end of the communication with its peers. It is safe for concurrent use.
@@ -148,6 +153,9 @@
 	if options.Limits == nil {
 		options.Limits = noRecords[backend.Key, backendlimit.Record]{}
 	}
+	if options.Connections == nil {
+		options.Connections = overload.NewGuard(overload.Limits{}, tally.NoopScope).NewPool("", 0)
+	}
 	n := &Node{
 		options: options, log: logging.Component(options.Log, "membership"), gossipRequests: make(chan struct{}, 1),
 		state: membership.NewState(options.Self, options.Random), drains: newGossip(options.Drains, drainKey, maxDrainsPerMessage, maxQueuedDrains),
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/objectstore"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/peer/peerpb"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Serve serves calls of other daemons on the listener until ctx ends.
@@ -25,11 +30,64 @@
 			return errors.Annotate(err, "slots server")
 		}
 	}
-	err := drpcserver.New(mux).Serve(ctx, listener)
-	if ctx.Err() != nil {
-		return nil
+	server := drpcserver.NewWithOptions(phaseHandler{mux}, drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: inactivityTimeout}})
+	return errors.Annotate(n.accept(ctx, listener, server), "peer server")
+}
+
+const (
+	// inactivityTimeout is how long a connection may make no call. Daemons open connections for a call each.
+	inactivityTimeout = 10 * time.Second
+	// acceptRetryDelay is the time after which a connection is accepted again when the system could not provide one.
+	acceptRetryDelay = 100 * time.Millisecond
+)
+
+// accept serves connections until ctx ends.
+func (n *Node) accept(ctx context.Context, listener net.Listener, server *drpcserver.Server) error {
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			n.log.Warn("connection not accepted", "error", err)
+			wait.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
+		connCtx, cancel := context.WithCancel(ctx)
+		tracked := n.options.Connections.Add(func() {
+			// drpc does not read, and so does not notice that the connection was closed, while it awaits the beginning of a call.
+			cancel()
+			conn.Close()
+		})
+		if tracked == nil {
+			cancel()
+			conn.Close()
+			continue
+		}
+		serving.Go(func() {
+			defer cancel()
+			defer tracked.Remove()
+			// An error means that the other daemon has closed the connection, or is none.
+			_ = server.ServeOne(overload.NewContext(connCtx, tracked), conn)
+		})
 	}
-	return errors.Annotate(err, "peer server")
+}
+
+// phaseHandler notes which connections serve calls: those on which none was made are closed first.
+type phaseHandler struct{ drpc.Handler }
+
+// HandleRPC implements drpc.Handler.
+func (h phaseHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	connection := overload.FromContext(stream.Context())
+	connection.SetPhase(overload.Serving)
+	defer connection.SetPhase(overload.Idle)
+	return h.Handler.HandleRPC(stream, rpc)
 }
 
 // server implements peerpb.DRPCPeerServer.
