--- a/backend/backend.go
+++ b/backend/backend.go
@@ -278,10 +278,22 @@
 	body := make([]byte, response.ContentLength)
 	_, err := io.ReadFull(response.Body, body)
 	response.Body.Close()
-	response.Body = io.NopCloser(bytes.NewReader(body))
+	response.Body = bufferedBody{bytes.NewReader(body)}
 	return err
 }
 
+// bufferedBody is the body of a response that has been read completely.
+type bufferedBody struct{ *bytes.Reader }
+
+// Close implements io.Closer.
+func (bufferedBody) Close() error { return nil }
+
+// IsBuffered reports whether the body of a response has been read completely.
+func IsBuffered(response *http.Response) bool {
+	_, buffered := response.Body.(bufferedBody)
+	return buffered
+}
+
 func (c *Client) failure(ctx context.Context, exchange *exchange, err error) *Failure {
 	sent := exchange.maySent()
 	var code resultcode.Code
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/objectstore"
 	"github.com/tuliphall/tuliphall/operation"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/peer"
 	"github.com/tuliphall/tuliphall/pipelining"
 	"github.com/tuliphall/tuliphall/pushback"
@@ -38,7 +39,6 @@
 	"github.com/tuliphall/tuliphall/ratelimit"
 	"github.com/tuliphall/tuliphall/reach"
 	"github.com/tuliphall/tuliphall/relay"
-	"github.com/tuliphall/tuliphall/requestlimits"
 	"github.com/tuliphall/tuliphall/rollout"
 	"github.com/tuliphall/tuliphall/service"
 	"github.com/tuliphall/tuliphall/settings"
@@ -99,7 +99,9 @@
 	relay      *relay.Client
 	relayed    *relay.Server // relays requests of other daemons
 	handler    *frontend.Handler
+	guard      *overload.Guard
 	callers    *pipelining.Server
+	callerPool *overload.Pool // of the connections of callers
 	prober     *measure.Prober
 	quarantine *quarantine.Tracker
 	rateLimits *ratelimit.FleetLimiter
@@ -115,13 +117,15 @@
 	// another source.
 	headRestore chan struct{}
 
-	listeners    Addresses
-	servers      []*http.Server
-	metricsClose io.Closer
-	cancel       context.CancelFunc
-	running      sync.WaitGroup
-	started      time.Time
-	stopping     atomic.Bool
+	listeners Addresses
+	servers   []*http.Server
+	// requestServers are those of servers whose requests a planned stop finishes.
+	requestServers []*http.Server
+	metricsClose   io.Closer
+	cancel         context.CancelFunc
+	running        sync.WaitGroup
+	started        time.Time
+	stopping       atomic.Bool
 }
 
 // Addresses holds the addresses on which a daemon listens.
@@ -149,6 +153,7 @@
 		return nil, err
 	}
 	scope, reporter := d.startMetrics()
+	d.guard = overload.NewGuard(d.resourceLimits(), scope)
 	d.build(scope)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
@@ -276,6 +281,7 @@
 		Meter: d.meter, Random: rand.New(rand.NewPCG(seed, 2)), Log: d.logger,
 		Configuration: d.follower, Slots: slots.NewServer(d.services, d.rateLimits), Seeds: d.seedAddresses,
 		Quarantine: d.quarantine, Limits: d.limits, Drains: d.drains, OnNoAnswer: d.follower.RecordNoAnswer,
+		Connections: d.guard.NewPool("peer", d.guard.Limits().PeerConnections),
 	})
 	d.follower.SetPeers(d.node)
 	d.operations = operation.NewClaimer(operation.Options{
@@ -322,10 +328,10 @@
 // run starts a goroutine for each task.
 func (d *Daemon) run(ctx context.Context, listeners listenerSet, scope tally.Scope, metrics http.Handler) {
 	d.serveCallers(listeners.caller, scope)
-	d.serveHTTP(listeners.forward, d.forwardHandler())
-	d.serveHTTP(listeners.admin, admin.NewHandler(d, metrics))
+	d.requestServers = append(d.requestServers, d.serveHTTP("forward", listeners.forward, d.forwardHandler(), maxForwardConnections))
+	d.serveHTTP("admin", listeners.admin, admin.NewHandler(d, metrics), maxAdminConnections)
 	if listeners.metrics != nil {
-		d.serveHTTP(listeners.metrics, admin.MetricsHandler(metrics))
+		d.serveHTTP("metrics", listeners.metrics, admin.MetricsHandler(metrics), maxMetricsConnections)
 	}
 	d.running.Go(func() {
 		if err := d.node.Serve(ctx, listeners.peer); err != nil {
@@ -350,51 +356,7 @@
 	d.running.Go(func() { d.reportRefusals(ctx, scope) })
 	d.running.Go(func() { d.reportDroppedLines(ctx, scope) })
 	d.running.Go(func() { d.reportTenantShares(ctx, scope) })
-}
-
-// Limits of the HTTP servers.
-const (
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
-)
-
-// newServer returns a server for requests of peers, operators or callers.
-func (d *Daemon) newServer(handler http.Handler) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(logging.Component(d.logger, "http").Handler(), slog.LevelDebug),
-	}
-}
-
-func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) {
-	d.serve(d.newServer(handler), listener)
-}
-
-// serveCallers serves callers, who may pipeline requests. While the daemon is stopping,
-// responses close their connections.
-func (d *Daemon) serveCallers(listener net.Listener, scope tally.Scope) {
-	options := d.settings.Pipelining
-	d.callers = pipelining.New(pipelining.Options{
-		Handler: d.handler, Repeatable: d.handler.Repeatable, Refuse: d.handler.RefuseAmbiguous, RefuseHead: d.handler.RefuseHead, Closing: d.stopping.Load, IDHeader: d.dialect.RequestID, Metrics: scope,
-		MaxPerConnection: max(options.Requests, 0), MaxTotal: options.Total, MaxReadAheadBytes: options.RequestBytes, MaxBufferedBodyBytes: options.AnswerBytes,
-	})
-	server := d.newServer(d.callers)
-	// The limits in force are applied by d.callers: net/http cannot change its own while it runs.
-	server.MaxHeaderBytes = requestlimits.MaxHeadBytes
-	server.ConnContext = d.callers.ConnContext
-	d.serve(server, d.callers.WrapListener(listener))
-}
-
-func (d *Daemon) serve(server *http.Server, listener net.Listener) {
-	d.servers = append(d.servers, server)
-	d.running.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("server ended", "address", listener.Addr().String(), "error", err)
-		}
-	})
+	d.running.Go(func() { d.reportOverload(ctx) })
 }
 
 // Addresses returns the addresses on which the daemon listens.
@@ -428,8 +390,11 @@
 		defer cancel()
 	}
 	d.callers.Drain(ctx)
+	shutdownEnded := make(chan struct{})
+	defer close(shutdownEnded)
+	go d.closeSilentConnections(shutdownEnded)
 	var firstErr error
-	for _, server := range d.servers[:2] {
+	for _, server := range d.requestServers {
 		if err := server.Shutdown(ctx); err != nil && firstErr == nil {
 			firstErr = errors.Annotatef(err, "%d requests were aborted", d.handler.InFlight())
 		}
@@ -447,6 +412,24 @@
 	return firstErr
 }
 
+// silentInterval is how often connections without a request are closed while the daemon stops.
+const silentInterval = 250 * time.Millisecond
+
+// closeSilentConnections closes connections of callers that have sent nothing, until ended is closed. net/http's server waits
+// five seconds for a first request on each of them.
+func (d *Daemon) closeSilentConnections(ended <-chan struct{}) {
+	ticker := time.NewTicker(silentInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			d.callerPool.CloseSilent()
+		}
+	}
+}
+
 func (d *Daemon) close() {
 	d.cancel()
 	d.slots.Close()
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -221,7 +221,7 @@
 	c.Group.Done(permit.PickResult, now, outcome, latency)
 	c.Queue.Settle(now, &permit.charge)
 	c.Queue.RecordRelease(now)
-	if outcome == routing.Success {
+	if outcome == routing.Success || outcome == routing.AnsweredAtCallersPace {
 		c.latencies.record(permit.class, latency)
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -432,6 +432,13 @@
 	return d.core.Group.ScanCount()
 }
 
+// Capacity returns how many requests the back ends may have in flight at present.
+func (d *Dispatcher) Capacity() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Group.Capacity(time.Now())
+}
+
 // Status returns the states of the back ends and the number of waiting requests.
 func (d *Dispatcher) Status() (backends []BackendStatus, waiting int) {
 	d.mutex.Lock()
--- a/dispatch/rollout.go
+++ b/dispatch/rollout.go
@@ -69,7 +69,7 @@
 	if c.rollout == nil {
 		return
 	}
-	if outcome == routing.ConnectionRefused || outcome == routing.Unreached || permit.Reason == routing.ReasonTrial {
+	if outcome == routing.ConnectionRefused || outcome == routing.Unreached || outcome == routing.CallerStalled || permit.Reason == routing.ReasonTrial {
 		c.rollout.Discarded(permit.GrantedAt, permit.Backend.Version)
 		return
 	}
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/httpcopy"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/routing"
 )
@@ -52,11 +53,36 @@
 // copyResponse passes the response on. The response to an operation is recorded, and read to its end
 // even if the caller has disconnected.
 func (a *attempter) copyResponse(response *http.Response) *httpcopy.Error {
-	if a.record == nil {
-		return httpcopy.Response(a.writer, response, nil)
+	options := httpcopy.Options{Buffered: backend.IsBuffered(response), Ended: a.endExchange, OnSlow: a.onSlowReader}
+	if connection := overload.FromContext(a.call.request.Context()); connection != nil {
+		options.Memory = connection
 	}
-	a.record.recordHeader(response)
-	return httpcopy.Response(a.writer, response, a.record.recordBody)
+	if a.record != nil {
+		a.record.recordHeader(response)
+		options.Record = a.record.recordBody
+	}
+	return httpcopy.Response(a.writer, response, options)
+}
+
+// onSlowReader notes that the caller does not take the response, which occupies a back end.
+func (a *attempter) onSlowReader(write *httpcopy.SlowWrite) (end func()) {
+	a.takenSlowly.Store(true)
+	end = a.handler.slowReaders.add(a.call.service.Name(), write)
+	if a.handler.shortage.lasts(time.Now()) {
+		a.limitSlowReaders()
+	}
+	return end
+}
+
+// limitSlowReaders breaks off responses of the service that callers do not take, so that they and uploads leave slots to other
+// requests. It is called while capacity is short.
+func (a *attempter) limitSlowReaders() {
+	service := a.call.service.Name()
+	if !a.handler.slowReaders.any(service) {
+		return
+	}
+	limit := shareOf(a.usableSlots(), slowReaderShare) - a.handler.uploads.running(service)
+	a.handler.slowReaders.enforce(service, max(limit, 0))
 }
 
 // relayUpgrade pipes data between the connections of the caller and the back end after a 101
--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,6 +14,7 @@
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/identity"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
 	"github.com/tuliphall/tuliphall/routing"
@@ -27,6 +30,12 @@
 	deadline *time.Timer
 	record   *responseRecorder // of an operation; nil otherwise
 	relayed  *backendResponse  // the response that is relayed to the caller; nil before
+	// endExchange is called when the whole response has been read and the caller takes it slowly.
+	endExchange func()
+	// takenSlowly: the caller took the response slowly while the back end had not sent all of it.
+	takenSlowly atomic.Bool
+	// endUpload is called when the request no longer occupies a back end because its caller is sending the body.
+	endUpload func()
 }
 
 // run sends the call to back ends until one responds or no retry is allowed, and returns the result
@@ -112,6 +121,9 @@
 
 func (a *attempter) logDecision(permit *grantedPermit) {
 	a.handler.metrics.waited.RecordDuration(permit.waited)
+	if a.handler.shortage.recordWait(time.Now(), permit.waited) {
+		a.limitSlowReaders()
+	}
 	if !a.handler.options.LogDecisions() {
 		return
 	}
@@ -156,6 +168,10 @@
 		permit.done(routing.Canceled, 0, nil)
 		return nil, &resultcode.Failure{Code: resultcode.StoreUnavailable, Detail: "the claim lapsed before the request could be sent"}
 	}
+	if a.handler.shortage.lasts(time.Now()) && overload.FromContext(c.request.Context()).Stalled() {
+		permit.done(routing.Canceled, 0, nil)
+		return nil, overloaded("capacity is short, and the caller takes nothing of its earlier responses")
+	}
 	c.tried = append(c.tried, permit.backend)
 	permit.started = started
 	attempt := max(len(c.tried), c.attempt)
@@ -167,8 +183,10 @@
 	refused  bool // the back end states that it did not run the request
 	permit   *grantedPermit
 	response *http.Response
-	latency  time.Duration
+	latency  time.Duration // without the time in which the back end waited for the body
 	report   *routing.Report
+	// sentSlowly: for most of the time until the response the back end waited for the body.
+	sentSlowly bool
 }
 
 // exchange sends the request and returns the response. It blocks until the header of the response has
@@ -180,6 +198,9 @@
 		return nil, a.handleExchangeError(permit, err)
 	}
 	resp := &backendResponse{permit: permit, response: response, latency: time.Since(permit.sent), report: a.loadReport(response)}
+	if arrived := a.call.streamed.ReceivedAt(); arrived.Sub(permit.sent) > resp.latency/2 {
+		resp.latency, resp.sentSlowly = time.Since(arrived), true
+	}
 	resp.refused = a.handler.options.Dialect.Refuses(response, a.call.service.Target().Service.RefusalStatus)
 	a.handler.options.Signals.Observe(signals.Response{
 		Key: backend.Key{Service: a.call.service.Name(), Backend: permit.backend}, Started: permit.started, Sent: permit.sent,
@@ -202,6 +223,8 @@
 		return routing.Unserved
 	case r.response.StatusCode >= http.StatusInternalServerError:
 		return routing.ErrorResponse
+	case r.sentSlowly:
+		return routing.AnsweredAtCallersPace
 	}
 	return routing.Success
 }
@@ -217,11 +240,19 @@
 	defer resp.response.Body.Close()
 	a.relayed = resp
 	a.deadline.Stop()
+	a.endUpload()
 	// The permit is held until the whole response has been read and the request's body was passed on, because the back
 	// end's slot is occupied until then. A caller that does not read the response does not affect the state of the
 	// back end.
 	outcome := resp.outcome()
-	defer func() { resp.permit.done(outcome, resp.latency, resp.report) }()
+	release := sync.OnceFunc(func() { resp.permit.done(a.pacedOutcome(outcome), resp.latency, resp.report) })
+	defer release()
+	a.endExchange = func() {
+		a.takenSlowly.Store(true)
+		if a.call.streamed.Progress().Whole() {
+			release()
+		}
+	}
 	if err := a.relay(ctx, resp.response, resp.permit.backend, resultcode.Answered); err != nil {
 		outcome = outcomeOf(err)
 		switch {
@@ -237,6 +268,18 @@
 	}
 }
 
+// pacedOutcome returns the outcome of an exchange, given what it is if the caller took the response at once.
+func (a *attempter) pacedOutcome(outcome routing.Outcome) routing.Outcome {
+	switch {
+	case !a.takenSlowly.Load():
+	case outcome == routing.Success:
+		return routing.AnsweredAtCallersPace
+	case outcome == routing.Canceled:
+		return routing.CallerStalled
+	}
+	return outcome
+}
+
 func (a *attempter) handleExchangeError(permit *grantedPermit, err error) *resultcode.Failure {
 	failed := backend.AsFailure(err)
 	permit.done(a.outcomeOfFailure(permit, failed), 0, nil)
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/config"
 	"github.com/tuliphall/tuliphall/identity"
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/policy"
 	"github.com/tuliphall/tuliphall/quarantine"
 	"github.com/tuliphall/tuliphall/requestbody"
@@ -56,6 +56,10 @@
 	maxBufferedBytes = 64 << 10
 )
 
+// weightAhead is the weight of requests whose callers have sent many ahead, below that of any policy: others go first where
+// requests wait.
+const weightAhead = 0
+
 // call is the state of one request.
 type call struct {
 	id       string
@@ -72,7 +76,7 @@
 	body            []byte
 	buffered        bool         // body holds the whole body
 	limitedBody     *limitedBody // a body of unknown length that may prove too large; nil: there is none
-	held            []byte       // the part of limitedBody that was held
+	held            []byte       // the part of limitedBody that is held
 	// streamed is a body that is passed on as it arrives; nil: there is none.
 	streamed *requestbody.Body
 	upgrade  bool
@@ -150,8 +154,8 @@
 	return true
 }
 
-// newCall creates a call from the request's headers, policy and body.
-func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, id string, route *config.CompiledRoute, svc *service.Service, caller identity.Caller) (*call, *resultcode.Failure) {
+// newCall creates a call from the request's headers and policy.
+func (h *Handler) newCall(r *http.Request, id string, route *config.CompiledRoute, svc *service.Service, caller identity.Caller) (*call, *resultcode.Failure) {
 	parsed, err := parseHeaders(r.Header, h.options.Dialect)
 	if err != nil {
 		return nil, &resultcode.Failure{Code: resultcode.BadRequest, Detail: err.Error()}
@@ -166,6 +170,9 @@
 		decision.Weight = caller.Tenant.Weight
 	}
 	now := time.Now()
+	if overload.SentAhead(r.Context()) {
+		decision.Weight = weightAhead
+	}
 	c := &call{
 		id: id, service: svc, route: route, decision: decision, request: r, received: now, caller: caller,
 		depth: parsed.depth, attempt: parsed.attempt,
@@ -181,9 +188,6 @@
 			return nil, failure
 		}
 	}
-	if failure := c.bufferBody(w); failure != nil {
-		return nil, failure
-	}
 	return c, nil
 }
 
@@ -206,50 +210,6 @@
 	return 0
 }
 
-// bufferBody reads a small body of known length into memory, so that it can be sent again. It blocks until the deadline at
-// most.
-func (c *call) bufferBody(w http.ResponseWriter) *resultcode.Failure {
-	length := c.request.ContentLength
-	if length == 0 {
-		c.buffered = true
-		return nil
-	}
-	if length < 0 || length > maxBufferedBytes || c.upgrade {
-		return nil
-	}
-	body := make([]byte, length)
-	if err := c.readUntilDeadline(w, func() error {
-		_, err := io.ReadFull(c.request.Body, body)
-		return err
-	}); err != nil {
-		return bodyFailure(err)
-	}
-	c.body, c.buffered = body, true
-	return nil
-}
-
-// readUntilDeadline calls read, which reads from the caller's connection, and aborts it at the deadline. The connection
-// cannot be used for another request if the deadline has passed.
-func (c *call) readUntilDeadline(w http.ResponseWriter, read func() error) error {
-	control := http.NewResponseController(w)
-	// Errors mean that the connection is broken, which reading reports.
-	_ = control.SetReadDeadline(c.deadline)
-	err := read()
-	_ = control.SetReadDeadline(time.Time{})
-	if err == nil && !time.Now().Before(c.deadline) {
-		return os.ErrDeadlineExceeded
-	}
-	return err
-}
-
-// bodyFailure returns the failure of a request whose body could not be read.
-func bodyFailure(err error) *resultcode.Failure {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &resultcode.Failure{Code: resultcode.DeadlineTooShort, Detail: "the request's body did not arrive before the deadline"}
-	}
-	return &resultcode.Failure{Code: resultcode.BadRequest, Detail: "the request's body ended early: " + err.Error()}
-}
-
 // stream starts to pass on the body, unless all of it is buffered, and returns the writer for the response.
 func (c *call) stream(w http.ResponseWriter) http.ResponseWriter {
 	if c.buffered {
--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -207,7 +207,7 @@
 	for responseName, response := range responsesBeforeBody() {
 		t.Run(responseName, func(t *testing.T) {
 			t.Parallel()
-			address, received := testserver.RespondEarly(t, response, 0)
+			address, received := testserver.RespondAfterFirstByte(t, response)
 			conn := dial(t, serveFrom(t, address, config.Content{}))
 			body := offsetBody(160 << 10)
 			_, err := fmt.Fprintf(conn, "%sExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", uploadHead, len(body))
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -117,7 +117,10 @@
 	upgraded       sync.WaitGroup
 	forwardClients *forwardClients
 	patience       patience
-	heldBodies     heldBodies
+	heldBytes      atomic.Int64 // of bodies
+	uploads        uploads
+	slowReaders    slowReaders
+	shortage       shortage
 }
 
 // NewHandler returns a handler.
@@ -146,7 +149,6 @@
 		forwardClients: newForwardClients(options.Network),
 		splitPhase:     rand.Float64(),
 	}
-	h.heldBodies.gauge = h.metrics.bodiesHeld
 	// The sequence starts at the current time, so that request ids stay unique after a restart under
 	// the same name.
 	h.sequence.Store(uint64(time.Now().UnixNano()))
@@ -176,6 +178,11 @@
 	h.serve(w, r, false)
 }
 
+// HasSpareCapacity reports whether capacity was not short recently. It does not block.
+func (h *Handler) HasSpareCapacity() bool {
+	return !h.shortage.lasts(time.Now())
+}
+
 // Repeatable reports whether a request may be served twice, because its policy allows it to be sent
 // again. It does not block.
 func (h *Handler) Repeatable(r *http.Request) bool {
@@ -206,18 +213,16 @@
 	h.metrics.inFlight.Update(float64(h.inFlight.Add(1)))
 	defer h.inFlight.Add(-1)
 	id := h.requestID(r.Header)
-	c, failure := h.admit(w, r, id, forwarded)
+	c, failure := h.admit(r, id, forwarded)
 	if failure != nil {
 		h.refuseUnread(w, r, id, failure)
 		return
 	}
-	if !forwarded {
-		release, failure := h.holdBody(w, c)
-		defer release()
-		if failure != nil {
-			h.refuseBody(w, r, id, failure)
-			return
-		}
+	held, failure := h.holdBody(w, c)
+	defer held.release()
+	if failure != nil {
+		h.refuseBody(w, r, id, failure)
+		return
 	}
 	c.setFingerprints()
 	ctx, cancel := context.WithCancelCause(r.Context())
@@ -229,7 +234,7 @@
 	w = c.stream(w)
 	defer c.streamed.End()
 	defer c.streamed.EndWith(ctx)()
-	a := &attempter{handler: h, call: c, writer: w, deadline: timer}
+	a := &attempter{handler: h, call: c, writer: w, deadline: timer, endUpload: func() {}, endExchange: func() {}}
 	a.serve(ctx)
 	c.streamed.Finish()
 }
@@ -243,6 +248,11 @@
 		a.respondFailure(refused)
 		return
 	}
+	if failure := a.beginUpload(ctx); failure != nil {
+		a.respondFailure(failure)
+		return
+	}
+	defer a.endUpload()
 	if c.decision.Once {
 		a.runOnce(ctx)
 		return
@@ -257,7 +267,7 @@
 const notConfiguredRetryAfter = 250 * time.Millisecond
 
 // admit authenticates the caller, selects the service of the request and creates a call.
-func (h *Handler) admit(w http.ResponseWriter, r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
+func (h *Handler) admit(r *http.Request, id string, forwarded bool) (*call, *resultcode.Failure) {
 	if h.options.Services.Snapshot() == nil || !h.options.Configured() {
 		return nil, &resultcode.Failure{Code: resultcode.NotConfigured, Detail: "configuration and back ends have not all been read yet", RetryAfter: notConfiguredRetryAfter}
 	}
@@ -275,7 +285,7 @@
 	if !ok {
 		return nil, &resultcode.Failure{Code: resultcode.NoService, Detail: "service " + name}
 	}
-	c, failure := h.newCall(w, r, id, route, svc, caller)
+	c, failure := h.newCall(r, id, route, svc, caller)
 	if failure != nil {
 		return nil, failure
 	}
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -6,47 +6,18 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
+	"github.com/tuliphall/tuliphall/pipelining"
 	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/requestlimits"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
 
-const (
-	// maxHeldBody bounds the part of a body of unknown length that is held until the body is known not to be too large.
-	maxHeldBody = 1 << 20
-	// maxHeldBodies bounds what the daemon holds of all such bodies. Above it, they are forwarded as they arrive.
-	maxHeldBodies = 64 << 20
-	// minHeldBody is the memory with which holding a body begins; it is doubled as the body grows.
-	minHeldBody = 32 << 10
-)
-
-// heldBodies counts the bytes of bodies that are held.
-type heldBodies struct {
-	size  atomic.Int64
-	gauge tally.Gauge
-}
-
-// reserve reports whether a number of bytes may be held in addition.
-func (h *heldBodies) reserve(size int64) bool {
-	if total := h.size.Add(size); total <= maxHeldBodies {
-		h.gauge.Update(float64(total))
-		return true
-	}
-	h.size.Add(-size)
-	return false
-}
-
-func (h *heldBodies) release(size int64) {
-	h.gauge.Update(float64(h.size.Add(-size)))
-}
-
 // errBodyTooLarge is the error of reading a body that is larger than the limit.
 var errBodyTooLarge = errors.New("the request's body is larger than the limit")
 
@@ -117,61 +88,15 @@
 	return &resultcode.Failure{Code: resultcode.HeadTooLarge, Detail: fmt.Sprintf("limit %d bytes", limits.EffectiveHeadBytes())}
 }
 
-func bodyTooLarge(limits requestlimits.Limits, found string) *resultcode.Failure {
-	return &resultcode.Failure{Code: resultcode.BodyTooLarge, Detail: fmt.Sprintf("%s, limit %d bytes", found, limits.BodyBytes)}
-}
+// overloadedRetryAfter is when a caller may retry a request for which there was no memory or processor time.
+const overloadedRetryAfter = time.Second
 
-// holdBody reads a body of unknown length until it is known not to be too large, or up to the bounds on memory. The
-// function that it returns releases the memory.
-func (h *Handler) holdBody(w http.ResponseWriter, c *call) (release func(), failure *resultcode.Failure) {
-	limits, r := h.requestLimits(), c.request
-	if limits.BodyBytes == 0 || r.ContentLength >= 0 {
-		return func() {}, nil
-	}
-	var held []byte
-	reserved := int64(0)
-	release = func() { h.heldBodies.release(reserved) }
-	// One byte more than allowed distinguishes a body at the limit from a larger one.
-	wanted := min(limits.BodyBytes, maxHeldBody) + 1
-	body := requestbody.FromCaller(r.Body)
-	err := c.readUntilDeadline(w, func() error {
-		var err error
-		held, err = h.readHeld(body, wanted, &reserved)
-		return err
-	})
-	if err != nil {
-		return release, bodyFailure(err)
-	}
-	if !limits.BodyFits(int64(len(held))) {
-		return release, bodyTooLarge(limits, "body without a declared length")
-	}
-	c.limitedBody = &limitedBody{held: bytes.NewReader(held), rest: body, left: limits.BodyBytes - int64(len(held))}
-	c.held = held
-	return release, nil
+func overloaded(cause string) *resultcode.Failure {
+	return &resultcode.Failure{Code: resultcode.Overloaded, Detail: cause, RetryAfter: overloadedRetryAfter}
 }
 
-// readHeld reads up to wanted bytes of a body, as far as memory may be reserved for them. It adds to reserved what it has
-// reserved.
-func (h *Handler) readHeld(body io.Reader, wanted int64, reserved *int64) (held []byte, err error) {
-	for int64(len(held)) < wanted {
-		if int64(len(held)) == *reserved {
-			more := min(max(*reserved, minHeldBody), wanted-*reserved)
-			if !h.heldBodies.reserve(more) {
-				break
-			}
-			*reserved += more
-			held = append(make([]byte, 0, *reserved), held...)
-		}
-		n, err := body.Read(held[len(held):*reserved])
-		held = held[:len(held)+n]
-		if err == io.EOF {
-			return held, nil
-		}
-		if err != nil {
-			return held, err
-		}
-	}
-	return held, nil
+func bodyTooLarge(limits requestlimits.Limits, found string) *resultcode.Failure {
+	return &resultcode.Failure{Code: resultcode.BodyTooLarge, Detail: fmt.Sprintf("%s, limit %d bytes", found, limits.BodyBytes)}
 }
 
 // refusedBodyWait is how long the refusal of a request waits for a body, so that the connection can be used again.
@@ -205,18 +130,18 @@
 	requestbody.DiscardRest(http.NewResponseController(w), r.Body)
 }
 
-// plainHeadTooLarge is net/http's response to a head that is too large.
-const plainHeadTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n431 Request Header Fields Too Large"
-
 // RefuseHead returns the response to a request whose head does not keep the limits; see pipelining.Options.
 func (h *Handler) RefuseHead(verdict requestlimits.Verdict, remote string, head []byte) []byte {
 	limits := h.requestLimits()
 	if verdict == requestlimits.HeadTooLarge && limits.HeadBytes == 0 {
-		return []byte(plainHeadTooLarge)
+		return pipelining.PlainRefusal(http.StatusRequestHeaderFieldsTooLarge)
 	}
 	failure := headTooLarge(limits)
-	if verdict == requestlimits.HeadTooSlow {
+	switch verdict {
+	case requestlimits.HeadTooSlow:
 		failure = &resultcode.Failure{Code: resultcode.HeadTooSlow, Detail: fmt.Sprintf("limit %s", limits.EffectiveHeadTimeout())}
+	case requestlimits.Overloaded:
+		failure = overloaded("no memory or processor time for the request's head")
 	}
 	known := make(http.Header)
 	if id := headerInHead(head, h.options.Dialect.RequestID); id != "" {
@@ -229,6 +154,17 @@
 	return response.encode()
 }
 
+// RefuseStream responds to a request over HTTP/2 for which there is no memory. The response has no body, which could be sent
+// only when the caller allows it.
+func (h *Handler) RefuseStream(w http.ResponseWriter, r *http.Request) {
+	response := newResponseBuffer()
+	h.respondFailure(response, h.requestID(r.Header), overloaded("no memory for a request over HTTP/2"))
+	maps.Copy(w.Header(), response.header)
+	w.Header().Del("Content-Type")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(response.status)
+}
+
 // headerInHead returns the value of a header in the part of a head that has arrived; empty: it is not in there.
 func headerInHead(head []byte, name string) string {
 	for line := range bytes.Lines(head) {
--- a/frontend/limits_test.go
+++ b/frontend/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
@@ -49,18 +50,39 @@
 	require.Same(t, broken, none.failure(broken))
 }
 
-// TestHeldBodiesAreBounded guards against callers that fill the daemon's memory with bodies of unknown length.
+// TestHeldBodiesAreBounded guards against callers that fill the daemon's memory with bodies.
 func TestHeldBodiesAreBounded(t *testing.T) {
-	held := heldBodies{gauge: tally.NoopScope.Gauge("held")}
-	for range maxHeldBodies / maxHeldBody {
-		require.True(t, held.reserve(maxHeldBody))
+	const memory = 4 * maxHeldBody
+	pool := overload.NewGuard(overload.Limits{Memory: memory}, tally.NoopScope).NewPool("caller", 0)
+	handler := &Handler{metrics: newMetrics(tally.NoopScope)}
+	var all []*heldBody
+	hold := func() error {
+		held := &heldBody{handler: handler, connection: pool.Add(func() {})}
+		held.connection.SetPhase(overload.Receiving)
+		all = append(all, held)
+		return held.read(zeros{}, maxHeldBody)
 	}
-	require.False(t, held.reserve(1))
-	held.release(maxHeldBody)
-	require.True(t, held.reserve(maxHeldBody))
-	require.Equal(t, int64(maxHeldBodies), held.size.Load())
+	for range 3 {
+		require.NoError(t, hold())
+	}
+	require.ErrorIs(t, hold(), errNoMemory)
+	total := int64(0)
+	for _, held := range all {
+		total += int64(cap(held.data))
+	}
+	require.LessOrEqual(t, total, int64(memory))
+	require.Equal(t, total, handler.heldBytes.Load())
+	all[0].release()
+	all[3].release()
+	require.NoError(t, hold())
 }
 
+// zeros is a body without an end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(target []byte) (int, error) { return len(target), nil }
+
 // TestHeaderInHead guards against an id that is taken from a line that has not arrived completely, or from another header.
 func TestHeaderInHead(t *testing.T) {
 	head := []byte("GET / HTTP/1.1\r\nX-Request-Id: a-1\r\nother: b\r\nCut: half")
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -22,7 +22,7 @@
 	policyErrors tally.Counter
 	broken       map[backend.Liveness]tally.Counter // broken connections, by liveness of the back end
 	inFlight     tally.Gauge
-	bodiesHeld   tally.Gauge // bytes of bodies that are held until they are known not to be too large
+	bodiesHeld   tally.Gauge // bytes of bodies that are held before they are sent
 	// Responses that came before the end of the request's body, by whether the whole body was passed on in the end.
 	earlyWhole, earlyCut tally.Counter
 }
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -35,6 +35,9 @@
 	c := a.call
 	c.streamed.End()
 	failure = c.limitedBody.failure(failure)
+	if a.handler.shortage.recordFailure(time.Now(), failure.Code) {
+		a.limitSlowReaders()
+	}
 	a.handler.logFailure(c.id, failure, append(a.outcomeAttributes(), slog.String("refused_by", c.refusedBy),
 		slog.Uint64("revision", uint64(a.handler.options.Services.Snapshot().Revision)))...)
 	a.handler.writeFailure(a.writer, c.id, failure)
--- a/frontend/path.go
+++ b/frontend/path.go
@@ -124,6 +124,9 @@
 // outcomeOfFailure classifies a failed exchange for the state of the back end. It blocks for at most
 // livenessWait.
 func (a *attempter) outcomeOfFailure(permit *grantedPermit, failed *backend.Failure) routing.Outcome {
+	if a.callerStalled(failed.Code) {
+		return routing.CallerStalled
+	}
 	pathFailed := a.pathFailed(permit)
 	switch failed.Code {
 	case resultcode.CallerGone, resultcode.CallerGoneAfterSend, resultcode.WaitExpired:
@@ -154,6 +157,15 @@
 	return routing.Unserved
 }
 
+// callerStalled reports whether an exchange failed with a code because the caller sent no more of the request's body.
+func (a *attempter) callerStalled(code resultcode.Code) bool {
+	switch code {
+	case resultcode.CallerGone, resultcode.CallerGoneAfterSend, resultcode.WaitExpired, resultcode.DeadlineExceeded:
+		return a.call.streamed.Stalled()
+	}
+	return false
+}
+
 // pathFailed reports whether a request was sent by this daemon itself on a path that has failed, although
 // other daemons reach the back end.
 func (a *attempter) pathFailed(permit *grantedPermit) bool {
--- a/httpcopy/httpcopy.go
+++ b/httpcopy/httpcopy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Side tells which side caused a copy to fail.
@@ -36,15 +37,32 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
+// Options configure how a response is passed on.
+type Options struct {
+	// Record is called with each chunk of the body, which is then read to its end even if the caller has disconnected; nil:
+	// the chunks are not recorded.
+	Record func(chunk []byte)
+	// Memory holds what is read ahead of a caller that takes the body slowly; nil: nothing is read ahead, and Ended and OnSlow
+	// are not called.
+	Memory Memory
+	// Buffered: the whole body is in memory already.
+	Buffered bool
+	// Ended is called if the whole body has been read and the caller takes it slowly. It must not block.
+	Ended func()
+	// OnSlow is called when a write to the caller is blocked while the server has not sent the whole body. The function that it
+	// returns is called when the write has ended. Neither may block. nil: it is not called.
+	OnSlow func(*SlowWrite) (end func())
+}
+
 // Response passes the status, the body and the trailers of a response on to a caller whose header is set
-// already. If record is not nil, it is called with each chunk of the body; see body.
-func Response(writer http.ResponseWriter, response *http.Response, record func(chunk []byte)) *Error {
+// already.
+func Response(writer http.ResponseWriter, response *http.Response, options Options) *Error {
 	header := writer.Header()
 	for name := range response.Trailer {
 		header.Add("Trailer", name)
 	}
 	writer.WriteHeader(response.StatusCode)
-	if err := body(writer, response, record); err != nil {
+	if err := body(writer, response, options); err != nil {
 		return err
 	}
 	for name, values := range response.Trailer {
@@ -54,34 +72,50 @@
 }
 
 // body copies the body of a response to a caller. A response of unknown length is flushed after each
-// chunk, because the caller may be waiting for it. If record is not nil, it is called with each chunk,
-// and the body is read to its end even if the caller has disconnected. It returns nil if the
-// complete body was passed on.
-func body(writer http.ResponseWriter, response *http.Response, record func(chunk []byte)) *Error {
+// chunk, because the caller may be waiting for it. It returns nil if the complete body was passed on.
+func body(writer http.ResponseWriter, response *http.Response, options Options) *Error {
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	streaming := response.ContentLength < 0
 	control := http.NewResponseController(writer)
+	source, write := io.Reader(response.Body), writeChunk
+	if options.Memory != nil {
+		ahead := newAheadReader(response.Body, options)
+		defer ahead.close()
+		source, write = ahead, func(writer http.ResponseWriter, chunk []byte, streaming bool, control *http.ResponseController) *Error {
+			watch := ahead.watchWrite(func() {
+				// An error means that the connection has been closed.
+				_ = control.SetWriteDeadline(aLongTimeAgo)
+			}, options.OnSlow)
+			err := writeChunk(writer, chunk, streaming, control)
+			watch.stop()
+			ahead.written = true
+			return err
+		}
+	}
 	var writeErr *Error
 	for {
-		n, readErr := response.Body.Read(buffer[:])
-		if n > 0 && record != nil {
-			record(buffer[:n])
+		n, readErr := source.Read(buffer[:])
+		if n > 0 && options.Record != nil {
+			options.Record(buffer[:n])
 		}
 		if n > 0 && writeErr == nil {
-			writeErr = writeChunk(writer, buffer[:n], streaming, control)
+			writeErr = write(writer, buffer[:n], streaming, control)
 		}
 		switch {
 		case readErr == io.EOF:
 			return writeErr
 		case readErr != nil:
 			return &Error{Side: Server, Cause: readErr}
-		case writeErr != nil && record == nil:
+		case writeErr != nil && options.Record == nil:
 			return writeErr
 		}
 	}
 }
 
+// aLongTimeAgo is a deadline that has passed.
+var aLongTimeAgo = time.Unix(1, 0)
+
 func writeChunk(writer http.ResponseWriter, chunk []byte, streaming bool, control *http.ResponseController) *Error {
 	if _, err := writer.Write(chunk); err != nil {
 		return &Error{Side: Caller, Cause: err}
--- a/internal/testserver/testserver.go
+++ b/internal/testserver/testserver.go
@@ -55,6 +55,17 @@
 // RespondEarly starts an HTTP/1 server that writes its response as soon as it has read the head of a request, begins to read
 // the body after a pause, and then serves the next request of the connection.
 func RespondEarly(t *testing.T, response string, pause time.Duration) (address string, received <-chan Body) {
+	t.Helper()
+	return respondDuringBody(t, response, 0, pause)
+}
+
+// RespondAfterFirstByte is like RespondEarly, but the server reads the first byte of the body before it responds.
+func RespondAfterFirstByte(t *testing.T, response string) (address string, received <-chan Body) {
+	t.Helper()
+	return respondDuringBody(t, response, 1, 0)
+}
+
+func respondDuringBody(t *testing.T, response string, readBefore int, pause time.Duration) (address string, received <-chan Body) {
 	t.Helper()
 	bodies := make(chan Body, 10)
 	return Listen(t, func(conn net.Conn) {
@@ -65,12 +76,16 @@
 			if err != nil {
 				return
 			}
+			data := make([]byte, readBefore)
+			if _, err := io.ReadFull(request.Body, data); err != nil {
+				return
+			}
 			if _, err := io.WriteString(conn, response); err != nil {
 				return
 			}
 			time.Sleep(pause)
-			data, err := io.ReadAll(request.Body)
-			bodies <- Body{Data: data, Err: err}
+			rest, err := io.ReadAll(request.Body)
+			bodies <- Body{Data: append(data, rest...), Err: err}
 			if err != nil {
 				return
 			}
--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -1,15 +1,18 @@
 package pipelining
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
-	"slices"
+	"runtime"
 	"sync"
 	"time"
 
 	"github.com/tuliphall/tuliphall/framing"
+	"github.com/tuliphall/tuliphall/overload"
 )
 
 // conn is a caller's connection as net/http reads it. Each Read returns bytes up to the end
@@ -29,25 +32,38 @@
 	deadlineChanged sync.Cond // signals a new read deadline
 	aborted         bool      // the read deadline has passed
 	scanner         headScanner
-	prefaceMatched  int             // bytes of http2Preface that the connection began with; -1: it is HTTP/1
-	passThrough     bool            // another protocol than HTTP/1.1 is spoken, or may be soon
-	afterHead       bool            // the last byte that net/http read ended a head
-	head            headRecorder    // of the request that net/http comes to next
-	readAhead       []byte          // bytes that net/http has not read yet
-	mayStart        bool            // requests after the one being served may be started
-	handlerReturned bool            // the handler of the request being served has returned
-	started         []*earlyRequest // in order; their bytes come first in readAhead
-	startedBytes    int             // bytes in readAhead of the requests in started
-	lastStarted     bool            // no more requests may be started
-	closed          bool            // by either side
-	limited         limitedConn     // applies the limits on requests
-	cancel          context.CancelFunc
-	earlyCtx        context.Context // of the requests started early; nil: there were none
+	http2           http2Conn
+	passThrough     bool         // another protocol than HTTP/1.1 is spoken, or may be soon
+	afterHead       bool         // the last byte that net/http read ended a head
+	head            headRecorder // of the request that net/http comes to next
+	gate            headGate     // of the same head
+	readAhead       buffer       // bytes that net/http has not read yet
+	// readAheadReserved is the memory that is reserved for readAhead.
+	readAheadReserved int64
+	mayStart          bool            // requests after the one being served may be started
+	handlerReturned   bool            // the handler of the request being served has returned
+	started           []*earlyRequest // in order; their bytes come first in readAhead
+	startedBytes      int             // bytes in readAhead of the requests in started
+	lastStarted       bool            // no more requests may be started
+	sendsAhead        bool            // the caller has sent many requests ahead, and has not waited for a response since
+	ended             bool            // no further request is read
+	closed            bool            // by either side
+	limited           limitedConn     // applies the limits on requests
+	tracked           *overload.Connection
+	cancelTurn        context.CancelFunc // ends the wait for the turn of a request; nil: none waits
+	cancel            context.CancelFunc
+	earlyCtx          context.Context // of the requests started early; nil: there were none
 }
 
+// newConn returns an accepted connection; nil: it was closed, as there are too many.
 func newConn(inner net.Conn, server *Server) *conn {
 	c := &conn{Conn: inner, server: server}
 	c.deadlineChanged.L = &c.mutex
+	// An error means that the connection has been closed.
+	if c.tracked = server.options.Connections.Add(func() { _ = c.Close() }); c.tracked == nil {
+		inner.Close()
+		return nil
+	}
 	server.connections.add(c)
 	return c
 }
@@ -59,35 +75,71 @@
 		return c.backgroundRead(target)
 	}
 	c.mayStart = false
-	defer c.mutex.Unlock()
-	if c.limited.refused.Load() {
-		return 0, os.ErrDeadlineExceeded
+	c.tracked.BeginReading()
+	if c.readAhead.size() > 0 || !c.limited.tracker.AtHead() {
+		c.yield()
 	}
-	if n := c.takeReadAhead(target); n > 0 {
-		return c.checkTaken(n, nil)
+	defer c.mutex.Unlock()
+	for {
+		if c.limited.refused.Load() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		if c.ended {
+			return 0, io.EOF
+		}
+		if n := c.takeReadAhead(target); n > 0 {
+			return c.completeRead(n, nil)
+		}
+		if c.readAhead.size() > 0 {
+			if err := c.gatherHead(); err != nil {
+				c.handleReadError(err)
+				return 0, err
+			}
+			continue
+		}
+		n, err := c.readWithinLimits(target)
+		if err != nil {
+			c.handleReadError(err)
+		}
+		if n < maxBacklog {
+			c.sendsAhead = false
+		}
+		c.awaitFrames(target[:n])
+		if before, found := c.http2.detect(target[:n]); found && c.beginHTTP2(before, target[:n]) {
+			return 0, io.EOF
+		}
+		if n = c.splitAfterHead(target[:n]); n > 0 || err != nil {
+			return c.completeRead(n, err)
+		}
 	}
-	n, err := c.readWithinLimits(target)
-	if err != nil {
-		c.handleReadError(err)
+}
+
+// completeRead returns the result of a Read. A head whose caller has sent many requests ahead is passed on when it is the turn of
+// its request. The mutex must be held; it is released while completeRead blocks.
+func (c *conn) completeRead(n int, err error) (int, error) {
+	n, err = c.checkTaken(n, err)
+	if err == nil && c.afterHead && c.sendsAhead && !c.passThrough && !c.awaitTurn() {
+		return 0, net.ErrClosed
 	}
-	return c.checkTaken(c.splitAfterHead(target[:n]), err)
+	return n, err
+}
+
+// yield lets the goroutines of other connections run. A caller whose requests or parts of a body have arrived already, so
+// that reading them does not block, would otherwise keep the processor. The mutex must be held; it is released meanwhile.
+func (c *conn) yield() {
+	c.mutex.Unlock()
+	runtime.Gosched()
+	c.mutex.Lock()
 }
 
 // takeReadAhead moves bytes that were read ahead to target, up to the end of a head at most,
 // and returns how many.
 func (c *conn) takeReadAhead(target []byte) int {
-	if len(c.readAhead) == 0 {
+	if c.readAhead.size() == 0 {
 		return 0
 	}
-	n := c.untilBodyEnd(target[:copy(target, c.readAhead)])
-	if end := c.scanner.end(target[:n]); end >= 0 {
-		n, c.afterHead = end, true
-	} else {
-		c.afterHead = false
-	}
-	c.recordHead(target[:n])
-	c.countTaken(target[:n])
-	c.readAhead = c.readAhead[:copy(c.readAhead, c.readAhead[n:])]
+	n := c.pass(target[:copy(target, c.readAhead.bytes())])
+	c.advance(n)
 	c.startedBytes = max(c.startedBytes-n, 0)
 	return n
 }
@@ -95,41 +147,11 @@
 // splitAfterHead returns how many of the bytes just read net/http gets now, which is up to the
 // end of a head at most. It adds the rest to readAhead.
 func (c *conn) splitAfterHead(data []byte) int {
-	c.detectHTTP2(data)
-	end := c.untilBodyEnd(data)
-	if headEnd := c.scanner.end(data[:end]); headEnd >= 0 {
-		end, c.afterHead = headEnd, true
-	} else {
-		c.afterHead = false
-	}
-	c.recordHead(data[:end])
-	c.countTaken(data[:end])
-	c.readAhead = append(c.readAhead, data[end:]...)
+	end := c.pass(data)
+	c.readAhead.append(data[end:])
 	return end
 }
 
-// http2Preface is how an HTTP/2 connection begins, and no HTTP/1 request does.
-const http2Preface = "PRI "
-
-// detectHTTP2 compares the beginning of the connection with http2Preface. Every byte at the
-// beginning of the connection passes through it.
-func (c *conn) detectHTTP2(data []byte) {
-	for _, char := range data {
-		if c.prefaceMatched < 0 || c.prefaceMatched == len(http2Preface) {
-			return
-		}
-		if char != http2Preface[c.prefaceMatched] {
-			c.prefaceMatched = -1
-			return
-		}
-		c.prefaceMatched++
-		if c.prefaceMatched == len(http2Preface) {
-			c.passThrough = true
-			c.beginHTTP2()
-		}
-	}
-}
-
 // backgroundRead reads ahead while a request is being served, and starts the requests that may
 // be started. It returns when net/http aborts the read, when the connection ends, or with a
 // byte of the next request once the handler has returned. The mutex must be held; it is
@@ -138,7 +160,7 @@
 	defer c.mutex.Unlock()
 	c.handlerReturned = false // the read was begun for the next request
 	for {
-		if c.handlerReturned && len(c.readAhead) > 0 {
+		if c.handlerReturned && c.readAhead.size() > 0 {
 			return c.takeReadAhead(target), nil
 		}
 		c.startRequests()
@@ -160,23 +182,26 @@
 // while it blocks. If readAhead is empty, it reads one byte into first, so that a connection
 // whose caller does not pipeline needs no memory for a buffer.
 func (c *conn) readMore(first []byte) error {
-	length := len(c.readAhead)
+	ahead := c.readAhead.size() > 0
 	into := first
-	if length > 0 {
-		c.readAhead = slices.Grow(c.readAhead, readSize)
-		into = c.readAhead[length:cap(c.readAhead)]
+	if ahead {
+		into = c.readAhead.space()
 	}
 	c.mutex.Unlock()
 	n, err := c.Conn.Read(into)
 	c.mutex.Lock()
-	c.readAhead = append(c.readAhead, into[:n]...)
+	if ahead {
+		c.readAhead.extend(n)
+	} else {
+		c.readAhead.append(first[:n])
+	}
 	return err
 }
 
-// waitForSpace blocks while MaxReadAheadBytes are read ahead, and reports whether net/http
-// aborted the read.
+// waitForSpace blocks while MaxReadAheadBytes are read ahead, or no memory can be reserved for more, and reports whether
+// net/http aborted the read.
 func (c *conn) waitForSpace() bool {
-	for len(c.readAhead) >= c.server.options.MaxReadAheadBytes && !c.aborted {
+	for !c.aborted && (c.readAhead.size() >= c.server.options.MaxReadAheadBytes || c.readAhead.size() > 0 && !c.growReadAhead()) {
 		c.deadlineChanged.Wait()
 	}
 	return c.aborted
@@ -197,9 +222,14 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mutex.Lock()
+	if c.http2.isHandedOver() {
+		c.mutex.Unlock()
+		return nil
+	}
 	c.terminate()
 	c.mutex.Unlock()
 	c.server.connections.remove(c)
+	c.tracked.Remove()
 	return c.Conn.Close()
 }
 
@@ -214,8 +244,18 @@
 
 func (c *conn) terminate() {
 	c.closed = true
-	c.stopIdleTimer()
+	c.endHTTP2()
 	c.discardStarted()
+	if c.gate.cancel != nil {
+		c.gate.cancel()
+	}
+	if c.cancelTurn != nil {
+		c.cancelTurn()
+	}
+	c.tracked.EndTurn()
+	if !c.limited.serving {
+		c.tracked.ReleaseHead()
+	}
 	if c.cancel != nil {
 		c.cancel()
 	}
@@ -240,6 +280,13 @@
 	c.passThrough = c.passThrough || r.Header.Get("Upgrade") != ""
 	c.limited.tracker.Begin(r.ContentLength)
 	c.limited.serving = true
+	c.tracked.SetPhase(overload.Serving)
+	c.tracked.EndHead()
+	c.sendsAhead = c.sendsAhead || hasNoBody(r) && c.hasBacklog()
+	c.tracked.SetAhead(c.sendsAhead)
+	if !hasNoBody(r) {
+		c.tracked.EndTurn()
+	}
 	var found *earlyRequest
 	if len(c.started) > 0 {
 		if c.started[0].matches(r, c.server.options.IDHeader) {
@@ -260,6 +307,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.mayStart, c.handlerReturned, c.limited.serving = false, true, false
+	c.tracked.SetPhase(overload.Idle)
+	c.tracked.ReleaseHead()
+	c.tracked.EndTurn()
 }
 
 // closeAfter reports whether the connection can be closed after the request that is being
@@ -278,9 +328,9 @@
 func (c *conn) startRequests() {
 	for c.mayStartNext() {
 		var scanner headScanner
-		rest := c.readAhead[c.startedBytes:]
+		rest := c.readAhead.bytes()[c.startedBytes:]
 		end := scanner.end(rest)
-		if end < 0 {
+		if end < 0 || !overload.IsSmallHead(end, bytes.Count(rest[:end], []byte{'\n'})) {
 			return
 		}
 		request := parseHead(rest[:end])
@@ -294,8 +344,11 @@
 }
 
 func (c *conn) mayStartNext() bool {
+	if (c.sendsAhead || c.hasBacklog()) && !c.server.options.HasSpareCapacity() {
+		return false
+	}
 	return c.mayStart && c.afterHead && !c.closed && !c.lastStarted &&
-		len(c.readAhead) > c.startedBytes && len(c.started) < c.server.options.MaxPerConnection
+		c.readAhead.size() > c.startedBytes && len(c.started) < c.server.options.MaxPerConnection
 }
 
 func (c *conn) start(request *http.Request) {
@@ -303,6 +356,9 @@
 		c.earlyCtx, c.cancel = context.WithCancel(context.Background())
 	}
 	ctx, cancel := context.WithCancel(c.earlyCtx)
+	if c.sendsAhead || c.hasBacklog() {
+		ctx = overload.NewAheadContext(ctx)
+	}
 	request.RemoteAddr = c.RemoteAddr().String()
 	early := newEarlyRequest(request.WithContext(ctx), cancel, c.server.options)
 	c.started = append(c.started, early)
--- a/pipelining/limits.go
+++ b/pipelining/limits.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -22,11 +24,6 @@
 	refused atomic.Bool // nothing more is read or written
 	// blocked: a read waits for bytes of a head, or for a request on an idle connection.
 	blocked bool
-	// streams is the number of HTTP/2 requests in progress, and idle closes the connection once there has been none for
-	// the idle timeout; nil: there was no request yet.
-	streams   int
-	idle      *time.Timer
-	idleSince time.Time
 }
 
 // deadlineOf returns the deadline that replaces one that net/http sets. While a head is read, only the limits on requests
@@ -102,7 +99,7 @@
 		// An error means that the connection has been closed.
 		_ = c.Conn.SetReadDeadline(c.limited.tracker.Deadline(c.server.Limits()))
 	}
-	if c.limited.idle != nil && c.limited.streams == 0 {
+	if c.http2.idle != nil && c.http2.streams == 0 {
 		c.awaitStream()
 	}
 }
@@ -121,12 +118,17 @@
 	if !c.server.limitsHeads() || c.passThrough || len(data) == 0 {
 		return
 	}
+	c.limited.verdict = c.limited.tracker.Take(data, c.afterHead, c.headLimits(), time.Now())
+}
+
+// headLimits returns the limits on the head that net/http reads next.
+func (c *conn) headLimits() requestlimits.Limits {
 	limits := c.server.Limits()
 	if c.startedBytes > 0 {
 		// The request was started early, within the limit then in force, and may have run.
 		limits.HeadBytes = requestlimits.MaxHeadBytes
 	}
-	c.limited.verdict = c.limited.tracker.Take(data, c.afterHead, limits, time.Now())
+	return limits
 }
 
 // untilBodyEnd returns how many bytes of data net/http may get at once. What follows the body of the request that is being
@@ -216,12 +218,23 @@
 	return os.ErrDeadlineExceeded
 }
 
+// PlainRefusal returns the response that net/http gives to a request that it refuses before a handler sees it.
+func PlainRefusal(status int) []byte {
+	text := fmt.Sprintf("%d %s", status, http.StatusText(status))
+	return []byte("HTTP/1.1 " + text + "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" + text)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
 	if c.limited.refused.Load() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(data)
+	// A caller that does not read must not delay others that send ahead.
+	c.tracked.EndTurn()
+	c.tracked.BeginWrite()
+	n, err := c.Conn.Write(data)
+	c.tracked.EndWrite(err == nil)
+	return n, err
 }
 
 // CloseWrite ends the sending direction, if the connection supports that. net/http uses it for connections that it
@@ -232,63 +245,3 @@
 	}
 	return nil
 }
-
-// beginHTTP2 is called when the connection has turned out to be one of HTTP/2, whose requests net/http reads.
-func (c *conn) beginHTTP2() {
-	if !c.server.limitsHeads() {
-		return
-	}
-	// An error means that the connection has been closed.
-	_ = c.Conn.SetReadDeadline(time.Time{})
-	c.limited.idleSince = time.Now()
-	c.awaitStream()
-}
-
-// beginStream notes a request over HTTP/2, and endStream its end.
-func (c *conn) beginStream() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.limited.streams++
-}
-
-func (c *conn) endStream() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.limited.streams--
-	if c.limited.streams == 0 {
-		c.limited.idleSince = time.Now()
-		c.awaitStream()
-	}
-}
-
-// awaitStream closes an HTTP/2 connection when it has been idle for the idle timeout. The mutex must be held.
-func (c *conn) awaitStream() {
-	timeout := c.server.Limits().IdleTimeout
-	if c.limited.idle == nil {
-		c.limited.idle = time.AfterFunc(time.Hour, c.closeIdle)
-	}
-	if timeout == 0 || c.closed {
-		c.limited.idle.Stop()
-		return
-	}
-	c.limited.idle.Reset(time.Until(c.limited.idleSince.Add(timeout)))
-}
-
-// stopIdleTimer ends the observation of an HTTP/2 connection. The mutex must be held.
-func (c *conn) stopIdleTimer() {
-	if c.limited.idle != nil {
-		c.limited.idle.Stop()
-	}
-}
-
-// closeIdle closes an HTTP/2 connection if it is idle.
-func (c *conn) closeIdle() {
-	c.mutex.Lock()
-	timeout := c.server.Limits().IdleTimeout
-	idle := c.limited.streams == 0 && timeout > 0 && time.Since(c.limited.idleSince) >= timeout
-	c.mutex.Unlock()
-	if idle {
-		c.server.closedIdle.Inc(1)
-		c.Close()
-	}
-}
--- a/pipelining/pipelining.go
+++ b/pipelining/pipelining.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/requestlimits"
 )
 
@@ -21,6 +23,9 @@
 	// Repeatable reports whether a request may be served twice, so that it may be started
 	// before the requests ahead of it have their responses. It must not block.
 	Repeatable func(*http.Request) bool
+	// HasSpareCapacity reports whether requests of a caller that has sent many ahead may be started early at present; nil: they
+	// may. It must not block.
+	HasSpareCapacity func() bool
 	// Closing reports whether connections are to be closed as soon as no request that was
 	// started on them is left. It must not block.
 	Closing func() bool
@@ -31,6 +36,10 @@
 	// RefuseHead returns the response, as it is written to the connection, to a request whose head does not keep the
 	// limits. head is the part of it that has arrived. It must not block. nil: heads have no limits but net/http's.
 	RefuseHead func(verdict requestlimits.Verdict, remote string, head []byte) []byte
+	// Connections bounds the open connections and the memory of their requests; nil: there is no bound.
+	Connections *overload.Pool
+	// RefuseStream responds to a request over HTTP/2 for which there is no memory; nil: the response has no body.
+	RefuseStream func(w http.ResponseWriter, r *http.Request)
 	// IDHeader is the header that holds the id of a request.
 	IDHeader string
 	// Metrics count the requests that were started early; nil: they are not counted.
@@ -58,6 +67,8 @@
 	limits      atomic.Pointer[requestlimits.Limits]
 	connections connections
 	closedIdle  tally.Counter
+	// http2Listener gets the connections on which HTTP/2 is spoken; nil: there is no other server for them.
+	http2Listener atomic.Pointer[http2Listener]
 }
 
 // New returns a Server with the given options.
@@ -65,6 +76,15 @@
 	if options.Metrics == nil {
 		options.Metrics = tally.NoopScope
 	}
+	if options.RefuseStream == nil {
+		options.RefuseStream = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	}
+	if options.HasSpareCapacity == nil {
+		options.HasSpareCapacity = func() bool { return true }
+	}
+	if options.Connections == nil {
+		options.Connections = overload.NewGuard(overload.Limits{}, tally.NoopScope).NewPool("", 0)
+	}
 	return &Server{
 		options: options, started: options.Metrics.Counter("pipelined_requests"), closedIdle: options.Metrics.Counter("connections_closed_idle"),
 	}
@@ -78,11 +98,18 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		if l.server.options.Connections.Crowded() {
+			runtime.Gosched()
+		}
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := newConn(accepted, l.server); c != nil {
+			return c, nil
+		}
 	}
-	return newConn(accepted, l.server), nil
 }
 
 // WrapListener returns the listener that the http.Server must serve.
@@ -96,7 +123,7 @@
 // ConnContext is the ConnContext function for the http.Server.
 func (s *Server) ConnContext(ctx context.Context, accepted net.Conn) context.Context {
 	if c, ok := accepted.(*conn); ok {
-		return context.WithValue(ctx, connKey{}, c)
+		return overload.NewContext(context.WithValue(ctx, connKey{}, c), c.tracked)
 	}
 	return ctx
 }
@@ -104,20 +131,20 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
-	if ok && r.ProtoMajor != 1 {
-		c.beginStream()
-		defer c.endStream()
-	}
-	if !ok || r.ProtoMajor != 1 {
+	switch {
+	case !ok:
 		s.options.Handler.ServeHTTP(w, r)
 		return
+	case r.ProtoMajor != 1:
+		s.serveStream(c, w, r)
+		return
 	}
 	early := c.begin(r)
 	defer c.finish()
 	if r.Header.Get("Upgrade") != "" {
-		upgrading := &upgradeWriter{ResponseWriter: w}
+		upgrading := &upgradeWriter{ResponseWriter: w, closes: !hasNoBody(r)}
 		w = upgrading
-		defer c.resumeUnlessUpgraded(r, upgrading)
+		defer c.resumeUnlessUpgraded(upgrading)
 	}
 	if cause := c.checkHead(r); cause != nil {
 		w.Header().Set("Connection", "close")
--- a/pipelining/strict.go
+++ b/pipelining/strict.go
@@ -42,9 +42,20 @@
 		head = head[afterLastEmptyLine(head):]
 	}
 	*h = headRecorder{recorded: h.recorded[:0], bodyLeft: max(r.ContentLength, 0), afterChunked: r.ContentLength < 0}
+	if cap(h.recorded) > maxKeptRecorded {
+		h.recorded = nil
+	}
 	return head
 }
 
+// maxKeptRecorded is the capacity of the largest buffer that is kept for the next head.
+const maxKeptRecorded = 4 << 10
+
+// skipBody notes that the body of the request that net/http has come to is not recorded.
+func (h *headRecorder) skipBody() {
+	h.bodyLeft, h.afterChunked = 0, false
+}
+
 // current returns what was recorded of the head of the request that net/http comes to next. The result is valid until the
 // next call of record.
 func (h *headRecorder) current() []byte {
@@ -71,7 +82,7 @@
 
 // recordHead records bytes that net/http reads, if heads are checked.
 func (c *conn) recordHead(data []byte) {
-	if c.server.checksHeads() && !c.passThrough {
+	if c.server.checksHeads() && !c.passThrough && (!c.followsBodies() || c.limited.tracker.AtHead()) {
 		c.head.record(data, max(maxRecorded, c.server.Limits().HeadBytes))
 	}
 }
@@ -84,7 +95,16 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return framing.CheckRequest(c.head.take(r))
+	head := c.head.take(r)
+	if c.followsBodies() {
+		c.head.skipBody()
+	}
+	return framing.CheckRequest(head)
+}
+
+// followsBodies reports whether it is known where the bodies of requests end.
+func (c *conn) followsBodies() bool {
+	return c.server.limitsHeads()
 }
 
 func (s *Server) checksHeads() bool {
--- a/pipelining/upgrade.go
+++ b/pipelining/upgrade.go
@@ -9,6 +9,9 @@
 // upgradeWriter records whether the handler of a request for another protocol took the connection over.
 type upgradeWriter struct {
 	http.ResponseWriter
+	// closes tells that the connection is closed after the response. Where a body ends is not followed, so that the limits
+	// could not be applied to a request behind it.
+	closes   bool
 	hijacked bool
 }
 
@@ -17,6 +20,22 @@
 	return u.ResponseWriter
 }
 
+// WriteHeader implements http.ResponseWriter.
+func (u *upgradeWriter) WriteHeader(status int) {
+	if u.closes && status >= http.StatusOK {
+		u.Header().Set("Connection", "close")
+	}
+	u.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (u *upgradeWriter) Write(data []byte) (int, error) {
+	if u.closes {
+		u.Header().Set("Connection", "close")
+	}
+	return u.ResponseWriter.Write(data)
+}
+
 // Hijack implements http.Hijacker.
 func (u *upgradeWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
 	conn, buffered, err := http.NewResponseController(u.ResponseWriter).Hijack()
@@ -26,12 +45,16 @@
 
 // resumeUnlessUpgraded is called when the handler of a request for another protocol has returned. If the connection goes on
 // with HTTP/1.1, limits apply to it again: a caller could otherwise evade them by asking for a protocol that there is
-// not. A request with a body is the exception, as where it ends was not followed.
-func (c *conn) resumeUnlessUpgraded(r *http.Request, upgrading *upgradeWriter) {
-	if upgrading.hijacked || !hasNoBody(r) {
+// not. After a request with a body, the connection is closed.
+func (c *conn) resumeUnlessUpgraded(upgrading *upgradeWriter) {
+	if upgrading.hijacked {
 		return
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if upgrading.closes {
+		c.ended = true
+		return
+	}
 	c.passThrough = false
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -161,7 +161,7 @@
 		defer s.upgraded.Done()
 		return httpcopy.Upgrade(w, response, func() {})
 	}
-	if err := httpcopy.Response(w, response, nil); err != nil {
+	if err := httpcopy.Response(w, response, httpcopy.Options{}); err != nil {
 		return err
 	}
 	body.PassOn(r.Context(), response.StatusCode)
--- a/requestlimits/requestlimits.go
+++ b/requestlimits/requestlimits.go
@@ -89,4 +89,6 @@
 	HeadTooSlow
 	// Close: the connection is closed without an answer.
 	Close
+	// Overloaded: there is no memory or processor time for the request (503).
+	Overloaded
 )
--- a/requestlimits/tracker.go
+++ b/requestlimits/tracker.go
@@ -24,11 +24,16 @@
 	inBody
 )
 
-// InHead reports whether the next byte belongs to a head, or whether the connection is idle.
+// InHead reports whether a head is awaited that has not ended yet, or whether the connection is idle.
 func (t *Tracker) InHead() bool {
 	return t.position == inHead
 }
 
+// AtHead reports whether the next byte belongs to a head.
+func (t *Tracker) AtHead() bool {
+	return t.position != inBody
+}
+
 // Idle reports whether no byte of a head has been taken since the last request.
 func (t *Tracker) Idle() bool {
 	return t.position == inHead && t.headBytes == 0
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -57,6 +57,7 @@
 	HeadTooLarge        Code = 2023
 	BodyTooLarge        Code = 2024
 	HeadTooSlow         Code = 2025
+	Overloaded          Code = 2026
 	ConnectionBroken    Code = 3001
 	DeadlineExceeded    Code = 3002
 	OperationUnknown    Code = 3003
@@ -113,6 +114,7 @@
 	{HeadTooLarge, "head-too-large", NotRun, http.StatusRequestHeaderFieldsTooLarge, "The request's head is larger than the operator's limit."},
 	{BodyTooLarge, "body-too-large", NotRun, http.StatusRequestEntityTooLarge, "The request's body is larger than the operator's limit."},
 	{HeadTooSlow, "head-too-slow", NotRun, http.StatusRequestTimeout, "The request's head did not arrive within the operator's limit."},
+	{Overloaded, "overloaded", NotRun, http.StatusServiceUnavailable, "The daemon has no memory or processor time for the request at present."},
 	{ConnectionBroken, "connection-broken", Unknown, http.StatusBadGateway, "The connection to the back end broke after the request was sent."},
 	{DeadlineExceeded, "deadline-exceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed after the request was sent."},
 	{OperationUnknown, "operation-unknown", Unknown, http.StatusConflict, "An earlier request with this key ended without a known outcome."},
