--- a/lab/objectstub/fairshare_test.go
+++ b/lab/objectstub/fairshare_test.go
@@ -532,6 +532,7 @@
 	for _, c := range floods {
 		for _, kind := range []string{"safe", "unsafe"} {
 			t.Run(c.name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
 				minTotal, runs, total := minTotalServed, max(c.runs, 1), 0
 				if c.minTotal > 0 {
 					minTotal = c.minTotal
@@ -561,9 +562,10 @@
 		{name: "extreme", perSecond: 2400, tries: 2, obey: true},
 		{name: "direct", perSecond: 720, tries: 4, obey: true, direct: true},
 	} {
+		c.refusals = true
 		for _, kind := range []string{"safe", "unsafe"} {
 			t.Run(c.name+"/"+kind, func(t *testing.T) {
-				c.refusals = true
+				t.Parallel()
 				result := runFlood(t, c, "/one/"+kind+"/")
 				t.Logf("small %.3f, in the flood %.3f, other %.3f, total %d; first tries %.3f, later ones %.3f; %d told, %d returned; not served: small %v, other %v",
 					result.small.fraction(), result.smallInFlood.fraction(), result.other.fraction(), result.total(),
