pipelining: connections were closed between a handler's return and its response

One of two causes: when the handler had returned, the connection counted as idle, although net/http writes the end of the response after that; in a full pool it gave way to the next connection. The connection now counts as idle once net/http reads again, or ends the sending direction: by then the response has been written. TestResponseIsWrittenBeforeConnectionGivesWay fails before (unexpected EOF).

--- a/overload/connection.go
+++ b/overload/connection.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// EndServing notes that the response to a request has been written. It does nothing if no request is being served.
+func (c *Connection) EndServing() {
+	if c.phase.CompareAndSwap(int32(Serving), int32(Idle)) {
+		c.since.Store(time.Now().UnixNano())
+	}
+}
+
 // stalledAfter is how long a caller must take nothing of its responses to count as stalled.
 const stalledAfter = 100 * time.Millisecond
 
--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -76,6 +76,9 @@
 	}
 	c.mayStart = false
 	c.tracked.BeginReading()
+	if !c.limited.serving {
+		c.tracked.EndServing()
+	}
 	if c.readAhead.size() > 0 || !c.limited.tracker.AtHead() {
 		c.yield()
 	}
@@ -302,12 +305,12 @@
 }
 
 // finish is called when the handler has returned. Bytes that arrive from now on may be from a
-// caller that has already read the whole response: net/http comes to them at once.
+// caller that has already read the whole response: net/http comes to them at once. The end of the response may not have been
+// written yet: that is done once net/http reads again, or ends the sending direction.
 func (c *conn) finish() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.mayStart, c.handlerReturned, c.limited.serving = false, true, false
-	c.tracked.SetPhase(overload.Idle)
 	c.tracked.ReleaseHead()
 	c.tracked.EndTurn()
 }
--- a/pipelining/limits.go
+++ b/pipelining/limits.go
@@ -240,6 +240,7 @@
 // CloseWrite ends the sending direction, if the connection supports that. net/http uses it for connections that it
 // closes before the caller has sent all of a request.
 func (c *conn) CloseWrite() error {
+	c.tracked.EndServing()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/pipelining/requestlimits_test.go
+++ b/pipelining/requestlimits_test.go
@@ -353,6 +353,30 @@
 	})
 }
 
+// TestResponseIsWrittenBeforeConnectionGivesWay guards against a connection that is closed in favor of another one after the handler
+// has returned and before its response was written.
+func TestResponseIsWrittenBeforeConnectionGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newGuardedServer(t, echo, overload.Limits{Connections: 1})
+		caller := s.listener.dial()
+		defer caller.Close()
+		sendAsync(caller, getRequest("/a"))
+		time.Sleep(2 * handlerTime)
+		rejected := s.listener.dial()
+		defer rejected.Close()
+		_, err := rejected.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		_, body := readResponse(t, bufio.NewReader(caller))
+		require.Equal(t, "GET /a ", body)
+		synctest.Wait()
+		accepted := s.listener.dial()
+		defer accepted.Close()
+		sendAsync(accepted, getRequest("/b"))
+		_, body = readResponse(t, bufio.NewReader(accepted))
+		require.Equal(t, "GET /b ", body)
+	})
+}
+
 // TestUpgradeWithBodyDoesNotEvadeLimits guards against a caller that asks for a protocol that there is not, with a body, and then
 // sends heads to which no limits apply.
 func TestUpgradeWithBodyDoesNotEvadeLimits(t *testing.T) {
