overload: a full pool was searched for each new connection

A search now finds one for each 32 connections of the pool, in order; one is closed only if nothing has happened on it since and it still belongs to the same class. Pools of fewer than 32 are searched each time, as before.

--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,6 +99,32 @@
 	})
 }
 
+// TestSearchIsNotRepeatedForEachConnection guards against a search that finds several connections of a large pool, of which one is
+// closed later although a request is being served on it by then or has been meanwhile, or in another order than found.
+func TestSearchIsNotRepeatedForEachConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newGuard(Limits{}).NewPool("caller", 4*victimShare)
+		var open []*peer
+		for range 4 * victimShare {
+			added := add(pool)
+			added.SetPhase(Idle)
+			open = append(open, added)
+			time.Sleep(time.Second)
+		}
+		add(pool)
+		require.True(t, open[0].closed)
+		open[1].SetPhase(Serving)
+		open[2].SetPhase(Serving)
+		open[2].SetPhase(Idle)
+		for range 3 {
+			add(pool)
+		}
+		for number, each := range open[:8] {
+			require.Equal(t, slices.Contains([]int{0, 3, 4, 5}, number), each.closed, "connection %d", number)
+		}
+	})
+}
+
 // TestMemoryIsTakenFromSlowCallers guards against callers that hold all of the memory and send nothing, and against a
 // reservation that is released twice.
 func TestMemoryIsTakenFromSlowCallers(t *testing.T) {
@@ -364,3 +392,15 @@
 		require.InDelta(t, time.Duration(2*readers)*framesBurst, last, float64(10*time.Millisecond), "few frames count, too")
 	})
 }
+
+// BenchmarkFullPool measures a new connection that takes the place of another one.
+func BenchmarkFullPool(b *testing.B) {
+	for _, connections := range []int{128, 512, 1444} {
+		b.Run(strconv.Itoa(connections), func(b *testing.B) {
+			pool := newGuard(Limits{}).NewPool("caller", connections)
+			for b.Loop() {
+				pool.Add(func() {}).BeginReading()
+			}
+		})
+	}
+}
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -21,6 +21,8 @@
 
 	mutex sync.Mutex
 	open  map[*Connection]struct{}
+	// victims are those that the last search has found, least missed first.
+	victims []victim
 }
 
 // NewPool returns the pool of a listener for at most this many connections; 0: without a bound.
--- a/overload/rank.go
+++ b/overload/rank.go
@@ -1,6 +1,9 @@
 package overload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minWait is how long the caller of a connection with a request must have been awaited before the connection is closed in
@@ -13,16 +16,55 @@
 	minSilence = 250 * time.Millisecond
 )
 
+// victim is a connection that may be closed in favor of a new one, as it was when the pool was searched.
+type victim struct {
+	*Connection
+	rank  rank
+	since int64
+}
+
+// victimShare is how many connections of the pool there are for each victim that a search finds: a search for each new connection
+// would take most of the time of a large pool.
+const victimShare = 32
+
 // leastMissed returns the connection to close in favor of a new one; nil: none may be closed. The mutex must be held.
 func (p *Pool) leastMissed(now time.Time) *Connection {
-	var found *Connection
-	var least rank
+	for len(p.victims) > 0 {
+		next := p.victims[0]
+		p.victims = p.victims[1:]
+		if _, open := p.open[next.Connection]; open && next.since == next.Connection.since.Load() && next.Connection.rank(now).class == next.rank.class {
+			return next.Connection
+		}
+	}
+	p.search(now)
+	if len(p.victims) == 0 {
+		return nil
+	}
+	least := p.victims[0].Connection
+	p.victims = p.victims[1:]
+	return least
+}
+
+// search finds the connections that are missed least, in that order. The mutex must be held.
+func (p *Pool) search(now time.Time) {
+	wanted := 1 + len(p.open)/victimShare
+	p.victims = p.victims[:0]
 	for c := range p.open {
-		if r := c.rank(now); r.class != keep && (found == nil || r.before(least)) {
-			found, least = c, r
+		found := victim{Connection: c, since: c.since.Load(), rank: c.rank(now)}
+		if found.rank.class == keep || len(p.victims) == wanted && !found.rank.before(p.victims[wanted-1].rank) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(p.victims, found, func(a, b victim) int {
+			if b.rank.before(a.rank) {
+				return 1
+			}
+			return -1
+		})
+		if len(p.victims) == wanted {
+			p.victims = p.victims[:wanted-1]
 		}
+		p.victims = slices.Insert(p.victims, at, found)
 	}
-	return found
 }
 
 // class orders connections by how much they are missed, least first.
