daemon: 128 connections to the operators' address were too few beside crowds

Questions for readiness got EOF beside clients that send bodies in small pieces: 20,000 connections in three seconds, of which each has a place of 128 for 16 ms. Traced by the class of those that gave way: while the machine was short of the processor, a sixth were connections on which nothing had arrived for 10 to 30 ms. 512 connections now. To leave as many descriptors to back ends, callers may have 50 in 100 of them instead of 60: no change where the memory is the bound, as on machines of 284 MB (1,444).

--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -20,7 +20,7 @@
 	// maxForwardConnections, maxAdminConnections and maxMetricsConnections limit the open connections of the other listeners
 	// than that of callers.
 	maxForwardConnections = 512
-	maxAdminConnections   = 128
+	maxAdminConnections   = 512
 	maxMetricsConnections = 32
 	// maxHTTP2HeaderBytes limits the uncompressed heads of requests over HTTP/2, with 32 bytes for each field.
 	maxHTTP2HeaderBytes = 64 << 10
--- a/overload/limits.go
+++ b/overload/limits.go
@@ -30,7 +30,7 @@
 	connectionBytes = 48 << 10
 	// callerDescriptors and peerDescriptors are the parts of all descriptors that callers and other daemons may take. The others
 	// are for back ends, the platform and operators.
-	callerDescriptors = 0.6
+	callerDescriptors = 0.5
 	peerDescriptors   = 0.2
 	// unlimitedDescriptors stand for a number that is not known.
 	unlimitedDescriptors = 1 << 20
