pipelining: ordinary callers over HTTP/2 found no memory beside large requests

Ordinary callers over HTTP/2 were not served beside clients that send half of a body or take no responses: 4 to 14 and 20 to 23 of about 60 requests, the others with unexpected EOF and resets. Over HTTP/1.1 all were. Each connection of HTTP/2 reserved 256 KiB of the memory of requests before its first request, 203 of them fit, and those of ordinary callers were closed for others or found none. Small requests over HTTP/1.1 need no reservation. So do they now over HTTP/2: what arrives on a connection is reserved for once a head or the bodies exceed the allowances, by the lengths of their frames, until no request is in progress; the first request in progress needs none, and each further one 32 KiB, which may come from the part of the memory that is kept for small ones.

--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -107,7 +107,9 @@
 		if n < maxBacklog {
 			c.sendsAhead = false
 		}
-		c.awaitFrames(target[:n])
+		if !c.awaitFrames(target[:n]) {
+			return 0, io.EOF
+		}
 		if before, found := c.http2.detect(target[:n]); found && c.beginHTTP2(before, target[:n]) {
 			return 0, io.EOF
 		}
--- a/pipelining/frames.go
+++ b/pipelining/frames.go
@@ -1,5 +1,11 @@
 package pipelining
 
+import (
+	"encoding/binary"
+
+	"github.com/tuliphall/tuliphall/overload"
+)
+
 // frameMeter estimates what the frames of an HTTP/2 connection cost, from the bytes that the server reads. The zero value is
 // positioned at the beginning of a connection.
 type frameMeter struct {
@@ -7,14 +13,21 @@
 	header  [frameHeaderLength]byte
 	length  int // of the header that was read
 	left    int // bytes of the payload that are still to come
-	// requests and resets are the numbers of requests and of those that the caller has given up.
-	requests, resets int
+	// requests and resets are the numbers of requests and of those that the caller has given up, ended that of those that have
+	// been served, and lastStream is the stream of the newest one.
+	requests, resets, ended int
+	lastStream              uint32
+	// bodies is what has arrived of bodies since there was no request in progress, and large tells that the requests in progress
+	// need more than the allowances.
+	bodies int
+	large  bool
 }
 
 const (
 	prefaceLength     = len("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 	frameHeaderLength = 9
 
+	frameData         = 0x0
 	frameHeaders      = 0x1
 	frameReset        = 0x3
 	frameContinuation = 0x9
@@ -55,17 +68,43 @@
 // begin counts a frame of a kind with a payload of this length, and returns its cost.
 func (m *frameMeter) begin(kind byte, length int) int {
 	switch kind {
+	case frameData:
+		m.bodies += length
+		m.large = m.large || m.bodies > overload.BodyAllowance*min(m.requests-m.ended, maxSmallBodies)
 	case frameHeaders:
-		m.requests++
+		// Trailers come on the stream of their request.
+		if stream := binary.BigEndian.Uint32(m.header[5:]) &^ (1 << 31); stream > m.lastStream {
+			m.lastStream = stream
+			m.requests++
+		}
+		m.large = m.large || length > headBlockAllowance
 		return requestCost + length/headerBytesPerCost
 	case frameReset:
 		m.resets++
 	case frameContinuation:
+		m.large = true
 		return frameCost + length/headerBytesPerCost
 	}
 	return frameCost
 }
 
+const (
+	// headBlockAllowance is the size of a compressed head that needs no reservation while it is decompressed.
+	headBlockAllowance = 1 << 10
+	// maxSmallBodies is the number of requests in progress with a small body each that need no reservation for what arrives.
+	maxSmallBodies = 4
+)
+
+// endRequest notes that a request has been served, and reports whether it was the last one in progress.
+func (m *frameMeter) endRequest() (last bool) {
+	m.ended++
+	if m.ended < m.requests {
+		return false
+	}
+	m.bodies, m.large = 0, false
+	return true
+}
+
 // maxResets is the number of resets up to which a caller may have given up most of its requests.
 const maxResets = 4
 
--- a/pipelining/frames_test.go
+++ b/pipelining/frames_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+
+	"github.com/tuliphall/tuliphall/overload"
 )
 
 // TestFramesAreCounted guards against frames that are counted otherwise than they are read, whatever the pieces in which they
@@ -50,3 +53,46 @@
 	meter = frameMeter{requests: maxResets, resets: maxResets}
 	require.False(t, meter.givesUpMost())
 }
+
+// TestRequestsBeyondAllowancesAreLarge guards against connections that reserve memory for small requests, which ordinary callers may
+// not find, and against large ones that reserve none.
+func TestRequestsBeyondAllowancesAreLarge(t *testing.T) {
+	const frame = 1 << 10
+	request := func(stream uint32, head, body int) []byte {
+		var sent bytes.Buffer
+		framer := http2.NewFramer(&sent, nil)
+		require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: make([]byte, head), EndHeaders: true}))
+		for ; body > 0; body -= frame {
+			require.NoError(t, framer.WriteData(stream, false, make([]byte, min(body, frame))))
+		}
+		return sent.Bytes()
+	}
+	for name, test := range map[string]struct {
+		sent  []byte
+		large bool
+	}{
+		"small head":                    {request(1, headBlockAllowance, 0), false},
+		"large head":                    {request(1, headBlockAllowance+1, 0), true},
+		"small body":                    {request(1, 1, overload.BodyAllowance), false},
+		"large body":                    {request(1, 1, overload.BodyAllowance+1), true},
+		"two small bodies":              {slices.Concat(request(1, 1, overload.BodyAllowance), request(3, 1, overload.BodyAllowance)), false},
+		"trailers":                      {slices.Concat(request(1, 1, overload.BodyAllowance), request(1, 1, 1)), true},
+		"small bodies of many requests": {slices.Concat(request(1, 1, 0), request(3, 1, 0), request(5, 1, 0), request(7, 1, 0), request(9, 1, 5*overload.BodyAllowance)), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			meter := frameMeter{preface: prefaceLength}
+			meter.count(test.sent)
+			require.Equal(t, test.large, meter.large)
+			for left := meter.requests; left > 0; left-- {
+				require.Equal(t, left == 1, meter.endRequest())
+			}
+			require.False(t, meter.large)
+		})
+	}
+	meter := frameMeter{preface: prefaceLength}
+	meter.count(request(1, 1, 0))
+	var unfinished bytes.Buffer
+	require.NoError(t, http2.NewFramer(&unfinished, nil).WriteContinuation(1, false, nil))
+	meter.count(unfinished.Bytes())
+	require.True(t, meter.large)
+}
--- a/pipelining/http2.go
+++ b/pipelining/http2.go
@@ -20,7 +20,7 @@
 	// handedOver: another server serves the connection from now on, and the server that accepted it is about to close it.
 	handedOver bool
 	frames     frameMeter
-	reserved   int64 // memory for the connection itself
+	reserved   int64 // memory for requests that need more than the allowances while they arrive
 	ctx        context.Context
 	cancel     context.CancelFunc
 	// streams is the number of requests in progress, and idle closes the connection once there has been none for the idle
@@ -54,9 +54,21 @@
 	return handedOver
 }
 
-// http2ConnectionBytes is the memory that a connection occupies: its tables, a head of the largest size and what is
-// received of bodies that are not read.
-const http2ConnectionBytes = 256 << 10
+// http2LargeBytes is the memory of a connection whose requests need more than the allowances while they arrive: a head of the
+// largest size and what is received of bodies that are not read.
+const http2LargeBytes = 256 << 10
+
+// reserveLarge reserves the memory for what has arrived on the connection, and reports whether it has it. The mutex must be held.
+func (c *conn) reserveLarge() bool {
+	if !c.http2.frames.large || c.http2.reserved > 0 {
+		return true
+	}
+	if !c.tracked.Reserve(http2LargeBytes) {
+		return false
+	}
+	c.http2.reserved = http2LargeBytes
+	return true
+}
 
 // beginHTTP2 is called when the connection has turned out to be one of HTTP/2; data are the bytes read last, and before those of
 // the preface that the server that accepted the connection has got. It reports whether that server does not serve the
@@ -66,10 +78,9 @@
 	c.http2.frames.count([]byte(before))
 	c.http2.frames.count(data)
 	c.http2.ctx, c.http2.cancel = context.WithCancel(context.Background())
-	if !c.tracked.Reserve(http2ConnectionBytes) {
+	if !c.reserveLarge() {
 		return true
 	}
-	c.http2.reserved = http2ConnectionBytes
 	if c.server.limitsHeads() {
 		// An error means that the connection has been closed.
 		_ = c.Conn.SetReadDeadline(time.Time{})
@@ -99,23 +110,25 @@
 	}
 }
 
-// awaitFrames waits until the daemon may spend processor time on the frames that begin in data. The mutex must be held; it is
-// released while awaitFrames blocks.
-func (c *conn) awaitFrames(data []byte) {
+// awaitFrames waits until the daemon may spend processor time on the frames that begin in data, and reports whether there is memory
+// for what belongs to them. The mutex must be held; it is released while awaitFrames blocks.
+func (c *conn) awaitFrames(data []byte) bool {
 	if !c.http2.spoken {
-		return
+		return true
 	}
 	cost := c.http2.frames.count(data)
 	if cost == 0 {
-		return
+		return true
 	}
 	c.mutex.Unlock()
-	defer c.mutex.Lock()
 	c.tracked.AwaitFrames(c.http2.ctx, cost)
+	c.mutex.Lock()
+	return c.reserveLarge()
 }
 
-// streamBytes is the memory of a request with a small head: its goroutine, its buffers and a response that is not taken.
-const streamBytes = 48 << 10
+// streamBytes is the memory of a request with a small head: its goroutine, its buffers and a response that is not taken. The
+// first request in progress has an allowance.
+const streamBytes = 32 << 10
 
 // maxStreams is the number of requests of a connection at the same time that are treated as those of others.
 const maxStreams = 1
@@ -123,13 +136,16 @@
 // beginStream notes a request over HTTP/2, and reports whether there is memory for it. endStream must be called with the
 // memory that was reserved.
 func (c *conn) beginStream(r *http.Request) (reserved int64, ok bool) {
-	reserved = streamBytes + overload.HeadMemory(r)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	reserved = overload.HeadMemory(r)
+	if c.http2.streams > 0 {
+		reserved += streamBytes
+	}
 	ok = c.tracked.Reserve(reserved)
 	if !ok {
 		reserved = 0
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.http2.streams++
 	c.http2.manyStreams = c.http2.manyStreams || c.http2.streams > maxStreams
 	c.tracked.SetAhead(c.http2.manyStreams || c.http2.frames.givesUpMost())
@@ -142,6 +158,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.http2.streams--
+	if c.http2.frames.endRequest() {
+		c.tracked.Release(c.http2.reserved)
+		c.http2.reserved = 0
+	}
 	if c.http2.streams == 0 {
 		c.http2.manyStreams = false
 		c.tracked.SetPhase(overload.Idle)
