overload: ordinary callers over HTTP/2 waited for the frames of crowds

Beside clients that send many short fields over HTTP/2, 41 to 47 of about 60 requests of ordinary callers over HTTP/2 were served, the others without a response in time. After heads without an end, 23 MB and about 95 connections stayed reserved for more than 10 s. Reads of few frames went before others, first come first served among themselves. Those of this crowd are few as well: 100 wait, 140 ms for each read, and a kept connection of an ordinary caller reads 17 times a second. A part of a head of 16 KiB counted as if all its fields were served, 20 ms of a core, although those beyond the limit are skipped, so that each connection waited for seconds. Reads are admitted by weighted fair queueing between connections now (frameQueue instead of two limiters): those that have used less go first, a read counts for a request at least, and a connection weighs less with many requests in progress or with larger ones than the allowances. What is read of bodies over HTTP/2 is counted, so that small ones one after the other are not large together. The fields of a head count up to the limit on heads. A connection that finds no memory for what has arrived waits for up to a second, as a large head does, before it is closed: its caller would come back at once. TestOrdinaryCallersAreServedBesideClient/{http2_unfinished_heads,http2_streams_opened_and_reset}: nothing reserved 0.5 s after.

--- a/overload/connection.go
+++ b/overload/connection.go
@@ -38,6 +38,9 @@
 
 	ahead, turn atomic.Bool
 
+	// finishTag is where the turn of the connection's last read ends. It is guarded by the mutex of the frameQueue.
+	finishTag float64
+
 	// Guarded by the mutex of the Guard.
 	reserved int64
 	evicted  bool // it is being closed, and what it had reserved is released
@@ -135,7 +138,7 @@
 		return false
 	}
 	c.turn.Store(true)
-	c.pool.guard.awaitManyFrames(ctx, cost)
+	c.AwaitFrames(ctx, cost, 1)
 	return ctx.Err() == nil
 }
 
@@ -212,13 +215,12 @@
 	}
 }
 
-// AwaitFrames waits until the process may spend processor time on frames of HTTP/2 of this cost, or ctx ends.
-func (c *Connection) AwaitFrames(ctx context.Context, cost int) {
-	if cost <= fewFrames {
-		c.pool.guard.awaitFewFrames(ctx, cost)
-		return
+// AwaitFrames waits until the process may spend processor time on frames of HTTP/2 of this cost, or ctx ends. Connections that have
+// used less than others for their weight go first.
+func (c *Connection) AwaitFrames(ctx context.Context, cost int, weight float64) {
+	if frames := c.pool.guard.frames; frames != nil {
+		frames.await(ctx, c, cost, weight)
 	}
-	c.pool.guard.awaitManyFrames(ctx, cost)
 }
 
 // ReleaseHead releases what AdmitHead has acquired. It may be called more than once.
--- a/overload/guard.go
+++ b/overload/guard.go
@@ -7,7 +7,6 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
-	"golang.org/x/time/rate"
 )
 
 // Guard bounds the memory of all requests of a process. It is safe for concurrent use.
@@ -17,10 +16,8 @@
 	// parsing is held while a large head is parsed, and for as long after it.
 	parsing *semaphore.Weighted
 	// ahead is held by requests of callers that have sent many ahead.
-	ahead  *semaphore.Weighted
-	frames *rate.Limiter // nil: no limit
-	// few limits reads of few frames, which frames counts without a wait: many frames wait for few, and not the reverse.
-	few     *rate.Limiter
+	ahead   *semaphore.Weighted
+	frames  *frameQueue // nil: no limit
 	metrics tally.Scope
 	// pressed, of capacity 1, signals that a connection was closed or a request refused.
 	pressed chan struct{}
@@ -40,9 +37,6 @@
 	Refused, Evicted, Rejected uint64
 }
 
-// framesBurst is the time for which frames of HTTP/2 may be read at once after a pause.
-const framesBurst = 100 * time.Millisecond
-
 // NewGuard returns a guard with these limits.
 func NewGuard(limits Limits, metrics tally.Scope) *Guard {
 	g := &Guard{limits: limits, parsing: semaphore.NewWeighted(1), ahead: semaphore.NewWeighted(maxAhead), metrics: metrics, pressed: make(chan struct{}, 1), gauge: metrics.Gauge("request_memory_bytes"), refused: metrics.Counter("request_memory_refused")}
@@ -50,35 +44,12 @@
 		g.heads = semaphore.NewWeighted(limits.HeadMemory)
 	}
 	if limits.Frames > 0 {
-		burst := max(int(limits.Frames*framesBurst.Seconds()), 1)
-		g.frames, g.few = rate.NewLimiter(rate.Limit(limits.Frames), burst), rate.NewLimiter(rate.Limit(limits.Frames), burst)
+		g.frames = newFrameQueue(limits.Frames)
 	}
 	metrics.Gauge("request_memory_max_bytes").Update(float64(limits.Memory))
 	return g
 }
 
-// fewFrames is the cost of what a caller with a few requests at the same time sends at once.
-const fewFrames = 100
-
-// awaitFewFrames waits until processor time may be spent on at most fewFrames, or ctx ends.
-func (g *Guard) awaitFewFrames(ctx context.Context, cost int) {
-	if g.frames == nil {
-		return
-	}
-	cost = min(cost, g.frames.Burst())
-	g.frames.ReserveN(time.Now(), cost)
-	// An error means that the connection is being closed.
-	_ = g.few.WaitN(ctx, cost)
-}
-
-// awaitManyFrames waits until processor time may be spent on frames that others need not wait for, or ctx ends.
-func (g *Guard) awaitManyFrames(ctx context.Context, cost int) {
-	if g.frames != nil {
-		// An error means that the connection is being closed.
-		_ = g.frames.WaitN(ctx, min(cost, g.frames.Burst()))
-	}
-}
-
 // Limits returns the limits.
 func (g *Guard) Limits() Limits {
 	return g.limits
--- a/pipelining/frames.go
+++ b/pipelining/frames.go
@@ -13,12 +13,13 @@
 	header  [frameHeaderLength]byte
 	length  int // of the header that was read
 	left    int // bytes of the payload that are still to come
+	fields  int // cost of the fields of the head that is being read
 	// requests and resets are the numbers of requests and of those that the caller has given up, ended that of those that have
 	// been served, and lastStream is the stream of the newest one.
 	requests, resets, ended int
 	lastStream              uint32
-	// bodies is what has arrived of bodies since there was no request in progress, and large tells that the requests in progress
-	// need more than the allowances.
+	// bodies is what has arrived of bodies and was not read, and large tells that the requests in progress need more than the
+	// allowances.
 	bodies int
 	large  bool
 }
@@ -39,6 +40,10 @@
 	requestCost = 8
 	// headerBytesPerCost is the size of the part of a head that costs as much as a frame: each byte may be a field.
 	headerBytesPerCost = 16
+	// maxFieldsCost is what the fields of a head cost at most: those beyond the limit on heads are skipped.
+	maxFieldsCost = 128
+	// skippedBytesPerCost is the size of the part of a head that costs as much as a frame if it is skipped.
+	skippedBytesPerCost = 1 << 10
 )
 
 // count returns the cost of the frames whose headers end in data, which follows what was counted before.
@@ -70,7 +75,7 @@
 	switch kind {
 	case frameData:
 		m.bodies += length
-		m.large = m.large || m.bodies > overload.BodyAllowance*min(m.requests-m.ended, maxSmallBodies)
+		m.large = m.large || m.bodies > overload.BodyAllowance*min(m.inProgress(), maxSmallBodies)
 	case frameHeaders:
 		// Trailers come on the stream of their request.
 		if stream := binary.BigEndian.Uint32(m.header[5:]) &^ (1 << 31); stream > m.lastStream {
@@ -78,33 +83,62 @@
 			m.requests++
 		}
 		m.large = m.large || length > headBlockAllowance
-		return requestCost + length/headerBytesPerCost
+		m.fields = 0
+		return requestCost + m.countFields(length)
 	case frameReset:
 		m.resets++
 	case frameContinuation:
 		m.large = true
-		return frameCost + length/headerBytesPerCost
+		return frameCost + m.countFields(length)
 	}
 	return frameCost
 }
 
+// countFields counts a part of a head of this length, and returns its cost.
+func (m *frameMeter) countFields(length int) int {
+	cost := min(length/headerBytesPerCost, maxFieldsCost-m.fields)
+	m.fields += cost
+	return cost + length/skippedBytesPerCost
+}
+
 const (
 	// headBlockAllowance is the size of a compressed head that needs no reservation while it is decompressed.
 	headBlockAllowance = 1 << 10
 	// maxSmallBodies is the number of requests in progress with a small body each that need no reservation for what arrives.
-	maxSmallBodies = 4
+	maxSmallBodies = 16
 )
 
+// inProgress returns the number of requests that have not been served yet.
+func (m *frameMeter) inProgress() int {
+	return m.requests - m.ended
+}
+
 // endRequest notes that a request has been served, and reports whether it was the last one in progress.
 func (m *frameMeter) endRequest() (last bool) {
 	m.ended++
-	if m.ended < m.requests {
+	if m.inProgress() > 0 {
 		return false
 	}
 	m.bodies, m.large = 0, false
 	return true
 }
 
+const (
+	// fewRequests is the number of requests in progress above which the frames of a connection have a lower weight, by their number.
+	fewRequests = 16
+	// largeWeight is the weight of frames while requests in progress need more than the allowances.
+	largeWeight = 0.25
+)
+
+// weight returns the weight of the connection where frames wait.
+func (m *frameMeter) weight() float64 {
+	weight := 1.0
+	if m.large {
+		weight = largeWeight
+	}
+	return weight * min(fewRequests/float64(m.inProgress()), 1)
+}
+
 // maxResets is the number of resets up to which a caller may have given up most of its requests.
 const maxResets = 4
 
--- a/pipelining/http2.go
+++ b/pipelining/http2.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/tuliphall/tuliphall/overload"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // http2Preface is how an HTTP/2 connection begins, and no HTTP/1 request does.
@@ -58,6 +60,29 @@
 // largest size and what is received of bodies that are not read.
 const http2LargeBytes = 256 << 10
 
+const (
+	// largeTimeout is how long a connection waits for the memory of what has arrived on it before it is closed. Callers that are closed
+	// at once come back at once.
+	largeTimeout = time.Second
+	// largeRetryInterval is how often a connection that waits tries again.
+	largeRetryInterval = 50 * time.Millisecond
+)
+
+// awaitLarge waits for the memory for what has arrived on the connection, and reports whether it has it. The mutex must be held; it is
+// released while awaitLarge blocks.
+func (c *conn) awaitLarge() bool {
+	deadline := time.Now().Add(largeTimeout)
+	for !c.reserveLarge() {
+		c.mutex.Unlock()
+		wait.Sleep(c.http2.ctx, largeRetryInterval)
+		c.mutex.Lock()
+		if c.closed || time.Now().After(deadline) {
+			return false
+		}
+	}
+	return true
+}
+
 // reserveLarge reserves the memory for what has arrived on the connection, and reports whether it has it. The mutex must be held.
 func (c *conn) reserveLarge() bool {
 	if !c.http2.frames.large || c.http2.reserved > 0 {
@@ -78,7 +103,7 @@
 	c.http2.frames.count([]byte(before))
 	c.http2.frames.count(data)
 	c.http2.ctx, c.http2.cancel = context.WithCancel(context.Background())
-	if !c.reserveLarge() {
+	if !c.awaitLarge() {
 		return true
 	}
 	if c.server.limitsHeads() {
@@ -120,10 +145,11 @@
 	if cost == 0 {
 		return true
 	}
+	weight := c.http2.frames.weight()
 	c.mutex.Unlock()
-	c.tracked.AwaitFrames(c.http2.ctx, cost)
+	c.tracked.AwaitFrames(c.http2.ctx, cost, weight)
 	c.mutex.Lock()
-	return c.reserveLarge()
+	return c.awaitLarge()
 }
 
 // streamBytes is the memory of a request with a small head: its goroutine, its buffers and a response that is not taken. The
@@ -203,12 +229,30 @@
 		s.options.RefuseStream(w, r)
 		return
 	}
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = &streamBody{ReadCloser: r.Body, conn: c}
+	}
 	writer := &streamWriter{ResponseWriter: w, connection: c.tracked}
 	s.options.Handler.ServeHTTP(writer, r)
 	// Memory is reserved until the caller has taken the response. An error means that the stream has ended.
 	_ = writer.FlushError()
 }
 
+// streamBody counts what is read of a body.
+type streamBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(target []byte) (int, error) {
+	n, err := b.ReadCloser.Read(target)
+	b.conn.mutex.Lock()
+	defer b.conn.mutex.Unlock()
+	b.conn.http2.frames.bodies = max(b.conn.http2.frames.bodies-n, 0)
+	return n, err
+}
+
 // streamWriter notes how long the caller has taken nothing of the responses of its connection.
 type streamWriter struct {
 	http.ResponseWriter
