httpcopy: responses that callers had begun to take kept back ends from others for a second

The sockets take the first megabytes of a long response, so that its caller counted as slow only after a second in which it took nothing, and all slots were occupied by such responses until then. A caller counts as slow after 300 ms in which it takes nothing. Responses are still broken off only while capacity is short, above their share of the slots, and the oldest first. TestCallerThatStopsIsToldSoon fails before (1.02 s).

--- a/httpcopy/ahead.go
+++ b/httpcopy/ahead.go
@@ -153,7 +153,7 @@
 	slowWriteTime = 20 * time.Millisecond
 	// slowCallerTime is how long it may be blocked, if the caller has taken a part of the response, before the caller counts as
 	// slow. One that has taken nothing counts as slow after another slowWriteTime.
-	slowCallerTime = time.Second
+	slowCallerTime = 300 * time.Millisecond
 	// stallTimeout is how long it may be blocked while the server is occupied by what cannot be held.
 	stallTimeout = 10 * time.Second
 )
--- a/httpcopy/ahead_test.go
+++ b/httpcopy/ahead_test.go
@@ -169,6 +169,43 @@
 	}
 }
 
+// TestCallerThatStopsIsToldSoon guards against a caller that has taken a part of a response and keeps a back end from others for a
+// second.
+func TestCallerThatStopsIsToldSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		var told time.Duration
+		response := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(bytes.NewReader(make([]byte, 2<<20)))}
+		caller := &stoppingCaller{slowCaller: newSlowCaller(time.Hour)}
+		err := httpcopy.Response(caller, response, httpcopy.Options{
+			Memory: newMemory(0), Ended: func() {},
+			OnSlow: func(write *httpcopy.SlowWrite) func() {
+				told = time.Since(start)
+				write.Abort()
+				return func() {}
+			},
+		})
+		require.NotNil(t, err)
+		require.NotZero(t, caller.Body.Len())
+		require.LessOrEqual(t, told, 500*time.Millisecond)
+	})
+}
+
+// stoppingCaller takes the first write at once.
+type stoppingCaller struct {
+	*slowCaller
+	stopped bool
+}
+
+// Write implements http.ResponseWriter.
+func (c *stoppingCaller) Write(data []byte) (int, error) {
+	if !c.stopped {
+		c.stopped = true
+		return c.ResponseRecorder.Write(data)
+	}
+	return c.slowCaller.Write(data)
+}
+
 // TestFailureOfServerIsReported guards against a response that seems to be complete although the server broke it off while it
 // was read ahead.
 func TestFailureOfServerIsReported(t *testing.T) {
