--- a/lab/abuse/abuse_test.go
+++ b/lab/abuse/abuse_test.go
@@ -66,7 +66,7 @@
 
 // sites bounds the number of sites that run at the same time, and siteNumber distinguishes their addresses.
 var (
-	sites      = make(chan struct{}, 3)
+	sites      = make(chan struct{}, 2)
 	siteNumber atomic.Int32
 )
 
