overload: connections of HTTP/2 could take all places of callers

Half of the places at most are for connections of HTTP/2. The one that is missed least of them is closed for a new one. TestHTTP2LeavesPlacesToOthers.

--- a/lab/abuse/abuse_test.go
+++ b/lab/abuse/abuse_test.go
@@ -110,7 +110,7 @@
 // TestOrdinaryCallersAreServedBesideClient guards against a process that ends, passes the memory of its machine or stops
 // serving because of a crowd of clients that do not behave.
 func TestOrdinaryCallersAreServedBesideClient(t *testing.T) {
-	for _, kind := range slices.Concat(Kinds, HTTP2Kinds) {
+	for _, kind := range slices.Concat(Kinds, HTTP2Kinds, HTTP2CrowdKinds) {
 		for _, to := range targets {
 			t.Run(kind.Name+"/"+to.name, func(t *testing.T) {
 				t.Parallel()
@@ -161,7 +161,7 @@
 
 // TestStandaloneDaemonServesBesideClient guards against the same in a daemon that is not told how much memory its machine has.
 func TestStandaloneDaemonServesBesideClient(t *testing.T) {
-	for _, kind := range slices.Concat(Kinds, HTTP2Kinds) {
+	for _, kind := range slices.Concat(Kinds, HTTP2Kinds, HTTP2CrowdKinds) {
 		t.Run(kind.Name, func(t *testing.T) {
 			t.Parallel()
 			site := startSiteWith(t, Options{Machine: machine(), Daemons: 1, Backends: 8, Standalone: true})
@@ -173,7 +173,7 @@
 // TestOrdinaryHTTP2CallersAreServedBesideClient guards against frames of ordinary callers that wait behind those of clients that
 // do not behave.
 func TestOrdinaryHTTP2CallersAreServedBesideClient(t *testing.T) {
-	for _, kind := range HTTP2Kinds {
+	for _, kind := range slices.Concat(HTTP2Kinds, HTTP2CrowdKinds) {
 		t.Run(kind.Name, func(t *testing.T) {
 			t.Parallel()
 			site := startSite(t, machine())
--- a/lab/abuse/http2.go
+++ b/lab/abuse/http2.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
@@ -24,6 +25,16 @@
 	{Name: "http2 settings not read", Connections: 100, play: func(c *client) error { return c.playHTTP2(nil, (*http2Client).changeSettings) }},
 }
 
+// HTTP2CrowdKinds are the kinds of client that open as many connections of HTTP/2 as they can, with a request each.
+var HTTP2CrowdKinds = []Kind{
+	{Name: "http2 one response not taken", Connections: 3000, connectInterval: time.Millisecond, reconnectDelay: 2 * time.Second, play: func(c *client) error {
+		return c.playHTTP2(noWindow, (*http2Client).ignoreResponse)
+	}},
+	{Name: "http2 idle connections", Connections: 3000, connectInterval: time.Millisecond, reconnectDelay: 2 * time.Second, play: func(c *client) error {
+		return c.playHTTP2(nil, (*http2Client).sendOnceAndHold)
+	}},
+}
+
 // noWindow are the settings of a client that takes nothing of its responses.
 var noWindow = []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: 0}}
 
@@ -203,6 +214,24 @@
 	return c.hold()
 }
 
+// sendOnceAndHold sends a request, and keeps the connection.
+func (c *http2Client) sendOnceAndHold() error {
+	go c.readFrames()
+	if err := c.writeHead(1, c.head(http.MethodGet, "", nil), true, true); err != nil {
+		return err
+	}
+	return c.flushAndHold()
+}
+
+// ignoreResponse asks for one response and takes nothing of it.
+func (c *http2Client) ignoreResponse() error {
+	go c.readFrames()
+	if err := c.writeHead(1, c.head(http.MethodGet, "?"+paramBytes+"="+strconv.Itoa(longResponse), nil), true, true); err != nil {
+		return err
+	}
+	return c.flushAndHold()
+}
+
 // ignoreResponses asks for responses and takes nothing of them.
 func (c *http2Client) ignoreResponses(bytes int) error {
 	go c.readFrames()
--- a/overload/connection.go
+++ b/overload/connection.go
@@ -41,6 +41,8 @@
 	// finishTag is where the turn of the connection's last read ends. It is guarded by the mutex of the frameQueue.
 	finishTag float64
 
+	http2 bool // HTTP/2 is spoken; guarded by the mutex of the pool
+
 	// Guarded by the mutex of the Guard.
 	reserved int64
 	evicted  bool // it is being closed, and what it had reserved is released
@@ -53,7 +55,7 @@
 		p.opened.Add(-1)
 	}
 	p.mutex.Lock()
-	delete(p.open, c)
+	p.delete(c)
 	p.gauge.Update(float64(len(p.open)))
 	p.mutex.Unlock()
 	g := p.guard
@@ -87,6 +89,9 @@
 	}
 }
 
+// BeginHTTP2 notes that HTTP/2 is spoken on the connection, and reports whether it may stay open.
+func (c *Connection) BeginHTTP2() bool { return c.pool.beginHTTP2(c) }
+
 // EndServing notes that the response to a request has been written. It does nothing if no request is being served.
 func (c *Connection) EndServing() {
 	if c.phase.CompareAndSwap(int32(Serving), int32(Idle)) {
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -126,6 +126,38 @@
 	})
 }
 
+// TestHTTP2LeavesPlacesToOthers guards against connections of HTTP/2, each with a request in progress, that take all places, and
+// against a count that is wrong after some were closed.
+func TestHTTP2LeavesPlacesToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const places = 10
+		pool := newGuard(Limits{}).NewPool("caller", places)
+		var serving []*peer
+		for range places / 2 {
+			c := add(pool)
+			require.True(t, c.BeginHTTP2())
+			c.SetPhase(Serving)
+			serving = append(serving, c)
+		}
+		rejected := add(pool)
+		require.False(t, rejected.BeginHTTP2())
+		rejected.Remove()
+		serving[3].SetPhase(Idle)
+		require.True(t, add(pool).BeginHTTP2())
+		require.True(t, serving[3].closed)
+		serving[0].Remove()
+		serving[0].Remove()
+		require.True(t, add(pool).BeginHTTP2())
+		for range places / 2 {
+			c := add(pool)
+			require.False(t, c.closed)
+			c.SetPhase(Serving)
+		}
+		require.Len(t, pool.open, places)
+		require.Equal(t, places/2, pool.http2)
+	})
+}
+
 // TestMemoryIsTakenFromSlowCallers guards against callers that hold all of the memory and send nothing, and against a
 // reservation that is released twice.
 func TestMemoryIsTakenFromSlowCallers(t *testing.T) {
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -23,6 +23,7 @@
 	open  map[*Connection]struct{}
 	// victims are those that the last search has found, least missed first.
 	victims []victim
+	http2   int // open connections on which HTTP/2 is spoken
 }
 
 // NewPool returns the pool of a listener for at most this many connections; 0: without a bound.
@@ -58,7 +59,7 @@
 		return nil
 	}
 	if victim != nil {
-		delete(p.open, victim)
+		p.delete(victim)
 	}
 	p.open[c] = struct{}{}
 	p.opened.Add(1)
@@ -70,6 +71,52 @@
 	return c
 }
 
+// delete removes a connection that is open. The mutex must be held.
+func (p *Pool) delete(c *Connection) {
+	if _, open := p.open[c]; !open {
+		return
+	}
+	delete(p.open, c)
+	if c.http2 {
+		p.http2--
+	}
+}
+
+// maxHTTP2 returns how many connections of HTTP/2 may be open: half of all, as they need more memory, and each may have a request in
+// progress, which keeps it from being closed for one of HTTP/1.1.
+func (p *Pool) maxHTTP2() int {
+	return max(p.max/2, 1)
+}
+
+// beginHTTP2 notes that HTTP/2 is spoken on a connection, and closes the one of HTTP/2 that is missed least if there are too many. It
+// reports whether the connection may stay open.
+func (p *Pool) beginHTTP2(c *Connection) bool {
+	now := time.Now()
+	p.mutex.Lock()
+	var victim *Connection
+	full := p.max > 0 && p.http2 >= p.maxHTTP2()
+	if full {
+		victim = p.leastMissedHTTP2(now)
+	}
+	_, open := p.open[c]
+	if !open || full && victim == nil {
+		p.mutex.Unlock()
+		p.rejected.Inc(1)
+		p.guard.count(func(counts *Counts) { counts.Rejected++ })
+		return false
+	}
+	if victim != nil {
+		p.delete(victim)
+	}
+	c.http2 = true
+	p.http2++
+	p.mutex.Unlock()
+	if victim != nil {
+		p.evict(victim)
+	}
+	return true
+}
+
 // maxOpened is the number of connections that were not read yet above which those that were accepted should be read before
 // further ones are accepted.
 const maxOpened = 16
--- a/overload/rank.go
+++ b/overload/rank.go
@@ -45,6 +45,18 @@
 	return least
 }
 
+// leastMissedHTTP2 returns the connection of HTTP/2 to close in favor of a new one; nil: none may be closed. The mutex must be held.
+func (p *Pool) leastMissedHTTP2(now time.Time) *Connection {
+	var found *Connection
+	var least rank
+	for c := range p.open {
+		if r := c.rank(now); c.http2 && r.class != keep && (found == nil || r.before(least)) {
+			found, least = c, r
+		}
+	}
+	return found
+}
+
 // search finds the connections that are missed least, in that order. The mutex must be held.
 func (p *Pool) search(now time.Time) {
 	wanted := 1 + len(p.open)/victimShare
--- a/pipelining/http2.go
+++ b/pipelining/http2.go
@@ -97,13 +97,16 @@
 
 // beginHTTP2 is called when the connection has turned out to be one of HTTP/2; data are the bytes read last, and before those of
 // the preface that the server that accepted the connection has got. It reports whether that server does not serve the
-// connection. The mutex must be held.
+// connection. The mutex must be held; it is released while beginHTTP2 blocks.
 func (c *conn) beginHTTP2(before string, data []byte) (handedOver bool) {
 	c.passThrough, c.http2.spoken = true, true
 	c.http2.frames.count([]byte(before))
 	c.http2.frames.count(data)
 	c.http2.ctx, c.http2.cancel = context.WithCancel(context.Background())
-	if !c.awaitLarge() {
+	c.mutex.Unlock()
+	mayStay := c.tracked.BeginHTTP2()
+	c.mutex.Lock()
+	if !mayStay || !c.awaitLarge() {
 		return true
 	}
 	if c.server.limitsHeads() {
