--- a/lab/abuse/abuse_test.go
+++ b/lab/abuse/abuse_test.go
@@ -21,6 +21,7 @@
 
 	// The tests build the daemon. The import makes go test discard a cached result when the daemon has changed.
 	_ "github.com/tuliphall/tuliphall/launch"
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 var binary string
@@ -332,7 +333,7 @@
 				inRow++
 				during.notReadyInRow = max(during.notReadyInRow, inRow)
 			}
-			_ = sleep(ctx, time.Second) // an error means that the time is over
+			wait.Sleep(ctx, time.Second)
 		}
 	})
 	running.Wait()
--- a/lab/abuse/client.go
+++ b/lab/abuse/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Bounds on the load of all clients of a site together.
@@ -67,10 +69,10 @@
 		clients.Go(func() {
 			for ctx.Err() == nil {
 				c.connect(ctx)
-				sleep(ctx, cmp.Or(c.kind.reconnectDelay, defaultReconnectDelay))
+				wait.Sleep(ctx, cmp.Or(c.kind.reconnectDelay, defaultReconnectDelay))
 			}
 		})
-		if sleep(ctx, cmp.Or(c.kind.connectInterval, defaultConnectInterval)) != nil {
+		if !wait.Sleep(ctx, cmp.Or(c.kind.connectInterval, defaultConnectInterval)) {
 			return
 		}
 	}
@@ -107,17 +109,6 @@
 	reader *bufio.Reader
 }
 
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // send writes within the bounds of the crowd.
 func (c *client) send(data []byte) error {
 	for len(data) > 0 {
--- a/lab/abuse/kinds.go
+++ b/lab/abuse/kinds.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/tuliphall/tuliphall/wait"
 )
 
 // Sizes of what clients send.
@@ -112,7 +114,7 @@
 			if err := c.send(filler[:min(piece, size-sent)]); err != nil {
 				return c.readResponse(http.MethodPost, id)
 			}
-			if pause > 0 && sleep(c.ctx, pause) != nil {
+			if !wait.Sleep(c.ctx, pause) {
 				return c.ctx.Err()
 			}
 		}
@@ -238,7 +240,7 @@
 		if err := c.send([]byte{char}); err != nil {
 			return err
 		}
-		if sleep(c.ctx, slowInterval) != nil {
+		if !wait.Sleep(c.ctx, slowInterval) {
 			return c.ctx.Err()
 		}
 	}
@@ -283,7 +285,7 @@
 		if _, err := c.Read(buffer); err != nil {
 			return err
 		}
-		if sleep(c.ctx, slowInterval) != nil {
+		if !wait.Sleep(c.ctx, slowInterval) {
 			return c.ctx.Err()
 		}
 	}
