--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,14 +25,27 @@
 	endErr                           error         // valid once ended is closed
 }
 
+// The ports of daemons and of the store lie below those that the system gives to outgoing connections, so that none of these
+// takes a port between the check and its use.
+const (
+	firstPort = 12000
+	lastPort  = 31000
+	portTries = 100
+)
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var lastErr error
+	for range portTries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String(), nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", lastErr
 }
 
 // newDaemon chooses the addresses of a daemon, whose files lie in directory.
@@ -134,11 +148,26 @@
 	deadline := time.Now().Add(20 * time.Second)
 	for _, d := range daemons {
 		for !d.ready() {
+			select {
+			case <-d.ended:
+				return fmt.Errorf("daemon %s has ended: %w; its last lines: %s", d.name, d.endErr, d.lastLines())
+			default:
+			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("daemon %s does not become ready", d.name)
+				return fmt.Errorf("daemon %s does not become ready; its last lines: %s", d.name, d.lastLines())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
 }
+
+// lastLines returns the end of the daemon's log.
+func (d *daemonProcess) lastLines() string {
+	const most = 1000
+	data, err := os.ReadFile(d.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(len(data)-most, 0):])
+}
