--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,11 +32,11 @@
 type playCase func(s *site, trouble bool) (result, error)
 
 var cases = map[string]playCase{
-	"ready-address":  playReadyAddress,
-	"stalled-answer": playStalledAnswer,
-	"readers-ahead":  playReadersAhead,
-	"foreign-bytes":  playForeignBytes,
-	"split-weights":  playSplitWeights,
+	"ready-address": playReadyAddress,
+	"readers-ahead": playReadersAhead,
+	"foreign-bytes": playForeignBytes,
+	"split-weights": playSplitWeights,
+	"early-close":   playEarlyClose,
 }
 
 func main() {
