--- a/review/standin-2/early_close.go
+++ b/review/standin-2/early_close.go
@@ -5,28 +5,57 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 // The figures of the case.
 const (
-	earlyClients = 24
-	earlyUploads = 1500 // of each client
-	earlyBody    = 160 << 10
+	earlyClients = 8
+	earlyRounds  = 2
+	// The bodies are as large as what the system holds of a connection whose other side does not read, and from less to more than
+	// that by these bytes: the daemon then waits to write the end of some of them when the answer comes.
+	earlyLess, earlyMore, earlyStep = 32 << 10, 128 << 10, 4 << 10
+	// earlyAnswer is when a worker answers after the first byte, and earlyReads when it goes on to read after that.
+	earlyAnswer, earlyReads = 300 * time.Millisecond, 200 * time.Millisecond
 	// earlySettle is the time for workers to read what was sent last.
-	earlySettle = 3 * time.Second
+	earlySettle = 2 * time.Second
 )
 
+// heldBytes returns how many bytes of a connection are held if its other side reads nothing.
+func heldBytes() (int, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = listener.Close() }()
+	conn, err := net.DialTimeout("tcp", listener.Addr().String(), time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+	held, piece := 0, make([]byte, 16<<10)
+	for {
+		written, err := conn.Write(piece)
+		held += written
+		if err != nil {
+			return held, nil
+		}
+	}
+}
+
 // uploadBody returns a body in which each position can be told from others.
-func uploadBody() []byte {
+func uploadBody(size int) []byte {
 	var body bytes.Buffer
-	for offset := 0; body.Len() < earlyBody; offset += 8 {
+	for offset := 0; body.Len() < size; offset += 8 {
 		fmt.Fprintf(&body, "%08d", offset)
 	}
-	return body.Bytes()[:earlyBody]
+	return body.Bytes()[:size]
 }
 
 // receivedBody is what a worker got of a body.
@@ -39,12 +68,19 @@
 // uploads are the uploads of a run.
 type uploads struct {
 	mutex    sync.Mutex
-	body     []byte
+	body     []byte                  // of the largest upload; the others are its beginnings
+	sizes    map[string]int          // of the bodies, by request
 	received map[string]receivedBody // by request
 	accepted map[string]bool         // sent whole, and answered with a success
 	others   map[string]int          // what else was answered
 }
 
+func (u *uploads) noteSent(id string, size int) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.sizes[id] = size
+}
+
 func (u *uploads) noteReceived(id string, received []byte, err error) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -63,18 +99,25 @@
 
 // playEarlyClose lets workers answer before they have read a long body, with answers that close the connection, and go on reading.
 func playEarlyClose(s *site, trouble bool) (result, error) {
-	u := &uploads{body: uploadBody(), received: make(map[string]receivedBody), accepted: make(map[string]bool), others: make(map[string]int)}
+	held, err := heldBytes()
+	if err != nil {
+		return result{}, err
+	}
+	s.record.add("a connection whose other side reads nothing holds %d bytes", held)
+	u := &uploads{body: uploadBody(held + earlyMore), sizes: make(map[string]int), received: make(map[string]receivedBody), accepted: make(map[string]bool), others: make(map[string]int)}
 	answer := func(w *worker, conn net.Conn, request *http.Request) bool {
 		id := request.Header.Get("Request-Id")
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\nConnection: close\r\nContent-Length: 8\r\n\r\naccepted", id, w.id, id)
-		received := make([]byte, 1, len(u.body))
+		received := make([]byte, 1)
 		if _, err := io.ReadFull(request.Body, received); err != nil {
 			return false
 		}
 		if trouble {
+			time.Sleep(earlyAnswer)
 			if _, err := io.WriteString(conn, head); err != nil {
 				return false
 			}
+			time.Sleep(earlyReads)
 		}
 		rest, err := io.ReadAll(request.Body)
 		u.noteReceived(id, append(received, rest...), err)
@@ -90,19 +133,27 @@
 	if err := s.startDaemons(2); err != nil {
 		return result{}, err
 	}
+	sizes := make(chan int)
 	var clients sync.WaitGroup
 	for index := range earlyClients {
 		clients.Go(func() {
 			c := &uploader{address: s.daemons[index%len(s.daemons)].caller}
 			defer c.close()
-			for range earlyUploads {
+			for size := range sizes {
 				id := newRequestID("upload")
-				status, sentWhole, err := c.upload(id, u.body)
+				u.noteSent(id, size)
+				status, sentWhole, err := c.upload(id, u.body[:size])
 				u.noteAnswer(id, status, sentWhole, err)
 			}
 			time.Sleep(earlySettle) // the caller stays
 		})
 	}
+	for range earlyRounds {
+		for size := held - earlyLess; size <= held+earlyMore; size += earlyStep {
+			sizes <- size
+		}
+	}
+	close(sizes)
 	clients.Wait()
 	return u.judge(s.record), nil
 }
@@ -112,10 +163,10 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	cut, other := 0, 0
-	for id := range u.accepted {
+	for _, id := range slices.Sorted(maps.Keys(u.accepted)) {
 		got, found := u.received[id]
-		if found && got.bytes == len(u.body) && !got.other {
-			r.add("%s: 200, all at the worker", id)
+		if found && got.bytes == u.sizes[id] && !got.other {
+			r.add("%s: sent whole (%d bytes), 200; the worker got all of it", id, u.sizes[id])
 			continue
 		}
 		if got.other {
@@ -123,7 +174,7 @@
 		} else {
 			cut++
 		}
-		r.add("%s: sent whole (%d bytes), 200; the worker got %d bytes, other bytes among them %v, then: %v", id, len(u.body), got.bytes, got.other, got.err)
+		r.add("%s: sent whole (%d bytes), 200; the worker got %d bytes, other bytes among them %v, then: %v", id, u.sizes[id], got.bytes, got.other, got.err)
 	}
 	for what, count := range u.others {
 		r.add("%d other uploads: %s", count, what)
