--- a/review/standin-2/early_close.go
+++ b/review/standin-2/early_close.go
@@ -16,7 +16,7 @@
 // The figures of the case.
 const (
 	earlyClients = 8
-	earlyRounds  = 2
+	earlyRounds  = 4
 	// The bodies are as large as what the system holds of a connection whose other side does not read, and from less to more than
 	// that by these bytes: the daemon then waits to write the end of some of them when the answer comes.
 	earlyLess, earlyMore, earlyStep = 32 << 10, 128 << 10, 4 << 10
