--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
-# Builds the stand-in of the scripted cases of the second review, after the build of the deploy file.
+# Builds the stand-in of the scripted cases of the second review, a module of its own without dependencies, after the build of the
+# deploy file.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -o target/review-standin-2 ./review/standin-2
+top=$(cd "$(dirname "$0")/.." && pwd)
+mkdir -p "$top/target"
+cd "$top/review/standin-2"
+GOWORK=off GOFLAGS=-mod=mod GOTOOLCHAIN=local go build -o "$top/target/review-standin-2" .
