backend: part of a response without a length was passed on as a whole one after a reset

Callers saw: a 200 with a part of its body, ended properly. The back end had answered a long upload at once, without a length, and reset the connection while the upload was being sent.

Cause: only the end of the connection delimits such a response, and the system reports a reset once. If a write of the upload meets it, the next read returns io.EOF, as after a clean close.

Change: where a read ends, trackedConn awaits a write that is in progress, for one second at most, and returns an error if a write has failed. A response without a length also counts as whole only if its back end takes the rest of the request's body: a process that ends when it has read all that has arrived closes its connection cleanly.

Why it works: the write that met the reset began before the read returned, so it has either failed or is in progress then. No order of the two goroutines hides it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -336,16 +336,15 @@
 	if c.options.EchoHeader != "" && response.Header.Get(c.options.EchoHeader) != response.Request.Header.Get(c.options.EchoHeader) {
 		return errors.Errorf("response belongs to request %q", response.Header.Get(c.options.EchoHeader))
 	}
-	if response.ContentLength >= 0 || c.options.AllowUnframed || response.StatusCode == http.StatusSwitchingProtocols {
-		return nil
-	}
-	if len(response.TransferEncoding) > 0 || response.ProtoMajor >= 2 {
-		return nil
+	if EndsWithConnection(response) && !c.options.AllowUnframed {
+		return errors.New("response has neither Content-Length nor chunked encoding, so its end cannot be verified")
 	}
-	if !bodyAllowed(response) {
-		return nil
-	}
-	return errors.New("response has neither Content-Length nor chunked encoding, so its end cannot be verified")
+	return nil
+}
+
+// EndsWithConnection reports whether the end of the body of a response is delimited only by the end of the connection.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor < 2 && bodyAllowed(response)
 }
 
 func bodyAllowed(response *http.Response) bool {
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +33,8 @@
 	responseHead []byte // the part read so far of the current response's head
 	recording    bool   // the head is not complete
 	writing      bool   // a write is in progress
+	writeErr     error  // of the first write that failed because of the server or the network
+	writeEnded   sync.Cond
 
 	upload       *uploadState // the body of the current request
 	requestHead  int64        // length of the head of the current request; 0: not known
@@ -57,9 +61,18 @@
 	defer c.mutex.Unlock()
 	c.writing = false
 	c.countWritten(data[:n])
+	if c.writeErr == nil && !isLocal(err) {
+		c.writeErr = err
+	}
+	c.writeEnded.Broadcast()
 	return n, err
 }
 
+// isLocal reports whether an error stems from a deadline or a Close of this side.
+func isLocal(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+}
+
 // countWritten counts bytes of the current request. The mutex must be held.
 func (c *trackedConn) countWritten(data []byte) {
 	if c.written == 0 && c.upload.length > 0 {
@@ -91,7 +104,8 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The system reports a reset only once: if a write has met it, a read returns io.EOF, as after
+// a clean close. Read returns an error then, since the server may have sent only a part of its response.
 func (c *trackedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n > 0 {
@@ -99,9 +113,38 @@
 		c.unanswered.Store(false)
 		c.recordHead(data[:n])
 	}
+	if err == io.EOF {
+		err = c.verifyEnd()
+	}
 	return n, err
 }
 
+// writeReturnTimeout limits the time to wait for a write that may have met a reset, and then returns at once. A write
+// that is still blocked has met none.
+const writeReturnTimeout = time.Second
+
+// verifyEnd returns io.EOF if no write on the connection has failed. It blocks while a write is in progress, for
+// at most writeReturnTimeout.
+func (c *trackedConn) verifyEnd() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	timedOut := false
+	timer := time.AfterFunc(writeReturnTimeout, func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		timedOut = true
+		c.writeEnded.Broadcast()
+	})
+	defer timer.Stop()
+	for c.writing && !timedOut {
+		c.writeEnded.Wait()
+	}
+	if c.writeErr != nil {
+		return errors.Annotate(c.writeErr, "connection broke while the request was being sent")
+	}
+	return io.EOF
+}
+
 // maxResponseHead bounds the recorded bytes of a response head: more than heads have in
 // practice, and less than net/http accepts.
 const maxResponseHead = 16 << 10
@@ -165,6 +208,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		tracked := &trackedConn{Conn: conn}
+		tracked.writeEnded.L = &tracked.mutex
+		return tracked, nil
 	}
 }
--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -156,3 +158,70 @@
 	require.NoError(t, err)
 	response.Body.Close()
 }
+
+// resetOnWrite opens connections on which a write, and not a read, meets the reset of the server.
+type resetOnWrite struct {
+	network.TCP
+	after int           // bytes that are written before
+	delay time.Duration // until the write returns
+}
+
+// Dial implements network.Network.
+func (n resetOnWrite) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := n.TCP.Dial(ctx, address)
+	return &resetOnWriteConn{Conn: conn, network: n, met: make(chan struct{})}, err
+}
+
+type resetOnWriteConn struct {
+	net.Conn
+	network resetOnWrite
+	written int
+	met     chan struct{} // closed when a write has met the reset
+}
+
+// Write implements net.Conn.
+func (c *resetOnWriteConn) Write(data []byte) (int, error) {
+	if c.written >= c.network.after {
+		close(c.met)
+		time.Sleep(c.network.delay)
+		return 0, syscall.ECONNRESET
+	}
+	c.written += len(data)
+	return c.Conn.Write(data)
+}
+
+// Read implements net.Conn.
+func (c *resetOnWriteConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if err == io.EOF {
+		<-c.met
+	}
+	return n, err
+}
+
+// TestResetMetByWriteIsNotEndOfResponse guards against a part of a response without a length that is taken for the whole, because a write met the
+// reset before the read did, or is about to return with it.
+func TestResetMetByWriteIsNotEndOfResponse(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"write has failed": 0, "write in progress": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := testserver.Listen(t, func(conn net.Conn) {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				_ = conn.(*net.TCPConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			client := backend.NewClient(backend.Options{Network: resetOnWrite{after: 64 << 10, delay: delay}, Address: address, AllowUnframed: true})
+			defer client.Close()
+			response, err := post(t, client, strings.Repeat("x", 1<<20))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				response.Body.Close()
+			}
+			require.Error(t, err)
+		})
+	}
+}
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -12,6 +12,7 @@
 	"github.com/tuliphall/tuliphall/backend"
 	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/overload"
+	"github.com/tuliphall/tuliphall/requestbody"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/routing"
 )
@@ -40,8 +41,16 @@
 	if err := a.copyResponse(response); err != nil {
 		return err
 	}
+	if !backend.EndsWithConnection(response) {
+		a.recordAnswered(code)
+		a.passOnBody(ctx, response)
+		return nil
+	}
+	// A back end that ends the connection before it has taken the request's body may have failed during its response.
+	if sent := a.passOnBody(ctx, response); sent.Err == requestbody.ErrReaderGone {
+		return &httpcopy.Error{Side: httpcopy.Server, Cause: sent.Err}
+	}
 	a.recordAnswered(code)
-	a.passOnBody(ctx, response)
 	return nil
 }
 
@@ -123,11 +132,12 @@
 	return httpcopy.Upgrade(a.writer, response, func() { a.recordAnswered(resultcode.Answered) })
 }
 
-// passOnBody passes the rest of the request's body on to a back end that has responded before the end of it.
-func (a *attempter) passOnBody(ctx context.Context, response *http.Response) {
+// passOnBody passes the rest of the request's body on to a back end that has responded before the end of it, and returns how
+// far the body was passed on.
+func (a *attempter) passOnBody(ctx context.Context, response *http.Response) requestbody.Progress {
 	c := a.call
-	if c.streamed.Progress().Whole() {
-		return
+	if sent := c.streamed.Progress(); sent.Whole() {
+		return sent
 	}
 	answered, cause := time.Now(), ""
 	sent := c.streamed.PassOn(ctx, response.StatusCode)
@@ -138,4 +148,5 @@
 	a.handler.log.LogAttrs(context.Background(), slog.LevelInfo, "response before the end of the request's body",
 		slog.String("request", c.id), slog.String("service", c.service.Name()), slog.Int("status", response.StatusCode),
 		slog.Int64("body_bytes", sent.Bytes), slog.Bool("body_whole", sent.Whole()), slog.String("cause", cause), slog.Duration("after_response", time.Since(answered)))
+	return sent
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -164,7 +164,9 @@
 	if err := httpcopy.Response(w, response, httpcopy.Options{}); err != nil {
 		return err
 	}
-	body.PassOn(r.Context(), response.StatusCode)
+	if sent := body.PassOn(r.Context(), response.StatusCode); sent.Err == requestbody.ErrReaderGone && backend.EndsWithConnection(response) {
+		return &httpcopy.Error{Side: httpcopy.Server, Cause: sent.Err}
+	}
 	return nil
 }
 
