frontend: callers of HTTP/1.0 took a response that was broken off for a whole one

Callers saw: over HTTP/1.0, a part of a response in chunks or without a length, with a clean end.

Cause: nothing but the end of the connection delimits such a response over HTTP/1.0, and net/http closes the connection cleanly after http.ErrAbortHandler.

Change: the connection is taken over and reset when a response is broken off.

Why it works: a reset is the only end that a caller of HTTP/1.0 does not take for that of the response, and all responses that are broken off pass through abortResponse.

--- a/frontend/attempt.go
+++ b/frontend/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/tuliphall/tuliphall/dispatch"
 	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/identity"
+	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/resultcode"
 	"github.com/tuliphall/tuliphall/retry"
@@ -316,5 +317,19 @@
 	if a.record != nil && err.Side == httpcopy.Server {
 		a.record.recordIncomplete()
 	}
+	if !a.call.request.ProtoAtLeast(1, 1) {
+		a.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// resetCaller resets the connection of a caller of HTTP/1.0, which takes a clean close for the end of a response without
+// a length.
+func (a *attempter) resetCaller() {
+	conn, _, err := http.NewResponseController(a.writer).Hijack()
+	if err != nil {
+		return // the connection has been closed
+	}
+	network.AbortOnClose(conn)
+	conn.Close()
+}
--- a/frontend/broken_response_test.go
+++ b/frontend/broken_response_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -111,6 +112,21 @@
 
 // callers send a request with a body to a daemon and return what they get.
 var callers = map[string]func(t *testing.T, handler *Handler, body lengthReader) answer{
+	"HTTP/1.0": func(t *testing.T, handler *Handler, body lengthReader) answer {
+		conn := dial(t, startPipelinedServer(t, handler))
+		sent := make(chan error, 1)
+		go func() {
+			fmt.Fprintf(conn, "POST /corrections HTTP/1.0\r\nHost: h\r\nContent-Length: %d\r\n\r\n", body.Len())
+			_, err := io.Copy(conn, body)
+			sent <- err
+		}()
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		got := readAnswer(http.ReadResponse(bufio.NewReader(conn), nil))
+		if got.err == nil {
+			got.err = <-sent // a write that meets a reset hides it from the read
+		}
+		return got
+	},
 	"HTTP/1.1": func(t *testing.T, handler *Handler, body lengthReader) answer {
 		client := &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
 		defer client.CloseIdleConnections()
@@ -270,3 +286,25 @@
 		require.Equal(t, text, got.body)
 	})
 }
+
+// TestBrokenOffResponseOverHTTP10IsReset guards against a part of a response that a caller of HTTP/1.0 takes for a whole one: nothing but the end of the
+// connection delimits a response that the back end sends in chunks or without a length, so that only a reset tells.
+func TestBrokenOffResponseOverHTTP10IsReset(t *testing.T) {
+	for name, response := range map[string]string{
+		"chunks":                    okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"more chunks than buffered": okHead + "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + strings.Repeat("x", 100_000) + "\r\n",
+		"no chunk":                  okHead + "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		for wayName, newHandler := range ways {
+			t.Run(name+"/"+wayName, func(t *testing.T) {
+				t.Parallel()
+				address := listenForUploads(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, response) })
+				conn := dial(t, startPipelinedServer(t, newHandler(t, address)))
+				_, err := io.WriteString(conn, "GET /x HTTP/1.0\r\nHost: h\r\n\r\n")
+				require.NoError(t, err)
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+				requireNoAnswer(t, readAnswer(http.ReadResponse(bufio.NewReader(conn), nil)))
+			})
+		}
+	}
+}
--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -68,6 +68,11 @@
 	return c
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn. It is called by one goroutine at a time.
 func (c *conn) Read(target []byte) (int, error) {
 	c.mutex.Lock()
