framing: a response whose status is none was passed on

Callers saw: with a status of 000, and what else net/http reads as a number below 100, a 200 with the body of the back end if their request had been started early, and otherwise a connection that was closed without an answer. A 101 that nobody had asked for ended in the same way.

Cause: net/http's client takes any three characters that strconv.Atoi reads as 0 or more, and nothing behind it checked the number. Statuses below 200 were not checked for the end of the response either, and the writers for callers panic or drop them.

Change: CheckResponse requires a number from 100 to 999 in each head of a response, and a 101 is rejected unless the request asks for another protocol. A 101 ends the head of a response: the bytes of the other protocol were taken for the next head.

Why it works: the head is checked as it was received, before anything of it is passed on, wherever a backend.Client reads a response.

The expectation of TestCheckResponse for no bytes at all is stricter: they are not a head.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -336,12 +336,21 @@
 	if c.options.EchoHeader != "" && response.Header.Get(c.options.EchoHeader) != response.Request.Header.Get(c.options.EchoHeader) {
 		return errors.Errorf("response belongs to request %q", response.Header.Get(c.options.EchoHeader))
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols && !switchesAsAsked(response) {
+		return errors.New("response switches to a protocol that the request has not asked for")
+	}
 	if EndsWithConnection(response) && !c.options.AllowUnframed {
 		return errors.New("response has neither Content-Length nor chunked encoding, so its end cannot be verified")
 	}
 	return nil
 }
 
+// switchesAsAsked reports whether a response of status 101 answers a request to switch the protocol, and does so.
+func switchesAsAsked(response *http.Response) bool {
+	_, switched := response.Body.(io.ReadWriteCloser)
+	return switched && response.Request.Header.Get("Upgrade") != ""
+}
+
 // EndsWithConnection reports whether the end of the body of a response is delimited only by the end of the connection.
 func EndsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor < 2 && bodyAllowed(response)
--- a/backend/response_test.go
+++ b/backend/response_test.go
@@ -76,6 +76,32 @@
 	}
 }
 
+// TestUpgradeIsAsAsked guards against a response that switches the protocol without naming one, or without having been asked.
+func TestUpgradeIsAsAsked(t *testing.T) {
+	const named = "Connection: Upgrade\r\nUpgrade: other\r\n"
+	for _, test := range []struct {
+		asked  bool
+		fields string
+		want   bool
+	}{{true, named, true}, {true, "", false}, {false, named, false}, {false, "", false}} {
+		address := serveOnce(t, func(to net.Conn) {
+			fmt.Fprintf(to, "HTTP/1.1 101 Switching Protocols\r\n%s\r\n", test.fields)
+		})
+		client := backend.NewClient(backend.Options{Address: address})
+		t.Cleanup(client.Close)
+		request := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: make(http.Header)}
+		if test.asked {
+			request.Header.Set("Connection", "Upgrade")
+			request.Header.Set("Upgrade", "other")
+		}
+		response, err := client.Do(t.Context(), request)
+		require.Equal(t, test.want, err == nil, "%+v: %v", test, err)
+		if err == nil {
+			response.Body.Close()
+		}
+	}
+}
+
 // TestAmbiguousResponseIsRejected checks that a response with both Content-Length and chunked encoding
 // is rejected and its connection closed, also after an interim response and if it arrives byte by byte.
 func TestAmbiguousResponseIsRejected(t *testing.T) {
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -23,6 +23,7 @@
 	ErrLengthAndTransferEncoding = errors.ConstError("the message has both a Content-Length and a Transfer-Encoding")
 	ErrTransferEncodingVersion   = errors.ConstError("the message has a Transfer-Encoding, and is not of HTTP/1.1")
 	ErrSpaceBeforeColon          = errors.ConstError("a header's name ends with a space")
+	ErrStatus                    = errors.ConstError("the status is not a number from 100 to 999")
 )
 
 // Names of the headers that determine the end of a message, in lower case.
@@ -70,18 +71,54 @@
 // read of it: it may begin with heads of interim responses and end with a part of the body.
 func CheckResponse(data []byte) error {
 	for {
-		head, after, ended := cutHead(data)
-		if ended && isInterim(head) {
-			data = after
-			continue
+		head, after, _ := cutHead(data)
+		if err := checkResponseHead(head); err != nil {
+			return err
 		}
-		if hasHeader(head, contentLength) && hasHeader(head, transferEncoding) {
-			return ErrLengthAndTransferEncoding
+		if !isInterim(head) {
+			return nil
 		}
-		return nil
+		data = after
 	}
 }
 
+func checkResponseHead(head []byte) error {
+	statusLine, fields, _ := bytes.Cut(head, []byte{'\n'})
+	if err := checkStatusLine(bytes.TrimSuffix(statusLine, []byte{'\r'})); err != nil {
+		return err
+	}
+	hasLength, hasTransferEncoding := false, false
+	for line := range bytes.Lines(fields) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		hasLength = hasLength || nameEquals(name, contentLength)
+		hasTransferEncoding = hasTransferEncoding || nameEquals(name, transferEncoding)
+	}
+	if hasLength && hasTransferEncoding {
+		return ErrLengthAndTransferEncoding
+	}
+	return nil
+}
+
+// checkStatusLine is stricter than net/http, which accepts numbers below 100 and signs.
+func checkStatusLine(line []byte) error {
+	status := statusOf(line)
+	if len(status) != 3 || status[0] == '0' || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
+		return ErrStatus
+	}
+	return nil
+}
+
+func isDigit(char byte) bool {
+	return '0' <= char && char <= '9'
+}
+
+// statusOf returns the status that a status line begins with, after the version. Like net/http, it skips spaces.
+func statusOf(line []byte) []byte {
+	_, rest, _ := bytes.Cut(line, []byte{' '})
+	rest = bytes.TrimLeft(rest, " ")
+	return rest[:len(rest)-len(bytes.TrimLeft(rest, "0123456789"))]
+}
+
 // HeadLength returns the length of the head of a response, including the heads of interim
 // responses before it, and false if the head is incomplete. data is what was read of the
 // response.
@@ -112,19 +149,10 @@
 	}
 }
 
-// isInterim reports whether the head is that of an interim response (1xx).
+// isInterim reports whether the head is that of an interim response (1xx). Another response follows, but not after 101.
 func isInterim(head []byte) bool {
-	_, status, found := bytes.Cut(head, []byte{' '})
-	return found && len(status) > 0 && status[0] == '1'
-}
-
-func hasHeader(head []byte, want string) bool {
-	for line := range bytes.Lines(head) {
-		if name, _, found := bytes.Cut(line, []byte{':'}); found && nameEquals(name, want) {
-			return true
-		}
-	}
-	return false
+	status := statusOf(head)
+	return len(status) == 3 && status[0] == '1' && !bytes.Equal(status, []byte("101"))
 }
 
 // nameEquals reports whether a header name equals want, which is in lower case, ignoring case.
--- a/framing/framing_test.go
+++ b/framing/framing_test.go
@@ -38,23 +38,45 @@
 	}
 }
 
+// responses are beginnings of responses and the errors for which they are rejected.
+var responses = []struct {
+	data string
+	want error
+}{
+	{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nil},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nContent-Length: 3\r\n", nil},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n", ErrLengthAndTransferEncoding},
+	{"HTTP/1.1 200 OK\ncontent-length: 2\ntransfer-encoding: chunked\n\n", ErrLengthAndTransferEncoding},
+	{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n", ErrLengthAndTransferEncoding},
+	{"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0", nil},
+	{"HTTP/1.1  103 Early Hints\r\n\r\nHTTP/1.1 000 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\nbytes of the other protocol\r\n\r\n", nil},
+	{"HTTP/1.1 200\r\n\r\n", nil},
+	{"HTTP/1.1 999 Other\r\n\r\n", nil},
+	{"HTTP/1.1 000 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1 099 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1 +20 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1 -00 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1 20 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1 2000 \r\n\r\n", ErrStatus},
+	{"HTTP/1.1\r\n\r\n", ErrStatus},
+	{"HTTP/1.0 200 OK\r\n\r\n", nil},
+	{"", ErrStatus},
+	{"HTTP/1.1 200 OK\r\nX-Text: one,\r\n two\r\n\r\n", nil},
+}
+
 func TestCheckResponse(t *testing.T) {
-	for data, want := range map[string]error{
-		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok":                                                                         nil,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nContent-Length: 3\r\n":                                        nil,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n":                                             ErrLengthAndTransferEncoding,
-		"HTTP/1.1 200 OK\ncontent-length: 2\ntransfer-encoding: chunked\n\n":                                                     ErrLengthAndTransferEncoding,
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n":                ErrLengthAndTransferEncoding,
-		"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0": nil,
-		"": nil,
-	} {
-		require.Equal(t, want, CheckResponse([]byte(data)), "%q", data)
+	for _, test := range responses {
+		require.Equal(t, test.want, CheckResponse([]byte(test.data)), "%q", test.data)
 	}
 }
 
 func TestHeadLength(t *testing.T) {
 	const interim, final = "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
-	for data, want := range map[string]int{"": 0, interim: 0, final[:20]: 0, final: len(final), interim + final + "body\r\n\r\n": len(interim + final)} {
+	const switching = "HTTP/1.1 101 Switching Protocols\r\n\r\n"
+	for data, want := range map[string]int{
+		"": 0, interim: 0, final[:20]: 0, final: len(final), interim + final + "body\r\n\r\n": len(interim + final), switching + final: len(switching),
+	} {
 		length, complete := HeadLength([]byte(data))
 		require.Equal(t, want, length, "%q", data)
 		require.Equal(t, want > 0, complete, "%q", data)
--- /dev/null
+++ b/frontend/broken_head_test.go
@@ -0,0 +1,128 @@
+package frontend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tuliphall/tuliphall/internal/testserver"
+)
+
+// slowPath is the path of requests that are answered well, but late.
+const slowPath = "/slow"
+
+// listenForGets starts a back end that answers each request with the response and closes the connection. end is called before it does.
+func listenForGets(t *testing.T, response string, end func(conn *net.TCPConn)) (address string) {
+	t.Helper()
+	return testserver.Listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if request.URL.Path == slowPath {
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(conn, okHead+"Connection: close\r\nContent-Length: 2\r\n\r\nok")
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		end(conn.(*net.TCPConn))
+	})
+}
+
+// closes ends a connection cleanly.
+func closes(*net.TCPConn) {}
+
+// readers request /x of a daemon and return what they get.
+var readers = map[string]func(t *testing.T, handler *Handler) answer{
+	"HTTP/1.0": func(t *testing.T, handler *Handler) answer {
+		return readBehind(t, startPipelinedServer(t, handler), "GET /x HTTP/1.0\r\nHost: h\r\n\r\n", 0)
+	},
+	"HTTP/1.1": func(t *testing.T, handler *Handler) answer {
+		return readBehind(t, startPipelinedServer(t, handler), "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 0)
+	},
+	"HTTP/1.1 behind another request": func(t *testing.T, handler *Handler) answer {
+		requests := "GET " + slowPath + " HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+		return readBehind(t, startPipelinedServer(t, handler), requests, 1)
+	},
+	"HTTP/2": func(t *testing.T, handler *Handler) answer {
+		client := newHTTP2Client()
+		client.Timeout = 10 * time.Second
+		defer client.CloseIdleConnections()
+		return readAnswer(client.Get(startServer(t, handler).URL + "/x"))
+	},
+}
+
+// readBehind sends requests on one connection, requires whole responses to the first ones and returns the next response.
+func readBehind(t *testing.T, server *httptest.Server, requests string, before int) answer {
+	t.Helper()
+	conn := dial(t, server)
+	_, err := io.WriteString(conn, requests)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	responses := bufio.NewReader(conn)
+	for range before {
+		got := readAnswer(http.ReadResponse(responses, nil))
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+	}
+	return readAnswer(http.ReadResponse(responses, nil))
+}
+
+// onEachWayToRead runs a test for each way from a caller that requests /x to a back end that listens at address.
+func onEachWayToRead(t *testing.T, address string, test func(t *testing.T, got answer)) {
+	t.Helper()
+	for wayName, newHandler := range ways {
+		for readerName, read := range readers {
+			t.Run(wayName+"/"+readerName, func(t *testing.T) {
+				t.Parallel()
+				test(t, read(t, newHandler(t, address)))
+			})
+		}
+	}
+}
+
+// requireRejected requires that a caller got an error of the daemon in place of the back end's response.
+func requireRejected(t *testing.T, got answer) {
+	t.Helper()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status, "%+v", got)
+	require.Equal(t, "unknown", got.header.Get("Tuliphall-Run"), "%+v", got)
+	require.NotContains(t, got.body, "hello")
+}
+
+// bodies are bodies of responses, with the fields that delimit them.
+var bodies = map[string]string{
+	"length":    "Content-Length: 5\r\n\r\nhello",
+	"chunks":    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"no length": "\r\nhello",
+	"empty":     "Content-Length: 0\r\n\r\n",
+}
+
+// TestInvalidStatusIsRejected guards against responses whose status is none. net/http accepts numbers below 100 from a server and does not
+// send them to a caller, and a response to a request that was started early became a 200.
+func TestInvalidStatusIsRejected(t *testing.T) {
+	for _, status := range []string{
+		"000 Trouble", "001 Trouble", "099 Trouble", "+20 Trouble", "-00 Trouble", "-20 Trouble", "20 Trouble", "2000 Trouble", "2e2 Trouble", "000", "Trouble", "",
+		"101 Switching Protocols",
+	} {
+		for name, body := range bodies {
+			t.Run(status+"/"+name, func(t *testing.T) {
+				address := listenForGets(t, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain\r\n"+body, closes)
+				onEachWayToRead(t, address, requireRejected)
+			})
+		}
+	}
+}
+
+// TestUnaskedUpgradeIsRejected guards against a change of the protocol that the caller has not asked for.
+func TestUnaskedUpgradeIsRejected(t *testing.T) {
+	address := listenForGets(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\nhello", closes)
+	onEachWayToRead(t, address, requireRejected)
+}
--- a/frontend/broken_response_test.go
+++ b/frontend/broken_response_test.go
@@ -82,10 +82,11 @@
 
 // answer is what a caller takes for a response; err tells why it knows that it is not a whole one.
 type answer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
+	status  int
+	header  http.Header
+	body    string
+	trailer http.Header
+	err     error
 }
 
 // startPipelinedServer starts a server of HTTP/1 for callers as a daemon does.
@@ -146,7 +147,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), trailer: response.Trailer, err: err}
 }
 
 // requireNoAnswer requires that a caller got no whole response of the back end: either a broken one or an error of the daemon, which
