framing: responses of other versions than HTTP/1.x, and chunks over HTTP/1.0, were passed on

Callers saw: the marks of the chunks as a part of the body of a response of HTTP/1.0 in chunks, and responses of "HTTP/2.0" in text, whose end nobody had checked.

Cause: net/http ignores a Transfer-Encoding below HTTP/1.1 and reads other versions, and verifyResponse left out the check of the end from version 2 on.

Change: CheckResponse requires HTTP/1.x and rejects a Transfer-Encoding over HTTP/1.0, as CheckRequest does.

Why it works: what is left is delimited in the way that net/http reads it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -353,7 +353,7 @@
 
 // EndsWithConnection reports whether the end of the body of a response is delimited only by the end of the connection.
 func EndsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor < 2 && bodyAllowed(response)
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && bodyAllowed(response)
 }
 
 func bodyAllowed(response *http.Response) bool {
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -23,6 +23,7 @@
 	ErrLengthAndTransferEncoding = errors.ConstError("the message has both a Content-Length and a Transfer-Encoding")
 	ErrTransferEncodingVersion   = errors.ConstError("the message has a Transfer-Encoding, and is not of HTTP/1.1")
 	ErrSpaceBeforeColon          = errors.ConstError("a header's name ends with a space")
+	ErrVersion                   = errors.ConstError("the version of the response is not HTTP/1.x")
 	ErrStatus                    = errors.ConstError("the status is not a number from 100 to 999")
 )
 
@@ -93,14 +94,21 @@
 		hasLength = hasLength || nameEquals(name, contentLength)
 		hasTransferEncoding = hasTransferEncoding || nameEquals(name, transferEncoding)
 	}
-	if hasLength && hasTransferEncoding {
+	switch {
+	case hasLength && hasTransferEncoding:
 		return ErrLengthAndTransferEncoding
+	case hasTransferEncoding && bytes.HasPrefix(statusLine, []byte("HTTP/1.0 ")):
+		return ErrTransferEncodingVersion
 	}
 	return nil
 }
 
-// checkStatusLine is stricter than net/http, which accepts numbers below 100 and signs.
+// checkStatusLine is stricter than net/http, which accepts other versions, numbers below 100 and signs.
 func checkStatusLine(line []byte) error {
+	version, _, _ := bytes.Cut(line, []byte{' '})
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len(version)-1]) {
+		return ErrVersion
+	}
 	status := statusOf(line)
 	if len(status) != 3 || status[0] == '0' || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
 		return ErrStatus
--- a/framing/framing_test.go
+++ b/framing/framing_test.go
@@ -61,7 +61,10 @@
 	{"HTTP/1.1 2000 \r\n\r\n", ErrStatus},
 	{"HTTP/1.1\r\n\r\n", ErrStatus},
 	{"HTTP/1.0 200 OK\r\n\r\n", nil},
-	{"", ErrStatus},
+	{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ErrTransferEncodingVersion},
+	{"HTTP/2.0 200 OK\r\n\r\n", ErrVersion},
+	{"HTTP/1.10 200 OK\r\n\r\n", ErrVersion},
+	{"", ErrVersion},
 	{"HTTP/1.1 200 OK\r\nX-Text: one,\r\n two\r\n\r\n", nil},
 }
 
--- a/frontend/broken_head_test.go
+++ b/frontend/broken_head_test.go
@@ -126,3 +126,18 @@
 	address := listenForGets(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\nhello", closes)
 	onEachWayToRead(t, address, requireRejected)
 }
+
+// TestInvalidVersionIsRejected guards against versions for which net/http delimits the body in another way than the back end.
+func TestInvalidVersionIsRejected(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "http/1.1", "HTTP/1", "HTTP/1.10"} {
+		for name, body := range bodies {
+			t.Run(version+"/"+name, func(t *testing.T) {
+				address := listenForGets(t, version+" 200 OK\r\n"+body, closes)
+				onEachWayToRead(t, address, requireRejected)
+			})
+		}
+	}
+	t.Run("HTTP/1.0/chunks", func(t *testing.T) {
+		onEachWayToRead(t, listenForGets(t, "HTTP/1.0 200 OK\r\n"+bodies["chunks"], closes), requireRejected)
+	})
+}
