framing: responses with fields whose name is none were passed on

Callers saw: a response whose head held "Content-Length : 5" or "Transfer-Encoding : chunked" with a body that ended elsewhere or held the marks of its chunks, and fields that were folded into the value of the one before.

Cause: net/http's client accepts a blank in the name of a field and keeps the field under that name, so that it delimits nothing. Requests were checked for that, responses were not.

Change: CheckResponse requires that the names of all fields are tokens, in interim heads too, and rejects carriage returns within a line and continued lines that hold a colon. Line feeds alone and other continued lines stay accepted, as old servers send them and they can be read in one way only.

Why it works: the head is checked as it was received. FuzzCheckResponse compares what is accepted with what net/http reads: names, status, version and the end of the head.

--- a/framing/framing.go
+++ b/framing/framing.go
@@ -13,6 +13,7 @@
 	"bytes"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The reasons for rejecting a head.
@@ -25,6 +26,8 @@
 	ErrSpaceBeforeColon          = errors.ConstError("a header's name ends with a space")
 	ErrVersion                   = errors.ConstError("the version of the response is not HTTP/1.x")
 	ErrStatus                    = errors.ConstError("the status is not a number from 100 to 999")
+	ErrFieldName                 = errors.ConstError("the name of a header is not a token")
+	ErrFoldedField               = errors.ConstError("a line that begins with a space or tab holds a colon, and may be a header")
 )
 
 // Names of the headers that determine the end of a message, in lower case.
@@ -70,6 +73,10 @@
 
 // CheckResponse returns why a response must not be forwarded; nil: it may be. data is what was
 // read of it: it may begin with heads of interim responses and end with a part of the body.
+//
+// Lines that end with a line feed alone, and headers that are continued on the next line, are
+// accepted: old servers send both, RFC 9112 lets a recipient accept them, and net/http forwards
+// them in the usual form.
 func CheckResponse(data []byte) error {
 	for {
 		head, after, _ := cutHead(data)
@@ -90,7 +97,18 @@
 	}
 	hasLength, hasTransferEncoding := false, false
 	for line := range bytes.Lines(fields) {
-		name, _, _ := bytes.Cut(line, []byte{':'})
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
+		name, _, hasColon := bytes.Cut(line, []byte{':'})
+		switch {
+		case bytes.IndexByte(line, '\r') >= 0:
+			return ErrBareCR
+		case hasColon && (line[0] == ' ' || line[0] == '\t'):
+			return ErrFoldedField
+		case !hasColon: // net/http rejects it unless it continues the line before
+			continue
+		case !httpguts.ValidHeaderFieldName(string(name)):
+			return ErrFieldName
+		}
 		hasLength = hasLength || nameEquals(name, contentLength)
 		hasTransferEncoding = hasTransferEncoding || nameEquals(name, transferEncoding)
 	}
--- a/framing/framing_test.go
+++ b/framing/framing_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http/httpguts"
 )
 
 // heads are request heads and the errors for which they are rejected.
@@ -66,6 +67,13 @@
 	{"HTTP/1.10 200 OK\r\n\r\n", ErrVersion},
 	{"", ErrVersion},
 	{"HTTP/1.1 200 OK\r\nX-Text: one,\r\n two\r\n\r\n", nil},
+	{"HTTP/1.1 200 OK\r\nX-Text: one\r\n Content-Length: 5\r\n\r\n", ErrFoldedField},
+	{"HTTP/1.1 200 OK\r\nX: y\r\n\rContent-Length: 5\r\n\r\n", ErrBareCR},
+	{"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\n", ErrFieldName},
+	{"HTTP/1.1 200 OK\r\nX Name: y\r\n\r\n", ErrFieldName},
+	{"HTTP/1.1 200 OK\r\nX\x01: y\r\n\r\n", ErrFieldName},
+	{"HTTP/1.1 200 OK\r\n: y\r\n\r\n", ErrFieldName},
+	{"HTTP/1.1 103 Early Hints\r\nX : y\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", ErrFieldName},
 }
 
 func TestCheckResponse(t *testing.T) {
@@ -74,6 +82,33 @@
 	}
 }
 
+// FuzzCheckResponse guards against accepting a head that net/http reads in another way than it was checked: of the heads that both accept, the end is
+// the same, and the names of all headers are tokens.
+func FuzzCheckResponse(f *testing.F) {
+	for _, test := range responses {
+		f.Add([]byte(test.data))
+	}
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := bytes.NewReader(stream)
+		buffered := bufio.NewReader(reader)
+		request := &http.Request{Method: http.MethodHead} // nothing of the body is read
+		response, err := http.ReadResponse(buffered, request)
+		if err != nil || CheckResponse(stream) != nil {
+			return
+		}
+		require.GreaterOrEqual(t, response.StatusCode, 100, "%q", stream)
+		require.Equal(t, 1, response.ProtoMajor, "%q", stream)
+		for name := range response.Header {
+			require.True(t, httpguts.ValidHeaderFieldName(name), "%q", name)
+		}
+		consumed := len(stream) - reader.Len() - buffered.Buffered()
+		head, after, ended := cutHead(stream)
+		require.True(t, ended, "%q", stream)
+		require.Equal(t, len(stream)-len(after), consumed, "%q", head)
+		require.Equal(t, response.StatusCode/100 == 1 && response.StatusCode != http.StatusSwitchingProtocols, isInterim(head), "%q", head)
+	})
+}
+
 func TestHeadLength(t *testing.T) {
 	const interim, final = "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
 	const switching = "HTTP/1.1 101 Switching Protocols\r\n\r\n"
--- a/frontend/broken_head_test.go
+++ b/frontend/broken_head_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -141,3 +142,80 @@
 		onEachWayToRead(t, listenForGets(t, "HTTP/1.0 200 OK\r\n"+bodies["chunks"], closes), requireRejected)
 	})
 }
+
+// TestUnusualHeadsAreServed guards against rejecting heads that are unusual and can be read in one way only.
+func TestUnusualHeadsAreServed(t *testing.T) {
+	for name, response := range map[string]string{
+		"line feeds only":     "HTTP/1.1 200 OK\nContent-Type: text/plain\nContent-Length: 5\n\nhello",
+		"no reason":           "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
+		"empty reason":        "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.0":            "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.0, no length": "HTTP/1.0 200 OK\r\n\r\nhello",
+		"continued line":      okHead + "X-Text: one,\r\n\ttwo\r\nContent-Length: 5\r\n\r\nhello",
+		"empty value":         okHead + "X-Empty:\r\nContent-Length: 5\r\n\r\nhello",
+		"any token":           okHead + "!#$%&'*+-.^_`|~09aZ: value\r\nContent-Length: 5\r\n\r\nhello",
+		"30 KiB":              okHead + "X-Long: " + strings.Repeat("x", 30<<10) + "\r\nContent-Length: 5\r\n\r\nhello",
+		"informational":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + okHead + "Content-Length: 5\r\n\r\nhello",
+		"unknown success":     "HTTP/1.1 299 Other\r\nContent-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			onEachWayToRead(t, listenForGets(t, response, closes), func(t *testing.T, got answer) {
+				require.NoError(t, got.err)
+				require.Equal(t, 2, got.status/100)
+				require.Equal(t, "hello", got.body)
+			})
+		})
+	}
+}
+
+// invalidFields are lines of a head whose name is none.
+var invalidFields = map[string]string{
+	"blank before the colon of a length":   "Content-Length : 5",
+	"blank before the colon of the coding": "Transfer-Encoding : chunked",
+	"blank within":                         "X Name: value",
+	"blank within the name of a length":    "Content Length: 5",
+	"blank at the beginning of a length":   " Content-Length: 5",
+	"blank at the beginning of the coding": " Transfer-Encoding: chunked",
+	"tab at the beginning":                 "\tX-Name: value",
+	"tab before the colon":                 "X-Name\t: value",
+	"carriage return at the beginning":     "\rX-Name: value",
+	"carriage return before the colon":     "X-Name\r: value",
+	"zero byte":                            "X\x00Name: value",
+	"control byte":                         "X\x01Name: value",
+	"control byte at the end of a length":  "Content-Length\x0b: 5",
+	"delete":                               "X\x7fName: value",
+	"byte above ASCII":                     "X\x80Name: value",
+	"byte that is no token":                "X(Name): value",
+	"quotation mark":                       `"X-Name": value`,
+	"no name":                              ": value",
+	"blank in place of a name":             " : value",
+	"no colon":                             "X-Name",
+}
+
+// TestInvalidFieldNameIsRejected guards against fields that net/http passes on or ignores, although their name is none: where one should delimit the
+// body, the body ends elsewhere.
+func TestInvalidFieldNameIsRejected(t *testing.T) {
+	for name, line := range invalidFields {
+		for place, response := range map[string]string{
+			"first":           "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Type: text/plain\r\n",
+			"last":            okHead + line + "\r\n",
+			"informational":   "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n\r\n" + okHead,
+			"before 20 KiB":   okHead + line + "\r\nX-Long: " + strings.Repeat("x", 20<<10) + "\r\n",
+			"line feeds only": "HTTP/1.1 200 OK\nContent-Type: text/plain\n" + line + "\n",
+		} {
+			t.Run(name+"/"+place, func(t *testing.T) {
+				t.Parallel()
+				for bodyName, body := range bodies {
+					address := listenForGets(t, response+body, closes)
+					got := readers["HTTP/1.1"](t, ways["direct"](t, address))
+					require.NoError(t, got.err, bodyName)
+					require.Equal(t, http.StatusBadGateway, got.status, "%s: %+v", bodyName, got)
+					require.Equal(t, "unknown", got.header.Get("Tuliphall-Run"), bodyName)
+				}
+			})
+		}
+		t.Run(name+"/each way", func(t *testing.T) {
+			onEachWayToRead(t, listenForGets(t, okHead+line+"\r\n"+bodies["no length"], closes), requireRejected)
+		})
+	}
+}
