backend: only the first 16 KiB of the head of a response were checked

Callers saw: responses with both a length and chunks, or with fields whose name is none, if these stood behind 16 KiB of other fields. Back ends saw: uploads that were cut after an early response with a longer head.

Cause: 16 KiB of a head were recorded, while the transport accepts 32 KiB. The end of a longer head was not found in the record, so that the response did not count as an early one.

Change: the record holds as much as the transport accepts, and a long one is not kept for the next response.

Why it works: the transport counts all that it reads up to the end of the head, so that the record is complete for each response that it returns.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -145,18 +145,18 @@
 	return io.EOF
 }
 
-// maxResponseHead bounds the recorded bytes of a response head: more than heads have in
-// practice, and less than net/http accepts.
-const maxResponseHead = 16 << 10
+// maxKeptHead is the capacity of the largest buffer that is kept for the next response head.
+const maxKeptHead = 4 << 10
 
-// recordHead records bytes that were read until the response head is complete.
+// recordHead records bytes that were read until the response head is complete. The transport accepts no longer ones than
+// maxHeadBytes.
 func (c *trackedConn) recordHead(read []byte) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.recording {
 		return
 	}
-	c.responseHead = append(c.responseHead, read[:min(len(read), maxResponseHead-len(c.responseHead))]...)
+	c.responseHead = append(c.responseHead, read[:min(len(read), maxHeadBytes-len(c.responseHead))]...)
 	if length, complete := framing.HeadLength(c.responseHead); complete {
 		c.responseHead, c.recording = c.responseHead[:length], false
 		c.early = !c.upload.ended.Load() || !c.bodyWritten()
@@ -178,7 +178,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.recording = false
-	return framing.CheckResponse(c.responseHead)
+	err := framing.CheckResponse(c.responseHead)
+	if cap(c.responseHead) > maxKeptHead {
+		c.responseHead = nil
+	}
+	return err
 }
 
 func (c *trackedConn) writesStarted() int64 {
--- a/backend/response_test.go
+++ b/backend/response_test.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// TestAmbiguousLongHeadIsRejected guards against a head of which only the beginning is checked.
+func TestAmbiguousLongHeadIsRejected(t *testing.T) {
+	for _, length := range []int{10 << 10, 20 << 10, 30 << 10} {
+		_, err := get(t, serveOnce(t, func(to net.Conn) {
+			fmt.Fprintf(to, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Long: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", strings.Repeat("x", length))
+		}))
+		var failure *backend.Failure
+		require.True(t, errors.As(err, &failure), "%d bytes: %v", length, err)
+		require.Equal(t, resultcode.AnswerUnverifiable, failure.Code)
+	}
+}
+
 // TestUpgradeIsAsAsked guards against a response that switches the protocol without naming one, or without having been asked.
 func TestUpgradeIsAsAsked(t *testing.T) {
 	const named = "Connection: Upgrade\r\nUpgrade: other\r\n"
--- a/frontend/broken_head_test.go
+++ b/frontend/broken_head_test.go
@@ -200,6 +200,7 @@
 			"first":           "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Type: text/plain\r\n",
 			"last":            okHead + line + "\r\n",
 			"informational":   "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line + "\r\n\r\n" + okHead,
+			"behind 20 KiB":   okHead + "X-Long: " + strings.Repeat("x", 20<<10) + "\r\n" + line + "\r\n",
 			"before 20 KiB":   okHead + line + "\r\nX-Long: " + strings.Repeat("x", 20<<10) + "\r\n",
 			"line feeds only": "HTTP/1.1 200 OK\nContent-Type: text/plain\n" + line + "\n",
 		} {
--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -41,6 +41,7 @@
 		"response closes":            head + "Connection: close\r\nContent-Length: 8\r\n\r\naccepted",
 		"response without a body":    "HTTP/1.1 204 No Content\r\n\r\n",
 		"response with a trailer":    head + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n8\r\naccepted\r\n0\r\nX-Sum: 8\r\n\r\n",
+		"response with a long head":  head + "X-Long: " + strings.Repeat("x", 20<<10) + "\r\nContent-Length: 8\r\n\r\naccepted",
 		"response after interim one": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head + "Content-Length: 8\r\n\r\naccepted",
 	}
 }
