frontend: tests of heads and chunks that are cut short, and of trailers whose name is none

A back end that stops in the middle of the head of its response, or of its chunks, and closes or resets the connection is answered for with 502, or its response is broken off: net/http does not accept a last line without a colon, nor a head without its empty line. Trailers whose name is none are not passed on by net/http's server. Nothing else is changed for them.

--- a/frontend/broken_head_test.go
+++ b/frontend/broken_head_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,6 +42,12 @@
 // closes ends a connection cleanly.
 func closes(*net.TCPConn) {}
 
+// resets ends a connection with a reset, after what was sent has arrived.
+func resets(conn *net.TCPConn) {
+	time.Sleep(10 * time.Millisecond)
+	_ = conn.SetLinger(0)
+}
+
 // readers request /x of a daemon and return what they get.
 var readers = map[string]func(t *testing.T, handler *Handler) answer{
 	"HTTP/1.0": func(t *testing.T, handler *Handler) answer {
@@ -220,3 +228,82 @@
 		})
 	}
 }
+
+// TestInvalidTrailerNameIsNotPassedOn guards against trailers whose name is none. The body is whole before them.
+func TestInvalidTrailerNameIsNotPassedOn(t *testing.T) {
+	for name, line := range invalidFields {
+		invalid, _, _ := strings.Cut(line, ":")
+		if strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t") {
+			continue // continues the line before
+		}
+		t.Run(name, func(t *testing.T) {
+			response := okHead + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 5\r\n" + line + "\r\n\r\n"
+			onEachWayToRead(t, listenForGets(t, response, closes), func(t *testing.T, got answer) {
+				if got.err == nil {
+					require.Equal(t, "hello", got.body)
+				}
+				for sent := range got.trailer {
+					require.NotEqual(t, invalid, sent)
+				}
+			})
+		})
+	}
+}
+
+// TestHeadCutShortIsRejected guards against a head that ends in its middle and is taken for a whole one: net/http accepts a last line without its line
+// feed, which may be the carriage return of the line that ends a head.
+func TestHeadCutShortIsRejected(t *testing.T) {
+	for name, head := range map[string]string{
+		"no length":                  okHead + "\r\n",
+		"length":                     okHead + "Content-Length: 5\r\n\r\n",
+		"empty":                      okHead + "Content-Length: 0\r\n\r\n",
+		"no content":                 "HTTP/1.1 204 No Content\r\n\r\n",
+		"after an informational one": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + okHead + "\r\n",
+	} {
+		for endName, end := range map[string]func(*net.TCPConn){"closed": closes, "reset": resets} {
+			t.Run(name+"/"+endName, func(t *testing.T) {
+				t.Parallel()
+				for length := range len(head) {
+					got := readers["HTTP/1.1"](t, ways["direct"](t, listenForGets(t, head[:length], end)))
+					require.NoError(t, got.err, "%q", head[:length])
+					require.Equal(t, http.StatusBadGateway, got.status, "%q: %+v", head[:length], got)
+				}
+			})
+			t.Run(name+"/"+endName+"/each way", func(t *testing.T) {
+				onEachWayToRead(t, listenForGets(t, strings.TrimSuffix(head, "\n"), end), requireRejected)
+			})
+		}
+	}
+}
+
+// TestHeadCutShortDuringUploadIsRejected guards against the same fault while the body of the request is still being sent, where a write that meets
+// the reset hides it from the read of the head.
+func TestHeadCutShortDuringUploadIsRejected(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK", okHead, okHead + "\r", okHead + "Content-Length: 0\r\n\r"} {
+		for endName, end := range map[string]func(*net.TCPConn){"closed": closes, "reset": resets} {
+			t.Run(fmt.Sprintf("%q/%s", head, endName), func(t *testing.T) {
+				onEachWay(t, func(t *testing.T, call func(string, lengthReader) answer) {
+					address := listenForUploads(t, func(conn *net.TCPConn, _ *http.Request) {
+						_, _ = io.WriteString(conn, head)
+						end(conn)
+					})
+					requireNoAnswer(t, call(address, bytes.NewReader(make([]byte, 16<<20))))
+				})
+			})
+		}
+	}
+}
+
+// TestChunksCutShortAreNotWhole guards against a body in chunks that ends in its middle and is taken for a whole one.
+func TestChunksCutShortAreNotWhole(t *testing.T) {
+	const whole = "5\r\nhello\r\n0\r\nX-Sum: 5\r\n\r\n"
+	for endName, end := range map[string]func(*net.TCPConn){"closed": closes, "reset": resets} {
+		t.Run(endName, func(t *testing.T) {
+			t.Parallel()
+			for length := range len(whole) {
+				got := readers["HTTP/1.1"](t, ways["direct"](t, listenForGets(t, chunkedHead+whole[:length], end)))
+				require.Error(t, got.err, "%q", whole[:length])
+			}
+		})
+	}
+}
