backend: the end of a connection in a head is reported at once

A request to a server that ends its connection in the head of the response, while a write of the request is blocked, waited for that write since the reset behind a response is verified: 3.1 s instead of less than 0.5 s (TestEndInHeadIsReportedAtOnce). There is nothing to verify in a head, whose end is an error in any case.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -124,10 +124,13 @@
 const writeReturnTimeout = time.Second
 
 // verifyEnd returns io.EOF if no write on the connection has failed. It blocks while a write is in progress, for
-// at most writeReturnTimeout.
+// at most writeReturnTimeout. In a head, the end is an error in any case.
 func (c *trackedConn) verifyEnd() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.recording {
+		return io.EOF
+	}
 	timedOut := false
 	timer := time.AfterFunc(writeReturnTimeout, func() {
 		c.mutex.Lock()
--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -225,3 +225,24 @@
 		})
 	}
 }
+
+// TestEndInHeadIsReportedAtOnce guards against a request that waits for a blocked write although the server has ended the connection without a
+// whole head, which is a failure in any case.
+func TestEndInHeadIsReportedAtOnce(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	client := backend.NewClient(backend.Options{Address: testserver.Listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			time.Sleep(50 * time.Millisecond) // the sender fills the buffers
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+			_ = conn.(*net.TCPConn).CloseWrite()
+			<-done
+		}
+	})})
+	defer client.Close()
+	began := time.Now()
+	_, err := post(t, client, strings.Repeat("x", 64<<20))
+	require.Error(t, err)
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+}
