--- a/framing/framing.go
+++ b/framing/framing.go
@@ -2,8 +2,9 @@
 // differently from net/http.
 //
 // net/http accepts several things that RFC 9112 lets a recipient reject: lines that end
-// with a line feed alone, headers that are continued on the next line, and messages with
-// both a Content-Length and a Transfer-Encoding. A proxy in front of the load balancer or a
+// with a line feed alone, headers that are continued on the next line, messages with
+// both a Content-Length and a Transfer-Encoding, and in responses names of headers that hold
+// spaces and statuses below 100. A proxy in front of the load balancer or a
 // back end behind it may determine another end of such a message and take the bytes that
 // follow for a separate request (request smuggling). This package does not parse messages:
 // net/http does. It rejects messages that would otherwise be served.
