framing, frontend: what delimits a body is checked by one piece of code

CheckRequest and CheckResponse each kept and checked which headers delimit the body. The digits of a status were checked twice. Stand-ins and callers of the tests of broken responses were written twice. No behaviour and no assertion changes.

--- a/framing/framing.go
+++ b/framing/framing.go
@@ -41,7 +41,7 @@
 // served. The head begins with the request line and ends with an empty line.
 func CheckRequest(head []byte) error {
 	var requestLine []byte
-	hasLength, hasTransferEncoding := false, false
+	var delimiters bodyDelimiters
 	for rest := head; len(rest) > 0; {
 		line, after, ended := bytes.Cut(rest, []byte{'\n'})
 		rest = after
@@ -60,13 +60,29 @@
 		if trimmed := bytes.TrimRight(name, " \t"); len(trimmed) < len(name) {
 			return ErrSpaceBeforeColon
 		}
-		hasLength = hasLength || nameEquals(name, contentLength)
-		hasTransferEncoding = hasTransferEncoding || nameEquals(name, transferEncoding)
+		delimiters.add(name)
 	}
+	return delimiters.check(bytes.HasSuffix(requestLine, []byte(" HTTP/1.1\r")))
+}
+
+// bodyDelimiters tells which headers of a message determine the end of its body.
+type bodyDelimiters struct {
+	length, transferEncoding bool
+}
+
+// add notes the name of a header.
+func (d *bodyDelimiters) add(name []byte) {
+	d.length = d.length || nameEquals(name, contentLength)
+	d.transferEncoding = d.transferEncoding || nameEquals(name, transferEncoding)
+}
+
+// check returns why the end of the body is ambiguous; nil: it is not. hasChunks tells that the version of the message has a
+// Transfer-Encoding.
+func (d bodyDelimiters) check(hasChunks bool) error {
 	switch {
-	case hasLength && hasTransferEncoding:
+	case d.length && d.transferEncoding:
 		return ErrLengthAndTransferEncoding
-	case hasTransferEncoding && !bytes.HasSuffix(requestLine, []byte(" HTTP/1.1\r")):
+	case d.transferEncoding && !hasChunks:
 		return ErrTransferEncodingVersion
 	}
 	return nil
@@ -96,7 +112,7 @@
 	if err := checkStatusLine(bytes.TrimSuffix(statusLine, []byte{'\r'})); err != nil {
 		return err
 	}
-	hasLength, hasTransferEncoding := false, false
+	var delimiters bodyDelimiters
 	for line := range bytes.Lines(fields) {
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
 		name, _, hasColon := bytes.Cut(line, []byte{':'})
@@ -110,40 +126,33 @@
 		case !httpguts.ValidHeaderFieldName(string(name)):
 			return ErrFieldName
 		}
-		hasLength = hasLength || nameEquals(name, contentLength)
-		hasTransferEncoding = hasTransferEncoding || nameEquals(name, transferEncoding)
+		delimiters.add(name)
 	}
-	switch {
-	case hasLength && hasTransferEncoding:
-		return ErrLengthAndTransferEncoding
-	case hasTransferEncoding && bytes.HasPrefix(statusLine, []byte("HTTP/1.0 ")):
-		return ErrTransferEncodingVersion
-	}
-	return nil
+	return delimiters.check(!bytes.HasPrefix(statusLine, []byte("HTTP/1.0 ")))
 }
 
 // checkStatusLine is stricter than net/http, which accepts other versions, numbers below 100 and signs.
 func checkStatusLine(line []byte) error {
 	version, _, _ := bytes.Cut(line, []byte{' '})
-	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len(version)-1]) {
+	minor, isHTTP1 := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !isHTTP1 || len(minor) != 1 || len(leadingDigits(minor)) != 1 {
 		return ErrVersion
 	}
 	status := statusOf(line)
-	if len(status) != 3 || status[0] == '0' || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
+	if len(status) != 3 || status[0] == '0' {
 		return ErrStatus
 	}
 	return nil
 }
 
-func isDigit(char byte) bool {
-	return '0' <= char && char <= '9'
-}
-
 // statusOf returns the status that a status line begins with, after the version. Like net/http, it skips spaces.
 func statusOf(line []byte) []byte {
 	_, rest, _ := bytes.Cut(line, []byte{' '})
-	rest = bytes.TrimLeft(rest, " ")
-	return rest[:len(rest)-len(bytes.TrimLeft(rest, "0123456789"))]
+	return leadingDigits(bytes.TrimLeft(rest, " "))
+}
+
+func leadingDigits(text []byte) []byte {
+	return text[:len(text)-len(bytes.TrimLeft(text, "0123456789"))]
 }
 
 // HeadLength returns the length of the head of a response, including the heads of interim
--- a/frontend/broken_head_test.go
+++ b/frontend/broken_head_test.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/tuliphall/tuliphall/internal/testserver"
 )
 
 // slowPath is the path of requests that are answered well, but late.
@@ -23,19 +21,14 @@
 // listenForGets starts a back end that answers each request with the response and closes the connection. end is called before it does.
 func listenForGets(t *testing.T, response string, end func(conn *net.TCPConn)) (address string) {
 	t.Helper()
-	return testserver.Listen(t, func(conn net.Conn) {
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
+	return listenForRequests(t, func(conn *net.TCPConn, request *http.Request) {
 		if request.URL.Path == slowPath {
 			time.Sleep(50 * time.Millisecond)
 			_, _ = io.WriteString(conn, okHead+"Connection: close\r\nContent-Length: 2\r\n\r\nok")
 			return
 		}
 		_, _ = io.WriteString(conn, response)
-		end(conn.(*net.TCPConn))
+		end(conn)
 	})
 }
 
@@ -283,7 +276,7 @@
 		for endName, end := range map[string]func(*net.TCPConn){"closed": closes, "reset": resets} {
 			t.Run(fmt.Sprintf("%q/%s", head, endName), func(t *testing.T) {
 				onEachWay(t, func(t *testing.T, call func(string, lengthReader) answer) {
-					address := listenForUploads(t, func(conn *net.TCPConn, _ *http.Request) {
+					address := listenForRequests(t, func(conn *net.TCPConn, _ *http.Request) {
 						_, _ = io.WriteString(conn, head)
 						end(conn)
 					})
--- a/frontend/broken_response_test.go
+++ b/frontend/broken_response_test.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// listenForUploads starts a back end that reads the head of a request and then calls respond.
-func listenForUploads(t *testing.T, respond func(conn *net.TCPConn, request *http.Request)) (address string) {
+// listenForRequests starts a back end that reads the head of one request of each connection, calls respond and closes the connection.
+func listenForRequests(t *testing.T, respond func(conn *net.TCPConn, request *http.Request)) (address string) {
 	t.Helper()
 	return testserver.Listen(t, func(conn net.Conn) {
 		defer conn.Close()
@@ -200,7 +200,7 @@
 	const attempts = 5
 	onEachWay(t, func(t *testing.T, call func(string, lengthReader) answer) {
 		for _, part := range []int{0, 5, 100_000} {
-			address := listenForUploads(t, func(conn *net.TCPConn, _ *http.Request) { resetDuringUpload(conn, part) })
+			address := listenForRequests(t, func(conn *net.TCPConn, _ *http.Request) { resetDuringUpload(conn, part) })
 			for range attempts {
 				requireNoAnswer(t, call(address, bytes.NewReader(make([]byte, 16<<20))))
 			}
@@ -230,7 +230,7 @@
 // connection is closed cleanly then, and only what is sent later is rejected.
 func TestResponseWithoutLengthOfBackendThatEnds(t *testing.T) {
 	onEachWay(t, func(t *testing.T, call func(string, lengthReader) answer) {
-		address := listenForUploads(t, func(conn *net.TCPConn, request *http.Request) {
+		address := listenForRequests(t, func(conn *net.TCPConn, request *http.Request) {
 			_, _ = io.WriteString(conn, okHead+"\r\npart")
 			_, _ = io.CopyN(io.Discard, request.Body, slowPieceBytes)
 			time.Sleep(5 * time.Millisecond)
@@ -260,7 +260,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			onEachWay(t, func(t *testing.T, call func(string, lengthReader) answer) {
-				address := listenForUploads(t, respond)
+				address := listenForRequests(t, respond)
 				for _, length := range []int{0, 1000, 4 << 20} {
 					got := call(address, bytes.NewReader(make([]byte, length)))
 					require.NoError(t, got.err, "%d bytes", length)
@@ -277,7 +277,7 @@
 func TestRefusalWithoutLengthOfUploadIsServed(t *testing.T) {
 	const text = "too long"
 	onEachWay(t, func(t *testing.T, call func(string, lengthReader) answer) {
-		got := call(listenForUploads(t, func(conn *net.TCPConn, request *http.Request) {
+		got := call(listenForRequests(t, func(conn *net.TCPConn, request *http.Request) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 413 Content Too Large\r\n\r\n"+text)
 			_ = conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, request.Body)
@@ -299,12 +299,8 @@
 		for wayName, newHandler := range ways {
 			t.Run(name+"/"+wayName, func(t *testing.T) {
 				t.Parallel()
-				address := listenForUploads(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, response) })
-				conn := dial(t, startPipelinedServer(t, newHandler(t, address)))
-				_, err := io.WriteString(conn, "GET /x HTTP/1.0\r\nHost: h\r\n\r\n")
-				require.NoError(t, err)
-				require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
-				requireNoAnswer(t, readAnswer(http.ReadResponse(bufio.NewReader(conn), nil)))
+				address := listenForRequests(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, response) })
+				requireNoAnswer(t, readers["HTTP/1.0"](t, newHandler(t, address)))
 			})
 		}
 	}
