framing: one check for responses that only the end of the connection delimits

backend and objectstore each had one, with the same message. It stands beside the other checks of what delimits a body. No behaviour changes: the statuses without a body that the one of objectstore did not look at have a length of 0 for net/http, and no response to backend is uncompressed.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -20,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tuliphall/tuliphall/framing"
 	"github.com/tuliphall/tuliphall/network"
 	"github.com/tuliphall/tuliphall/resultcode"
 )
@@ -278,7 +279,7 @@
 
 // bufferShortBody reads the body of a short response into memory and closes it.
 func bufferShortBody(response *http.Response) error {
-	if response.ContentLength <= 0 || response.ContentLength > maxBufferedBody || !bodyAllowed(response) {
+	if response.ContentLength <= 0 || response.ContentLength > maxBufferedBody || !framing.BodyAllowed(response) {
 		return nil
 	}
 	body := make([]byte, response.ContentLength)
@@ -339,8 +340,8 @@
 	if response.StatusCode == http.StatusSwitchingProtocols && !switchesAsAsked(response) {
 		return errors.New("response switches to a protocol that the request has not asked for")
 	}
-	if EndsWithConnection(response) && !c.options.AllowUnframed {
-		return errors.New("response has neither Content-Length nor chunked encoding, so its end cannot be verified")
+	if framing.EndsWithConnection(response) && !c.options.AllowUnframed {
+		return framing.ErrUnframed
 	}
 	return nil
 }
@@ -351,18 +352,6 @@
 	return switched && response.Request.Header.Get("Upgrade") != ""
 }
 
-// EndsWithConnection reports whether the end of the body of a response is delimited only by the end of the connection.
-func EndsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && bodyAllowed(response)
-}
-
-func bodyAllowed(response *http.Response) bool {
-	if response.Request != nil && response.Request.Method == http.MethodHead {
-		return false
-	}
-	return response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotModified && response.StatusCode >= http.StatusOK
-}
-
 // CopyRequest returns a request that reproduces a received one: its target byte for byte, including
 // characters that net/url would escape differently, and its end-to-end headers.
 func CopyRequest(r *http.Request) *http.Request {
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -7,7 +7,8 @@
 // spaces and statuses below 100. A proxy in front of the load balancer or a
 // back end behind it may determine another end of such a message and take the bytes that
 // follow for a separate request (request smuggling). This package does not parse messages:
-// net/http does. It rejects messages that would otherwise be served.
+// net/http does. It rejects messages that would otherwise be served, and tells which responses have an end that
+// cannot be verified.
 package framing
 
 import (
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/framing"
 	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/overload"
 	"github.com/tuliphall/tuliphall/requestbody"
@@ -41,7 +42,7 @@
 	if err := a.copyResponse(response); err != nil {
 		return err
 	}
-	if !backend.EndsWithConnection(response) {
+	if !framing.EndsWithConnection(response) {
 		a.recordAnswered(code)
 		a.passOnBody(ctx, response)
 		return nil
--- a/objectstore/http.go
+++ b/objectstore/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tuliphall/tuliphall/framing"
 	"github.com/tuliphall/tuliphall/network"
 )
 
@@ -187,8 +188,9 @@
 	if err != nil {
 		return nil, nil, noResponse(ctx, err)
 	}
-	if endsWithConnection(response) {
-		return nil, nil, noResponse(ctx, errUnframed)
+	if framing.EndsWithConnection(response) {
+		// A value may hold any bytes, so that a part of one cannot be told from the whole.
+		return nil, nil, noResponse(ctx, framing.ErrUnframed)
 	}
 	if _, err := c.eras.ObserveHeader(response.Header.Get(HeaderEra)); err != nil {
 		return nil, nil, err
@@ -199,14 +201,6 @@
 	return response, responseBody, nil
 }
 
-// errUnframed: a value may hold any bytes, so that a part of one cannot be told from the whole.
-const errUnframed = errors.ConstError("response has neither Content-Length nor chunked encoding, so its end cannot be verified")
-
-// endsWithConnection reports whether only the end of the connection delimits the body of a response.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
-}
-
 func noResponse(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return errors.WithType(ctx.Err(), ErrOutcomeUnknown)
--- a/relay/server.go
+++ b/relay/server.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tuliphall/tuliphall/backend"
+	"github.com/tuliphall/tuliphall/framing"
 	"github.com/tuliphall/tuliphall/httpcopy"
 	"github.com/tuliphall/tuliphall/logging"
 	"github.com/tuliphall/tuliphall/requestbody"
@@ -164,7 +165,7 @@
 	if err := httpcopy.Response(w, response, httpcopy.Options{}); err != nil {
 		return err
 	}
-	if sent := body.PassOn(r.Context(), response.StatusCode); sent.Err == requestbody.ErrReaderGone && backend.EndsWithConnection(response) {
+	if sent := body.PassOn(r.Context(), response.StatusCode); sent.Err == requestbody.ErrReaderGone && framing.EndsWithConnection(response) {
 		return &httpcopy.Error{Side: httpcopy.Server, Cause: sent.Err}
 	}
 	return nil
